--- /dev/null
+++ b/internal/qf/decision.go
@@ -0,0 +1,154 @@
+package qf
+
+import "time"
+
+// Reason says which rule chose an action and the figures that it saw. The same
+// reason feeds the log, the trace and the operators' report.
+type Reason struct {
+	// Rule names the rule, such as "LeastPredictedTime".
+	Rule string
+	// Figures are name and value pairs, in the order in which the rule used them.
+	Figures []Figure
+}
+
+// Figure is one named value that a decision saw.
+type Figure struct {
+	Name  string
+	Value float64
+}
+
+// RouteQuery is what a router is asked.
+type RouteQuery struct {
+	Now          time.Time
+	Request      *Request
+	FromZone     AvailabilityZone
+	FromRegion   Region
+	PromptTokens int
+	// ResumeTokens is the length of the answer so far, which must be prefilled.
+	ResumeTokens int
+	// Prefixes are the hashes of the prompt's blocks, shortest prefix first.
+	Prefixes []uint64
+	// Version restricts the choice to one version, if it is set.
+	Version Version
+	// Excluded endpoints must not be chosen.
+	Excluded []EndpointID
+}
+
+// RouteChoice is a router's answer.
+type RouteChoice struct {
+	Endpoint Endpoint
+	// FirstToken is the predicted time to the first token.
+	FirstToken time.Duration
+	Reason     Reason
+}
+
+// Router picks an endpoint and learns from what becomes of attempts. It does
+// no I/O and reads no clock.
+type Router interface {
+	// SetEndpoints replaces the candidates.
+	SetEndpoints(endpoints []Endpoint)
+	// Choose picks an endpoint, or returns an *Error with CodeNoEndpoint.
+	Choose(query RouteQuery) (RouteChoice, error)
+	// Started, FirstToken and Ended report the life of an attempt.
+	Started(at time.Time, endpoint EndpointID, tokens int)
+	FirstToken(at time.Time, endpoint EndpointID, took time.Duration)
+	Ended(at time.Time, endpoint EndpointID, tokens int, ok bool)
+	// Reported takes a load report.
+	Reported(at time.Time, report LoadReport)
+	// Departing takes news that a VM leaves; it gets no new work from now on.
+	Departing(vm VMID, incarnation Incarnation)
+	// PeerSent takes what another node has in progress.
+	PeerSent(load SentLoad)
+	// CacheChanged takes a cache event.
+	CacheChanged(event CacheEvent)
+}
+
+// AdmitQuery is what a limiter is asked.
+type AdmitQuery struct {
+	Now     time.Time
+	Request *Request
+	// Tokens estimates the tokens of prompt and answer.
+	Tokens int
+	// Predicted is the predicted time to completion at the chosen endpoint.
+	Predicted time.Duration
+	// InProgress is the node's number of requests in progress.
+	InProgress int
+}
+
+// Admission is a limiter's answer.
+type Admission struct {
+	Admitted bool
+	// Code and RetryAfter are set exactly if Admitted is false.
+	Code       Code
+	RetryAfter time.Duration
+	Reason     Reason
+}
+
+// Limiter admits or refuses requests. It does no I/O and reads no clock.
+type Limiter interface {
+	Admit(query AdmitQuery) Admission
+	// Released reports the end of an admitted request and the tokens it used.
+	Released(now time.Time, request *Request, tokens int)
+	// SetLimits replaces the limits when the catalogue changes.
+	SetLimits(limits []Limit)
+	// Uses returns this node's use and demand for peers.
+	Uses(now time.Time) []LimitUse
+	// PeerUses takes another node's use and demand.
+	PeerUses(now time.Time, uses []LimitUse)
+	// SetNodes sets the live nodes among which limits are shared.
+	SetNodes(now time.Time, self NodeID, live []NodeID)
+}
+
+// Limit bounds the requests of an organisation at an entry. An empty
+// Organisation stands for all together, an empty Class for every class.
+type Limit struct {
+	Name              string
+	Entry             EntryName
+	Organisation      Organisation
+	Class             Class
+	Concurrency       int
+	RequestsPerSecond float64
+	TokensPerSecond   float64
+	// Weight is the organisation's share under contention; at least 1.
+	Weight float64
+}
+
+// VersionQuery asks a rollout for the version of a new request.
+type VersionQuery struct {
+	Now          time.Time
+	Entry        EntryName
+	Organisation Organisation
+	Region       Region
+	Class        Class
+	OnceOnly     bool
+	// Draw is uniform in [0, 1).
+	Draw float64
+}
+
+// Observation reports one finished attempt to rollout judgement.
+type Observation struct {
+	At           time.Time
+	Entry        EntryName
+	Version      Version
+	Organisation Organisation
+	Region       Region
+	Class        Class
+	Failed       bool
+	FirstToken   time.Duration
+	BetweenToken time.Duration
+	Tokens       int
+	Complete     bool
+	// Load is the endpoint's number of running requests at the start.
+	Load int
+}
+
+// VersionChooser splits traffic between versions and judges them. It does no
+// I/O and reads no clock.
+type VersionChooser interface {
+	Choose(query VersionQuery) (Version, Reason)
+	Observe(observation Observation)
+	// Stop takes a stop from a peer; it returns whether the stop was news.
+	Stop(stop RolloutStop) bool
+	// Stops returns the stops that this node knows.
+	Stops() []RolloutStop
+}
--- /dev/null
+++ b/internal/qf/endpoint.go
@@ -0,0 +1,200 @@
+package qf
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// EntryKind says what kind of endpoint serves an entry.
+type EntryKind string
+
+// The kinds of entries.
+const (
+	KindModelEngine  EntryKind = "ModelEngine"
+	KindPlainService EntryKind = "PlainService"
+)
+
+// Endpoint is one back end that serves an entry.
+type Endpoint struct {
+	ID               EndpointID
+	VM               VMID
+	Incarnation      Incarnation
+	Kind             EntryKind
+	Entry            EntryName
+	Version          Version
+	Region           Region
+	AvailabilityZone AvailabilityZone
+	Class            VMClass
+	Address          netip.AddrPort
+	ChecksFencing    bool
+}
+
+// Message is one turn of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// GenerateRequest asks a model engine for tokens.
+type GenerateRequest struct {
+	Request      RequestID
+	Attempt      AttemptID
+	Entry        EntryName
+	Organisation Organisation
+	Messages     []Message
+	// MaxTokens bounds the whole answer, resumed tokens included.
+	MaxTokens int
+	// Priority orders work in the engine; a higher one goes first.
+	Priority int
+	// ResumeText is the text of the answer that the caller already has; the
+	// engine continues after it.
+	ResumeText string
+	// ResumeTokens is the number of tokens in ResumeText.
+	ResumeTokens int
+	// KVHandle names imported KV cache for the resumed text, if any.
+	KVHandle string
+	Deadline time.Time
+}
+
+// Piece is a part of a streamed answer.
+type Piece struct {
+	// Attempt echoes the attempt's identifier.
+	Attempt AttemptID
+	// Offset is the index of this piece's token in the whole answer, from 0.
+	Offset int
+	Text   string
+	// End marks the end of the whole answer. Text is empty and Offset is the
+	// number of tokens in the answer.
+	End          bool
+	FinishReason string
+	// CachedTokens and ComputedTokens count the prompt and resumed tokens that
+	// the engine found in its cache and had to compute. They come with the first
+	// piece of an attempt.
+	CachedTokens   int
+	ComputedTokens int
+}
+
+// PieceStream delivers the pieces of one attempt.
+type PieceStream interface {
+	// Next returns the next piece. io.EOF means that the stream ended; without
+	// a piece with End set before, the answer is incomplete.
+	Next(ctx context.Context) (Piece, error)
+	// Close cancels the attempt at the engine if it isn't complete.
+	Close() error
+}
+
+// LoadReport is what an endpoint says about its load. It lags.
+type LoadReport struct {
+	Endpoint EndpointID
+	// Sequence rises with each report of one incarnation.
+	Sequence uint64
+	// At is when the endpoint made the report, by its clock.
+	At time.Time
+	// Running and Queued count requests.
+	Running, Queued int
+	// QueuedTokens counts the prompt tokens that wait for prefill.
+	QueuedTokens int
+	// FreeKVTokens is the room in the KV cache.
+	FreeKVTokens int
+	Entry        EntryName
+	Version      Version
+	Adapters     []string
+	Role         EngineRole
+	Leaving      bool
+}
+
+// EngineRole says which phases of a request an engine serves.
+type EngineRole string
+
+// The roles of an engine.
+const (
+	EngineMixed   EngineRole = "Mixed"
+	EnginePrefill EngineRole = "Prefill"
+	EngineDecode  EngineRole = "Decode"
+)
+
+// CacheEventKind says what a cache event reports.
+type CacheEventKind string
+
+// The kinds of cache events.
+const (
+	CacheStored  CacheEventKind = "Stored"
+	CacheEvicted CacheEventKind = "Evicted"
+	CacheCleared CacheEventKind = "Cleared"
+)
+
+// CacheEvent reports a change of an engine's prefix cache.
+type CacheEvent struct {
+	Endpoint EndpointID
+	// Sequence rises by one with each event; a gap means lost events.
+	Sequence uint64
+	Kind     CacheEventKind
+	// Prefix is the hash of the cached prefix.
+	Prefix uint64
+	// Tokens is the length of the prefix.
+	Tokens int
+}
+
+// Order tells an endpoint the end state that it should reach.
+type Order struct {
+	// Fencing is the number of the lease under which the order is given.
+	Fencing  FencingNumber
+	Entry    EntryName
+	Version  Version
+	Adapters []string
+	Role     EngineRole
+	// Leave tells the endpoint to finish its work and accept no more.
+	Leave bool
+}
+
+// KVExport is a snapshot of an attempt's KV cache.
+type KVExport struct {
+	Handle string
+	Tokens int
+	Bytes  uint64
+	Body   []byte
+}
+
+// ModelEngine is the contract of model engines, seen from a node.
+type ModelEngine interface {
+	// Generate starts an attempt. An *Error with RanNo means that the engine
+	// provably did not start it.
+	Generate(ctx context.Context, endpoint Endpoint, request GenerateRequest) (PieceStream, error)
+	Load(ctx context.Context, endpoint Endpoint) (LoadReport, error)
+	CacheEvents(ctx context.Context, endpoint Endpoint, after uint64) ([]CacheEvent, error)
+	Order(ctx context.Context, endpoint Endpoint, order Order) Result[LoadReport]
+	ExportKV(ctx context.Context, endpoint Endpoint, attempt AttemptID) (KVExport, error)
+	ImportKV(ctx context.Context, endpoint Endpoint, export KVExport) error
+}
+
+// ServiceCall is one HTTP call of a plain service.
+type ServiceCall struct {
+	Request      RequestID
+	Attempt      AttemptID
+	Organisation Organisation
+	Method       string
+	// Path starts with a slash and includes the query.
+	Path        string
+	ContentType string
+	Body        []byte
+	Deadline    time.Time
+}
+
+// ServiceAnswer is the whole answer of a plain service.
+type ServiceAnswer struct {
+	Attempt     AttemptID
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// PlainService is the contract of plain services, seen from a node.
+type PlainService interface {
+	// Call runs the call. NotDone means that it provably did not run.
+	Call(ctx context.Context, endpoint Endpoint, call ServiceCall) Result[ServiceAnswer]
+	// Status asks what became of an attempt: Done with its answer, NotDone if
+	// the service provably never ran it and never will, Unknown otherwise.
+	Status(ctx context.Context, endpoint Endpoint, attempt AttemptID) Result[ServiceAnswer]
+	Load(ctx context.Context, endpoint Endpoint) (LoadReport, error)
+}
--- /dev/null
+++ b/internal/qf/peer.go
@@ -0,0 +1,106 @@
+package qf
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// NodeState is the state of an entry node as its peers see it.
+type NodeState string
+
+// The states of a node. Leaving never becomes Live again for one incarnation.
+const (
+	NodeLive    NodeState = "Live"
+	NodeSuspect NodeState = "Suspect"
+	NodeLeaving NodeState = "Leaving"
+	NodeDead    NodeState = "Dead"
+)
+
+// Node describes an entry node.
+type Node struct {
+	ID               NodeID
+	Incarnation      Incarnation
+	Region           Region
+	AvailabilityZone AvailabilityZone
+	// CallerAddress is where callers connect, PeerAddress where nodes do.
+	CallerAddress netip.AddrPort
+	PeerAddress   netip.AddrPort
+	State         NodeState
+	// Heartbeat rises while the node runs.
+	Heartbeat uint64
+	// CatalogueRevision is the newest revision that the node has in force.
+	CatalogueRevision Revision
+	// Load is the node's number of requests in progress.
+	Load int
+}
+
+// Departure is news that a VM is leaving. For one incarnation it only grows:
+// once known it is never taken back.
+type Departure struct {
+	VM          VMID
+	Incarnation Incarnation
+	// In is the time until the VM leaves, when the news was sent.
+	In time.Duration
+}
+
+// RolloutStop is news that a version of an entry must get no further exposure.
+// A stop is never undone by a message with the same or a lower Epoch.
+type RolloutStop struct {
+	Entry   EntryName
+	Version Version
+	Epoch   uint64
+	Reason  string
+}
+
+// LimitUse is one node's use of, and demand for, a limit.
+type LimitUse struct {
+	Node  NodeID
+	Limit string
+	// Demand and Used are in the limit's units per second.
+	Demand, Used float64
+	// Sequence rises with each report of a node.
+	Sequence uint64
+}
+
+// SentLoad is what one node has in progress at an endpoint.
+type SentLoad struct {
+	Node     NodeID
+	Endpoint EndpointID
+	Running  int
+	Tokens   int
+	Sequence uint64
+}
+
+// Suspicion is news that a request fingerprint was in progress at an endpoint
+// that died.
+type Suspicion struct {
+	Fingerprint uint64
+	// Deaths lists the endpoints that died with the fingerprint in progress.
+	Deaths []EndpointID
+}
+
+// Digest is what nodes tell each other in one exchange.
+type Digest struct {
+	From         Node
+	Nodes        []Node
+	Departures   []Departure
+	RolloutStops []RolloutStop
+	LimitUses    []LimitUse
+	SentLoads    []SentLoad
+	Suspicions   []Suspicion
+}
+
+// Peer is the contract between entry nodes.
+type Peer interface {
+	// Exchange sends a digest and returns the peer's.
+	Exchange(ctx context.Context, address netip.AddrPort, digest Digest) (Digest, error)
+	// HandOver moves requests to the peer. The value lists those it took.
+	HandOver(ctx context.Context, address netip.AddrPort, records []RequestRecord) Result[[]RequestID]
+	// Shadow keeps copies of records at the peer in case the sender dies.
+	Shadow(ctx context.Context, address netip.AddrPort, records []RequestRecord) error
+	// Lookup asks the peer for a record that it owns or shadows.
+	Lookup(ctx context.Context, address netip.AddrPort, id RequestID) (RequestRecord, error)
+	// Catalogue fetches the peer's catalogue if it is newer than the revision.
+	Catalogue(ctx context.Context, address netip.AddrPort, newerThan Revision) ([]byte, Revision, error)
+}
--- /dev/null
+++ b/internal/qf/platform.go
@@ -0,0 +1,184 @@
+package qf
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// Row is one row of the table service.
+type Row struct {
+	Key string
+	// Version rises by one with each write of the row and starts at 1.
+	Version uint64
+	Value   []byte
+	// Writer is the transaction that wrote this version.
+	Writer TransactionID
+}
+
+// Condition requires a row to be at a version. Version 0 requires its absence.
+type Condition struct {
+	Key     string
+	Version uint64
+}
+
+// Write sets or deletes a row.
+type Write struct {
+	Key    string
+	Value  []byte
+	Delete bool
+}
+
+// Transaction is a conditional write of several rows that applies whole or not
+// at all.
+type Transaction struct {
+	// ID is unique over all transactions ever sent.
+	ID         TransactionID
+	Conditions []Condition
+	Writes     []Write
+}
+
+// Committed is the answer of a transaction that took effect.
+type Committed struct {
+	ID TransactionID
+}
+
+// Table is the platform's transactional table service. Source: the platform.
+//
+// Commit is NotDone with CodeConflict if a condition failed, NotDone with
+// CodeUnavailable if the request provably did not reach the service, and
+// Unknown otherwise.
+type Table interface {
+	// Read returns the row, or an *Error with CodeNotFound.
+	Read(ctx context.Context, key string) (Row, error)
+	// Scan returns at most limit rows whose key starts with the prefix and is
+	// greater than after, in the order of their keys.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Commit applies the transaction if all its conditions hold.
+	Commit(ctx context.Context, transaction Transaction) Result[Committed]
+}
+
+// Object is one object of the object store.
+type Object struct {
+	Key     string
+	Version uint64
+	Body    []byte
+}
+
+// ObjectStore is the platform's object store.
+type ObjectStore interface {
+	// Get returns the object, or an *Error with CodeNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// Put stores a body if the object is at the version; 0 requires absence.
+	// The value of a done result is the new version.
+	Put(ctx context.Context, key string, version uint64, body []byte) Result[uint64]
+	// List returns the keys that start with the prefix, in order.
+	List(ctx context.Context, prefix string) ([]string, error)
+}
+
+// VMClass is the way in which a VM is paid for.
+type VMClass string
+
+// The classes of VMs.
+const (
+	ClassReclaimable VMClass = "Reclaimable"
+	ClassOnDemand    VMClass = "OnDemand"
+)
+
+// VMState is the state of a VM as the cloud reports it.
+type VMState string
+
+// The states of a VM.
+const (
+	VMStarting VMState = "Starting"
+	VMLive     VMState = "Live"
+	VMLeaving  VMState = "Leaving"
+	VMGone     VMState = "Gone"
+)
+
+// VMRole says what runs on a VM.
+type VMRole string
+
+// The roles of a VM.
+const (
+	RoleEntryNode    VMRole = "EntryNode"
+	RoleModelEngine  VMRole = "ModelEngine"
+	RolePlainService VMRole = "PlainService"
+)
+
+// VM is a virtual machine as the cloud and the VM list describe it.
+type VM struct {
+	ID               VMID
+	Incarnation      Incarnation
+	Role             VMRole
+	Entry            EntryName
+	Version          Version
+	Region           Region
+	AvailabilityZone AvailabilityZone
+	Class            VMClass
+	State            VMState
+	// Address is where the VM's server listens: the endpoint, or an entry
+	// node's callers' port.
+	Address netip.AddrPort
+	// PeerAddress is an entry node's port for other nodes.
+	PeerAddress netip.AddrPort
+	// LeaveAt is the time of the reclaim. It is set exactly if State is
+	// VMLeaving.
+	LeaveAt time.Time
+	// ChecksFencing says whether the VM's endpoint refuses orders with an old
+	// fencing number.
+	ChecksFencing bool
+	// Token is the client's identifier of the start request.
+	Token string
+}
+
+// Price is the price of a class of VM in an availability zone.
+type Price struct {
+	AvailabilityZone AvailabilityZone
+	Class            VMClass
+	Role             VMRole
+	// PerHour is in thousandths of the currency unit.
+	PerHour uint64
+}
+
+// StartVM asks the cloud for a VM. Token makes a repeat of the same request
+// return the same VM.
+type StartVM struct {
+	Token            string
+	Role             VMRole
+	Entry            EntryName
+	Version          Version
+	AvailabilityZone AvailabilityZone
+	Class            VMClass
+}
+
+// Notice announces that a VM will be reclaimed.
+type Notice struct {
+	VM          VMID
+	Incarnation Incarnation
+	LeaveAt     time.Time
+}
+
+// Cloud is the platform's API for VMs.
+type Cloud interface {
+	Prices(ctx context.Context) ([]Price, error)
+	VMs(ctx context.Context) ([]VM, error)
+	Start(ctx context.Context, start StartVM) Result[VM]
+	Stop(ctx context.Context, vm VMID) Result[VM]
+	Notices(ctx context.Context) ([]Notice, error)
+}
+
+// VMList is the platform's lagging list of live and leaving VMs.
+type VMList interface {
+	// List returns the VMs and the time as of which the list holds.
+	List(ctx context.Context) ([]VM, time.Time, error)
+}
+
+// WeightStore is the platform's rate-limited store of model weights.
+type WeightStore interface {
+	// Size returns the size in bytes of a version's weights.
+	Size(ctx context.Context, entry EntryName, version Version) (uint64, error)
+	// Reserve asks for a share of the store's rate from now on and returns when
+	// a load of the size would be complete.
+	Reserve(ctx context.Context, entry EntryName, version Version) (time.Duration, error)
+}
--- /dev/null
+++ b/internal/qf/state/qftimer/virtual.go
@@ -0,0 +1,109 @@
+package qftimer
+
+import (
+	"quetzalfront/internal/qf"
+	"sync"
+	"time"
+)
+
+// Virtual is a timer whose time moves only when Advance is called.
+type Virtual struct {
+	mu  sync.Mutex
+	now time.Time
+	// subscriptions holds those that are neither stopped nor spent.
+	subscriptions map[*virtualSubscription]struct{}
+}
+
+// NewVirtual returns a virtual timer that stands at the start.
+func NewVirtual(start time.Time) *Virtual {
+	return &Virtual{now: start, subscriptions: map[*virtualSubscription]struct{}{}}
+}
+
+// Now returns the virtual time.
+func (v *Virtual) Now() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.now
+}
+
+// Every implements qf.Timer.
+func (v *Virtual) Every(interval time.Duration) qf.Subscription {
+	return v.subscribe(interval, interval)
+}
+
+// After implements qf.Timer.
+func (v *Virtual) After(delay time.Duration) qf.Subscription {
+	return v.subscribe(delay, 0)
+}
+
+func (v *Virtual) subscribe(delay, interval time.Duration) qf.Subscription {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := &virtualSubscription{
+		timer:    v,
+		c:        make(chan time.Time, 1),
+		due:      v.now.Add(delay),
+		interval: interval,
+	}
+	v.subscriptions[s] = struct{}{}
+	return s
+}
+
+// Advance moves the time forward and delivers what comes due on the way, in
+// the order of the due times.
+func (v *Virtual) Advance(step time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	end := v.now.Add(step)
+	for {
+		next := v.earliest(end)
+		if next == nil {
+			break
+		}
+		v.now = next.due
+		next.deliver()
+	}
+	v.now = end
+}
+
+func (v *Virtual) earliest(end time.Time) *virtualSubscription {
+	var next *virtualSubscription
+	for s := range v.subscriptions {
+		if s.due.After(end) {
+			continue
+		}
+		if next == nil || s.due.Before(next.due) {
+			next = s
+		}
+	}
+	return next
+}
+
+type virtualSubscription struct {
+	timer *Virtual
+	c     chan time.Time
+	due   time.Time
+	// interval is zero for a subscription that fires once.
+	interval time.Duration
+}
+
+// deliver is called with the timer's lock held.
+func (s *virtualSubscription) deliver() {
+	select {
+	case s.c <- s.due:
+	default: // A slow receiver misses ticks.
+	}
+	if s.interval <= 0 {
+		delete(s.timer.subscriptions, s)
+		return
+	}
+	s.due = s.due.Add(s.interval)
+}
+
+func (s *virtualSubscription) C() <-chan time.Time { return s.c }
+
+func (s *virtualSubscription) Stop() {
+	s.timer.mu.Lock()
+	defer s.timer.mu.Unlock()
+	delete(s.timer.subscriptions, s)
+}
