--- a/internal/qf/errors.go
+++ b/internal/qf/errors.go
@@ -1,6 +1,7 @@
 package qf
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -132,3 +133,26 @@
 func NewError(code Code, step Step, peer, reason string) *Error {
 	return &Error{Code: code, Step: step, Peer: peer, Reason: reason}
 }
+
+// CodeOf returns the code of the first *Error in the chain, or CodeInternal for
+// other errors, or an empty code for nil.
+func CodeOf(err error) Code {
+	if err == nil {
+		return ""
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return CodeInternal
+}
+
+// RanOf returns what the first *Error in the chain says of the request; an error
+// that says nothing counts as RanUnknown.
+func RanOf(err error) Ran {
+	var e *Error
+	if errors.As(err, &e) && e.Ran != "" {
+		return e.Ran
+	}
+	return RanUnknown
+}
--- /dev/null
+++ b/internal/qf/protocol/qfendpoint/service.go
@@ -0,0 +1,90 @@
+package qfendpoint
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftable"
+	"quetzalfront/pkg/qfapi"
+)
+
+// maxAnswerBytes bounds the answer of a plain service.
+const maxAnswerBytes = 8 << 20
+
+// Service is a qf.PlainService that calls services over HTTP.
+type Service struct {
+	client *http.Client
+	load   *Engine
+}
+
+// NewService returns a caller of plain services that uses the HTTP client.
+func NewService(client *http.Client) *Service {
+	return &Service{client: client, load: NewEngine(client)}
+}
+
+// Call implements qf.PlainService. It doesn't send an Idempotency-Key header,
+// because net/http repeats requests that have one when a reused connection
+// breaks.
+func (s *Service) Call(ctx context.Context, endpoint qf.Endpoint, call qf.ServiceCall) qf.Result[qf.ServiceAnswer] {
+	url := "http://" + endpoint.Address.String() + call.Path
+	request, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
+	if err != nil {
+		return qf.NotDoneFor[qf.ServiceAnswer](notRun(endpoint, "could not form the call", err))
+	}
+	request.GetBody = nil // Without it net/http can't send the body twice.
+	request.Header.Set(HeaderAttempt, string(call.Attempt))
+	request.Header.Set(qfapi.HeaderOrganisation, string(call.Organisation))
+	if call.ContentType != "" {
+		request.Header.Set("Content-Type", call.ContentType)
+	}
+	return s.exchange(request, endpoint, call.Attempt)
+}
+
+// Status implements qf.PlainService.
+func (s *Service) Status(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID) qf.Result[qf.ServiceAnswer] {
+	url := "http://" + endpoint.Address.String() + PathStatus + string(attempt)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return qf.UnknownFor[qf.ServiceAnswer](notRun(endpoint, "could not form the question", err))
+	}
+	result := s.exchange(request, endpoint, attempt)
+	if qftable.IsDialFailure(result.Err) {
+		result.Certainty = qf.Unknown // The question didn't arrive; the attempt may have.
+	}
+	return result
+}
+
+func (s *Service) exchange(request *http.Request, endpoint qf.Endpoint, attempt qf.AttemptID) qf.Result[qf.ServiceAnswer] {
+	response, err := s.client.Do(request)
+	if err != nil {
+		failure := broken(endpoint, err)
+		if failure.Ran == qf.RanNo {
+			return qf.NotDoneFor[qf.ServiceAnswer](failure)
+		}
+		return qf.UnknownFor[qf.ServiceAnswer](failure)
+	}
+	defer func() { _ = response.Body.Close() }() // The body was read to its end or is given up.
+	if response.Header.Get(HeaderNotRun) == "true" {
+		return qf.NotDoneFor[qf.ServiceAnswer](refusal(endpoint, response))
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil || len(body) > maxAnswerBytes {
+		return qf.UnknownFor[qf.ServiceAnswer](broken(endpoint, errors.Join(err, errors.New("the answer was cut or too long"))))
+	}
+	if echo := response.Header.Get(HeaderAttempt); echo != string(attempt) {
+		return qf.UnknownFor[qf.ServiceAnswer](broken(endpoint, errors.New("the answer is of another attempt: "+echo)))
+	}
+	return qf.DoneWith(qf.ServiceAnswer{
+		Attempt: attempt, Status: response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"), Body: body,
+	})
+}
+
+// Load implements qf.PlainService.
+func (s *Service) Load(ctx context.Context, endpoint qf.Endpoint) (qf.LoadReport, error) {
+	return s.load.Load(ctx, endpoint)
+}
--- /dev/null
+++ b/internal/qf/state/qfcatalogue/current.go
@@ -0,0 +1,38 @@
+package qfcatalogue
+
+import (
+	"sync/atomic"
+
+	"quetzalfront/internal/qf"
+)
+
+// Current is the snapshot that a node has in force. Its revision only rises.
+type Current struct {
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// NewCurrent returns a holder at revision 0 with an empty document.
+func NewCurrent() *Current {
+	c := &Current{}
+	c.snapshot.Store(&Snapshot{})
+	return c
+}
+
+// Get returns the snapshot in force. It must not be changed.
+func (c *Current) Get() *Snapshot { return c.snapshot.Load() }
+
+// Revision returns the revision in force.
+func (c *Current) Revision() qf.Revision { return c.Get().Revision }
+
+// Offer puts the snapshot in force if it is newer, and reports whether it did.
+func (c *Current) Offer(snapshot Snapshot) bool {
+	for {
+		old := c.snapshot.Load()
+		if snapshot.Revision <= old.Revision {
+			return false
+		}
+		if c.snapshot.CompareAndSwap(old, &snapshot) {
+			return true
+		}
+	}
+}
--- a/internal/qf/state/qftimer/virtual.go
+++ b/internal/qf/state/qftimer/virtual.go
@@ -1,9 +1,10 @@
 package qftimer
 
 import (
-	"quetzalfront/internal/qf"
 	"sync"
 	"time"
+
+	"quetzalfront/internal/qf"
 )
 
 // Virtual is a timer whose time moves only when Advance is called.
--- a/internal/qf/state/qftimer/wall.go
+++ b/internal/qf/state/qftimer/wall.go
@@ -3,9 +3,10 @@
 package qftimer
 
 import (
-	"quetzalfront/internal/qf"
 	"sync"
 	"time"
+
+	"quetzalfront/internal/qf"
 )
 
 // Wall is a timer that follows the machine's clock.
--- /dev/null
+++ b/internal/qfsettings/default.go
@@ -0,0 +1,48 @@
+package qfsettings
+
+import (
+	"time"
+
+	"quetzalfront/internal/qf/state/qfdocument"
+)
+
+const (
+	mebibyte = 1 << 20
+	kibibyte = 1 << 10
+)
+
+// Default returns settings with every default set. Node and Platform addresses
+// have none.
+func Default() *Settings {
+	return &Settings{
+		Platform: PlatformSettings{Timeout: qfdocument.Duration(2 * time.Second)},
+		Log:      LogSettings{Level: "info", Format: "json"},
+		Request: RequestSettings{
+			MaxBodyBytes:          mebibyte,
+			MaxHeaderBytes:        32 * kibibyte,
+			MaxInProgress:         8192,
+			MaxConnections:        16384,
+			MaxTokens:             4096,
+			DefaultTimeout:        qfdocument.Duration(60 * time.Second),
+			MaxTimeout:            qfdocument.Duration(10 * time.Minute),
+			RetainFor:             qfdocument.Duration(30 * time.Second),
+			MaxAttempts:           4,
+			SilentAfter:           qfdocument.Duration(5 * time.Second),
+			KeepAddressesFor:      qfdocument.Duration(5 * time.Second),
+			IdempotencyRecordsFor: qfdocument.Duration(24 * time.Hour),
+			MaxSuspectAttempts:    2,
+		},
+		Peer: PeerSettings{
+			ExchangeEvery: qfdocument.Duration(500 * time.Millisecond),
+			SuspectAfter:  qfdocument.Duration(3 * time.Second),
+			DeadAfter:     qfdocument.Duration(8 * time.Second),
+			Timeout:       qfdocument.Duration(time.Second),
+		},
+		Feed: FeedSettings{
+			CatalogueEvery: qfdocument.Duration(time.Second),
+			VMListEvery:    qfdocument.Duration(time.Second),
+			NoticesEvery:   qfdocument.Duration(500 * time.Millisecond),
+			LoadEvery:      qfdocument.Duration(500 * time.Millisecond),
+		},
+	}
+}
