--- /dev/null
+++ b/internal/node/decide.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfprefix"
+)
+
+// Choose picks a version and an endpoint for a request. It implements
+// qfrequest.Choosing.
+func (n *Node) Choose(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) (qf.RouteChoice, error) {
+	query := qf.RouteQuery{
+		Now: now, Request: request,
+		FromZone: n.settings.Node.Zone(), FromRegion: qf.Region(n.settings.Node.Region),
+		PromptTokens: qfprefix.Tokens(request.Messages), ResumeTokens: resumeTokens,
+		Prefixes: qfprefix.Hashes(request.Messages), Excluded: avoid,
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	version, reason := n.versions.Choose(qf.VersionQuery{
+		Now: now, Entry: request.Entry, Organisation: request.Organisation, Region: query.FromRegion,
+		Class: request.Class, OnceOnly: request.OnceOnly(), Draw: n.platform.Random.Float64(),
+	})
+	query.Version = version
+	choice, err := n.router.Choose(query)
+	if err != nil && version != "" {
+		query.Version = ""
+		choice, err = n.router.Choose(query)
+	}
+	choice.Reason.Rule = reason.Rule + ", " + choice.Reason.Rule
+	return choice, err
+}
+
+// AttemptEnded implements qfrequest.Observer.
+func (n *Node) AttemptEnded(_ time.Time, observation qf.Observation) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.versions.Observe(observation)
+}
+
+// lockedRouter guards the node's router for the runner, which uses it from many
+// goroutines.
+type lockedRouter struct {
+	qf.Router
+	node *Node
+}
+
+// Started implements qf.Router.
+func (l *lockedRouter) Started(at time.Time, endpoint qf.EndpointID, tokens int) {
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	l.node.router.Started(at, endpoint, tokens)
+}
+
+// FirstToken implements qf.Router.
+func (l *lockedRouter) FirstToken(at time.Time, endpoint qf.EndpointID, took time.Duration) {
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	l.node.router.FirstToken(at, endpoint, took)
+}
+
+// Ended implements qf.Router.
+func (l *lockedRouter) Ended(at time.Time, endpoint qf.EndpointID, tokens int, ok bool) {
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	l.node.router.Ended(at, endpoint, tokens, ok)
+}
+
+// lockedBudget guards the node's retry budget for the runner.
+type lockedBudget struct {
+	node *Node
+}
+
+// Allow implements qfrequest.RetryBudget.
+func (l *lockedBudget) Allow(now time.Time, request *qf.Request) bool {
+	l.node.mu.Lock()
+	defer l.node.mu.Unlock()
+	return l.node.budget.Allow(now, request)
+}
--- /dev/null
+++ b/internal/node/feeds.go
@@ -0,0 +1,236 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/protocol/qfrequest"
+	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/qf/state/qfevent"
+)
+
+// every runs a step at once and then at each interval until the node stops.
+func (n *Node) every(interval time.Duration, step func(ctx context.Context)) {
+	ticks := n.platform.Timer.Every(interval)
+	n.workers.Add(1)
+	go func() {
+		defer n.workers.Done()
+		defer ticks.Stop()
+		step(n.ctx)
+		for {
+			select {
+			case <-ticks.C():
+				step(n.ctx)
+			case <-n.ctx.Done():
+				return
+			}
+		}
+	}()
+}
+
+// pollCatalogue reads the newest revision from the table.
+func (n *Node) pollCatalogue(ctx context.Context) {
+	snapshot, _, err := n.store.Head(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			qfevent.CatalogueFailed.Log(&n.platform.Logger, err)
+		}
+		return
+	}
+	n.offerCatalogue(snapshot)
+}
+
+// offerCatalogue puts a snapshot in force if it is newer.
+func (n *Node) offerCatalogue(snapshot qfcatalogue.Snapshot) {
+	if !n.catalogue.Offer(snapshot) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	current := n.catalogue.Get()
+	var limits []qf.Limit
+	for i := range current.Document.Entries {
+		e := &current.Document.Entries[i]
+		limits = append(limits, e.QFLimits()...)
+		n.versions.SetTarget(e.Name, e.Target)
+	}
+	n.limiter.SetLimits(limits)
+	qfevent.CatalogueInUse.Log(&n.platform.Logger, current.Revision, current.Change.Operator)
+}
+
+// pollVMList reads the lagging list of VMs.
+func (n *Node) pollVMList(ctx context.Context) {
+	vms, asOf, err := n.platform.VMList.List(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			qfevent.PlatformFailed.Log(&n.platform.Logger, err)
+		}
+		return
+	}
+	now := n.now()
+	var endpoints []qf.Endpoint
+	for i := range vms {
+		vm := &vms[i]
+		if vm.State == qf.VMLeaving {
+			n.learnDeparture(now, qf.Departure{VM: vm.ID, Incarnation: vm.Incarnation, In: vm.LeaveAt.Sub(now)})
+		}
+		if vm.Role == qf.RoleEntryNode {
+			n.seed(now, vm)
+			continue
+		}
+		endpoints = append(endpoints, endpointOf(vm))
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.endpoints = endpoints
+	n.listAsOf = asOf
+	n.router.SetEndpoints(endpoints)
+}
+
+func endpointOf(vm *qf.VM) qf.Endpoint {
+	kind := qf.KindModelEngine
+	if vm.Role == qf.RolePlainService {
+		kind = qf.KindPlainService
+	}
+	return qf.Endpoint{
+		ID: qf.EndpointID(vm.ID), VM: vm.ID, Incarnation: vm.Incarnation, Kind: kind,
+		Entry: vm.Entry, Version: vm.Version, Region: vm.Region, AvailabilityZone: vm.AvailabilityZone,
+		Class: vm.Class, Address: vm.Address, ChecksFencing: vm.ChecksFencing,
+	}
+}
+
+func (n *Node) seed(now time.Time, vm *qf.VM) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.membership.Seed(now, qf.Node{
+		ID: qf.NodeID(vm.ID), Region: vm.Region, AvailabilityZone: vm.AvailabilityZone,
+		CallerAddress: vm.Address, PeerAddress: vm.PeerAddress, State: qf.NodeLive,
+	})
+}
+
+// pollNotices reads the cloud's notices of reclaims.
+func (n *Node) pollNotices(ctx context.Context) {
+	notices, err := n.platform.Cloud.Notices(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			qfevent.PlatformFailed.Log(&n.platform.Logger, err)
+		}
+		return
+	}
+	now := n.now()
+	for _, notice := range notices {
+		n.learnDeparture(now, qf.Departure{VM: notice.VM, Incarnation: notice.Incarnation, In: notice.LeaveAt.Sub(now)})
+	}
+}
+
+// learnDeparture takes news that a VM leaves: no new work goes there, and what
+// runs there moves.
+func (n *Node) learnDeparture(now time.Time, d qf.Departure) {
+	n.mu.Lock()
+	isNews := n.membership.LearnDeparture(now, d)
+	if isNews {
+		n.router.Departing(d.VM, d.Incarnation)
+	}
+	n.mu.Unlock()
+	if !isNews {
+		return
+	}
+	qfevent.DepartureKnown.Log(&n.platform.Logger, d.VM, now.Add(d.In))
+	if qf.NodeID(d.VM) == qf.NodeID(n.settings.Node.ID) {
+		leaveAt := now.Add(d.In)
+		n.leaveAt.Store(&leaveAt)
+		go n.Stop("reclaim")
+		return
+	}
+	n.moveFrom(now, qf.EndpointID(d.VM))
+}
+
+func (n *Node) moveFrom(now time.Time, endpoint qf.EndpointID) {
+	for _, record := range n.records.Open() {
+		if record.Endpoint() == endpoint {
+			record.Post(qfrequest.Event{Kind: qfrequest.EventLeaving, At: now, Endpoint: endpoint})
+		}
+	}
+}
+
+// pollLoads asks the endpoints for their load.
+func (n *Node) pollLoads(ctx context.Context) {
+	n.mu.Lock()
+	endpoints := n.endpoints
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Peer.Timeout.Value())
+	defer cancel()
+	var polls sync.WaitGroup
+	for _, e := range endpoints {
+		polls.Go(func() { n.pollLoad(ctx, e) })
+	}
+	polls.Wait()
+}
+
+func (n *Node) pollLoad(ctx context.Context, endpoint qf.Endpoint) {
+	load := n.platform.Engine.Load
+	if endpoint.Kind == qf.KindPlainService {
+		load = n.platform.Service.Load
+	}
+	report, err := load(ctx, endpoint)
+	if err != nil {
+		return // Silence shows in the router through the attempts.
+	}
+	now := n.now()
+	n.mu.Lock()
+	n.router.Reported(now, report)
+	n.mu.Unlock()
+	if report.Leaving {
+		n.learnDeparture(now, qf.Departure{VM: endpoint.VM, Incarnation: endpoint.Incarnation})
+	}
+}
+
+// expire forgets what ended long ago.
+func (n *Node) expire(context.Context) {
+	n.records.Expire(n.now().Add(-n.settings.Request.RetainFor.Value()))
+}
+
+// exchange tells each peer the news and takes theirs.
+func (n *Node) exchange(ctx context.Context) {
+	now := n.now()
+	n.mu.Lock()
+	n.membership.Beat(n.catalogue.Revision(), n.records.InProgress())
+	peers := n.membership.Peers(now)
+	digest := n.digest(now)
+	n.mu.Unlock()
+	var exchanges sync.WaitGroup
+	for _, peer := range peers {
+		exchanges.Go(func() { n.exchangeWith(ctx, peer, digest) })
+	}
+	exchanges.Wait()
+}
+
+func (n *Node) exchangeWith(ctx context.Context, peer qf.Node, digest qf.Digest) {
+	answer, err := n.platform.Peer.Exchange(ctx, peer.PeerAddress, digest)
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			qfevent.PeerFailed.Log(&n.platform.Logger, peer.ID, err)
+		}
+		return
+	}
+	n.learn(answer)
+	if answer.From.CatalogueRevision > n.catalogue.Revision() {
+		n.fetchCatalogue(ctx, peer)
+	}
+}
+
+func (n *Node) fetchCatalogue(ctx context.Context, peer qf.Node) {
+	encoded, _, err := n.platform.Peer.Catalogue(ctx, peer.PeerAddress, n.catalogue.Revision())
+	if err != nil || len(encoded) == 0 {
+		return // The next exchange tries again.
+	}
+	snapshot, err := qfcatalogue.Decode(encoded)
+	if err != nil {
+		qfevent.CatalogueFailed.Log(&n.platform.Logger, err)
+		return
+	}
+	n.offerCatalogue(snapshot)
+}
--- /dev/null
+++ b/internal/node/operate.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/pkg/qfapi"
+)
+
+// Now implements qfhttp.Service.
+func (n *Node) Now() time.Time { return n.now() }
+
+// Addresses implements qfhttp.Service: live nodes, those of the caller's region
+// first.
+func (n *Node) Addresses(from qf.Region) []qf.Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var nodes []qf.Node
+	for _, node := range n.membership.Nodes(n.now()) {
+		if node.State == qf.NodeLive && node.CallerAddress.IsValid() {
+			nodes = append(nodes, node)
+		}
+	}
+	sort.SliceStable(nodes, func(i, j int) bool {
+		return nodes[i].Region == from && nodes[j].Region != from
+	})
+	return nodes
+}
+
+// Catalogue implements qfhttp.Operations.
+func (n *Node) Catalogue() *qfcatalogue.Snapshot { return n.catalogue.Get() }
+
+// Apply implements qfhttp.Operations.
+func (n *Node) Apply(ctx context.Context, edit qfcatalogue.Edit) qfcatalogue.Verdict {
+	edit.At = n.now().UTC()
+	verdict := n.store.Apply(ctx, edit)
+	if verdict.State == qfcatalogue.EditAccepted {
+		n.pollCatalogue(ctx)
+		n.exchange(ctx)
+	}
+	return verdict
+}
+
+const maxHistory = 1000
+
+// History implements qfhttp.Operations.
+func (n *Node) History(ctx context.Context) ([]qfcatalogue.Snapshot, error) {
+	return n.store.History(ctx, 0, maxHistory)
+}
+
+// IsReady implements qfhttp.Operations.
+func (n *Node) IsReady() bool {
+	return n.Phase() == PhaseServing && n.catalogue.Revision() > 0
+}
+
+// Report implements qfhttp.Operations.
+func (n *Node) Report(_ context.Context, name, subject string) (any, error) {
+	switch name {
+	case "nodes":
+		return n.reportNodes(), nil
+	case "fleet":
+		return n.reportFleet(), nil
+	case "request", "explain":
+		return n.reportRequest(qf.RequestID(subject))
+	default:
+		return nil, qf.NewError(qf.CodeNotFound, qf.StepReport, "", "no such report: "+name)
+	}
+}
+
+func (n *Node) reportNodes() []qfapi.NodeReport {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var reports []qfapi.NodeReport
+	for _, node := range n.membership.Nodes(n.now()) {
+		reports = append(reports, qfapi.NodeReport{
+			ID: string(node.ID), Region: string(node.Region), AvailabilityZone: string(node.AvailabilityZone),
+			State: string(node.State), Address: node.CallerAddress,
+			Revision: uint64(node.CatalogueRevision), InProgress: node.Load,
+		})
+	}
+	return reports
+}
+
+func (n *Node) reportFleet() qfapi.FleetReport {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	report := qfapi.FleetReport{AsOf: n.listAsOf}
+	for i := range n.endpoints {
+		e := &n.endpoints[i]
+		state := qf.VMLive
+		if n.membership.IsDeparting(e.VM, e.Incarnation) {
+			state = qf.VMLeaving
+		}
+		report.Endpoints = append(report.Endpoints, qfapi.EndpointReport{
+			VM: string(e.VM), Entry: string(e.Entry), Version: string(e.Version), State: string(state),
+			Region: string(e.Region), AvailabilityZone: string(e.AvailabilityZone), Class: string(e.Class),
+			Address: e.Address,
+		})
+	}
+	return report
+}
+
+func (n *Node) reportRequest(id qf.RequestID) (any, error) {
+	record := n.records.Get(id)
+	if record == nil {
+		return nil, qf.NewError(qf.CodeNotFound, qf.StepReport, n.settings.Node.ID, "the request isn't known here")
+	}
+	progress := record.Progress(0)
+	report := qfapi.RequestReport{
+		ID: string(id), Entry: string(record.Request.Entry), Organisation: string(record.Request.Organisation),
+		Outcome: string(progress.Outcome), Tokens: len(progress.Text), Recomputed: record.Recomputed(),
+	}
+	if progress.Moved != nil {
+		report.MovedTo = string(progress.Moved.Node.ID)
+	}
+	for _, d := range record.Decisions() {
+		decision := qfapi.DecisionReport{
+			At: d.At, Step: string(d.Step), Endpoint: string(d.Endpoint), Rule: d.Reason.Rule, Note: d.Note,
+		}
+		for _, f := range d.Reason.Figures {
+			decision.Figures = append(decision.Figures, qfapi.FigureReport{Name: f.Name, Value: f.Value})
+		}
+		report.Decisions = append(report.Decisions, decision)
+	}
+	return report, nil
+}
+
+// Endpoints returns the endpoints that the node knows.
+func (n *Node) Endpoints() []qf.Endpoint {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]qf.Endpoint(nil), n.endpoints...)
+}
--- /dev/null
+++ b/internal/qf/coordination/qflimit/concurrency.go
@@ -0,0 +1,69 @@
+// Package qflimit admits or refuses requests by the catalogue's limits. Its
+// limiters do no I/O and read no clock.
+package qflimit
+
+import (
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// Concurrency admits by the number of requests in progress on this node alone.
+// It is a baseline.
+type Concurrency struct {
+	limits  []qf.Limit
+	running map[string]int
+}
+
+// NewConcurrency returns a limiter without limits.
+func NewConcurrency() *Concurrency { return &Concurrency{running: map[string]int{}} }
+
+// SetLimits implements qf.Limiter.
+func (c *Concurrency) SetLimits(limits []qf.Limit) { c.limits = limits }
+
+const retryAfter = time.Second
+
+// Admit implements qf.Limiter.
+func (c *Concurrency) Admit(query qf.AdmitQuery) qf.Admission {
+	for i := range c.limits {
+		l := &c.limits[i]
+		if !Applies(l, query.Request) || l.Concurrency == 0 {
+			continue
+		}
+		if c.running[l.Name] >= l.Concurrency {
+			return qf.Admission{Code: qf.CodeLimited, RetryAfter: retryAfter, Reason: qf.Reason{
+				Rule:    "Concurrency " + l.Name,
+				Figures: []qf.Figure{{Name: "Running", Value: float64(c.running[l.Name])}},
+			}}
+		}
+	}
+	c.count(query.Request, 1)
+	return qf.Admission{Admitted: true, Reason: qf.Reason{Rule: "WithinLimits"}}
+}
+
+// Applies reports whether a limit bounds a request.
+func Applies(l *qf.Limit, r *qf.Request) bool {
+	return l.Entry == r.Entry &&
+		(l.Organisation == "" || l.Organisation == r.Organisation) &&
+		(l.Class == "" || l.Class == r.Class)
+}
+
+func (c *Concurrency) count(r *qf.Request, by int) {
+	for i := range c.limits {
+		if Applies(&c.limits[i], r) {
+			c.running[c.limits[i].Name] += by
+		}
+	}
+}
+
+// Released implements qf.Limiter.
+func (c *Concurrency) Released(_ time.Time, request *qf.Request, _ int) { c.count(request, -1) }
+
+// Uses implements qf.Limiter.
+func (c *Concurrency) Uses(time.Time) []qf.LimitUse { return nil }
+
+// PeerUses implements qf.Limiter.
+func (c *Concurrency) PeerUses(time.Time, []qf.LimitUse) {}
+
+// SetNodes implements qf.Limiter.
+func (c *Concurrency) SetNodes(time.Time, qf.NodeID, []qf.NodeID) {}
--- /dev/null
+++ b/internal/qf/coordination/qfmember/membership.go
@@ -0,0 +1,150 @@
+// Package qfmember keeps a node's view of the other nodes: who is live, suspect,
+// leaving or dead. It does no I/O and reads no clock.
+package qfmember
+
+import (
+	"sort"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// Timing says after how long without news a node is suspected and given up.
+type Timing struct {
+	SuspectAfter time.Duration
+	DeadAfter    time.Duration
+}
+
+// Membership is one node's view of all nodes. It isn't safe for concurrent use.
+type Membership struct {
+	timing Timing
+	self   qf.Node
+	peers  map[qf.NodeID]*member
+	// departures only grow: news of leaving is never taken back for one
+	// incarnation.
+	departures map[qf.VMID]departure
+}
+
+type member struct {
+	node qf.Node
+	// newsAt is when the heartbeat last rose.
+	newsAt time.Time
+}
+
+type departure struct {
+	incarnation qf.Incarnation
+	leaveAt     time.Time
+}
+
+// New returns a view that knows only the node itself.
+func New(self qf.Node, timing Timing) *Membership {
+	return &Membership{
+		timing: timing, self: self,
+		peers:      map[qf.NodeID]*member{},
+		departures: map[qf.VMID]departure{},
+	}
+}
+
+// Beat raises the node's own heartbeat and sets what it tells of itself.
+func (m *Membership) Beat(revision qf.Revision, load int) {
+	m.self.Heartbeat++
+	m.self.CatalogueRevision = revision
+	m.self.Load = load
+}
+
+// Leave marks the node itself as leaving. It is never undone.
+func (m *Membership) Leave() { m.self.State = qf.NodeLeaving }
+
+// Self returns the node itself.
+func (m *Membership) Self() qf.Node { return m.self }
+
+// Learn takes what a peer says of a node. Only a higher incarnation or heartbeat
+// is news.
+func (m *Membership) Learn(now time.Time, node qf.Node) {
+	if node.ID == m.self.ID {
+		return
+	}
+	known, ok := m.peers[node.ID]
+	if !ok || node.Incarnation > known.node.Incarnation {
+		m.peers[node.ID] = &member{node: node, newsAt: now}
+		return
+	}
+	if node.Incarnation < known.node.Incarnation || node.Heartbeat <= known.node.Heartbeat {
+		return
+	}
+	if known.node.State == qf.NodeLeaving {
+		node.State = qf.NodeLeaving
+	}
+	known.node = node
+	known.newsAt = now
+}
+
+// Seed makes an address known from the VM list before its node was heard.
+func (m *Membership) Seed(now time.Time, node qf.Node) {
+	if _, ok := m.peers[node.ID]; ok || node.ID == m.self.ID {
+		return
+	}
+	m.peers[node.ID] = &member{node: node, newsAt: now}
+}
+
+// LearnDeparture takes news that a VM leaves. It reports whether that was news.
+func (m *Membership) LearnDeparture(now time.Time, d qf.Departure) bool {
+	if known, ok := m.departures[d.VM]; ok && known.incarnation >= d.Incarnation {
+		return false
+	}
+	m.departures[d.VM] = departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In)}
+	if p, ok := m.peers[qf.NodeID(d.VM)]; ok && p.node.Incarnation <= d.Incarnation {
+		p.node.State = qf.NodeLeaving
+	}
+	return true
+}
+
+// Departures returns the news of leaving for peers.
+func (m *Membership) Departures(now time.Time) []qf.Departure {
+	departures := make([]qf.Departure, 0, len(m.departures))
+	for vm, d := range m.departures {
+		departures = append(departures, qf.Departure{VM: vm, Incarnation: d.incarnation, In: d.leaveAt.Sub(now)})
+	}
+	sort.Slice(departures, func(i, j int) bool { return departures[i].VM < departures[j].VM })
+	return departures
+}
+
+// IsDeparting reports whether a VM's incarnation is known to leave.
+func (m *Membership) IsDeparting(vm qf.VMID, incarnation qf.Incarnation) bool {
+	d, ok := m.departures[vm]
+	return ok && d.incarnation >= incarnation
+}
+
+// stateOf derives a peer's state from the age of its news.
+func (m *Membership) stateOf(now time.Time, p *member) qf.NodeState {
+	age := now.Sub(p.newsAt)
+	switch {
+	case age >= m.timing.DeadAfter:
+		return qf.NodeDead
+	case p.node.State == qf.NodeLeaving:
+		return qf.NodeLeaving
+	case age >= m.timing.SuspectAfter:
+		return qf.NodeSuspect
+	default:
+		return qf.NodeLive
+	}
+}
+
+// Peers returns the other nodes that aren't dead, ordered by identifier.
+func (m *Membership) Peers(now time.Time) []qf.Node {
+	var nodes []qf.Node
+	for _, p := range m.peers {
+		node := p.node
+		node.State = m.stateOf(now, p)
+		if node.State != qf.NodeDead {
+			nodes = append(nodes, node)
+		}
+	}
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i].ID < nodes[j].ID })
+	return nodes
+}
+
+// Nodes returns the node itself and its peers.
+func (m *Membership) Nodes(now time.Time) []qf.Node {
+	return append([]qf.Node{m.self}, m.Peers(now)...)
+}
--- /dev/null
+++ b/internal/qf/coordination/qfrollout/target.go
@@ -0,0 +1,48 @@
+// Package qfrollout splits traffic between the versions of an entry and judges
+// them. It does no I/O and reads no clock.
+package qfrollout
+
+import "quetzalfront/internal/qf"
+
+// TargetOnly sends all traffic to the target version at once. It is a baseline.
+type TargetOnly struct {
+	targets map[qf.EntryName]qf.Version
+	stops   map[qf.EntryName]qf.RolloutStop
+}
+
+// NewTargetOnly returns a chooser without targets.
+func NewTargetOnly() *TargetOnly {
+	return &TargetOnly{
+		targets: map[qf.EntryName]qf.Version{},
+		stops:   map[qf.EntryName]qf.RolloutStop{},
+	}
+}
+
+// SetTarget sets an entry's target version.
+func (t *TargetOnly) SetTarget(entry qf.EntryName, version qf.Version) { t.targets[entry] = version }
+
+// Choose implements qf.VersionChooser.
+func (t *TargetOnly) Choose(query qf.VersionQuery) (qf.Version, qf.Reason) {
+	return t.targets[query.Entry], qf.Reason{Rule: "TargetOnly"}
+}
+
+// Observe implements qf.VersionChooser.
+func (t *TargetOnly) Observe(qf.Observation) {}
+
+// Stop implements qf.VersionChooser.
+func (t *TargetOnly) Stop(stop qf.RolloutStop) bool {
+	if t.stops[stop.Entry].Epoch >= stop.Epoch {
+		return false
+	}
+	t.stops[stop.Entry] = stop
+	return true
+}
+
+// Stops implements qf.VersionChooser.
+func (t *TargetOnly) Stops() []qf.RolloutStop {
+	stops := make([]qf.RolloutStop, 0, len(t.stops))
+	for _, s := range t.stops {
+		stops = append(stops, s)
+	}
+	return stops
+}
--- /dev/null
+++ b/internal/qf/protocol/qfrequest/lifecycle.go
@@ -0,0 +1,336 @@
+// Package qfrequest holds the life of a request: a pure state machine
+// (Lifecycle), the record that callers read from (Record), and the adapter that
+// does the state machine's I/O (Runner).
+package qfrequest
+
+import (
+	"fmt"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// Phase is where a request stands.
+type Phase string
+
+// The phases of a request.
+const (
+	// PhaseWaiting means that no attempt is in progress.
+	PhaseWaiting Phase = "Waiting"
+	// PhaseRunning means that an attempt is in progress.
+	PhaseRunning Phase = "Running"
+	// PhaseAsking means that a once-only attempt broke and its endpoint is asked
+	// what became of it.
+	PhaseAsking Phase = "Asking"
+	// PhaseEnded means that the outcome stands or that another node owns the
+	// request.
+	PhaseEnded Phase = "Ended"
+)
+
+// EventKind says what happened to a request.
+type EventKind string
+
+// The kinds of events.
+const (
+	// EventAccepted starts the life of a request.
+	EventAccepted EventKind = "Accepted"
+	// EventStarted says that an attempt is about to leave for an endpoint.
+	EventStarted EventKind = "Started"
+	// EventPiece brings a piece of a stream.
+	EventPiece EventKind = "Piece"
+	// EventAnswer brings the whole answer of a plain service.
+	EventAnswer EventKind = "Answer"
+	// EventBroken says that an attempt failed; Ran says what is proven.
+	EventBroken EventKind = "Broken"
+	// EventNoEndpoint says that no endpoint can be chosen.
+	EventNoEndpoint EventKind = "NoEndpoint"
+	// EventLeaving says that an endpoint will leave.
+	EventLeaving EventKind = "Leaving"
+	// EventStatus brings an endpoint's word on a broken once-only attempt.
+	EventStatus EventKind = "Status"
+	// EventDeadline says that the time is up.
+	EventDeadline EventKind = "Deadline"
+	// EventHandedOver says that another node owns the request now.
+	EventHandedOver EventKind = "HandedOver"
+	// EventRetryDenied says that the retry budget is spent.
+	EventRetryDenied EventKind = "RetryDenied"
+)
+
+// Event is something that happened to a request.
+type Event struct {
+	Kind     EventKind
+	At       time.Time
+	Attempt  qf.AttemptID
+	Endpoint qf.EndpointID
+	Piece    qf.Piece
+	Answer   *qf.ServiceAnswer
+	// Ran is set for EventBroken.
+	Ran qf.Ran
+	// Certainty is set for EventStatus.
+	Certainty qf.Certainty
+	Err       error
+}
+
+// ActionKind says what the adapter must do.
+type ActionKind string
+
+// The kinds of actions.
+const (
+	// ActionNone asks for nothing.
+	ActionNone ActionKind = "None"
+	// ActionStart asks for an attempt at an endpoint other than Avoid, after
+	// CancelAttempt is cancelled if it is set.
+	ActionStart ActionKind = "Start"
+	// ActionDeliver asks to pass the piece on to the caller.
+	ActionDeliver ActionKind = "Deliver"
+	// ActionAskStatus asks the endpoint what became of an attempt.
+	ActionAskStatus ActionKind = "AskStatus"
+	// ActionFinish ends the request with an outcome.
+	ActionFinish ActionKind = "Finish"
+)
+
+// StartCause says why an attempt starts.
+type StartCause string
+
+// The causes of attempts.
+const (
+	StartFirst StartCause = "First"
+	// StartMove follows an announced departure; it doesn't count as a retry.
+	StartMove  StartCause = "Move"
+	StartRetry StartCause = "Retry"
+)
+
+// Action is what the adapter must do next.
+type Action struct {
+	Kind ActionKind
+	// Cause is set for ActionStart.
+	Cause StartCause
+	// CancelAttempt is the attempt to cancel first, if any.
+	CancelAttempt qf.AttemptID
+	// Avoid is an endpoint that must not be chosen, if any.
+	Avoid qf.EndpointID
+	// Outcome and Err are set for ActionFinish; Err is nil if and only if the
+	// outcome is OutcomeAnswered.
+	Outcome qf.FinalOutcome
+	Err     *qf.Error
+}
+
+// Lifecycle is the state machine of one request. It does no I/O and reads no
+// clock. A request is accepted at the moment at which EventAccepted is applied.
+type Lifecycle struct {
+	request     *qf.Request
+	maxAttempts int
+
+	phase Phase
+	// attempt and endpoint are those in progress in PhaseRunning and PhaseAsking.
+	attempt  qf.AttemptID
+	endpoint qf.EndpointID
+	// attempts counts attempts that were not moves.
+	attempts int
+	// mayHaveRun is true once an attempt isn't proven not to have started.
+	mayHaveRun bool
+	// tokens counts the tokens that were delivered; the next piece must have it
+	// as its offset.
+	tokens  int
+	lastErr error
+}
+
+// NewLifecycle returns the lifecycle of a request of which the given number of
+// tokens was delivered before, by this node or another.
+func NewLifecycle(request *qf.Request, maxAttempts, tokens int) *Lifecycle {
+	return &Lifecycle{
+		request: request, maxAttempts: maxAttempts, phase: PhaseWaiting,
+		tokens: tokens, mayHaveRun: tokens > 0,
+	}
+}
+
+// Phase returns where the request stands.
+func (l *Lifecycle) Phase() Phase { return l.phase }
+
+// Attempts returns the number of attempts that were not moves.
+func (l *Lifecycle) Attempts() int { return l.attempts }
+
+// Endpoint returns the endpoint of the attempt in progress, or "".
+func (l *Lifecycle) Endpoint() qf.EndpointID {
+	if l.phase != PhaseRunning {
+		return ""
+	}
+	return l.endpoint
+}
+
+// Apply takes an event and returns what to do. Events that arrive after the end
+// or that belong to an earlier attempt ask for nothing.
+func (l *Lifecycle) Apply(e Event) Action {
+	if l.phase == PhaseEnded {
+		return Action{Kind: ActionNone}
+	}
+	switch e.Kind {
+	case EventAccepted:
+		return Action{Kind: ActionStart, Cause: StartFirst}
+	case EventStarted:
+		return l.started(e)
+	case EventPiece:
+		return l.piece(e)
+	case EventAnswer:
+		return l.answer(e)
+	case EventBroken:
+		return l.broken(e)
+	case EventNoEndpoint, EventRetryDenied:
+		return l.giveUp(e)
+	case EventLeaving:
+		return l.leaving(e)
+	case EventStatus:
+		return l.status(e)
+	case EventDeadline:
+		return l.deadline()
+	case EventHandedOver:
+		l.phase = PhaseEnded
+		return Action{Kind: ActionNone, CancelAttempt: l.attempt}
+	default:
+		return Action{Kind: ActionNone}
+	}
+}
+
+// started notes an attempt before its first byte leaves.
+func (l *Lifecycle) started(e Event) Action {
+	l.phase = PhaseRunning
+	l.attempt = e.Attempt
+	l.endpoint = e.Endpoint
+	l.attempts++
+	return Action{Kind: ActionNone}
+}
+
+// isCurrent reports whether an event belongs to the attempt in progress.
+func (l *Lifecycle) isCurrent(e Event) bool {
+	return l.phase == PhaseRunning && e.Attempt == l.attempt
+}
+
+// piece passes on exactly the next token of the attempt in progress.
+func (l *Lifecycle) piece(e Event) Action {
+	if !l.isCurrent(e) {
+		return Action{Kind: ActionNone}
+	}
+	if e.Piece.Attempt != l.attempt {
+		return l.fault(e, fmt.Sprintf("a piece echoes attempt %q", e.Piece.Attempt))
+	}
+	if e.Piece.Offset != l.tokens {
+		return l.fault(e, fmt.Sprintf("expected the piece at offset %d, not %d", l.tokens, e.Piece.Offset))
+	}
+	l.mayHaveRun = true
+	if e.Piece.End {
+		return l.finish(qf.OutcomeAnswered, nil)
+	}
+	l.tokens++
+	return Action{Kind: ActionDeliver}
+}
+
+// fault treats a wrong piece as a broken attempt.
+func (l *Lifecycle) fault(e Event, reason string) Action {
+	err := &qf.Error{
+		Code: qf.CodeBroken, Step: qf.StepAttempt, Peer: string(l.endpoint), Reason: reason, Ran: qf.RanUnknown,
+	}
+	return l.broken(Event{Kind: EventBroken, At: e.At, Attempt: e.Attempt, Ran: qf.RanUnknown, Err: err})
+}
+
+func (l *Lifecycle) answer(e Event) Action {
+	if !l.isCurrent(e) {
+		return Action{Kind: ActionNone}
+	}
+	if e.Answer == nil || e.Answer.Attempt != l.attempt {
+		return l.fault(e, "the answer is of another attempt")
+	}
+	l.mayHaveRun = true
+	return l.finish(qf.OutcomeAnswered, nil)
+}
+
+// broken starts another attempt if that is safe and allowed. A once-only attempt
+// that may have run is asked about instead.
+func (l *Lifecycle) broken(e Event) Action {
+	if !l.isCurrent(e) {
+		return Action{Kind: ActionNone}
+	}
+	l.lastErr = e.Err
+	if e.Ran == qf.RanNo {
+		return l.retry()
+	}
+	l.mayHaveRun = true
+	if l.request.OnceOnly() {
+		l.phase = PhaseAsking
+		return Action{Kind: ActionAskStatus, CancelAttempt: l.attempt}
+	}
+	return l.retry()
+}
+
+// retry starts another attempt within the bound, or gives up.
+func (l *Lifecycle) retry() Action {
+	if l.attempts >= l.maxAttempts {
+		return l.giveUp(Event{Err: l.lastErr})
+	}
+	l.phase = PhaseWaiting
+	return Action{Kind: ActionStart, Cause: StartRetry, CancelAttempt: l.attempt, Avoid: l.endpoint}
+}
+
+// status acts on the endpoint's word. Only proof that the attempt never ran
+// allows another one.
+func (l *Lifecycle) status(e Event) Action {
+	if l.phase != PhaseAsking || e.Attempt != l.attempt {
+		return Action{Kind: ActionNone}
+	}
+	switch e.Certainty {
+	case qf.Done:
+		return l.finish(qf.OutcomeAnswered, nil)
+	case qf.NotDone:
+		l.mayHaveRun = false
+		return l.retry()
+	default:
+		return l.giveUp(e)
+	}
+}
+
+// leaving moves a repeatable request away from an endpoint that will leave. A
+// once-only or plain call finishes where it is: its endpoint drains.
+func (l *Lifecycle) leaving(e Event) Action {
+	if l.phase != PhaseRunning || l.endpoint != e.Endpoint {
+		return Action{Kind: ActionNone}
+	}
+	if l.request.Kind != qf.KindModelEngine {
+		return Action{Kind: ActionNone}
+	}
+	l.phase = PhaseWaiting
+	l.attempts--
+	return Action{Kind: ActionStart, Cause: StartMove, CancelAttempt: l.attempt, Avoid: l.endpoint}
+}
+
+func (l *Lifecycle) deadline() Action {
+	l.lastErr = qf.NewError(qf.CodeDeadline, qf.StepAttempt, string(l.endpoint), "the deadline passed")
+	if l.phase == PhaseRunning {
+		l.mayHaveRun = true // The attempt in progress isn't proven not to have started.
+	}
+	return l.giveUp(Event{Err: l.lastErr})
+}
+
+// retryAfter is the advice to callers whose request was given up.
+const retryAfter = time.Second
+
+// giveUp ends the request at once: as not run if that is proven, else as
+// unknown.
+func (l *Lifecycle) giveUp(e Event) Action {
+	err := &qf.Error{Code: qf.CodeBroken, Step: qf.StepAttempt, Peer: string(l.endpoint), Cause: e.Err}
+	if code := qf.CodeOf(e.Err); code != "" {
+		err.Code = code
+	}
+	err.RetryAfter = retryAfter
+	if !l.mayHaveRun {
+		err.Ran = qf.RanNo
+		err.Reason = "the request was not run"
+		return l.finish(qf.OutcomeNotRun, err)
+	}
+	err.Ran = qf.RanUnknown
+	err.Reason = "the request may have run"
+	return l.finish(qf.OutcomeUnknown, err)
+}
+
+func (l *Lifecycle) finish(outcome qf.FinalOutcome, err *qf.Error) Action {
+	l.phase = PhaseEnded
+	return Action{Kind: ActionFinish, Outcome: outcome, Err: err, CancelAttempt: l.attempt}
+}
--- /dev/null
+++ b/internal/qf/protocol/qfrequest/record.go
@@ -0,0 +1,284 @@
+package qfrequest
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// Record is a request as its owner keeps it: the lifecycle and the answer so
+// far. Callers attach to it as readers, as often as they like.
+type Record struct {
+	Request *qf.Request
+
+	mu         sync.Mutex
+	lifecycle  *Lifecycle
+	generation qf.Generation
+	// text holds the tokens of the answer so far.
+	text []string
+	// answer is the whole answer of a plain service.
+	answer *qf.ServiceAnswer
+	// outcome is empty until the request ended.
+	outcome qf.FinalOutcome
+	err     *qf.Error
+	// moved is set once another node owns the request.
+	moved   *Moved
+	endedAt time.Time
+	readers map[*Reader]struct{}
+	// events feeds the runner. It is buffered; senders never block.
+	events chan Event
+	// released is closed when this node gives the request up; the runner then
+	// returns and closes idle.
+	released, idle chan struct{}
+	// chain holds the reasons of the decisions about the request.
+	chain []Decision
+	// recomputed counts prompt and answer tokens that attempts after the first
+	// had to compute again.
+	recomputed int
+	// intent is the ledger's record of a once-only request. It is set before the
+	// runner starts.
+	intent qf.Intent
+}
+
+// SetIntent notes the ledger's record of a once-only request. It must be called
+// before the request runs.
+func (r *Record) SetIntent(intent qf.Intent) { r.intent = intent }
+
+// Moved says where a request goes on.
+type Moved struct {
+	Node qf.Node
+}
+
+// Decision is one decision about a request, for reports.
+type Decision struct {
+	At       time.Time
+	Step     qf.Step
+	Endpoint qf.EndpointID
+	Reason   qf.Reason
+	Note     string
+}
+
+// maxDecisions bounds the decisions that a record keeps.
+const maxDecisions = 64
+
+const eventBuffer = 64
+
+// NewRecord returns the record of a request that this node owns.
+func NewRecord(request *qf.Request, maxAttempts int) *Record {
+	return &Record{
+		Request: request, lifecycle: NewLifecycle(request, maxAttempts, 0), generation: 1,
+		readers: map[*Reader]struct{}{}, events: make(chan Event, eventBuffer),
+		released: make(chan struct{}), idle: make(chan struct{}),
+	}
+}
+
+// Resumed returns the record of a request that another node handed over.
+func Resumed(from *qf.RequestRecord, now time.Time, maxAttempts int) *Record {
+	request := from.Request
+	request.Deadline = now.Add(from.TimeLeft)
+	r := NewRecord(&request, maxAttempts)
+	r.lifecycle = NewLifecycle(&request, maxAttempts, len(from.Text))
+	r.generation = from.Generation
+	r.text = append([]string(nil), from.Text...)
+	return r
+}
+
+// Reader is one caller's interest in a record.
+type Reader struct {
+	record *Record
+	// signal has room for one mark; a mark means that something changed.
+	signal chan struct{}
+}
+
+// Progress is what a reader sees of a record.
+type Progress struct {
+	// Text holds the tokens after the offset asked for.
+	Text    []string
+	Answer  *qf.ServiceAnswer
+	Outcome qf.FinalOutcome
+	Err     *qf.Error
+	Moved   *Moved
+}
+
+// Ended reports whether nothing more will come from this node.
+func (p *Progress) Ended() bool { return p.Outcome != "" || p.Moved != nil }
+
+// Attach returns a reader of the record. Detach it after use.
+func (r *Record) Attach() *Reader {
+	reader := &Reader{record: r, signal: make(chan struct{}, 1)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers[reader] = struct{}{}
+	return reader
+}
+
+// Detach ends the reader's interest.
+func (d *Reader) Detach() {
+	d.record.mu.Lock()
+	defer d.record.mu.Unlock()
+	delete(d.record.readers, d)
+}
+
+// Wait blocks until there is text after the offset or the request ended, and
+// returns what there is.
+func (d *Reader) Wait(ctx context.Context, offset int) (Progress, error) {
+	for {
+		progress := d.record.Progress(offset)
+		if len(progress.Text) > 0 || progress.Ended() {
+			return progress, nil
+		}
+		select {
+		case <-d.signal:
+		case <-ctx.Done():
+			return Progress{}, ctx.Err()
+		}
+	}
+}
+
+// Progress returns what there is after the offset.
+func (r *Record) Progress(offset int) Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := Progress{Answer: r.answer, Outcome: r.outcome, Err: r.err, Moved: r.moved}
+	if offset < len(r.text) {
+		p.Text = r.text[offset:len(r.text):len(r.text)]
+	}
+	return p
+}
+
+// Decisions returns the decisions about the request so far.
+func (r *Record) Decisions() []Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Decision(nil), r.chain...)
+}
+
+// Recomputed returns the number of tokens that were computed again.
+func (r *Record) Recomputed() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recomputed
+}
+
+// EndedAt returns when the request ended here, or the zero time.
+func (r *Record) EndedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endedAt
+}
+
+// Endpoint returns the endpoint of the attempt in progress, or "".
+func (r *Record) Endpoint() qf.EndpointID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lifecycle.Endpoint()
+}
+
+// Post gives the runner an event. It reports whether there was room.
+func (r *Record) Post(e Event) bool {
+	select {
+	case r.events <- e:
+		return true
+	default:
+		return false
+	}
+}
+
+// note keeps a decision. It is called without the lock.
+func (r *Record) note(d Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.chain) < maxDecisions {
+		r.chain = append(r.chain, d)
+	}
+}
+
+// wake marks every reader. It is called with the lock held.
+func (r *Record) wake() {
+	for reader := range r.readers {
+		select {
+		case reader.signal <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// apply runs an event through the lifecycle and records its effect in one step,
+// so that readers never see half of it.
+func (r *Record) apply(e Event) Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	action := r.lifecycle.Apply(e)
+	switch action.Kind {
+	case ActionDeliver:
+		r.text = append(r.text, e.Piece.Text)
+		r.wake()
+	case ActionFinish:
+		if e.Answer != nil {
+			r.answer = e.Answer
+		}
+	default:
+	}
+	return action
+}
+
+// settle makes the outcome visible. It is separate from apply because a
+// once-only outcome must be recorded before the caller sees it.
+func (r *Record) settle(now time.Time, outcome qf.FinalOutcome, err *qf.Error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcome = outcome
+	r.err = err
+	r.endedAt = now
+	r.wake()
+}
+
+// Release ends this node's ownership, so that not one more token reaches a
+// reader, and returns what the next owner needs. It returns false if the request
+// has ended or can't move: a plain call is bound to its connection.
+func (r *Record) Release(now time.Time) (qf.RequestRecord, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lifecycle.Phase() == PhaseEnded || r.Request.Kind != qf.KindModelEngine {
+		return qf.RequestRecord{}, false
+	}
+	attempts := r.lifecycle.Attempts()
+	r.lifecycle.Apply(Event{Kind: EventHandedOver, At: now})
+	close(r.released)
+	return qf.RequestRecord{
+		Request: *r.Request, Generation: r.generation + 1, TimeLeft: r.Request.Deadline.Sub(now),
+		Text: append([]string(nil), r.text...), Attempts: attempts,
+	}, true
+}
+
+// Restore takes a released request back after nobody took it over. The caller
+// runs it again.
+func (r *Record) Restore(maxAttempts int) {
+	<-r.idle
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.generation += 2 // The generation that was offered may be in use.
+	r.lifecycle = NewLifecycle(r.Request, maxAttempts, len(r.text))
+	r.released, r.idle = make(chan struct{}), make(chan struct{})
+	r.events = make(chan Event, eventBuffer)
+}
+
+// MoveTo tells the readers of a released request which node owns it.
+func (r *Record) MoveTo(now time.Time, node qf.Node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.moved = &Moved{Node: node}
+	r.endedAt = now
+	r.wake()
+}
+
+// SettleWith ends a record that never ran here with an answer from the ledger.
+func (r *Record) SettleWith(now time.Time, answer *qf.ServiceAnswer) {
+	r.mu.Lock()
+	r.lifecycle.Apply(Event{Kind: EventHandedOver, At: now})
+	r.answer = answer
+	r.mu.Unlock()
+	r.settle(now, qf.OutcomeAnswered, nil)
+}
--- /dev/null
+++ b/internal/qf/transport/qfhttp/answer.go
@@ -0,0 +1,244 @@
+package qfhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/protocol/qfrequest"
+	"quetzalfront/pkg/qfapi"
+)
+
+var statusByCode = map[qf.Code]int{
+	qf.CodeInvalid:        http.StatusBadRequest,
+	qf.CodeUnknownEntry:   http.StatusNotFound,
+	qf.CodeNotFound:       http.StatusNotFound,
+	qf.CodeTooLarge:       http.StatusRequestEntityTooLarge,
+	qf.CodeLimited:        http.StatusTooManyRequests,
+	qf.CodeOverloaded:     http.StatusServiceUnavailable,
+	qf.CodeNoEndpoint:     http.StatusServiceUnavailable,
+	qf.CodeUnavailable:    http.StatusServiceUnavailable,
+	qf.CodeLeaving:        http.StatusServiceUnavailable,
+	qf.CodeConflict:       http.StatusConflict,
+	qf.CodeKeyReused:      http.StatusUnprocessableEntity,
+	qf.CodeStaleOwnership: http.StatusConflict,
+	qf.CodeStillRunning:   http.StatusConflict,
+	qf.CodeSuspect:        http.StatusUnprocessableEntity,
+	qf.CodeDeadline:       http.StatusGatewayTimeout,
+	qf.CodeBroken:         http.StatusBadGateway,
+	qf.CodeForbidden:      http.StatusForbidden,
+	qf.CodeMoved:          http.StatusMisdirectedRequest,
+}
+
+func statusOf(code qf.Code) int {
+	if status, ok := statusByCode[code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+func detailOf(err error, id qf.RequestID) qfapi.ErrorDetail {
+	var e *qf.Error
+	if !errors.As(err, &e) {
+		e = &qf.Error{Code: qf.CodeInternal, Reason: err.Error()}
+	}
+	detail := qfapi.ErrorDetail{
+		Code: string(e.Code), Field: e.Field, Reason: e.Reason, Ran: string(qf.RanOf(e)),
+		RequestID: string(id), Step: string(e.Step), Peer: e.Peer,
+	}
+	if e.RetryAfter > 0 {
+		detail.RetryAfter = e.RetryAfter.String()
+	}
+	return detail
+}
+
+// writeError sends a typed error.
+func writeError(w http.ResponseWriter, err error, id qf.RequestID) {
+	detail := detailOf(err, id)
+	w.Header().Set(qfapi.HeaderRan, detail.Ran)
+	if id != "" {
+		w.Header().Set(qfapi.HeaderRequestID, string(id))
+	}
+	if detail.RetryAfter != "" {
+		w.Header().Set(qfapi.HeaderRetryAfter, retrySeconds(detail.RetryAfter))
+	}
+	writeJSON(w, statusOf(qf.Code(detail.Code)), qfapi.ErrorBody{Error: detail})
+}
+
+// retrySeconds rounds a duration up to whole seconds, as HTTP wants it.
+func retrySeconds(text string) string {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return "1"
+	}
+	return strconv.Itoa(int((d + time.Second - 1) / time.Second))
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // The reader sees a cut body.
+}
+
+func movedBody(id qf.RequestID, moved *qfrequest.Moved, offset int) qfapi.MovedBody {
+	return qfapi.MovedBody{
+		RequestID: string(id), Nodes: []netip.AddrPort{moved.Node.CallerAddress}, LastEventID: offset,
+	}
+}
+
+// answerCall sends the answer of a plain service.
+func answerCall(w http.ResponseWriter, r *http.Request, record *qfrequest.Record, reader *qfrequest.Reader) {
+	progress, err := reader.Wait(r.Context(), 0)
+	switch {
+	case err != nil:
+		return // The caller is gone.
+	case progress.Answer != nil:
+		w.Header().Set("Content-Type", progress.Answer.ContentType)
+		w.Header().Set(qfapi.HeaderRan, string(qf.RanYes))
+		w.WriteHeader(progress.Answer.Status)
+		_, _ = w.Write(progress.Answer.Body) // A gone caller asks again.
+	case progress.Err != nil:
+		writeError(w, progress.Err, record.Request.ID)
+	default:
+		writeJSON(w, http.StatusMisdirectedRequest, movedBody(record.Request.ID, progress.Moved, 0))
+	}
+}
+
+// answerWhole sends a model engine's answer in one piece.
+func answerWhole(w http.ResponseWriter, r *http.Request, record *qfrequest.Record, reader *qfrequest.Reader) {
+	var text strings.Builder
+	tokens := 0
+	for {
+		progress, err := reader.Wait(r.Context(), tokens)
+		if err != nil {
+			return // The caller is gone.
+		}
+		for _, token := range progress.Text {
+			text.WriteString(token)
+		}
+		tokens += len(progress.Text)
+		if !progress.Ended() {
+			continue
+		}
+		sendWhole(w, record, &progress, text.String(), tokens)
+		return
+	}
+}
+
+func sendWhole(w http.ResponseWriter, record *qfrequest.Record, progress *qfrequest.Progress, text string, tokens int) {
+	switch {
+	case progress.Moved != nil:
+		writeJSON(w, http.StatusMisdirectedRequest, movedBody(record.Request.ID, progress.Moved, 0))
+	case progress.Err != nil:
+		writeError(w, progress.Err, record.Request.ID)
+	default:
+		w.Header().Set(qfapi.HeaderRan, string(qf.RanYes))
+		writeJSON(w, http.StatusOK, qfapi.ChatAnswer{
+			ID: string(record.Request.ID), Object: "chat.completion", Model: string(record.Request.Entry),
+			Choices: []qfapi.ChatChoice{{
+				Message: qfapi.ChatMessage{Role: "assistant", Content: text}, FinishReason: finishLength,
+			}},
+			Usage: qfapi.ChatUsage{CompletionTokens: tokens},
+		})
+	}
+}
+
+const finishLength = "length"
+
+// stream sends an answer as server-sent events from the offset on. The
+// identifier of an event is the number of tokens that the caller has with it.
+func stream(w http.ResponseWriter, r *http.Request, record *qfrequest.Record, reader *qfrequest.Reader, offset int) {
+	progress, err := reader.Wait(r.Context(), offset)
+	if err != nil {
+		return // The caller is gone.
+	}
+	if len(progress.Text) == 0 && progress.Err != nil && offset == 0 {
+		writeError(w, progress.Err, record.Request.ID)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(http.StatusOK)
+	s := &streamWriter{w: w, controller: http.NewResponseController(w), record: record, offset: offset}
+	for {
+		if s.pieces(progress.Text) != nil {
+			return
+		}
+		if progress.Ended() {
+			s.end(&progress)
+			return
+		}
+		if progress, err = reader.Wait(r.Context(), s.offset); err != nil {
+			return
+		}
+	}
+}
+
+// streamWriter writes one answer's events.
+type streamWriter struct {
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	record     *qfrequest.Record
+	offset     int
+}
+
+func (s *streamWriter) pieces(text []string) error {
+	for _, token := range text {
+		s.offset++
+		if err := s.event("", s.chunk(token, nil)); err != nil {
+			return err
+		}
+	}
+	return s.controller.Flush()
+}
+
+func (s *streamWriter) chunk(token string, finish *string) *qfapi.ChatChunk {
+	return &qfapi.ChatChunk{
+		ID: string(s.record.Request.ID), Object: "chat.completion.chunk", Model: string(s.record.Request.Entry),
+		Choices: []qfapi.ChatChunkChoice{{
+			Delta: qfapi.ChatMessage{Role: "assistant", Content: token}, FinishReason: finish,
+		}},
+	}
+}
+
+// end sends the last event. Only a whole answer ends with the end mark.
+func (s *streamWriter) end(progress *qfrequest.Progress) {
+	var err error
+	switch {
+	case progress.Moved != nil:
+		err = s.event(qfapi.EventMoved, movedBody(s.record.Request.ID, progress.Moved, s.offset))
+	case progress.Err != nil:
+		err = s.event(qfapi.EventError, qfapi.ErrorBody{Error: detailOf(progress.Err, s.record.Request.ID)})
+	default:
+		finish := finishLength
+		err = errors.Join(s.event("", s.chunk("", &finish)), s.write("", qfapi.EventDone))
+	}
+	if err == nil {
+		_ = s.controller.Flush() // A gone caller resumes elsewhere.
+	}
+}
+
+func (s *streamWriter) event(kind string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return s.write(kind, string(data))
+}
+
+func (s *streamWriter) write(kind, data string) error {
+	message := &sse.Message{ID: sse.ID(strconv.Itoa(s.offset))}
+	if kind != "" {
+		message.Type = sse.Type(kind)
+	}
+	message.AppendData(data)
+	_, err := message.WriteTo(s.w)
+	return err
+}
--- /dev/null
+++ b/internal/qf/transport/qfhttp/callers.go
@@ -0,0 +1,110 @@
+// Package qfhttp serves callers and operators over HTTP.
+package qfhttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/protocol/qfrequest"
+	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/pkg/qfapi"
+)
+
+// Service is what a node does for callers.
+type Service interface {
+	// Entry returns the catalogue's entry, or nil.
+	Entry(name qf.EntryName) *qfcatalogue.Entry
+	// Accept takes a request or refuses it with an *qf.Error.
+	Accept(ctx context.Context, request *qf.Request) (*qfrequest.Record, error)
+	// Find returns a request that was accepted before.
+	Find(ctx context.Context, id qf.RequestID) (*qfrequest.Record, error)
+	// Addresses returns the nodes to which callers may connect, best first.
+	Addresses(from qf.Region) []qf.Node
+	// Now returns the time.
+	Now() time.Time
+}
+
+// Bounds limit what callers may send.
+type Bounds struct {
+	MaxBodyBytes     int64
+	MaxTokens        int
+	DefaultTimeout   time.Duration
+	MaxTimeout       time.Duration
+	KeepAddressesFor time.Duration
+}
+
+// Callers serves the callers' port.
+type Callers struct {
+	service Service
+	bounds  Bounds
+}
+
+// NewCallers returns the handler of the callers' port.
+func NewCallers(service Service, bounds Bounds) http.Handler {
+	c := &Callers{service: service, bounds: bounds}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+qfapi.PathNodes, c.serveNodes)
+	mux.HandleFunc("POST "+qfapi.PathChatCompletions, c.serveChat)
+	mux.HandleFunc(qfapi.PathServices+"{entry}/{path...}", c.serveService)
+	mux.HandleFunc("GET "+qfapi.PathRequests+"{id}", c.serveRequest)
+	mux.HandleFunc("/", serveNotFound)
+	return mux
+}
+
+func serveNotFound(w http.ResponseWriter, r *http.Request) {
+	err := qf.NewError(qf.CodeNotFound, qf.StepAccept, "", "no such path: "+r.URL.Path)
+	err.Ran = qf.RanNo
+	writeError(w, err, "")
+}
+
+// serveNodes answers which addresses a caller may use, and for how long.
+func (c *Callers) serveNodes(w http.ResponseWriter, r *http.Request) {
+	answer := qfapi.NodesAnswer{KeepFor: c.bounds.KeepAddressesFor.String()}
+	for _, node := range c.service.Addresses(qf.Region(r.URL.Query().Get("region"))) {
+		answer.Nodes = append(answer.Nodes, qfapi.NodeAddress{
+			Address: node.CallerAddress, AvailabilityZone: string(node.AvailabilityZone), Region: string(node.Region),
+		})
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// serveRequest resumes a request that was accepted before.
+func (c *Callers) serveRequest(w http.ResponseWriter, r *http.Request) {
+	id := qf.RequestID(r.PathValue("id"))
+	offset, err := resumeOffset(r)
+	if err != nil {
+		writeError(w, err, id)
+		return
+	}
+	record, err := c.service.Find(r.Context(), id)
+	if err != nil {
+		writeError(w, err, id)
+		return
+	}
+	if organisation := r.Header.Get(qfapi.HeaderOrganisation); organisation != string(record.Request.Organisation) {
+		writeError(w, notFound(id), id) // Another organisation's request doesn't show.
+		return
+	}
+	c.answer(w, r, record, offset)
+}
+
+func notFound(id qf.RequestID) error {
+	return qf.NewError(qf.CodeNotFound, qf.StepResume, "", "the request isn't known here: "+string(id))
+}
+
+// answer sends a record's answer in the form that the request asked for.
+func (c *Callers) answer(w http.ResponseWriter, r *http.Request, record *qfrequest.Record, offset int) {
+	reader := record.Attach()
+	defer reader.Detach()
+	w.Header().Set(qfapi.HeaderRequestID, string(record.Request.ID))
+	switch {
+	case record.Request.Kind == qf.KindPlainService:
+		answerCall(w, r, record, reader)
+	case record.Request.Stream:
+		stream(w, r, record, reader, offset)
+	default:
+		answerWhole(w, r, record, reader)
+	}
+}
--- /dev/null
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -0,0 +1,227 @@
+// Package qfrpc carries the contract between entry nodes over net/rpc.
+package qfrpc
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// serviceName is the name under which the methods are registered.
+const serviceName = "Peer"
+
+// Handler is what a node does for its peers.
+type Handler interface {
+	Exchange(digest qf.Digest) qf.Digest
+	TakeOver(records []qf.RequestRecord) []qf.RequestID
+	KeepShadows(records []qf.RequestRecord)
+	Lookup(id qf.RequestID) (qf.RequestRecord, error)
+	CatalogueNewerThan(revision qf.Revision) ([]byte, qf.Revision)
+}
+
+// Server answers peers. Its methods have the shape that net/rpc requires.
+type Server struct {
+	handler Handler
+}
+
+// Exchange answers a digest with the node's own.
+func (s *Server) Exchange(in ExchangeIn, out *ExchangeOut) error {
+	out.Digest = s.handler.Exchange(in.Digest)
+	return nil
+}
+
+// HandOver takes requests over.
+func (s *Server) HandOver(in HandOverIn, out *HandOverOut) error {
+	out.Taken = s.handler.TakeOver(in.Records)
+	return nil
+}
+
+// Shadow keeps copies of records.
+func (s *Server) Shadow(in ShadowIn, out *ShadowOut) error {
+	s.handler.KeepShadows(in.Records)
+	out.Kept = len(in.Records)
+	return nil
+}
+
+// Lookup returns a record that the node owns or shadows.
+func (s *Server) Lookup(in LookupIn, out *LookupOut) error {
+	record, err := s.handler.Lookup(in.ID)
+	out.Found = err == nil
+	out.Record = record
+	return nil
+}
+
+// Catalogue returns the catalogue if it is newer.
+func (s *Server) Catalogue(in CatalogueIn, out *CatalogueOut) error {
+	out.Snapshot, out.Revision = s.handler.CatalogueNewerThan(in.NewerThan)
+	return nil
+}
+
+// Serve answers peers on the listener until it is closed.
+func Serve(listener net.Listener, handler Handler) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, &Server{handler: handler}); err != nil {
+		return err
+	}
+	for {
+		connection, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		go server.ServeConn(connection)
+	}
+}
+
+// Client calls peers. It implements qf.Peer and keeps one connection for each.
+type Client struct {
+	timer   qf.Timer
+	timeout time.Duration
+	// tls is nil if certificates are off.
+	tls *tls.Config
+
+	mu          sync.Mutex
+	connections map[netip.AddrPort]*rpc.Client
+}
+
+// NewClient returns a client. The timeout bounds each call; a connection that
+// lets a call time out is closed, because it may have gone silent for good.
+func NewClient(timer qf.Timer, timeout time.Duration, config *tls.Config) *Client {
+	return &Client{
+		timer: timer, timeout: timeout, tls: config,
+		connections: map[netip.AddrPort]*rpc.Client{},
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, connection := range c.connections {
+		_ = connection.Close() // It is given up either way.
+		delete(c.connections, address)
+	}
+}
+
+func (c *Client) connection(ctx context.Context, address netip.AddrPort) (*rpc.Client, error) {
+	c.mu.Lock()
+	known := c.connections[address]
+	c.mu.Unlock()
+	if known != nil {
+		return known, nil
+	}
+	raw, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.connections[address]; known != nil {
+		_ = raw.Close() // Another call was faster.
+		return known, nil
+	}
+	connection := rpc.NewClient(raw)
+	c.connections[address] = connection
+	return connection, nil
+}
+
+func (c *Client) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: c.timeout}
+	if c.tls == nil {
+		return dialer.DialContext(ctx, "tcp", address.String())
+	}
+	return (&tls.Dialer{NetDialer: dialer, Config: c.tls}).DialContext(ctx, "tcp", address.String())
+}
+
+func (c *Client) drop(address netip.AddrPort, connection *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connections[address] == connection {
+		delete(c.connections, address)
+	}
+	_ = connection.Close() // It is given up either way.
+}
+
+// call makes one call. sent is false if it provably didn't leave.
+func (c *Client) call(ctx context.Context, address netip.AddrPort, method string, in, out any) (sent bool, err error) {
+	connection, err := c.connection(ctx, address)
+	if err != nil {
+		return false, peerError(address, "no connection", err)
+	}
+	timeout := c.timer.After(c.timeout)
+	defer timeout.Stop()
+	call := connection.Go(serviceName+"."+method, in, out, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			c.drop(address, connection)
+			return true, peerError(address, "the call failed", call.Error)
+		}
+		return true, nil
+	case <-timeout.C():
+		c.drop(address, connection)
+		return true, peerError(address, "no answer in time", nil)
+	case <-ctx.Done():
+		return true, peerError(address, "given up", ctx.Err())
+	}
+}
+
+func peerError(address netip.AddrPort, reason string, cause error) error {
+	return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepPeer, Peer: address.String(), Reason: reason, Cause: cause}
+}
+
+// Exchange implements qf.Peer.
+func (c *Client) Exchange(ctx context.Context, address netip.AddrPort, digest qf.Digest) (qf.Digest, error) {
+	var out ExchangeOut
+	_, err := c.call(ctx, address, "Exchange", ExchangeIn{Digest: digest}, &out)
+	return out.Digest, err
+}
+
+// HandOver implements qf.Peer.
+func (c *Client) HandOver(ctx context.Context, address netip.AddrPort, records []qf.RequestRecord) qf.Result[[]qf.RequestID] {
+	var out HandOverOut
+	sent, err := c.call(ctx, address, "HandOver", HandOverIn{Records: records}, &out)
+	switch {
+	case err == nil:
+		return qf.DoneWith(out.Taken)
+	case !sent:
+		return qf.NotDoneFor[[]qf.RequestID](err)
+	default:
+		return qf.UnknownFor[[]qf.RequestID](err)
+	}
+}
+
+// Shadow implements qf.Peer.
+func (c *Client) Shadow(ctx context.Context, address netip.AddrPort, records []qf.RequestRecord) error {
+	var out ShadowOut
+	_, err := c.call(ctx, address, "Shadow", ShadowIn{Records: records}, &out)
+	return err
+}
+
+// Lookup implements qf.Peer.
+func (c *Client) Lookup(ctx context.Context, address netip.AddrPort, id qf.RequestID) (qf.RequestRecord, error) {
+	var out LookupOut
+	if _, err := c.call(ctx, address, "Lookup", LookupIn{ID: id}, &out); err != nil {
+		return qf.RequestRecord{}, err
+	}
+	if !out.Found {
+		return qf.RequestRecord{}, qf.NewError(qf.CodeNotFound, qf.StepPeer, address.String(), "the peer doesn't know the request")
+	}
+	return out.Record, nil
+}
+
+// Catalogue implements qf.Peer.
+func (c *Client) Catalogue(ctx context.Context, address netip.AddrPort, newerThan qf.Revision) ([]byte, qf.Revision, error) {
+	var out CatalogueOut
+	_, err := c.call(ctx, address, "Catalogue", CatalogueIn{NewerThan: newerThan}, &out)
+	return out.Snapshot, out.Revision, err
+}
--- /dev/null
+++ b/internal/standin/standworld/world.go
@@ -0,0 +1,206 @@
+// Package standworld puts the stand-ins together: a platform, and the engines
+// and services that its VMs run, in one process and on loopback.
+package standworld
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfdocument"
+	"quetzalfront/internal/standin/standcloud"
+	"quetzalfront/internal/standin/standengine"
+	"quetzalfront/internal/standin/standservice"
+	"quetzalfront/internal/standin/standtable"
+)
+
+// Fleet describes the VMs with which a world begins.
+type Fleet struct {
+	// TableAddress and CloudAddress are used by Serve; port 0 takes any.
+	TableAddress netip.AddrPort
+	CloudAddress netip.AddrPort
+	Groups       []Group `validate:"dive"`
+	Nodes        []Node  `validate:"dive"`
+}
+
+// Group is a number of equal endpoints.
+type Group struct {
+	Count            int                 `validate:"min=1"`
+	Role             qf.VMRole           `validate:"oneof=ModelEngine PlainService"`
+	Entry            qf.EntryName        `validate:"required"`
+	Version          qf.Version          `validate:"required"`
+	AvailabilityZone qf.AvailabilityZone `validate:"required"`
+	Class            qf.VMClass          `validate:"oneof=Reclaimable OnDemand"`
+	// SlowFactor and FailEvery make bad versions.
+	SlowFactor float64
+	FailEvery  int
+	// TokenInterval overrides the time between two tokens.
+	TokenInterval qfdocument.Duration
+}
+
+// Node is an entry node that the VM list names.
+type Node struct {
+	ID               qf.VMID             `validate:"required"`
+	AvailabilityZone qf.AvailabilityZone `validate:"required"`
+	CallerAddress    netip.AddrPort      `validate:"required"`
+	PeerAddress      netip.AddrPort      `validate:"required"`
+}
+
+// World is a platform with running endpoints.
+type World struct {
+	Timer qf.Timer
+	Table *standtable.Table
+	Cloud *standcloud.Cloud
+
+	mu       sync.Mutex
+	journals map[qf.EntryName]*standservice.Journal
+	// behaviours holds how new engines of a version behave.
+	behaviours map[qf.Version]standengine.Behaviour
+	servers    []*http.Server
+}
+
+// New returns a world without VMs.
+func New(timer qf.Timer) *World {
+	w := &World{
+		Timer: timer, Table: standtable.New(timer),
+		journals:   map[qf.EntryName]*standservice.Journal{},
+		behaviours: map[qf.Version]standengine.Behaviour{},
+	}
+	w.Cloud = standcloud.New(timer, nil, w.launch)
+	return w
+}
+
+// SetBehaviour says how engines of a version that start from now on behave.
+func (w *World) SetBehaviour(version qf.Version, behaviour standengine.Behaviour) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.behaviours[version] = behaviour
+}
+
+// Journal returns the executions of an entry's services.
+func (w *World) Journal(entry qf.EntryName) *standservice.Journal {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.journals[entry] == nil {
+		w.journals[entry] = &standservice.Journal{}
+	}
+	return w.journals[entry]
+}
+
+// Populate starts the fleet's endpoints and makes its nodes known.
+func (w *World) Populate(ctx context.Context, fleet *Fleet) error {
+	number := 0
+	for _, g := range fleet.Groups {
+		w.SetBehaviour(g.Version, g.behaviour())
+		for range g.Count {
+			number++
+			if err := w.startOne(ctx, &g, number); err != nil {
+				return err
+			}
+		}
+	}
+	for _, n := range fleet.Nodes {
+		w.Cloud.Register(NodeVM(n.ID, n.AvailabilityZone, n.CallerAddress, n.PeerAddress), nil)
+	}
+	return nil
+}
+
+// NodeVM describes the VM of an entry node.
+func NodeVM(id qf.VMID, zone qf.AvailabilityZone, callers, peers netip.AddrPort) qf.VM {
+	return qf.VM{
+		ID: id, Role: qf.RoleEntryNode, AvailabilityZone: zone, Region: standcloud.RegionOf(zone),
+		Class: qf.ClassReclaimable, Address: callers, PeerAddress: peers,
+	}
+}
+
+func (g *Group) behaviour() standengine.Behaviour {
+	b := standengine.DefaultBehaviour()
+	b.SlowFactor = g.SlowFactor
+	b.FailEvery = g.FailEvery
+	if g.TokenInterval > 0 {
+		b.TokenInterval = g.TokenInterval.Value()
+	}
+	return b
+}
+
+func (w *World) startOne(ctx context.Context, g *Group, number int) error {
+	result := w.Cloud.Start(ctx, qf.StartVM{
+		Token: string(g.Entry) + "/" + string(g.Version) + "/" + strconv.Itoa(number),
+		Role:  g.Role, Entry: g.Entry, Version: g.Version,
+		AvailabilityZone: g.AvailabilityZone, Class: g.Class,
+	})
+	return result.Err
+}
+
+// launch starts the server of a VM.
+func (w *World) launch(vm qf.VM) (standcloud.Server, error) {
+	s := &server{}
+	endpoint := qf.Endpoint{ID: qf.EndpointID(vm.ID), VM: vm.ID, Entry: vm.Entry, Version: vm.Version}
+	var handler http.Handler
+	if vm.Role == qf.RolePlainService {
+		service := standservice.New(w.Timer, endpoint, standservice.Behaviour{}, w.Journal(vm.Entry))
+		handler = service.Handler()
+		s.leave = service.Leave
+	} else {
+		engine := standengine.New(w.Timer, endpoint, w.behaviourOf(vm.Version), func() { go w.Cloud.Crash(vm.ID) })
+		handler = engine.Handler()
+		s.leave = engine.Leave
+	}
+	return s, s.start(handler)
+}
+
+func (w *World) behaviourOf(version qf.Version) standengine.Behaviour {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if b, ok := w.behaviours[version]; ok {
+		return b
+	}
+	return standengine.DefaultBehaviour()
+}
+
+// Serve opens the platform's services on the addresses and returns where they
+// listen.
+func (w *World) Serve(table, cloud netip.AddrPort) (tableAddress, cloudAddress netip.AddrPort, err error) {
+	tableAddress, err = w.open(table, w.Table.Handler())
+	if err != nil {
+		return
+	}
+	cloudAddress, err = w.open(cloud, w.Cloud.Handler())
+	return
+}
+
+func (w *World) open(address netip.AddrPort, handler http.Handler) (netip.AddrPort, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address.String())
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	w.servers = append(w.servers, s)
+	go serve(s, listener)
+	return netip.MustParseAddrPort(listener.Addr().String()), nil
+}
+
+const readHeaderTimeout = 10 * time.Second
+
+func serve(s *http.Server, listener net.Listener) {
+	if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		panic(err) // A stand-in that can't serve makes every later result worthless.
+	}
+}
+
+// Close ends all servers.
+func (w *World) Close() {
+	for _, s := range w.servers {
+		_ = s.Close() // It is given up either way.
+	}
+	vms, _ := w.Cloud.VMs(context.Background())
+	for i := range vms {
+		w.Cloud.Crash(vms[i].ID)
+	}
+}
