qfrequest: say NotRun only if every attempt is proven not to have started

Cause: an attempt that was moved away from a leaving endpoint, or left behind by a hand-over, before its first token didn't count as one that may have run; if no endpoint was left, the caller was told NotRun. The table test showed it ("moved before a piece, then no endpoint": got Finish NotRun, want Unknown). Change: a move counts as a possible execution, records that are handed over carry MayHaveRun, an action carries the accepted answer, a stream longer than asked for is a fault, and the cause's RetryAfter reaches the caller. Tests: a table over the points at which an attempt breaks, a rapid property, and deliberate faults (ignore the attempt identifier, NotRun on a broken connection, ignore the offset) that the invariants must catch.

--- a/internal/qf/protocol/qfrequest/lifecycle.go
+++ b/internal/qf/protocol/qfrequest/lifecycle.go
@@ -4,6 +4,7 @@
 package qfrequest
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -113,6 +114,9 @@
 	// outcome is OutcomeAnswered.
 	Outcome qf.FinalOutcome
 	Err     *qf.Error
+	// Answer is the whole answer of a plain service that was answered. An answer
+	// that came with an event but was rejected isn't here.
+	Answer *qf.ServiceAnswer
 }
 
 // Lifecycle is the state machine of one request. It does no I/O and reads no
@@ -135,18 +139,32 @@
 	lastErr error
 }
 
-// NewLifecycle returns the lifecycle of a request of which the given number of
-// tokens was delivered before, by this node or another.
-func NewLifecycle(request *qf.Request, maxAttempts, tokens int) *Lifecycle {
+// History is what happened to a request before its lifecycle began, at this node
+// or at an earlier owner. The zero History is that of a new request.
+type History struct {
+	// Tokens is the number of tokens that were delivered.
+	Tokens int
+	// MayHaveRun is false only if it is proven that no attempt started.
+	MayHaveRun bool
+}
+
+// NewLifecycle returns the lifecycle of a request with the given history.
+func NewLifecycle(request *qf.Request, maxAttempts int, history History) *Lifecycle {
 	return &Lifecycle{
 		request: request, maxAttempts: maxAttempts, phase: PhaseWaiting,
-		tokens: tokens, mayHaveRun: tokens > 0,
+		tokens: history.Tokens, mayHaveRun: history.MayHaveRun || history.Tokens > 0,
 	}
 }
 
 // Phase returns where the request stands.
 func (l *Lifecycle) Phase() Phase { return l.phase }
 
+// History returns what the next owner must know of the request. An attempt in
+// progress counts as one that may have run.
+func (l *Lifecycle) History() History {
+	return History{Tokens: l.tokens, MayHaveRun: l.mayHaveRun || l.phase == PhaseRunning}
+}
+
 // Attempts returns the number of attempts that were not moves.
 func (l *Lifecycle) Attempts() int { return l.attempts }
 
@@ -216,6 +234,9 @@
 	if e.Piece.Offset != l.tokens {
 		return l.fault(e, fmt.Sprintf("expected the piece at offset %d, not %d", l.tokens, e.Piece.Offset))
 	}
+	if !e.Piece.End && e.Piece.Offset >= l.request.MaxTokens {
+		return l.fault(e, fmt.Sprintf("the answer is longer than %d tokens", l.request.MaxTokens))
+	}
 	l.mayHaveRun = true
 	if e.Piece.End {
 		return l.finish(qf.OutcomeAnswered, nil)
@@ -240,7 +261,13 @@
 		return l.fault(e, "the answer is of another attempt")
 	}
 	l.mayHaveRun = true
-	return l.finish(qf.OutcomeAnswered, nil)
+	return l.answered(e.Answer)
+}
+
+func (l *Lifecycle) answered(answer *qf.ServiceAnswer) Action {
+	action := l.finish(qf.OutcomeAnswered, nil)
+	action.Answer = answer
+	return action
 }
 
 // broken starts another attempt if that is safe and allowed. A once-only attempt
@@ -278,7 +305,7 @@
 	}
 	switch e.Certainty {
 	case qf.Done:
-		return l.finish(qf.OutcomeAnswered, nil)
+		return l.answered(e.Answer)
 	case qf.NotDone:
 		l.mayHaveRun = false
 		return l.retry()
@@ -298,6 +325,7 @@
 	}
 	l.phase = PhaseWaiting
 	l.attempts--
+	l.mayHaveRun = true // Nothing proves that the attempt left behind didn't start.
 	return Action{Kind: ActionStart, Cause: StartMove, CancelAttempt: l.attempt, Avoid: l.endpoint}
 }
 
@@ -309,9 +337,18 @@
 	return l.giveUp(Event{Err: l.lastErr})
 }
 
-// retryAfter is the advice to callers whose request was given up.
+// retryAfter is the advice to callers whose request was given up, unless the
+// cause knows better.
 const retryAfter = time.Second
 
+func adviceOf(cause error) time.Duration {
+	var e *qf.Error
+	if errors.As(cause, &e) && e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
+	return retryAfter
+}
+
 // giveUp ends the request at once: as not run if that is proven, else as
 // unknown.
 func (l *Lifecycle) giveUp(e Event) Action {
@@ -319,7 +356,7 @@
 	if code := qf.CodeOf(e.Err); code != "" {
 		err.Code = code
 	}
-	err.RetryAfter = retryAfter
+	err.RetryAfter = adviceOf(e.Err)
 	if !l.mayHaveRun {
 		err.Ran = qf.RanNo
 		err.Reason = "the request was not run"
--- a/internal/qf/protocol/qfrequest/record.go
+++ b/internal/qf/protocol/qfrequest/record.go
@@ -16,6 +16,8 @@
 	mu         sync.Mutex
 	lifecycle  *Lifecycle
 	generation qf.Generation
+	// history is what had happened when this node released the request last.
+	history History
 	// text holds the tokens of the answer so far.
 	text []string
 	// answer is the whole answer of a plain service.
@@ -68,7 +70,7 @@
 // NewRecord returns the record of a request that this node owns.
 func NewRecord(request *qf.Request, maxAttempts int) *Record {
 	return &Record{
-		Request: request, lifecycle: NewLifecycle(request, maxAttempts, 0), generation: 1,
+		Request: request, lifecycle: NewLifecycle(request, maxAttempts, History{}), generation: 1,
 		readers: map[*Reader]struct{}{}, events: make(chan Event, eventBuffer),
 		released: make(chan struct{}), idle: make(chan struct{}),
 	}
@@ -79,7 +81,7 @@
 	request := from.Request
 	request.Deadline = now.Add(from.TimeLeft)
 	r := NewRecord(&request, maxAttempts)
-	r.lifecycle = NewLifecycle(&request, maxAttempts, len(from.Text))
+	r.lifecycle = NewLifecycle(&request, maxAttempts, History{Tokens: len(from.Text), MayHaveRun: from.MayHaveRun})
 	r.generation = from.Generation
 	r.text = append([]string(nil), from.Text...)
 	return r
@@ -216,9 +218,7 @@
 		r.text = append(r.text, e.Piece.Text)
 		r.wake()
 	case ActionFinish:
-		if e.Answer != nil {
-			r.answer = e.Answer
-		}
+		r.answer = action.Answer
 	default:
 	}
 	return action
@@ -245,11 +245,12 @@
 		return qf.RequestRecord{}, false
 	}
 	attempts := r.lifecycle.Attempts()
+	r.history = r.lifecycle.History()
 	r.lifecycle.Apply(Event{Kind: EventHandedOver, At: now})
 	close(r.released)
 	return qf.RequestRecord{
 		Request: *r.Request, Generation: r.generation + 1, TimeLeft: r.Request.Deadline.Sub(now),
-		Text: append([]string(nil), r.text...), Attempts: attempts,
+		Text: append([]string(nil), r.text...), Attempts: attempts, MayHaveRun: r.history.MayHaveRun,
 	}, true
 }
 
@@ -260,7 +261,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.generation += 2 // The generation that was offered may be in use.
-	r.lifecycle = NewLifecycle(r.Request, maxAttempts, len(r.text))
+	r.lifecycle = NewLifecycle(r.Request, maxAttempts, r.history)
 	r.released, r.idle = make(chan struct{}), make(chan struct{})
 	r.events = make(chan Event, eventBuffer)
 }
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -119,7 +119,7 @@
 		go x.askStatus(x.choice.Endpoint, x.attempt)
 		return true
 	case ActionFinish:
-		x.finish(e, action)
+		x.finish(action)
 		return false
 	default:
 		return x.record.isOwned()
@@ -254,11 +254,11 @@
 }
 
 // finish records a once-only outcome and then shows the outcome to readers.
-func (x *run) finish(e Event, action Action) {
+func (x *run) finish(action Action) {
 	x.endAttempt(action.Outcome == qf.OutcomeAnswered)
 	request := x.record.Request
 	if request.OnceOnly() {
-		err := x.config.Ledger.Finish(x.ctx, request, x.record.intent, action.Outcome, e.Answer)
+		err := x.config.Ledger.Finish(x.ctx, request, x.record.intent, action.Outcome, action.Answer)
 		x.noteOutcome(err)
 	}
 	x.record.settle(x.config.Timer.Now(), action.Outcome, action.Err)
--- a/internal/qf/request.go
+++ b/internal/qf/request.go
@@ -82,4 +82,7 @@
 	Answer *ServiceAnswer
 	// Attempts counts the attempts so far.
 	Attempts int
+	// MayHaveRun is false only if it is proven that no attempt started, so that
+	// the next owner may still refuse the request as not run.
+	MayHaveRun bool
 }
