--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -97,21 +97,62 @@
 	if !request.OnceOnly() {
 		return record, n.start(record)
 	}
-	intent, err := n.platform.Ledger.Begin(ctx, request, qf.NodeID(n.settings.Node.ID))
+	return n.recordOnceOnly(ctx, record)
+}
+
+// recordOnceOnly plans the first attempt, records the intent to run it and only
+// then accepts the request.
+func (n *Node) recordOnceOnly(ctx context.Context, record *qfrequest.Record) (*qfrequest.Record, error) {
+	request := record.Request
+	choice, err := n.Choose(n.now(), request, 0, nil)
+	if err != nil {
+		return nil, n.refuse(request, qf.CodeOf(err), "no endpoint serves the entry at present")
+	}
+	n.beginning.Store(request.ID, true)
+	defer n.beginning.Delete(request.ID)
+	intent, err := n.keys.Open(ctx, record, choice)
 	if err != nil {
 		return nil, err
 	}
 	if intent.State != qf.IntentFresh {
 		return n.earlier(record, intent)
 	}
-	record.SetIntent(intent)
 	if err := n.start(record); err != nil {
-		_ = n.platform.Ledger.Finish(ctx, request, intent, qf.OutcomeNotRun, nil) // The intent stays if this fails.
+		_ = n.platform.Ledger.Finish(ctx, request, intent, qf.OutcomeNotRun, nil) // The ledger remembers a failure.
 		return nil, err
 	}
 	return record, nil
 }
 
+// isInProgress reports whether the owner of an intent lives and works on it.
+func (n *Node) isInProgress(intent qf.Intent) bool {
+	if string(intent.Owner) == n.settings.Node.ID {
+		_, isBeginning := n.beginning.Load(intent.Request)
+		return isBeginning || n.records.Get(intent.Request) != nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, peer := range n.membership.Peers(n.now()) {
+		if peer.ID == intent.Owner {
+			return peer.State == qf.NodeLive || peer.State == qf.NodeLeaving
+		}
+	}
+	return false
+}
+
+// isCurrent reports whether an endpoint is listed in the same incarnation.
+func (n *Node) isCurrent(endpoint qf.Endpoint) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		e := &n.endpoints[i]
+		if e.ID == endpoint.ID && e.Incarnation == endpoint.Incarnation && e.Address == endpoint.Address {
+			return true
+		}
+	}
+	return false
+}
+
 // earlier answers a once-only request whose key was used before.
 func (n *Node) earlier(record *qfrequest.Record, intent qf.Intent) (*qfrequest.Record, error) {
 	switch intent.State {
@@ -127,6 +168,7 @@
 	case qf.IntentUnknown:
 		err := qf.NewError(qf.CodeBroken, qf.StepIntent, string(intent.Owner), "the request may have run; its outcome is unknown")
 		err.Ran = qf.RanUnknown
+		err.RetryAfter = refusedRetryAfter
 		return nil, err
 	default:
 		if running := n.records.Get(intent.Request); running != nil {
@@ -158,6 +200,7 @@
 		progress := record.Progress(0)
 		n.release(record.Request, len(progress.Text))
 		n.logEnd(record, &progress)
+		n.runner.Conclude(n.ctx, record)
 	}()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	Cloud   qf.Cloud
 	Engine  qf.ModelEngine
 	Service qf.PlainService
+	Prober  qf.Prober
 	Peer    qf.Peer
 	Ledger  qf.Ledger
 	Logger  zerolog.Logger
@@ -61,6 +62,11 @@
 	store     *qfcatalogue.Store
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
+	keys      *qfrequest.Keys
+	// beginning holds the once-only requests whose intent is being recorded.
+	beginning sync.Map
+	// swept is the key up to which the ledger was swept. Only the sweep uses it.
+	swept string
 
 	// mu guards the decisions, which aren't safe for concurrent use.
 	mu         sync.Mutex
@@ -108,6 +114,13 @@
 		Router: &lockedRouter{node: n}, Choosing: n, Ledger: platform.Ledger,
 		Budget: &lockedBudget{node: n}, Observer: n,
 		Self: qf.NodeID(settings.Node.ID), SilentAfter: settings.Request.SilentAfter.Value(),
+		Prober: platform.Prober, LeaveWithin: settings.Request.LeaveWithin.Value(),
+		IsCurrent: n.isCurrent,
+	})
+	n.keys = qfrequest.NewKeys(qfrequest.KeysConfig{
+		Timer: platform.Timer, Ledger: platform.Ledger, Service: platform.Service,
+		Self: qf.NodeID(settings.Node.ID), IsInProgress: n.isInProgress, IsCurrent: n.isCurrent,
+		StatusTimeout: settings.Request.SilentAfter.Value(),
 	})
 	return n
 }
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -29,11 +29,21 @@
 	endpoints := &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout,
 	}}
+	engine := qfendpoint.NewEngine(endpoints)
 	return Platform{
 		Timer: timer, Table: table, VMList: cloud, Cloud: cloud,
-		Engine: qfendpoint.NewEngine(endpoints), Service: qfendpoint.NewService(endpoints),
+		Engine: engine, Prober: engine, Service: qfendpoint.NewService(endpoints),
 		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), nil),
-		Ledger: qfledger.New(table), Logger: logger,
+		Ledger: qfledger.New(timer, table, ledgerOptions(settings)), Logger: logger,
 		Random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
+
+// ledgerOptions spread the table's writes for the ledger evenly over time.
+func ledgerOptions(settings *qfsettings.Settings) qfledger.Options {
+	every := settings.Request.LedgerCommitEvery.Value()
+	return qfledger.Options{
+		RecordsFor:  settings.Request.IdempotencyRecordsFor.Value(),
+		CommitEvery: func() time.Duration { return every },
+	}
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -118,6 +118,7 @@
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
 	n.every(time.Second, n.expire)
+	n.every(sweepEvery, n.sweepLedger)
 }
 
 // Kill ends the node at once, as a lost VM does.
--- a/internal/qf/endpoint.go
+++ b/internal/qf/endpoint.go
@@ -55,6 +55,7 @@
 	// KVHandle names imported KV cache for the resumed text, if any.
 	KVHandle string
 	Deadline time.Time
+	Hop
 }
 
 // Piece is a part of a streamed answer.
@@ -179,6 +180,7 @@
 	ContentType string
 	Body        []byte
 	Deadline    time.Time
+	Hop
 }
 
 // ServiceAnswer is the whole answer of a plain service.
--- a/internal/qf/ledger.go
+++ b/internal/qf/ledger.go
@@ -1,6 +1,9 @@
 package qf
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // IntentState says what the ledger knows of a once-only request.
 type IntentState string
@@ -8,11 +11,12 @@
 // The states of an intent as a node sees it.
 const (
 	// IntentFresh means that this call recorded the intent: the caller of Begin,
-	// and nobody else, may start the first attempt.
+	// and nobody else, may start the planned attempt.
 	IntentFresh IntentState = "Fresh"
 	// IntentAnswered means that the answer is recorded.
 	IntentAnswered IntentState = "Answered"
-	// IntentRunning means that another request with the key is in progress.
+	// IntentRunning means that another request with the key is in progress, or
+	// was when its owner was lost.
 	IntentRunning IntentState = "Running"
 	// IntentUnknown means that the request may have run and can't be told.
 	IntentUnknown IntentState = "Unknown"
@@ -20,26 +24,47 @@
 	IntentReused IntentState = "Reused"
 )
 
+// PlannedAttempt is the one attempt that an intent allows. It is recorded before
+// the attempt's first byte leaves, so that any node can ask the endpoint what
+// became of it.
+type PlannedAttempt struct {
+	Attempt  AttemptID
+	Endpoint Endpoint
+}
+
 // Intent is the ledger's record of a once-only request.
 type Intent struct {
 	State IntentState
 	// Request is the identifier of the request that recorded the intent first.
 	Request RequestID
 	Owner   NodeID
-	// Generation rises with each change of owner.
+	// Generation rises with each change of owner or attempt.
 	Generation Generation
+	Planned    PlannedAttempt
+	// Deadline is the request's deadline by the owner's wall clock.
+	Deadline time.Time
 	// Version is the row's version; it guards the next write.
 	Version uint64
+	// Writer is the transaction that wrote the row.
+	Writer TransactionID
 	// Answer is set exactly if State is IntentAnswered.
 	Answer *ServiceAnswer
 }
 
 // Ledger keeps the intents and outcomes of once-only requests. It is shared by
-// all nodes.
+// all nodes. A write that finds the row changed by somebody else fails with
+// CodeStaleOwnership.
 type Ledger interface {
-	// Begin records the intent to run a request, or returns what is known of its
-	// key. An error means that no attempt may start; it carries RanNo.
-	Begin(ctx context.Context, request *Request, owner NodeID) (Intent, error)
+	// Begin records the intent to run the planned attempt, or returns what is
+	// known of the key. An error means that no attempt may start; it carries
+	// RanNo.
+	Begin(ctx context.Context, request *Request, owner NodeID, planned PlannedAttempt) (Intent, error)
+	// Replace records the owner and an attempt in place of an intent whose attempt
+	// is proven never to run. An error means that no attempt may start.
+	Replace(ctx context.Context, request *Request, intent Intent, owner NodeID, planned PlannedAttempt) (Intent, error)
 	// Finish records how the request ended. OutcomeNotRun frees the key.
 	Finish(ctx context.Context, request *Request, intent Intent, outcome FinalOutcome, answer *ServiceAnswer) error
+	// Sweep deletes expired records among the next ones after the key. It returns
+	// the key from which to go on, empty at the end, and how many it deleted.
+	Sweep(ctx context.Context, after string) (next string, deleted int, err error)
 }
--- /dev/null
+++ b/internal/qf/protocol/qfendpoint/clients.go
@@ -0,0 +1,39 @@
+package qfendpoint
+
+import (
+	"net/http"
+
+	"quetzalfront/internal/qf"
+)
+
+// clients are the two ways to an endpoint.
+type clients struct {
+	// pooled uses open connections again; fresh never does, because one of them
+	// may have gone silent.
+	pooled, fresh *http.Client
+}
+
+func newClients(pooled *http.Client) clients {
+	fresh := *pooled
+	if transport, ok := pooled.Transport.(*http.Transport); ok {
+		unpooled := transport.Clone()
+		unpooled.DisableKeepAlives = true
+		fresh.Transport = unpooled
+	}
+	return clients{pooled: pooled, fresh: &fresh}
+}
+
+func (c *clients) of(hop qf.Hop) *http.Client {
+	if hop.FreshConnection {
+		return c.fresh
+	}
+	return c.pooled
+}
+
+// timeoutOf returns the time that an endpoint has, as a Go duration, or "".
+func timeoutOf(hop qf.Hop) string {
+	if hop.TimeLeft <= 0 {
+		return ""
+	}
+	return hop.TimeLeft.String()
+}
--- a/internal/qf/protocol/qfendpoint/engine.go
+++ b/internal/qf/protocol/qfendpoint/engine.go
@@ -23,11 +23,11 @@
 
 // Engine is a qf.ModelEngine that calls engines over HTTP.
 type Engine struct {
-	client *http.Client
+	clients
 }
 
 // NewEngine returns a caller of model engines that uses the HTTP client.
-func NewEngine(client *http.Client) *Engine { return &Engine{client: client} }
+func NewEngine(client *http.Client) *Engine { return &Engine{clients: newClients(client)} }
 
 func base(address netip.AddrPort) *sling.Sling {
 	return sling.New().Base("http://" + address.String())
@@ -39,13 +39,14 @@
 	httpRequest, err := base(endpoint.Address).
 		Post(qfapi.PathChatCompletions).
 		Set(HeaderAttempt, string(request.Attempt)).
+		Set(qfapi.HeaderTimeout, timeoutOf(request.Hop)).
 		BodyJSON(wireRequest(&request)).
 		Request()
 	if err != nil {
 		cancel()
 		return nil, notRun(endpoint, "could not form the request", err)
 	}
-	response, err := e.client.Do(httpRequest.WithContext(ctx))
+	response, err := e.of(request.Hop).Do(httpRequest.WithContext(ctx))
 	if err != nil {
 		cancel()
 		return nil, broken(endpoint, err)
@@ -178,7 +179,14 @@
 // Load implements qf.ModelEngine and qf.PlainService.
 func (e *Engine) Load(ctx context.Context, endpoint qf.Endpoint) (qf.LoadReport, error) {
 	var report qf.LoadReport
-	err := getJSON(ctx, e.client, endpoint, base(endpoint.Address).Get(PathLoad), &report)
+	err := getJSON(ctx, e.pooled, endpoint, base(endpoint.Address).Get(PathLoad), &report)
+	return report, err
+}
+
+// Probe implements qf.Prober.
+func (e *Engine) Probe(ctx context.Context, endpoint qf.Endpoint) (qf.LoadReport, error) {
+	var report qf.LoadReport
+	err := getJSON(ctx, e.fresh, endpoint, base(endpoint.Address).Get(PathLoad), &report)
 	return report, err
 }
 
@@ -190,7 +198,7 @@
 func (e *Engine) CacheEvents(ctx context.Context, endpoint qf.Endpoint, after uint64) ([]qf.CacheEvent, error) {
 	var events []qf.CacheEvent
 	s := base(endpoint.Address).Get(PathCacheEvents).QueryStruct(&cacheQuery{After: after})
-	err := getJSON(ctx, e.client, endpoint, s, &events)
+	err := getJSON(ctx, e.pooled, endpoint, s, &events)
 	return events, err
 }
 
@@ -216,7 +224,7 @@
 		return qf.NotDoneFor[qf.LoadReport](notRun(endpoint, "could not form the order", err))
 	}
 	var report qf.LoadReport
-	response, err := sling.New().Client(e.client).Do(request.WithContext(ctx), &report, nil)
+	response, err := sling.New().Client(e.pooled).Do(request.WithContext(ctx), &report, nil)
 	if err != nil {
 		failure := broken(endpoint, err)
 		if failure.Ran == qf.RanNo {
@@ -242,7 +250,7 @@
 func (e *Engine) ExportKV(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID) (qf.KVExport, error) {
 	var export qf.KVExport
 	s := base(endpoint.Address).Get(PathKV).QueryStruct(&kvQuery{Attempt: attempt})
-	err := getJSON(ctx, e.client, endpoint, s, &export)
+	err := getJSON(ctx, e.pooled, endpoint, s, &export)
 	return export, err
 }
 
@@ -252,7 +260,7 @@
 	if err != nil {
 		return notRun(endpoint, "could not form the import", err)
 	}
-	response, err := sling.New().Client(e.client).Do(request.WithContext(ctx), nil, nil)
+	response, err := sling.New().Client(e.pooled).Do(request.WithContext(ctx), nil, nil)
 	if err != nil {
 		return broken(endpoint, err)
 	}
--- a/internal/qf/protocol/qfendpoint/service.go
+++ b/internal/qf/protocol/qfendpoint/service.go
@@ -17,13 +17,13 @@
 
 // Service is a qf.PlainService that calls services over HTTP.
 type Service struct {
-	client *http.Client
-	load   *Engine
+	clients
+	load *Engine
 }
 
 // NewService returns a caller of plain services that uses the HTTP client.
 func NewService(client *http.Client) *Service {
-	return &Service{client: client, load: NewEngine(client)}
+	return &Service{clients: newClients(client), load: NewEngine(client)}
 }
 
 // Call implements qf.PlainService. It doesn't send an Idempotency-Key header,
@@ -38,28 +38,31 @@
 	request.GetBody = nil // Without it net/http can't send the body twice.
 	request.Header.Set(HeaderAttempt, string(call.Attempt))
 	request.Header.Set(qfapi.HeaderOrganisation, string(call.Organisation))
+	if timeout := timeoutOf(call.Hop); timeout != "" {
+		request.Header.Set(qfapi.HeaderTimeout, timeout)
+	}
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
-	return s.exchange(request, endpoint, call.Attempt)
+	return exchange(s.of(call.Hop), request, endpoint, call.Attempt)
 }
 
-// Status implements qf.PlainService.
+// Status implements qf.PlainService. It always asks over a new connection.
 func (s *Service) Status(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID) qf.Result[qf.ServiceAnswer] {
 	url := "http://" + endpoint.Address.String() + PathStatus + string(attempt)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return qf.UnknownFor[qf.ServiceAnswer](notRun(endpoint, "could not form the question", err))
 	}
-	result := s.exchange(request, endpoint, attempt)
+	result := exchange(s.fresh, request, endpoint, attempt)
 	if qftable.IsDialFailure(result.Err) {
 		result.Certainty = qf.Unknown // The question didn't arrive; the attempt may have.
 	}
 	return result
 }
 
-func (s *Service) exchange(request *http.Request, endpoint qf.Endpoint, attempt qf.AttemptID) qf.Result[qf.ServiceAnswer] {
-	response, err := s.client.Do(request)
+func exchange(client *http.Client, request *http.Request, endpoint qf.Endpoint, attempt qf.AttemptID) qf.Result[qf.ServiceAnswer] {
+	response, err := client.Do(request)
 	if err != nil {
 		failure := broken(endpoint, err)
 		if failure.Ran == qf.RanNo {
@@ -68,6 +71,9 @@
 		return qf.UnknownFor[qf.ServiceAnswer](failure)
 	}
 	defer func() { _ = response.Body.Close() }() // The body was read to its end or is given up.
+	if response.Header.Get(HeaderStillRunning) == "true" {
+		return qf.UnknownFor[qf.ServiceAnswer](stillRunning(endpoint))
+	}
 	if response.Header.Get(HeaderNotRun) == "true" {
 		return qf.NotDoneFor[qf.ServiceAnswer](refusal(endpoint, response))
 	}
@@ -84,6 +90,12 @@
 	})
 }
 
+func stillRunning(endpoint qf.Endpoint) error {
+	err := qf.NewError(qf.CodeStillRunning, qf.StepStatus, string(endpoint.ID), "the attempt is running")
+	err.Ran = qf.RanUnknown
+	return err
+}
+
 // Load implements qf.PlainService.
 func (s *Service) Load(ctx context.Context, endpoint qf.Endpoint) (qf.LoadReport, error) {
 	return s.load.Load(ctx, endpoint)
--- a/internal/qf/protocol/qfendpoint/wire.go
+++ b/internal/qf/protocol/qfendpoint/wire.go
@@ -23,6 +23,8 @@
 	HeaderAttempt = "X-Request-Id"
 	// HeaderNotRun is "true" on an answer which proves that nothing ran.
 	HeaderNotRun = "Qf-Not-Run"
+	// HeaderStillRunning is "true" on a status answer for an attempt that runs.
+	HeaderStillRunning = "Qf-Still-Running"
 )
 
 // ChatRequest is the usual chat completion request with the fields by which an
--- /dev/null
+++ b/internal/qf/protocol/qfrequest/attempt.go
@@ -0,0 +1,123 @@
+package qfrequest
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// generate runs one attempt at a model engine and posts its pieces.
+func (x *run) generate(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID, text []string, hop qf.Hop) {
+	r := x.record.Request
+	stream, err := x.config.Engine.Generate(ctx, endpoint, qf.GenerateRequest{
+		Request: r.ID, Attempt: attempt, Entry: r.Entry, Organisation: r.Organisation,
+		Messages: r.Messages, MaxTokens: r.MaxTokens, Priority: r.Class.Priority(),
+		ResumeText: strings.Join(text, ""), ResumeTokens: len(text), Deadline: r.Deadline,
+		Hop: hop,
+	})
+	if err != nil {
+		x.post(ctx, brokenEvent(attempt, err))
+		return
+	}
+	defer func() { _ = stream.Close() }() // Nothing more is read from it.
+	for {
+		piece, err := stream.Next(ctx)
+		if err != nil {
+			x.post(ctx, brokenEvent(attempt, endOfStream(err, endpoint)))
+			return
+		}
+		if !x.post(ctx, Event{Kind: EventPiece, Attempt: attempt, Piece: piece}) || piece.End {
+			return
+		}
+	}
+}
+
+// endOfStream turns an end without the end mark into a typed error.
+func endOfStream(err error, endpoint qf.Endpoint) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	return &qf.Error{
+		Code: qf.CodeBroken, Step: qf.StepAttempt, Peer: string(endpoint.ID),
+		Reason: "the stream ended without its end mark", Ran: qf.RanUnknown,
+	}
+}
+
+func brokenEvent(attempt qf.AttemptID, err error) Event {
+	return Event{Kind: EventBroken, Attempt: attempt, Ran: qf.RanOf(err), Err: err}
+}
+
+// post waits for room, so that a slow runner slows the endpoint down. It returns
+// false once the attempt is cancelled.
+func (x *run) post(ctx context.Context, e Event) bool {
+	select {
+	case x.record.events <- e:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// call runs one attempt at a plain service.
+func (x *run) call(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID, hop qf.Hop, plan *Plan) {
+	r := x.record.Request
+	if err := x.checkLeave(plan); err != nil {
+		x.post(ctx, brokenEvent(attempt, err))
+		return
+	}
+	result := x.config.Service.Call(ctx, endpoint, qf.ServiceCall{
+		Request: r.ID, Attempt: attempt, Organisation: r.Organisation,
+		Method: r.Method, Path: r.Path, ContentType: r.ContentType, Body: r.Body, Deadline: r.Deadline,
+		Hop: hop,
+	})
+	switch result.Certainty {
+	case qf.Done:
+		x.post(ctx, Event{Kind: EventAnswer, Attempt: attempt, Answer: &result.Value})
+	case qf.NotDone:
+		x.post(ctx, Event{Kind: EventBroken, Attempt: attempt, Ran: qf.RanNo, Err: result.Err})
+	default:
+		x.post(ctx, Event{Kind: EventBroken, Attempt: attempt, Ran: qf.RanUnknown, Err: result.Err})
+	}
+}
+
+// askStatus asks an endpoint, after a delay, what became of an attempt.
+func (x *run) askStatus(endpoint qf.Endpoint, attempt qf.AttemptID, delay time.Duration) {
+	if !x.sleep(delay) {
+		return
+	}
+	ctx, stop := limitedContext(x.ctx, x.config.Timer, x.config.SilentAfter)
+	defer stop()
+	result := statusOfCurrent(ctx, x.config.Service, x.config.IsCurrent, qf.PlannedAttempt{Attempt: attempt, Endpoint: endpoint})
+	e := Event{Kind: EventStatus, Attempt: attempt, Certainty: result.Certainty, Err: result.Err}
+	if result.Certainty == qf.Done {
+		e.Answer = &result.Value
+	}
+	x.post(x.ctx, e)
+}
+
+// probe asks an engine over a new connection whether it lives.
+func (x *run) probe(endpoint qf.Endpoint, attempt qf.AttemptID) {
+	ctx, stop := limitedContext(x.ctx, x.config.Timer, x.config.SilentAfter)
+	defer stop()
+	report, err := x.config.Prober.Probe(ctx, endpoint)
+	x.post(x.ctx, Event{Kind: EventProbed, Attempt: attempt, Queued: report.Queued, Err: err})
+}
+
+// sleep waits for the delay. It returns false if the run ended first.
+func (x *run) sleep(delay time.Duration) bool {
+	if delay <= 0 {
+		return true
+	}
+	s := x.config.Timer.After(delay)
+	defer s.Stop()
+	select {
+	case <-s.C():
+		return true
+	case <-x.ctx.Done():
+		return false
+	}
+}
--- a/internal/qf/protocol/qfrequest/lifecycle.go
+++ b/internal/qf/protocol/qfrequest/lifecycle.go
@@ -11,114 +11,6 @@
 	"quetzalfront/internal/qf"
 )
 
-// Phase is where a request stands.
-type Phase string
-
-// The phases of a request.
-const (
-	// PhaseWaiting means that no attempt is in progress.
-	PhaseWaiting Phase = "Waiting"
-	// PhaseRunning means that an attempt is in progress.
-	PhaseRunning Phase = "Running"
-	// PhaseAsking means that a once-only attempt broke and its endpoint is asked
-	// what became of it.
-	PhaseAsking Phase = "Asking"
-	// PhaseEnded means that the outcome stands or that another node owns the
-	// request.
-	PhaseEnded Phase = "Ended"
-)
-
-// EventKind says what happened to a request.
-type EventKind string
-
-// The kinds of events.
-const (
-	// EventAccepted starts the life of a request.
-	EventAccepted EventKind = "Accepted"
-	// EventStarted says that an attempt is about to leave for an endpoint.
-	EventStarted EventKind = "Started"
-	// EventPiece brings a piece of a stream.
-	EventPiece EventKind = "Piece"
-	// EventAnswer brings the whole answer of a plain service.
-	EventAnswer EventKind = "Answer"
-	// EventBroken says that an attempt failed; Ran says what is proven.
-	EventBroken EventKind = "Broken"
-	// EventNoEndpoint says that no endpoint can be chosen.
-	EventNoEndpoint EventKind = "NoEndpoint"
-	// EventLeaving says that an endpoint will leave.
-	EventLeaving EventKind = "Leaving"
-	// EventStatus brings an endpoint's word on a broken once-only attempt.
-	EventStatus EventKind = "Status"
-	// EventDeadline says that the time is up.
-	EventDeadline EventKind = "Deadline"
-	// EventHandedOver says that another node owns the request now.
-	EventHandedOver EventKind = "HandedOver"
-	// EventRetryDenied says that the retry budget is spent.
-	EventRetryDenied EventKind = "RetryDenied"
-)
-
-// Event is something that happened to a request.
-type Event struct {
-	Kind     EventKind
-	At       time.Time
-	Attempt  qf.AttemptID
-	Endpoint qf.EndpointID
-	Piece    qf.Piece
-	Answer   *qf.ServiceAnswer
-	// Ran is set for EventBroken.
-	Ran qf.Ran
-	// Certainty is set for EventStatus.
-	Certainty qf.Certainty
-	Err       error
-}
-
-// ActionKind says what the adapter must do.
-type ActionKind string
-
-// The kinds of actions.
-const (
-	// ActionNone asks for nothing.
-	ActionNone ActionKind = "None"
-	// ActionStart asks for an attempt at an endpoint other than Avoid, after
-	// CancelAttempt is cancelled if it is set.
-	ActionStart ActionKind = "Start"
-	// ActionDeliver asks to pass the piece on to the caller.
-	ActionDeliver ActionKind = "Deliver"
-	// ActionAskStatus asks the endpoint what became of an attempt.
-	ActionAskStatus ActionKind = "AskStatus"
-	// ActionFinish ends the request with an outcome.
-	ActionFinish ActionKind = "Finish"
-)
-
-// StartCause says why an attempt starts.
-type StartCause string
-
-// The causes of attempts.
-const (
-	StartFirst StartCause = "First"
-	// StartMove follows an announced departure; it doesn't count as a retry.
-	StartMove  StartCause = "Move"
-	StartRetry StartCause = "Retry"
-)
-
-// Action is what the adapter must do next.
-type Action struct {
-	Kind ActionKind
-	// Cause is set for ActionStart.
-	Cause StartCause
-	// CancelAttempt is the attempt to cancel first, if any.
-	CancelAttempt qf.AttemptID
-	// Avoid is an endpoint that must not be chosen, if any.
-	Avoid qf.EndpointID
-	// Outcome and Err are set for ActionFinish; Err is nil if and only if the
-	// outcome is OutcomeAnswered.
-	Outcome qf.FinalOutcome
-	Err     *qf.Error
-	// Answer is the whole answer of a plain service that was answered. An answer
-	// that came with an event but was rejected isn't here.
-	Answer *qf.ServiceAnswer
-}
-
 // Lifecycle is the state machine of one request. It does no I/O and reads no
 // clock. A request is accepted at the moment at which EventAccepted is applied.
 type Lifecycle struct {
@@ -135,7 +27,13 @@
 	mayHaveRun bool
 	// tokens counts the tokens that were delivered; the next piece must have it
 	// as its offset.
-	tokens  int
+	tokens int
+	// hasPiece is true once the attempt in progress brought a piece.
+	hasPiece bool
+	// quiet counts the silences before the first piece of the attempt.
+	quiet int
+	// asks counts the questions about the attempt's status since it broke.
+	asks    int
 	lastErr error
 }
 
@@ -199,6 +97,12 @@
 		return l.leaving(e)
 	case EventStatus:
 		return l.status(e)
+	case EventSilent:
+		return l.silent(e)
+	case EventProbed:
+		return l.probed(e)
+	case EventLost:
+		return l.lost(e)
 	case EventDeadline:
 		return l.deadline()
 	case EventHandedOver:
@@ -214,6 +118,7 @@
 	l.phase = PhaseRunning
 	l.attempt = e.Attempt
 	l.endpoint = e.Endpoint
+	l.hasPiece, l.quiet, l.asks = false, 0, 0
 	l.attempts++
 	return Action{Kind: ActionNone}
 }
@@ -238,6 +143,7 @@
 		return l.fault(e, fmt.Sprintf("the answer is longer than %d tokens", l.request.MaxTokens))
 	}
 	l.mayHaveRun = true
+	l.hasPiece = true
 	if e.Piece.End {
 		return l.finish(qf.OutcomeAnswered, nil)
 	}
@@ -297,23 +203,6 @@
 	return Action{Kind: ActionStart, Cause: StartRetry, CancelAttempt: l.attempt, Avoid: l.endpoint}
 }
 
-// status acts on the endpoint's word. Only proof that the attempt never ran
-// allows another one.
-func (l *Lifecycle) status(e Event) Action {
-	if l.phase != PhaseAsking || e.Attempt != l.attempt {
-		return Action{Kind: ActionNone}
-	}
-	switch e.Certainty {
-	case qf.Done:
-		return l.answered(e.Answer)
-	case qf.NotDone:
-		l.mayHaveRun = false
-		return l.retry()
-	default:
-		return l.giveUp(e)
-	}
-}
-
 // leaving moves a repeatable request away from an endpoint that will leave. A
 // once-only or plain call finishes where it is: its endpoint drains.
 func (l *Lifecycle) leaving(e Event) Action {
--- /dev/null
+++ b/internal/qf/protocol/qfrequest/onceonly_world_test.go
@@ -0,0 +1,266 @@
+package qfrequest_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/protocol/qfrequest"
+	"quetzalfront/internal/qf/state/qfledger"
+	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/standin/standtable"
+)
+
+// plan says how a simulated world misbehaves. Odds are in a hundred.
+type plan struct {
+	seed uint64
+	// lost, late, down and slow are the odds of a table call.
+	lost, late, down, slow int
+	// broken is the odds of each fault of a call, and mute those of a status.
+	broken, mute int
+	// longest is the longest pause of a node or delay of a message.
+	longest time.Duration
+	// death is the odds of a node's death.
+	death       int
+	recordsFor  time.Duration
+	leaveWithin time.Duration
+	// deleteFreed deletes the rows of freed keys, and forgetsBars lets an attempt
+	// run that was said never to run; both are deliberate faults.
+	deleteFreed, forgetsBars bool
+	// ledger replaces the nodes' ledger, for deliberate faults.
+	ledger func(qf.Ledger) qf.Ledger
+}
+
+func faultyPlan(seed uint64) plan {
+	return plan{
+		seed: seed, lost: 15, late: 10, down: 8, slow: 15, broken: 12, mute: 20, death: 25,
+		longest: time.Hour, recordsFor: 24 * time.Hour, leaveWithin: 10 * time.Second,
+	}
+}
+
+// world is a table, a service and some nodes on virtual time.
+type world struct {
+	plan
+	timer qf.Timer
+	table *standtable.Table
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// executions are the calls that ran, in order.
+	executions []qf.ServiceCall
+	answers    map[qf.AttemptID]qf.ServiceAnswer
+	started    map[qf.AttemptID]bool
+	barred     map[qf.AttemptID]bool
+	dead       map[qf.NodeID]bool
+}
+
+func newWorld(p plan) *world {
+	timer := qftimer.NewWall()
+	return &world{
+		plan: p, timer: timer, table: standtable.New(timer), random: rand.New(rand.NewPCG(p.seed, 2)),
+		answers: map[qf.AttemptID]qf.ServiceAnswer{}, started: map[qf.AttemptID]bool{},
+		barred: map[qf.AttemptID]bool{}, dead: map[qf.NodeID]bool{},
+	}
+}
+
+func (w *world) intN(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.IntN(n)
+}
+
+func (w *world) happens(odds int) bool { return w.intN(100) < odds }
+
+// pause waits for a time that is mostly short.
+func (w *world) pause() {
+	limits := []time.Duration{10 * time.Millisecond, time.Second, 15 * time.Second, w.longest}
+	limit := limits[w.intN(len(limits))]
+	<-w.timer.After(time.Duration(w.intN(int(limit/time.Microsecond))+1) * time.Microsecond).C()
+}
+
+// Read implements qf.Table.
+func (w *world) Read(ctx context.Context, key string) (qf.Row, error) {
+	if w.happens(w.slow) {
+		w.pause()
+	}
+	if w.happens(w.down) {
+		return qf.Row{}, qf.NewError(qf.CodeUnavailable, qf.StepTableRead, "", "down")
+	}
+	return w.table.Read(ctx, key)
+}
+
+// Scan implements qf.Table.
+func (w *world) Scan(ctx context.Context, prefix, after string, limit int) ([]qf.Row, error) {
+	return w.table.Scan(ctx, prefix, after, limit)
+}
+
+// Commit implements qf.Table.
+func (w *world) Commit(ctx context.Context, transaction qf.Transaction) qf.Result[qf.Committed] {
+	if w.deleteFreed {
+		for i := range transaction.Writes {
+			transaction.Writes[i].Delete = strings.Contains(string(transaction.Writes[i].Value), `"State":"Free"`)
+		}
+	}
+	lost := qf.UnknownFor[qf.Committed](qf.NewError(qf.CodeBroken, qf.StepTableCommit, "", "the answer was lost"))
+	if w.happens(w.slow) {
+		w.pause()
+	}
+	switch {
+	case w.happens(w.down):
+		return qf.NotDoneFor[qf.Committed](qf.NewError(qf.CodeUnavailable, qf.StepTableCommit, "", "down"))
+	case w.happens(w.late):
+		go func() {
+			w.pause()
+			w.table.Commit(ctx, transaction)
+		}()
+		return lost
+	}
+	result := w.table.Commit(ctx, transaction)
+	if w.happens(w.slow) {
+		w.pause() // The owner is paused after its write.
+	}
+	if w.happens(w.lost) {
+		return lost
+	}
+	return result
+}
+
+// Call implements qf.PlainService.
+func (w *world) Call(_ context.Context, endpoint qf.Endpoint, call qf.ServiceCall) qf.Result[qf.ServiceAnswer] {
+	broken := qf.UnknownFor[qf.ServiceAnswer](qf.NewError(qf.CodeBroken, qf.StepAttempt, string(endpoint.ID), "broken"))
+	switch {
+	case w.happens(w.broken):
+		return qf.NotDoneFor[qf.ServiceAnswer](qf.NewError(qf.CodeUnavailable, qf.StepAttempt, "", "no connection"))
+	case w.happens(w.broken):
+		go func() { // The call is under way while its sender takes it for broken.
+			w.pause()
+			w.execute(call)
+		}()
+		return broken
+	case w.happens(w.slow):
+		w.pause()
+	}
+	answer, ok := w.execute(call)
+	switch {
+	case !ok:
+		return qf.NotDoneFor[qf.ServiceAnswer](qf.NewError(qf.CodeUnavailable, qf.StepAttempt, "", "refused"))
+	case w.happens(w.broken):
+		return broken
+	}
+	return qf.DoneWith(answer)
+}
+
+func (w *world) execute(call qf.ServiceCall) (qf.ServiceAnswer, bool) {
+	w.mu.Lock()
+	if w.barred[call.Attempt] {
+		w.mu.Unlock()
+		return qf.ServiceAnswer{}, false
+	}
+	w.started[call.Attempt] = true
+	w.executions = append(w.executions, call)
+	answer := qf.ServiceAnswer{Attempt: call.Attempt, Body: fmt.Appendf(nil, "%s #%d", call.Body, len(w.executions))}
+	w.mu.Unlock()
+	if w.happens(w.slow) {
+		w.pause()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answers[call.Attempt] = answer
+	return answer, true
+}
+
+// Status implements qf.PlainService.
+func (w *world) Status(_ context.Context, endpoint qf.Endpoint, attempt qf.AttemptID) qf.Result[qf.ServiceAnswer] {
+	if w.happens(w.mute) {
+		return qf.UnknownFor[qf.ServiceAnswer](qf.NewError(qf.CodeBroken, qf.StepStatus, string(endpoint.ID), "no answer"))
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if answer, ok := w.answers[attempt]; ok {
+		return qf.DoneWith(answer)
+	}
+	if w.started[attempt] {
+		return qf.UnknownFor[qf.ServiceAnswer](qf.NewError(qf.CodeStillRunning, qf.StepStatus, "", "running"))
+	}
+	w.barred[attempt] = !w.forgetsBars
+	return qf.NotDoneFor[qf.ServiceAnswer](qf.NewError(qf.CodeNotFound, qf.StepStatus, "", "never ran"))
+}
+
+// Load implements qf.PlainService.
+func (w *world) Load(context.Context, qf.Endpoint) (qf.LoadReport, error) {
+	return qf.LoadReport{}, nil
+}
+
+// Probe implements qf.Prober.
+func (w *world) Probe(context.Context, qf.Endpoint) (qf.LoadReport, error) {
+	return qf.LoadReport{}, nil
+}
+
+// Choose implements qfrequest.Choosing.
+func (w *world) Choose(time.Time, *qf.Request, int, []qf.EndpointID) (qf.RouteChoice, error) {
+	return qf.RouteChoice{Endpoint: qf.Endpoint{ID: "e"}}, nil
+}
+
+// Allow implements qfrequest.RetryBudget.
+func (w *world) Allow(time.Time, *qf.Request) bool { return true }
+
+// AttemptEnded implements qfrequest.Observer.
+func (w *world) AttemptEnded(time.Time, qf.Observation) {}
+
+// quietRouter learns nothing.
+type quietRouter struct{ qf.Router }
+
+func (quietRouter) Started(time.Time, qf.EndpointID, int)              {}
+func (quietRouter) FirstToken(time.Time, qf.EndpointID, time.Duration) {}
+func (quietRouter) Ended(time.Time, qf.EndpointID, int, bool)          {}
+
+// worldNode is one entry node's part in once-only requests.
+type worldNode struct {
+	id     qf.NodeID
+	keys   *qfrequest.Keys
+	runner *qfrequest.Runner
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func (w *world) node(id qf.NodeID) *worldNode {
+	var ledger qf.Ledger = qfledger.New(w.timer, w, qfledger.Options{
+		RecordsFor: w.recordsFor, CommitEvery: func() time.Duration { return time.Millisecond },
+	})
+	if w.ledger != nil {
+		ledger = w.ledger(ledger)
+	}
+	isCurrent := func(qf.Endpoint) bool { return true }
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &worldNode{id: id, ctx: ctx, cancel: cancel}
+	n.keys = qfrequest.NewKeys(qfrequest.KeysConfig{
+		Timer: w.timer, Ledger: ledger, Service: w, Self: id, IsCurrent: isCurrent,
+		IsInProgress: func(i qf.Intent) bool { // Suspicion is drawn: it may be wrong.
+			return !w.isDead(i.Owner) && w.happens(50)
+		},
+		StatusTimeout: time.Second,
+	})
+	n.runner = qfrequest.NewRunner(qfrequest.Config{
+		Timer: w.timer, Service: w, Prober: w, Router: quietRouter{}, Choosing: w,
+		Ledger: ledger, Budget: w, Observer: w, Self: id, IsCurrent: isCurrent,
+		SilentAfter: 5 * time.Second, LeaveWithin: w.leaveWithin,
+	})
+	return n
+}
+
+func (w *world) isDead(id qf.NodeID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead[id]
+}
+
+func (w *world) kill(n *worldNode) {
+	w.mu.Lock()
+	w.dead[n.id] = true
+	w.mu.Unlock()
+	n.cancel()
+}
--- a/internal/qf/protocol/qfrequest/record.go
+++ b/internal/qf/protocol/qfrequest/record.go
@@ -39,15 +39,12 @@
 	// recomputed counts prompt and answer tokens that attempts after the first
 	// had to compute again.
 	recomputed int
-	// intent is the ledger's record of a once-only request. It is set before the
-	// runner starts.
-	intent qf.Intent
+	// plan is set exactly for a once-only request, before the runner starts.
+	plan *Plan
+	// unrecorded is the outcome that the ledger doesn't have yet, if any.
+	unrecorded *unrecordedOutcome
 }
 
-// SetIntent notes the ledger's record of a once-only request. It must be called
-// before the request runs.
-func (r *Record) SetIntent(intent qf.Intent) { r.intent = intent }
-
 // Moved says where a request goes on.
 type Moved struct {
 	Node qf.Node
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -35,6 +32,7 @@
 	Timer    qf.Timer
 	Engine   qf.ModelEngine
 	Service  qf.PlainService
+	Prober   qf.Prober
 	Router   qf.Router
 	Choosing Choosing
 	Ledger   qf.Ledger
@@ -43,6 +41,10 @@
 	Self     qf.NodeID
 	// SilentAfter is how long an attempt may make no progress.
 	SilentAfter time.Duration
+	// LeaveWithin is how long after its intent a once-only attempt may leave.
+	LeaveWithin time.Duration
+	// IsCurrent reports whether an endpoint still runs in the same incarnation.
+	IsCurrent func(endpoint qf.Endpoint) bool
 }
 
 // Runner does the I/O that lifecycles ask for.
@@ -66,16 +68,26 @@
 	startedAt, firstAt, lastAt time.Time
 	tokens                     int
 	moves                      int
-	silent                     qf.Subscription
 	attempt                    qf.AttemptID
+	// progressAt is when the attempt last made progress or was checked on.
+	progressAt time.Time
+	// reconnect is set for an attempt after one that went silent.
+	reconnect bool
 }
 
+// silenceChecks is the number of checks on an attempt's progress in SilentAfter.
+const silenceChecks = 4
+
 // Run brings a record to its end. It returns when the request has ended or was
 // released.
 func (r *Runner) Run(ctx context.Context, record *Record) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	x := &run{Runner: r, ctx: ctx, record: record}
 	deadline := r.config.Timer.After(record.Request.Deadline.Sub(r.config.Timer.Now()))
 	defer deadline.Stop()
+	checks := r.config.Timer.Every(r.config.SilentAfter / silenceChecks)
+	defer checks.Stop()
 	defer close(record.idle)
 	defer x.endAttempt(false)
 	more := x.handle(Event{Kind: EventAccepted})
@@ -87,27 +99,31 @@
 			more = x.handle(Event{Kind: EventDeadline})
 		case <-record.released:
 			return
-		case <-x.silence():
-			more = x.handle(x.silentEvent())
+		case <-ctx.Done():
+			return // The node is gone; a peer or the ledger knows the rest.
+		case <-checks.C():
+			more = x.checkProgress()
 		}
 	}
 }
 
-func (x *run) silence() <-chan time.Time {
-	if x.silent == nil {
-		return nil
+// checkProgress reports an attempt that has been silent for too long. One timer
+// for the whole request costs less than one for each token.
+func (x *run) checkProgress() bool {
+	now := x.config.Timer.Now()
+	if x.cancel == nil || now.Sub(x.progressAt) < x.config.SilentAfter {
+		return true
 	}
-	return x.silent.C()
-}
-
-func (x *run) silentEvent() Event {
-	err := qf.NewError(qf.CodeBroken, qf.StepAttempt, string(x.choice.Endpoint.ID), "the endpoint made no progress")
-	return Event{Kind: EventBroken, Attempt: x.attempt, Ran: qf.RanUnknown, Err: err}
+	x.progressAt = now
+	return x.handle(Event{Kind: EventSilent, Attempt: x.attempt})
 }
 
 // handle applies an event and does what the lifecycle asks for. It returns false
 // when the request has ended or was released.
 func (x *run) handle(e Event) bool {
+	if e.Kind == EventReplaced {
+		return x.replaced(e)
+	}
 	e.At = x.config.Timer.Now()
 	x.observe(e)
 	action := x.record.apply(e)
@@ -115,8 +131,13 @@
 	case ActionStart:
 		return x.start(action)
 	case ActionAskStatus:
-		x.endAttempt(false)
-		go x.askStatus(x.choice.Endpoint, x.attempt)
+		if action.CancelAttempt != "" {
+			x.endAttempt(false)
+		}
+		go x.askStatus(x.choice.Endpoint, x.attempt, action.After)
+		return true
+	case ActionProbe:
+		go x.probe(x.choice.Endpoint, x.attempt)
 		return true
 	case ActionFinish:
 		x.finish(action)
@@ -142,9 +163,8 @@
 		x.config.Router.FirstToken(e.At, x.choice.Endpoint.ID, e.At.Sub(x.startedAt))
 		x.countRecomputed(e.Piece.ComputedTokens)
 	}
-	x.lastAt = e.At
+	x.lastAt, x.progressAt = e.At, e.At
 	x.tokens++
-	x.watchSilence()
 }
 
 func (x *run) countRecomputed(computed int) {
@@ -155,48 +175,66 @@
 	}
 }
 
-func (x *run) watchSilence() {
-	if x.silent != nil {
-		x.silent.Stop()
-	}
-	x.silent = x.config.Timer.After(x.config.SilentAfter)
-}
-
 // start chooses an endpoint and begins an attempt there.
 func (x *run) start(action Action) bool {
 	now := x.config.Timer.Now()
 	x.endAttempt(action.Cause == StartMove)
-	if action.Cause == StartRetry && !x.config.Budget.Allow(now, x.record.Request) {
-		err := qf.NewError(qf.CodeBroken, qf.StepAttempt, string(action.Avoid), "the retry budget is spent")
+	isRetry := action.Cause == StartRetry || action.Cause == StartReconnect
+	if isRetry && !x.config.Budget.Allow(now, x.record.Request) {
+		err := qf.NewError(qf.CodeBroken, qf.StepAttempt, string(x.choice.Endpoint.ID), "the retry budget is spent")
 		return x.handle(Event{Kind: EventRetryDenied, Err: err})
 	}
+	x.reconnect = action.Cause == StartReconnect
 	if action.Cause == StartMove {
 		x.moves++
 	}
 	if action.Avoid != "" {
 		x.avoid = append(x.avoid, action.Avoid)
 	}
+	if planned := x.record.plan; planned != nil && action.Cause == StartFirst {
+		return x.begin(now, planned.Choice, planned.Attempt, action.Cause)
+	}
+	choice, err := x.choose(now, action.Cause)
+	if err != nil {
+		return x.handle(Event{Kind: EventNoEndpoint, Err: err})
+	}
+	attempt := NewAttemptID()
+	if x.record.Request.OnceOnly() {
+		x.choice = choice
+		go x.replace(choice.Endpoint, attempt, x.record.plan.Intent)
+		return true
+	}
+	return x.begin(now, choice, attempt, action.Cause)
+}
+
+// choose picks an endpoint. After a silent connection it is the same one.
+func (x *run) choose(now time.Time, cause StartCause) (qf.RouteChoice, error) {
+	if cause == StartReconnect {
+		choice := x.choice
+		choice.Reason = qf.Reason{Rule: "ResumeOverNewConnection"}
+		return choice, nil
+	}
 	offset := x.record.offset()
 	choice, err := x.config.Choosing.Choose(now, x.record.Request, offset, x.avoid)
 	if err != nil && len(x.avoid) > 0 {
 		x.avoid = nil // Better an endpoint that failed before than none.
 		choice, err = x.config.Choosing.Choose(now, x.record.Request, offset, nil)
 	}
-	if err != nil {
-		return x.handle(Event{Kind: EventNoEndpoint, Err: err})
-	}
-	return x.begin(now, choice, action.Cause)
+	return choice, err
 }
 
+// NewAttemptID returns an identifier that no other attempt has.
+func NewAttemptID() qf.AttemptID { return qf.AttemptID(uuid.NewString()) }
+
 func (r *Record) offset() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return len(r.text)
 }
 
-func (x *run) begin(now time.Time, choice qf.RouteChoice, cause StartCause) bool {
+func (x *run) begin(now time.Time, choice qf.RouteChoice, attempt qf.AttemptID, cause StartCause) bool {
 	x.choice = choice
-	x.attempt = qf.AttemptID(uuid.NewString())
+	x.attempt = attempt
 	x.startedAt = now
 	x.firstAt, x.lastAt = time.Time{}, now
 	x.tokens = 0
@@ -205,13 +243,14 @@
 	})
 	x.record.apply(Event{Kind: EventStarted, At: now, Attempt: x.attempt, Endpoint: choice.Endpoint.ID})
 	x.config.Router.Started(now, choice.Endpoint.ID, x.promptTokens())
-	x.watchSilence()
-	ctx, cancel := context.WithDeadline(x.ctx, x.record.Request.Deadline)
+	x.progressAt = now
+	ctx, cancel := context.WithCancel(x.ctx)
 	x.cancel = cancel
+	hop := qf.Hop{TimeLeft: x.record.Request.Deadline.Sub(now), FreshConnection: x.reconnect}
 	if x.record.Request.Kind == qf.KindModelEngine {
-		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText())
+		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText(), hop)
 	} else {
-		go x.call(ctx, choice.Endpoint, x.attempt)
+		go x.call(ctx, choice.Endpoint, x.attempt, hop, x.record.plan)
 	}
 	return true
 }
@@ -231,8 +270,6 @@
 	}
 	x.cancel()
 	x.cancel = nil
-	x.silent.Stop()
-	x.silent = nil
 	now := x.config.Timer.Now()
 	x.config.Router.Ended(now, x.choice.Endpoint.ID, x.promptTokens(), ok)
 	x.config.Observer.AttemptEnded(now, x.observation(now, ok))
@@ -253,101 +290,13 @@
 	return o
 }
 
-// finish records a once-only outcome and then shows the outcome to readers.
+// finish shows the outcome to readers. That of a once-only request is recorded
+// first, unless that takes too long.
 func (x *run) finish(action Action) {
 	x.endAttempt(action.Outcome == qf.OutcomeAnswered)
-	request := x.record.Request
-	if request.OnceOnly() {
-		err := x.config.Ledger.Finish(x.ctx, request, x.record.intent, action.Outcome, action.Answer)
-		x.noteOutcome(err)
-	}
-	x.record.settle(x.config.Timer.Now(), action.Outcome, action.Err)
-}
-
-func (x *run) noteOutcome(err error) {
-	note := "outcome recorded"
-	if err != nil {
-		note = err.Error()
-	}
-	x.record.note(Decision{At: x.config.Timer.Now(), Step: qf.StepOutcome, Note: note})
-}
-
-// generate runs one attempt at a model engine and posts its pieces.
-func (x *run) generate(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID, text []string) {
-	r := x.record.Request
-	stream, err := x.config.Engine.Generate(ctx, endpoint, qf.GenerateRequest{
-		Request: r.ID, Attempt: attempt, Entry: r.Entry, Organisation: r.Organisation,
-		Messages: r.Messages, MaxTokens: r.MaxTokens, Priority: r.Class.Priority(),
-		ResumeText: strings.Join(text, ""), ResumeTokens: len(text), Deadline: r.Deadline,
-	})
-	if err != nil {
-		x.post(ctx, brokenEvent(attempt, err))
-		return
-	}
-	defer func() { _ = stream.Close() }() // Nothing more is read from it.
-	for {
-		piece, err := stream.Next(ctx)
-		if err != nil {
-			x.post(ctx, brokenEvent(attempt, endOfStream(err, endpoint)))
-			return
-		}
-		if !x.post(ctx, Event{Kind: EventPiece, Attempt: attempt, Piece: piece}) || piece.End {
-			return
-		}
-	}
-}
-
-// endOfStream turns an end without the end mark into a typed error.
-func endOfStream(err error, endpoint qf.Endpoint) error {
-	if !errors.Is(err, io.EOF) {
-		return err
-	}
-	return &qf.Error{
-		Code: qf.CodeBroken, Step: qf.StepAttempt, Peer: string(endpoint.ID),
-		Reason: "the stream ended without its end mark", Ran: qf.RanUnknown,
-	}
-}
-
-func brokenEvent(attempt qf.AttemptID, err error) Event {
-	return Event{Kind: EventBroken, Attempt: attempt, Ran: qf.RanOf(err), Err: err}
-}
-
-// post waits for room, so that a slow runner slows the endpoint down. It returns
-// false once the attempt is cancelled.
-func (x *run) post(ctx context.Context, e Event) bool {
-	select {
-	case x.record.events <- e:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// call runs one attempt at a plain service.
-func (x *run) call(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID) {
-	r := x.record.Request
-	result := x.config.Service.Call(ctx, endpoint, qf.ServiceCall{
-		Request: r.ID, Attempt: attempt, Organisation: r.Organisation,
-		Method: r.Method, Path: r.Path, ContentType: r.ContentType, Body: r.Body, Deadline: r.Deadline,
-	})
-	switch result.Certainty {
-	case qf.Done:
-		x.post(ctx, Event{Kind: EventAnswer, Attempt: attempt, Answer: &result.Value})
-	case qf.NotDone:
-		x.post(ctx, Event{Kind: EventBroken, Attempt: attempt, Ran: qf.RanNo, Err: result.Err})
-	default:
-		x.post(ctx, Event{Kind: EventBroken, Attempt: attempt, Ran: qf.RanUnknown, Err: result.Err})
-	}
-}
-
-// askStatus asks an endpoint what became of a broken once-only attempt.
-func (x *run) askStatus(endpoint qf.Endpoint, attempt qf.AttemptID) {
-	ctx, cancel := context.WithTimeout(x.ctx, x.config.SilentAfter)
-	defer cancel()
-	result := x.config.Service.Status(ctx, endpoint, attempt)
-	e := Event{Kind: EventStatus, Attempt: attempt, Certainty: result.Certainty, Err: result.Err}
-	if result.Certainty == qf.Done {
-		e.Answer = &result.Value
+	outcome, err := action.Outcome, action.Err
+	if x.record.Request.OnceOnly() {
+		outcome, err = x.recordOutcome(action)
 	}
-	x.post(x.ctx, e)
+	x.record.settle(x.config.Timer.Now(), outcome, err)
 }
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -54,6 +54,7 @@
 	RequestUnknown  = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
 	RequestTaken    = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
 	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
+	LedgerSwept     = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
@@ -65,7 +66,7 @@
 func All() []Event {
 	return []Event{
 		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed,
-		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
+		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed, LedgerSwept,
 		CatalogueInUse, CatalogueFailed, PeerFailed, DepartureKnown, PlatformFailed,
 	}
 }
--- a/internal/qf/state/qfledger/ledger.go
+++ b/internal/qf/state/qfledger/ledger.go
@@ -1,48 +1,50 @@
 // Package qfledger keeps the intents and outcomes of once-only requests in the
-// table service.
+// table service. A row is never deleted before it expires: a freed key stays as
+// a row whose version goes on rising, so that a write that takes effect late
+// can't meet a later request's row at the version that it expects.
 package qfledger
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
+	"github.com/hashicorp/golang-lru/v2"
 
 	"quetzalfront/internal/qf"
 )
 
-const rowPrefix = "ledger/"
-
-// row is what the table keeps for one idempotency key.
-type row struct {
-	// Body identifies the request, so that a reused key shows.
-	Body       uint64
-	Request    qf.RequestID
-	Owner      qf.NodeID
-	Generation qf.Generation
-	State      qf.IntentState
-	Answer     *qf.ServiceAnswer
+// Options govern a ledger.
+type Options struct {
+	// RecordsFor is how long a key is kept after its last write.
+	RecordsFor time.Duration
+	// CommitEvery returns the shortest time between two commits of this node.
+	CommitEvery func() time.Duration
 }
 
 // Ledger implements qf.Ledger.
 type Ledger struct {
-	table qf.Table
+	timer   qf.Timer
+	table   qf.Table
+	batcher *batcher
+	options Options
+	// abandoned holds the latest transactions that may have recorded, or may yet
+	// record, an intent of this node that it has refused as not run. A row that
+	// one of them wrote stands for an attempt that never left.
+	abandoned *lru.Cache[qf.TransactionID, struct{}]
 }
 
-// New returns a ledger that keeps its rows in the table.
-func New(table qf.Table) *Ledger { return &Ledger{table: table} }
-
-func rowKey(r *qf.Request) string {
-	return rowPrefix + strings.Join([]string{string(r.Organisation), string(r.Entry), string(r.Key)}, "\x1f")
-}
+// maxAbandoned bounds the memory of refused intents. A forgotten one is settled
+// by asking the endpoint.
+const maxAbandoned = 4096
 
-func fingerprint(r *qf.Request) uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%s\x00%s", r.Method, r.Path, r.ContentType, r.Body))
+// New returns a ledger that keeps its rows in the table.
+func New(timer qf.Timer, table qf.Table, options Options) *Ledger {
+	abandoned, _ := lru.New[qf.TransactionID, struct{}](maxAbandoned) // Fails only for a size below 1.
+	return &Ledger{
+		timer: timer, table: table, batcher: newBatcher(timer, table, options.CommitEvery),
+		options: options, abandoned: abandoned,
+	}
 }
 
 // maxSettles bounds the tries to find out what became of a write whose answer
@@ -52,101 +54,204 @@
 	retryAfter = time.Second
 )
 
-// Begin implements qf.Ledger. The write is conditional on the row's absence; if
-// its answer is lost it is repeated, so that either the repetition takes effect
-// and shuts the first one out, or the row is there to be read.
-func (l *Ledger) Begin(ctx context.Context, request *qf.Request, owner qf.NodeID) (qf.Intent, error) {
-	mine := map[qf.TransactionID]bool{}
-	fresh := row{
-		Body: fingerprint(request), Request: request.ID, Owner: owner, Generation: 1, State: qf.IntentRunning,
+// refusal says that nothing of this sending ran: no attempt starts without a
+// recorded intent.
+func refusal(cause error) error {
+	err := &qf.Error{
+		Code: qf.CodeUnavailable, Step: qf.StepIntent,
+		Reason: "the intent could not be recorded; repeat the call with the same key",
+		Ran:    qf.RanNo, RetryAfter: retryAfter, Cause: cause,
 	}
-	for range maxSettles {
-		intent, err := l.read(ctx, request, mine)
-		if err == nil {
-			return intent, nil
-		}
-		if qf.CodeOf(err) != qf.CodeNotFound {
-			return qf.Intent{}, refusal(err)
-		}
-		id := qf.TransactionID(uuid.NewString())
-		mine[id] = true
-		result := l.write(ctx, id, request, 0, &fresh)
-		if result.Certainty == qf.Done {
-			return qf.Intent{State: qf.IntentFresh, Request: request.ID, Owner: owner, Generation: 1, Version: 1}, nil
-		}
-		if result.Certainty == qf.NotDone && !errors.Is(result.Err, &qf.Error{Code: qf.CodeConflict}) {
-			return qf.Intent{}, refusal(result.Err)
-		}
+	var e *qf.Error
+	if errors.As(cause, &e) && e.RetryAfter > 0 {
+		err.RetryAfter = e.RetryAfter
 	}
-	return qf.Intent{}, refusal(qf.NewError(qf.CodeUnavailable, qf.StepIntent, "", "the intent could not be settled"))
+	return err
 }
 
-// refusal says that nothing ran: no attempt starts without a recorded intent.
-func refusal(cause error) error {
-	return &qf.Error{
-		Code: qf.CodeUnavailable, Step: qf.StepIntent, Reason: "the intent could not be recorded",
-		Ran: qf.RanNo, RetryAfter: retryAfter, Cause: cause,
+func stale(request *qf.Request) error {
+	return qf.NewError(qf.CodeStaleOwnership, qf.StepOutcome, "", "another node settled the key of request "+string(request.ID))
+}
+
+// change is one conditional write of a request's row with its settlement.
+type change struct {
+	*Ledger
+	request *qf.Request
+	// version is the version at which the row must be; 0 requires its absence.
+	version uint64
+	row     row
+	// mine holds the transactions whose answers were lost. Any of them may have
+	// taken effect, or take effect later.
+	mine []qf.TransactionID
+	// writer is the transaction that took effect.
+	writer qf.TransactionID
+}
+
+// commit writes the row. An error other than a conflict or a lost answer ends
+// the change.
+func (c *change) commit(ctx context.Context) (done bool, err error) {
+	c.row.At = c.timer.Now().UTC()
+	id, result := c.batcher.commit(ctx, rowKey(c.request), c.version, &c.row)
+	switch {
+	case result.Certainty == qf.Done:
+		c.writer = id
+		return true, nil
+	case result.Certainty == qf.Unknown:
+		c.mine = append(c.mine, id)
+		return false, nil
+	case qf.CodeOf(result.Err) == qf.CodeConflict:
+		return false, nil
+	default:
+		return false, result.Err
 	}
 }
 
-// read returns what the row says. A row that one of our own transactions wrote
-// is fresh.
-func (l *Ledger) read(ctx context.Context, request *qf.Request, mine map[qf.TransactionID]bool) (qf.Intent, error) {
-	found, err := l.table.Read(ctx, rowKey(request))
+// read returns the row as it stands, and whether this change wrote it.
+func (c *change) read(ctx context.Context) (found qf.Row, r row, mine bool, err error) {
+	found, err = c.table.Read(ctx, rowKey(c.request))
 	if err != nil {
-		return qf.Intent{}, err
+		return found, r, false, err
+	}
+	r, err = decode(found.Value)
+	for _, id := range c.mine {
+		if id == found.Writer {
+			c.writer = id
+			mine = true
+		}
 	}
-	var r row
-	if err := json.Unmarshal(found.Value, &r); err != nil {
-		return qf.Intent{}, qf.NewError(qf.CodeInternal, qf.StepDecode, "", "ledger row: "+err.Error())
+	return found, r, mine, err
+}
+
+// abandon notes that the attempt of this change never starts, whatever becomes of
+// its writes.
+func (c *change) abandon() {
+	for _, id := range c.mine {
+		c.abandoned.Add(id, struct{}{})
 	}
-	intent := qf.Intent{
-		State: r.State, Request: r.Request, Owner: r.Owner, Generation: r.Generation,
-		Version: found.Version, Answer: r.Answer,
+}
+
+func (c *change) intent(state qf.IntentState) qf.Intent {
+	return intentOf(state, &c.row, c.version+1, c.writer)
+}
+
+// Begin implements qf.Ledger. It first writes on the condition that there is no
+// row, so that an ordinary request costs one write and no read. After a lost
+// answer the write is repeated: either the repetition takes effect and shuts the
+// first one out, or the row is there to be read.
+func (l *Ledger) Begin(ctx context.Context, request *qf.Request, owner qf.NodeID, planned qf.PlannedAttempt) (qf.Intent, error) {
+	ctx = context.WithoutCancel(ctx) // A caller that leaves must not leave a write unsettled.
+	c := &change{Ledger: l, request: request, row: newRow(request, owner, 1, planned)}
+	for range maxSettles {
+		done, err := c.commit(ctx)
+		if err != nil {
+			c.abandon()
+			return qf.Intent{}, refusal(err)
+		}
+		if done {
+			return c.intent(qf.IntentFresh), nil
+		}
+		intent, known, err := c.earlier(ctx)
+		if err != nil {
+			c.abandon()
+			return qf.Intent{}, refusal(err)
+		}
+		if known {
+			return intent, nil
+		}
 	}
+	c.abandon()
+	return qf.Intent{}, refusal(qf.NewError(qf.CodeUnavailable, qf.StepIntent, "", "the intent could not be settled"))
+}
+
+// earlier returns what the row says of the key. It isn't known if the key is
+// free; the next write is then conditional on what was read.
+func (c *change) earlier(ctx context.Context) (intent qf.Intent, known bool, err error) {
+	found, r, mine, err := c.read(ctx)
 	switch {
-	case mine[found.Writer]:
-		intent.State = qf.IntentFresh
-	case r.Body != fingerprint(request):
-		intent.State = qf.IntentReused
+	case qf.CodeOf(err) == qf.CodeNotFound:
+		c.version = 0
+		return qf.Intent{}, false, nil
+	case err != nil:
+		return qf.Intent{}, false, err
+	case mine:
+		return intentOf(qf.IntentFresh, &r, found.Version, found.Writer), true, nil
+	case c.isFree(&found, &r):
+		c.version = found.Version
+		c.row.Generation = r.Generation + 1
+		return qf.Intent{}, false, nil
+	case r.Body != c.row.Body:
+		return intentOf(qf.IntentReused, &r, found.Version, found.Writer), true, nil
+	default:
+		return intentOf(r.State, &r, found.Version, found.Writer), true, nil
 	}
-	return intent, nil
 }
 
-func (l *Ledger) write(ctx context.Context, id qf.TransactionID, request *qf.Request, version uint64, r *row) qf.Result[qf.Committed] {
-	value, err := json.Marshal(r)
+// isFree reports whether a row allows a new intent.
+func (c *change) isFree(found *qf.Row, r *row) bool {
+	return r.State == intentFree || c.abandoned.Contains(found.Writer) ||
+		c.timer.Now().Sub(r.At) > c.options.RecordsFor
+}
+
+// Replace implements qf.Ledger.
+func (l *Ledger) Replace(ctx context.Context, request *qf.Request, intent qf.Intent, owner qf.NodeID, planned qf.PlannedAttempt) (qf.Intent, error) {
+	ctx = context.WithoutCancel(ctx)
+	c := &change{
+		Ledger: l, request: request, version: intent.Version,
+		row: newRow(request, owner, intent.Generation+1, planned),
+	}
+	err := c.settle(ctx, func(*row) bool { return false })
 	if err != nil {
-		return qf.NotDoneFor[qf.Committed](err)
+		c.abandon()
+		return qf.Intent{}, err
 	}
-	return l.table.Commit(ctx, qf.Transaction{
-		ID:         id,
-		Conditions: []qf.Condition{{Key: rowKey(request), Version: version}},
-		Writes:     []qf.Write{{Key: rowKey(request), Value: value}},
-	})
+	return c.intent(qf.IntentFresh), nil
 }
 
-// Finish implements qf.Ledger.
+// Finish implements qf.Ledger. An answer also replaces an Unknown that another
+// node recorded meanwhile.
 func (l *Ledger) Finish(ctx context.Context, request *qf.Request, intent qf.Intent, outcome qf.FinalOutcome, answer *qf.ServiceAnswer) error {
-	if outcome == qf.OutcomeNotRun {
-		return l.free(ctx, request, intent)
-	}
-	r := row{
-		Body: fingerprint(request), Request: request.ID, Owner: intent.Owner,
-		Generation: intent.Generation, State: qf.IntentUnknown,
+	ctx = context.WithoutCancel(ctx)
+	c := &change{
+		Ledger: l, request: request, version: intent.Version,
+		row: newRow(request, intent.Owner, intent.Generation, intent.Planned),
 	}
+	c.row.State = stateOf(outcome)
 	if outcome == qf.OutcomeAnswered {
-		r.State = qf.IntentAnswered
-		r.Answer = answer
+		c.row.Answer = answer
 	}
-	result := l.write(ctx, qf.TransactionID(uuid.NewString()), request, intent.Version, &r)
-	return result.Err
+	err := c.settle(ctx, func(r *row) bool {
+		return outcome == qf.OutcomeAnswered && r.State == qf.IntentUnknown && r.Attempt == c.row.Attempt
+	})
+	if err != nil && outcome == qf.OutcomeNotRun {
+		l.abandoned.Add(intent.Writer, struct{}{})
+	}
+	return err
 }
 
-func (l *Ledger) free(ctx context.Context, request *qf.Request, intent qf.Intent) error {
-	result := l.table.Commit(ctx, qf.Transaction{
-		ID:         qf.TransactionID(uuid.NewString()),
-		Conditions: []qf.Condition{{Key: rowKey(request), Version: intent.Version}},
-		Writes:     []qf.Write{{Key: rowKey(request), Delete: true}},
-	})
-	return result.Err
+// settle writes until it is known that the write took effect or is shut out.
+// mayReplace says whether a row that somebody else wrote may be overwritten.
+func (c *change) settle(ctx context.Context, mayReplace func(r *row) bool) error {
+	for range maxSettles {
+		done, err := c.commit(ctx)
+		if done || err != nil {
+			return err
+		}
+		found, r, mine, err := c.read(ctx)
+		switch {
+		case qf.CodeOf(err) == qf.CodeNotFound:
+			return stale(c.request)
+		case err != nil:
+			return err
+		case mine, r.State == c.row.State && r.State == qf.IntentAnswered && r.Attempt == c.row.Attempt:
+			c.version = found.Version - 1
+			return nil
+		case found.Version == c.version:
+			// The lost write hasn't taken effect; the next one shuts it out.
+		case mayReplace(&r):
+			c.version = found.Version
+		default:
+			return stale(c.request)
+		}
+	}
+	return qf.NewError(qf.CodeUnavailable, qf.StepOutcome, "", "the write could not be settled")
 }
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -30,6 +30,8 @@
 			SilentAfter:           qfdocument.Duration(5 * time.Second),
 			KeepAddressesFor:      qfdocument.Duration(5 * time.Second),
 			IdempotencyRecordsFor: qfdocument.Duration(24 * time.Hour),
+			LeaveWithin:           qfdocument.Duration(10 * time.Second),
+			LedgerCommitEvery:     qfdocument.Duration(20 * time.Millisecond),
 			MaxSuspectAttempts:    2,
 		},
 		Peer: PeerSettings{
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -83,6 +83,12 @@
 	// IdempotencyRecordsFor is how long the outcome of a once-only request is
 	// kept.
 	IdempotencyRecordsFor qfdocument.Duration `validate:"gt=0"`
+	// LeaveWithin is how long after its intent a once-only attempt may leave. A
+	// node that was paused for longer asks the ledger again.
+	LeaveWithin qfdocument.Duration `validate:"gt=0"`
+	// LedgerCommitEvery is the shortest time between two transactions in which a
+	// node records intents and outcomes.
+	LedgerCommitEvery qfdocument.Duration `validate:"gt=0"`
 	// MaxSuspectAttempts bounds the attempts of a request that is suspected of
 	// crashing endpoints, over all nodes and repeats.
 	MaxSuspectAttempts int `validate:"min=1"`
@@ -167,6 +173,12 @@
 	if s.Request.MaxTimeout < s.Request.DefaultTimeout {
 		faults = append(faults, qfdocument.Fault{Key: "Request.MaxTimeout", Expected: "expected at least Request.DefaultTimeout"})
 	}
+	if s.Request.IdempotencyRecordsFor <= s.Request.MaxTimeout+s.Request.LeaveWithin {
+		faults = append(faults, qfdocument.Fault{
+			Key:      "Request.IdempotencyRecordsFor",
+			Expected: "expected more than Request.MaxTimeout and Request.LeaveWithin together",
+		})
+	}
 	sec := s.Security
 	if !sec.Insecure && (sec.CertificateFile == "" || sec.KeyFile == "" || sec.AuthorityFile == "") {
 		faults = append(faults, qfdocument.Fault{
--- a/internal/standin/standservice/service.go
+++ b/internal/standin/standservice/service.go
@@ -218,6 +218,7 @@
 	case done:
 		writeAnswer(w, &answer)
 	case started:
+		w.Header().Set(qfendpoint.HeaderStillRunning, "true")
 		http.Error(w, "still running", http.StatusConflict)
 	default:
 		w.Header().Set(qfendpoint.HeaderNotRun, "true")
