qfrequest: prove what happens on silent connections

Cause: a call that took longer than SilentAfter was broken and sent again, and a stream whose connection went silent left an engine that lived and had its cache. Change: tests with the real adapters and stand-ins over an in-memory network on virtual time, whose open connections can be silenced while new ones work.

--- /dev/null
+++ b/internal/qf/protocol/qfrequest/silence_test.go
@@ -0,0 +1,186 @@
+package qfrequest_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/protocol/qfendpoint"
+	"quetzalfront/internal/qf/protocol/qfrequest"
+	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/standin/standengine"
+	"quetzalfront/internal/standin/standservice"
+)
+
+const silentAfter = 5 * time.Second
+
+// site is two engines and a service on an in-memory network, with a runner.
+type site struct {
+	*network
+	timer   qf.Timer
+	engines []qf.Endpoint
+	service qf.Endpoint
+	journal *standservice.Journal
+	runner  *qfrequest.Runner
+	budget  int
+}
+
+func newSite(t *testing.T, engine standengine.Behaviour, service standservice.Behaviour) *site {
+	s := &site{network: newNetwork(), timer: qftimer.NewWall(), journal: &standservice.Journal{}, budget: 10}
+	for i := range 2 {
+		e := qf.Endpoint{
+			ID: qf.EndpointID(fmt.Sprint("e", i)), Kind: qf.KindModelEngine,
+			Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)),
+		}
+		s.engines = append(s.engines, e)
+		s.serve(t, e.Address, standengine.New(s.timer, e, engine, nil).Handler())
+	}
+	s.service = qf.Endpoint{ID: "s", Kind: qf.KindPlainService, Address: netip.AddrPortFrom(netip.IPv4Unspecified(), 9)}
+	s.serve(t, s.service.Address, standservice.New(s.timer, s.service, service, s.journal).Handler())
+	client := s.client(t)
+	adapter := qfendpoint.NewEngine(client)
+	s.runner = qfrequest.NewRunner(qfrequest.Config{
+		Timer: s.timer, Engine: adapter, Prober: adapter, Service: qfendpoint.NewService(client),
+		Router: quietRouter{}, Choosing: s, Budget: s, Observer: s, Self: "n", SilentAfter: silentAfter,
+		LeaveWithin: time.Minute, IsCurrent: func(qf.Endpoint) bool { return true },
+	})
+	return s
+}
+
+// Choose implements qfrequest.Choosing.
+func (s *site) Choose(_ time.Time, r *qf.Request, _ int, avoid []qf.EndpointID) (qf.RouteChoice, error) {
+	if r.Kind == qf.KindPlainService {
+		return qf.RouteChoice{Endpoint: s.service}, nil
+	}
+	for _, e := range s.engines {
+		if !slices.Contains(avoid, e.ID) {
+			return qf.RouteChoice{Endpoint: e}, nil
+		}
+	}
+	return qf.RouteChoice{}, qf.NewError(qf.CodeNoEndpoint, qf.StepRoute, "", "none")
+}
+
+// Allow implements qfrequest.RetryBudget.
+func (s *site) Allow(time.Time, *qf.Request) bool {
+	s.budget--
+	return s.budget >= 0
+}
+
+// AttemptEnded implements qfrequest.Observer.
+func (s *site) AttemptEnded(time.Time, qf.Observation) {}
+
+// TestSilentStream silences the connection of a stream after some tokens. The
+// answer is whole, and goes on at the same engine if that lives.
+func TestSilentStream(t *testing.T) {
+	const tokens = 200
+	tests := []struct {
+		name string
+		// at is when the connections go silent; the answer takes 2 s.
+		at       time.Duration
+		dies     bool
+		visits   string
+		recovers time.Duration
+	}{
+		{"before the first token", time.Millisecond, false, "e0 e0", 10 * time.Second},
+		{"in the middle", time.Second, false, "e0 e0", 10 * time.Second},
+		{"in the middle, the engine dead", time.Second, true, "e0 e1", 10 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				behaviour := standengine.DefaultBehaviour()
+				behaviour.TokenInterval, behaviour.PrefillPerToken = 10*time.Millisecond, 10*time.Millisecond
+				s := newSite(t, behaviour, standservice.Behaviour{})
+				messages := []qf.Message{{Role: "user", Content: "Which tree?"}}
+				start := s.timer.Now()
+				record := qfrequest.NewRecord(&qf.Request{
+					ID: "r", Kind: qf.KindModelEngine, Messages: messages, MaxTokens: tokens, Deadline: start.Add(time.Minute),
+				}, 4)
+				go func() {
+					<-s.timer.After(test.at).C()
+					s.silence()
+					if test.dies {
+						s.kill(s.engines[0].Address)
+					}
+				}()
+				s.runner.Run(t.Context(), record)
+				s.checkStream(t, record, messages, test.visits)
+				took := s.timer.Now().Sub(start)
+				t.Logf("the answer took %s", took)
+				if took > test.recovers {
+					t.Errorf("took %s", took)
+				}
+			})
+		})
+	}
+}
+
+func (s *site) checkStream(t *testing.T, record *qfrequest.Record, messages []qf.Message, visits string) {
+	t.Helper()
+	progress := record.Progress(0)
+	if progress.Outcome != qf.OutcomeAnswered {
+		t.Fatalf("got %s: %v", progress.Outcome, progress.Err)
+	}
+	want := standengine.Reference(messages, record.Request.MaxTokens)
+	if strings.Join(progress.Text, "") != strings.Join(want, "") {
+		t.Error("the answer differs from the reference")
+	}
+	var visited []string
+	for _, d := range record.Decisions() {
+		visited = append(visited, string(d.Endpoint))
+	}
+	if got := strings.Join(visited, " "); got != visits {
+		t.Errorf("went to %s, want %s", got, visits)
+	}
+}
+
+// TestSilentCall silences the connection of a call, or lets the call take longer
+// than an attempt may be silent. It runs once and its answer arrives.
+func TestSilentCall(t *testing.T) {
+	tests := []struct {
+		name      string
+		behaviour standservice.Behaviour
+		// at is when the connections go silent; 0 means never.
+		at      time.Duration
+		outcome qf.FinalOutcome
+		within  time.Duration
+	}{
+		{"slow", standservice.Behaviour{Takes: 20 * time.Second}, 0, qf.OutcomeAnswered, 20 * time.Second},
+		{"slow, without a status", standservice.Behaviour{Takes: 20 * time.Second, NoStatus: true}, 0, qf.OutcomeAnswered, 20 * time.Second},
+		{"silent", standservice.Behaviour{Takes: 2 * time.Second}, time.Second, qf.OutcomeAnswered, 7 * time.Second},
+		{"slow and silent", standservice.Behaviour{Takes: 20 * time.Second}, time.Second, qf.OutcomeAnswered, 27 * time.Second},
+		{"silent, without a status", standservice.Behaviour{Takes: 2 * time.Second, NoStatus: true}, time.Second, qf.OutcomeUnknown, time.Minute},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, standengine.DefaultBehaviour(), test.behaviour)
+				start := s.timer.Now()
+				record := qfrequest.NewRecord(&qf.Request{
+					ID: "r", Kind: qf.KindPlainService, Method: "POST", Path: "/permits", Deadline: start.Add(time.Minute),
+				}, 4)
+				go func() {
+					if test.at > 0 {
+						<-s.timer.After(test.at).C()
+						s.silence()
+					}
+				}()
+				s.runner.Run(t.Context(), record)
+				took := s.timer.Now().Sub(start)
+				if p := record.Progress(0); p.Outcome != test.outcome || took > test.within {
+					t.Errorf("got %s (%v) after %s", p.Outcome, p.Err, took)
+				}
+				if n := len(s.journal.Executions()); n != 1 {
+					t.Errorf("the call ran %d times", n)
+				}
+				t.Logf("ended after %s", took)
+				<-s.timer.After(time.Minute).C() // Calls that still run end.
+			})
+		})
+	}
+}
