qfretry: give each retry a budget, a delay and time to finish

Cause: the budget knew neither time nor the length of attempts: a retry left at once however often the request had failed, also one that could not finish before its deadline; the reserve of 3 let 3 of 111 streams of a lost endpoint go on elsewhere; the map of budgets grew with each organisation name that a caller made up. Change: the budget adds a tenth of a retry for each request and keeps what isn't used of the last 20 s. It learns from whole attempts how long one takes and denies those that can't finish. Delays after the first retry are drawn between 0 and a bound that doubles from 50 ms to 1 s; the runner waits without holding up other events. A stream that goes on over a new connection leaves at once.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -72,7 +72,7 @@
 		Tokens: qfprefix.Tokens(request.Messages) + request.MaxTokens,
 	})
 	if admission.Admitted {
-		n.budget.Accepted(request)
+		n.budget.Accepted(n.now(), request)
 	}
 	n.mu.Unlock()
 	if admission.Admitted {
--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -37,6 +37,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.versions.Observe(observation)
+	n.budget.Observe(&observation)
 }
 
 // lockedRouter guards the node's router for the runner, which uses it from many
@@ -72,9 +73,10 @@
 	node *Node
 }
 
-// Allow implements qfrequest.RetryBudget.
-func (l *lockedBudget) Allow(now time.Time, request *qf.Request) bool {
+// Retry implements qfrequest.RetryBudget.
+func (l *lockedBudget) Retry(query qf.RetryQuery) qf.RetryVerdict {
 	l.node.mu.Lock()
 	defer l.node.mu.Unlock()
-	return l.node.budget.Allow(now, request)
+	query.Draw = l.node.platform.Random.Float64()
+	return l.node.budget.Retry(query)
 }
--- a/internal/qf/coordination/qfretry/budget.go
+++ b/internal/qf/coordination/qfretry/budget.go
@@ -1,58 +1,111 @@
 // Package qfretry bounds retries, so that a failing entry isn't buried under
-// repeated work.
+// repeated work. It does no I/O and reads no clock.
 package qfretry
 
 import (
+	"math"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"quetzalfront/internal/qf"
 )
 
-// The budget of one organisation and entry: a share of its requests plus a small
-// reserve for those with little traffic.
+// The budget of one organisation and entry. Each request adds a share of a retry.
+// What isn't used is kept, up to the share of the requests of the last time, so
+// that the streams of one lost endpoint can all go on elsewhere.
+const (
+	sharePerRequest = 0.1
+	recentWindow    = 20 * time.Second
+	leastReserve    = 10.0
+)
+
+// maxBuckets bounds the memory. The bucket that wasn't used for longest goes.
+const maxBuckets = 4096
+
+// The delays between attempts: the first retry leaves at once, the n-th after a
+// random part of firstDelay * 2^(n-2), at most maxDelay.
 const (
-	sharePerRequest = 0.15
-	reserve         = 3.0
+	firstDelay = 50 * time.Millisecond
+	maxDelay   = time.Second
 )
 
-type budgetKey struct {
+type bucketKey struct {
 	organisation qf.Organisation
 	entry        qf.EntryName
 }
 
-// Budget grants retries as a share of the requests of each organisation and
-// entry. It isn't safe for concurrent use.
+// bucket holds the retries that one organisation has at one entry.
+type bucket struct {
+	tokens float64
+	// recent counts the requests of the last time, with exponential decay.
+	recent float64
+	at     time.Time
+}
+
+// Budget grants retries. It isn't safe for concurrent use.
 type Budget struct {
-	tokens map[budgetKey]float64
+	buckets   *simplelru.LRU[bucketKey, *bucket]
+	estimates map[qf.EntryName]*estimate
 }
 
-// NewBudget returns a budget with a full reserve for everybody.
-func NewBudget() *Budget { return &Budget{tokens: map[budgetKey]float64{}} }
+// NewBudget returns a budget with the least reserve for everybody.
+func NewBudget() *Budget {
+	buckets, _ := simplelru.NewLRU[bucketKey, *bucket](maxBuckets, nil) // Fails only for a size below 1.
+	return &Budget{buckets: buckets, estimates: map[qf.EntryName]*estimate{}}
+}
 
-func keyOf(request *qf.Request) budgetKey {
-	return budgetKey{organisation: request.Organisation, entry: request.Entry}
+func (b *Budget) bucket(now time.Time, request *qf.Request) *bucket {
+	key := bucketKey{organisation: request.Organisation, entry: request.Entry}
+	u, ok := b.buckets.Get(key)
+	if !ok {
+		u = &bucket{tokens: leastReserve, at: now}
+		b.buckets.Add(key, u)
+	}
+	if elapsed := now.Sub(u.at); elapsed > 0 {
+		u.recent *= math.Exp(-elapsed.Seconds() / recentWindow.Seconds())
+		u.at = now
+	}
+	return u
 }
 
 // Accepted adds the share of one request.
-func (b *Budget) Accepted(request *qf.Request) {
-	key := keyOf(request)
-	b.tokens[key] = min(b.left(key)+sharePerRequest, reserve)
+func (b *Budget) Accepted(now time.Time, request *qf.Request) {
+	u := b.bucket(now, request)
+	u.recent++
+	u.tokens = min(u.tokens+sharePerRequest, max(leastReserve, u.recent*sharePerRequest))
 }
 
-func (b *Budget) left(key budgetKey) float64 {
-	if left, ok := b.tokens[key]; ok {
-		return left
+// Retry takes one retry from the budget if there is one and the attempt has time
+// to finish.
+func (b *Budget) Retry(query qf.RetryQuery) qf.RetryVerdict {
+	u := b.bucket(query.Now, query.Request)
+	delay := delayOf(query)
+	expected := b.expected(query.Request.Entry, query.RemainingTokens)
+	left := query.Request.Deadline.Sub(query.Now)
+	verdict := qf.RetryVerdict{Delay: delay, Reason: qf.Reason{Figures: []qf.Figure{
+		{Name: "BudgetLeft", Value: u.tokens},
+		{Name: "ExpectedSeconds", Value: expected.Seconds()},
+		{Name: "SecondsLeft", Value: left.Seconds()},
+	}}}
+	switch {
+	case delay+expected >= left:
+		verdict.Reason.Rule = "NoTimeToFinish"
+	case u.tokens < 1:
+		verdict.Reason.Rule = "RetryBudgetSpent"
+	default:
+		u.tokens--
+		verdict.Allowed = true
+		verdict.Reason.Rule = "RetryAllowed"
 	}
-	return reserve
+	return verdict
 }
 
-// Allow takes one retry if there is one.
-func (b *Budget) Allow(_ time.Time, request *qf.Request) bool {
-	key := keyOf(request)
-	left := b.left(key)
-	if left < 1 {
-		return false
+// delayOf draws the delay before a retry.
+func delayOf(query qf.RetryQuery) time.Duration {
+	if query.AtOnce || query.Retry <= 1 {
+		return 0
 	}
-	b.tokens[key] = left - 1
-	return true
+	longest := math.Min(float64(firstDelay)*math.Exp2(float64(query.Retry-2)), float64(maxDelay))
+	return time.Duration(longest * query.Draw)
 }
--- a/internal/qf/decision.go
+++ b/internal/qf/decision.go
@@ -137,7 +137,9 @@
 	FirstToken   time.Duration
 	BetweenToken time.Duration
 	Tokens       int
-	Complete     bool
+	// Took is the time from the attempt's start to its end.
+	Took     time.Duration
+	Complete bool
 	// Load is the endpoint's number of running requests at the start.
 	Load int
 }
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -12,9 +12,9 @@
 
 // RetryBudget says whether a retry is allowed at present.
 type RetryBudget interface {
-	// Allow takes one retry from the budget of the request's organisation and
-	// entry, and reports whether there was one.
-	Allow(now time.Time, request *qf.Request) bool
+	// Retry takes one retry from the budget of the request's organisation and
+	// entry if there is one. It draws for the delay on its own.
+	Retry(query qf.RetryQuery) qf.RetryVerdict
 }
 
 // Observer learns how attempts went.
@@ -73,6 +73,9 @@
 	progressAt time.Time
 	// reconnect is set for an attempt after one that went silent.
 	reconnect bool
+	// retryAt fires when the delayed start is due; it is nil if none is.
+	retryAt qf.Subscription
+	delayed Action
 }
 
 // silenceChecks is the number of checks on an attempt's progress in SilentAfter.
@@ -90,6 +93,7 @@
 	defer checks.Stop()
 	defer close(record.idle)
 	defer x.endAttempt(false)
+	defer x.stopRetry()
 	more := x.handle(Event{Kind: EventAccepted})
 	for more {
 		select {
@@ -103,6 +107,9 @@
 			return // The node is gone; a peer or the ledger knows the rest.
 		case <-checks.C():
 			more = x.checkProgress()
+		case <-x.retryDue():
+			x.retryAt = nil
+			more = x.launch(x.delayed)
 		}
 	}
 }
@@ -175,15 +182,52 @@
 	}
 }
 
-// start chooses an endpoint and begins an attempt there.
+// start ends the last attempt and begins the next one, if it is a retry after the
+// delay that the budget sets.
 func (x *run) start(action Action) bool {
 	now := x.config.Timer.Now()
 	x.endAttempt(action.Cause == StartMove)
-	isRetry := action.Cause == StartRetry || action.Cause == StartReconnect
-	if isRetry && !x.config.Budget.Allow(now, x.record.Request) {
-		err := qf.NewError(qf.CodeBroken, qf.StepAttempt, string(x.choice.Endpoint.ID), "the retry budget is spent")
+	if action.Cause != StartRetry && action.Cause != StartReconnect {
+		return x.launch(action)
+	}
+	verdict := x.config.Budget.Retry(x.retryQuery(now, action))
+	x.record.note(Decision{At: now, Step: qf.StepAttempt, Endpoint: x.choice.Endpoint.ID, Reason: verdict.Reason, Note: string(action.Cause)})
+	if !verdict.Allowed {
+		err := qf.NewError(qf.CodeBroken, qf.StepAttempt, string(x.choice.Endpoint.ID), verdict.Reason.Rule)
 		return x.handle(Event{Kind: EventRetryDenied, Err: err})
 	}
+	if verdict.Delay <= 0 {
+		return x.launch(action)
+	}
+	x.delayed = action
+	x.retryAt = x.config.Timer.After(verdict.Delay)
+	return true
+}
+
+func (x *run) retryQuery(now time.Time, action Action) qf.RetryQuery {
+	r := x.record.Request
+	return qf.RetryQuery{
+		Now: now, Request: r, Retry: x.record.attempts(), RemainingTokens: r.MaxTokens - x.record.offset(),
+		AtOnce: action.Cause == StartReconnect,
+	}
+}
+
+func (x *run) stopRetry() {
+	if x.retryAt != nil {
+		x.retryAt.Stop()
+	}
+}
+
+func (x *run) retryDue() <-chan time.Time {
+	if x.retryAt == nil {
+		return nil
+	}
+	return x.retryAt.C()
+}
+
+// launch chooses an endpoint and begins an attempt there.
+func (x *run) launch(action Action) bool {
+	now := x.config.Timer.Now()
 	x.reconnect = action.Cause == StartReconnect
 	if action.Cause == StartMove {
 		x.moves++
@@ -226,6 +270,12 @@
 // NewAttemptID returns an identifier that no other attempt has.
 func NewAttemptID() qf.AttemptID { return qf.AttemptID(uuid.NewString()) }
 
+func (r *Record) attempts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lifecycle.Attempts()
+}
+
 func (r *Record) offset() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -280,6 +330,7 @@
 	o := qf.Observation{
 		At: now, Entry: r.Entry, Version: x.choice.Endpoint.Version, Organisation: r.Organisation,
 		Region: x.choice.Endpoint.Region, Class: r.Class, Failed: !ok, Complete: ok, Tokens: x.tokens,
+		Took: now.Sub(x.startedAt),
 	}
 	if !x.firstAt.IsZero() {
 		o.FirstToken = x.firstAt.Sub(x.startedAt)
