qfsuspect, node: refuse requests that crash endpoints

Cause: a request that crashes each endpoint which runs it was sent on to the next one, and again with each repeat: in the new test, with the judgement taken out (trial), it killed all 9 engines. Broken streams of others were then sent to endpoints that were dead already, since those have the least work. A peer's answer that came after the exchange had timed out raced with the reader (TestCrashingRequest under -race). Change: qfsuspect blames an endpoint's unannounced death on the requests that broke there at most 10 s before; a broken connection alone is no death. Deaths close together in one availability zone that have no request in common are a wave and no evidence, announced ones neither. Suspects run one to an endpoint, each node at endpoints of its own, and share MaxSuspectAttempts over all nodes through a counter in the table; then they are refused with CodeSuspect and a time. An answer acquits. News travels in qf.Digest.Suspicions with its age; memory is bounded. The node asks a broken attempt's endpoint over a new connection before the next attempt starts, and gives dead endpoints no work for 5 s. The stand-in's crash closes its port before the connection, as the end of a process does. qfrpc gives no value with an error.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -89,6 +89,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.limiter.Released(n.now(), request, tokens)
+	n.suspectOver(request.ID)
 }
 
 // record accepts an admitted request and runs it.
@@ -106,7 +107,7 @@
 	request := record.Request
 	choice, err := n.Choose(n.now(), request, 0, nil)
 	if err != nil {
-		return nil, n.refuse(request, qf.CodeOf(err), "no endpoint serves the entry at present")
+		return nil, n.refuse(request, qf.CodeOf(err), err.Error())
 	}
 	n.beginning.Store(request.ID, true)
 	defer n.beginning.Delete(request.ID)
@@ -200,6 +201,9 @@
 		progress := record.Progress(0)
 		n.release(record.Request, len(progress.Text))
 		n.logEnd(record, &progress)
+		if progress.Outcome == qf.OutcomeAnswered {
+			n.acquit(record.Request)
+		}
 		n.runner.Conclude(n.ctx, record)
 	}()
 }
--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -16,17 +16,32 @@
 		PromptTokens: qfprefix.Tokens(request.Messages), ResumeTokens: resumeTokens,
 		Prefixes: qfprefix.Hashes(request.Messages), Excluded: avoid,
 	}
+	isSuspect, err := n.screen(now, request)
+	if err != nil {
+		return qf.RouteChoice{}, err
+	}
+	choice, err := n.route(&query, isSuspect)
+	if err == nil && isSuspect {
+		err = n.claim(request)
+	}
+	return choice, err
+}
+
+// route asks for a version and then for an endpoint.
+func (n *Node) route(query *qf.RouteQuery, isSuspect bool) (qf.RouteChoice, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	request := query.Request
+	n.suspectOver(request.ID)
 	version, reason := n.versions.Choose(qf.VersionQuery{
-		Now: now, Entry: request.Entry, Organisation: request.Organisation, Region: query.FromRegion,
+		Now: query.Now, Entry: request.Entry, Organisation: request.Organisation, Region: query.FromRegion,
 		Class: request.Class, OnceOnly: request.OnceOnly(), Draw: n.platform.Random.Float64(),
 	})
 	query.Version = version
-	choice, err := n.router.Choose(query)
+	choice, err := n.choose(query, isSuspect)
 	if err != nil && version != "" {
 		query.Version = ""
-		choice, err = n.router.Choose(query)
+		choice, err = n.choose(query, isSuspect)
 	}
 	choice.Reason.Rule = reason.Rule + ", " + choice.Reason.Rule
 	return choice, err
@@ -38,6 +53,7 @@
 	defer n.mu.Unlock()
 	n.versions.Observe(observation)
 	n.budget.Observe(&observation)
+	n.suspectOver(observation.Request)
 }
 
 // lockedRouter guards the node's router for the runner, which uses it from many
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -85,6 +85,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.learnVanished(now, endpoints)
 	n.endpoints = endpoints
 	n.listAsOf = asOf
 	n.router.SetEndpoints(endpoints)
@@ -133,6 +134,7 @@
 	isNews := n.membership.LearnDeparture(now, d)
 	if isNews {
 		n.router.Departing(d.VM, d.Incarnation)
+		n.suspects.Excused(qf.EndpointID(d.VM))
 	}
 	n.mu.Unlock()
 	if !isNews {
@@ -177,6 +179,7 @@
 	}
 	report, err := load(ctx, endpoint)
 	if err != nil {
+		n.learnDeath(endpoint, err)
 		return // Silence shows in the router through the attempts.
 	}
 	now := n.now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,8 +19,10 @@
 	"quetzalfront/internal/qf/coordination/qfretry"
 	"quetzalfront/internal/qf/coordination/qfrollout"
 	"quetzalfront/internal/qf/coordination/qfroute"
+	"quetzalfront/internal/qf/coordination/qfsuspect"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/qf/state/qftrial"
 	"quetzalfront/internal/qfsettings"
 )
 
@@ -69,10 +71,16 @@
 	swept string
 
 	// mu guards the decisions, which aren't safe for concurrent use.
-	mu         sync.Mutex
-	router     qf.Router
-	limiter    qf.Limiter
-	budget     *qfretry.Budget
+	mu       sync.Mutex
+	router   qf.Router
+	limiter  qf.Limiter
+	budget   *qfretry.Budget
+	suspects *qfsuspect.Suspects
+	// suspectRuns holds where the suspects in progress run.
+	suspectRuns map[qf.RequestID]qf.EndpointID
+	trials      *qftrial.Trials
+	// deadUntil holds the endpoints that refused a connection.
+	deadUntil  map[qf.EndpointID]time.Time
 	membership *qfmember.Membership
 	versions   *qfrollout.TargetOnly
 	endpoints  []qf.Endpoint
@@ -104,9 +112,19 @@
 		router:    qfroute.NewLeastOutstanding(),
 		limiter:   qflimit.NewConcurrency(),
 		budget:    qfretry.NewBudget(),
-		versions:  qfrollout.NewTargetOnly(),
-		ctx:       ctx,
-		cancel:    cancel,
+		suspects: qfsuspect.New(qfsuspect.Config{
+			MaxDeaths:   settings.Request.MaxSuspectAttempts + 1,
+			ExpireAfter: settings.Request.SuspectsFor.Value(),
+		}),
+		suspectRuns: map[qf.RequestID]qf.EndpointID{},
+		deadUntil:   map[qf.EndpointID]time.Time{},
+		trials: qftrial.New(platform.Timer, platform.Table, qftrial.Options{
+			MaxAttempts: settings.Request.MaxSuspectAttempts,
+			ExpireAfter: settings.Request.SuspectsFor.Value(),
+		}),
+		versions: qfrollout.NewTargetOnly(),
+		ctx:      ctx,
+		cancel:   cancel,
 	}
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -16,6 +16,7 @@
 		Departures:   n.membership.Departures(now),
 		RolloutStops: n.versions.Stops(),
 		LimitUses:    n.limiter.Uses(now),
+		Suspicions:   n.suspects.Suspicions(now),
 	}
 }
 
@@ -31,6 +32,7 @@
 		n.versions.Stop(stop)
 	}
 	n.limiter.PeerUses(now, digest.LimitUses)
+	n.suspects.Learn(now, digest.Suspicions)
 	for _, sent := range digest.SentLoads {
 		n.router.PeerSent(sent)
 	}
--- a/internal/qf/decision.go
+++ b/internal/qf/decision.go
@@ -128,6 +128,7 @@
 // Observation reports one finished attempt to rollout judgement.
 type Observation struct {
 	At           time.Time
+	Request      RequestID
 	Entry        EntryName
 	Version      Version
 	Organisation Organisation
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -78,6 +78,11 @@
 	Fingerprint uint64
 	// Deaths lists the endpoints that died with the fingerprint in progress.
 	Deaths []EndpointID
+	// Cleared lists those of the deaths of which the request was acquitted by a
+	// later answer. Both lists only grow.
+	Cleared []EndpointID
+	// Age is the time since the latest news of the fingerprint.
+	Age time.Duration
 }
 
 // Digest is what nodes tell each other in one exchange.
--- a/internal/qf/protocol/qfendpoint/clients.go
+++ b/internal/qf/protocol/qfendpoint/clients.go
@@ -1,7 +1,9 @@
 package qfendpoint
 
 import (
+	"errors"
 	"net/http"
+	"syscall"
 
 	"quetzalfront/internal/qf"
 )
@@ -37,3 +39,7 @@
 	}
 	return hop.TimeLeft.String()
 }
+
+// IsRefused reports whether a machine that lives answered that no process listens
+// there.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/qf/protocol/qfrequest/onceonly_world_test.go
+++ b/internal/qf/protocol/qfrequest/onceonly_world_test.go
@@ -213,6 +213,9 @@
 // AttemptEnded implements qfrequest.Observer.
 func (w *world) AttemptEnded(time.Time, qf.Observation) {}
 
+// AttemptBroke implements qfrequest.Observer.
+func (w *world) AttemptBroke(time.Time, *qf.Request, qf.Endpoint, error) {}
+
 // quietRouter learns nothing.
 type quietRouter struct{ qf.Router }
 
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,6 +21,9 @@
 // Observer learns how attempts went.
 type Observer interface {
 	AttemptEnded(now time.Time, observation qf.Observation)
+	// AttemptBroke is told at once of an attempt that broke, before another one
+	// starts. The error says whether it may have run.
+	AttemptBroke(now time.Time, request *qf.Request, endpoint qf.Endpoint, err error)
 }
 
 // Choosing picks an endpoint for a request; it joins version and route.
@@ -133,6 +137,9 @@
 	}
 	e.At = x.config.Timer.Now()
 	x.observe(e)
+	if e.Kind == EventBroken && e.Attempt == x.attempt && x.cancel != nil {
+		x.config.Observer.AttemptBroke(e.At, x.record.Request, x.choice.Endpoint, e.Err)
+	}
 	action := x.record.apply(e)
 	switch action.Kind {
 	case ActionStart:
@@ -239,6 +246,11 @@
 		return x.begin(now, planned.Choice, planned.Attempt, action.Cause)
 	}
 	choice, err := x.choose(now, action.Cause)
+	if wait := adviceToWait(err); wait > 0 {
+		x.delayed = action
+		x.retryAt = x.config.Timer.After(wait)
+		return true
+	}
 	if err != nil {
 		return x.handle(Event{Kind: EventNoEndpoint, Err: err})
 	}
@@ -251,6 +263,18 @@
 	return x.begin(now, choice, attempt, action.Cause)
 }
 
+// adviceToWait returns how long a choice is to be put off, or 0.
+func adviceToWait(err error) time.Duration {
+	if qf.CodeOf(err) != qf.CodeOverloaded {
+		return 0
+	}
+	var e *qf.Error
+	if errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
+
 // choose picks an endpoint. After a silent connection it is the same one.
 func (x *run) choose(now time.Time, cause StartCause) (qf.RouteChoice, error) {
 	if cause == StartReconnect {
@@ -260,7 +284,7 @@
 	}
 	offset := x.record.offset()
 	choice, err := x.config.Choosing.Choose(now, x.record.Request, offset, x.avoid)
-	if err != nil && len(x.avoid) > 0 {
+	if qf.CodeOf(err) == qf.CodeNoEndpoint && len(x.avoid) > 0 {
 		x.avoid = nil // Better an endpoint that failed before than none.
 		choice, err = x.config.Choosing.Choose(now, x.record.Request, offset, nil)
 	}
@@ -328,7 +352,7 @@
 func (x *run) observation(now time.Time, ok bool) qf.Observation {
 	r := x.record.Request
 	o := qf.Observation{
-		At: now, Entry: r.Entry, Version: x.choice.Endpoint.Version, Organisation: r.Organisation,
+		At: now, Request: r.ID, Entry: r.Entry, Version: x.choice.Endpoint.Version, Organisation: r.Organisation,
 		Region: x.choice.Endpoint.Region, Class: r.Class, Failed: !ok, Complete: ok, Tokens: x.tokens,
 		Took: now.Sub(x.startedAt),
 	}
--- a/internal/qf/protocol/qfrequest/silence_test.go
+++ b/internal/qf/protocol/qfrequest/silence_test.go
@@ -70,6 +70,9 @@
 // AttemptEnded implements qfrequest.Observer.
 func (s *site) AttemptEnded(time.Time, qf.Observation) {}
 
+// AttemptBroke implements qfrequest.Observer.
+func (s *site) AttemptBroke(time.Time, *qf.Request, qf.Endpoint, error) {}
+
 // TestSilentStream silences the connection of a stream after some tokens. The
 // answer is whole, and goes on at the same engine if that lives.
 func TestSilentStream(t *testing.T) {
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -55,6 +55,8 @@
 	RequestTaken    = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
 	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
 	LedgerSwept     = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
+	SuspectTried    = Event{207, warning, "a request suspected of crashing endpoints is tried apart", []string{FieldRequest, FieldEntry}, "Run report explain with the request."}
+	SuspectRefused  = Event{208, warning, "a request suspected of crashing endpoints is refused", []string{FieldRequest, FieldEntry}, "Find its caller; look at the endpoints' logs."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
@@ -67,6 +69,7 @@
 	return []Event{
 		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed,
 		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed, LedgerSwept,
+		SuspectTried, SuspectRefused,
 		CatalogueInUse, CatalogueFailed, PeerFailed, DepartureKnown, PlatformFailed,
 	}
 }
--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -182,8 +182,10 @@
 // Exchange implements qf.Peer.
 func (c *Client) Exchange(ctx context.Context, address netip.AddrPort, digest qf.Digest) (qf.Digest, error) {
 	var out ExchangeOut
-	_, err := c.call(ctx, address, "Exchange", ExchangeIn{Digest: digest}, &out)
-	return out.Digest, err
+	if _, err := c.call(ctx, address, "Exchange", ExchangeIn{Digest: digest}, &out); err != nil {
+		return qf.Digest{}, err // A late answer may still be written to out.
+	}
+	return out.Digest, nil
 }
 
 // HandOver implements qf.Peer.
@@ -222,6 +224,8 @@
 // Catalogue implements qf.Peer.
 func (c *Client) Catalogue(ctx context.Context, address netip.AddrPort, newerThan qf.Revision) ([]byte, qf.Revision, error) {
 	var out CatalogueOut
-	_, err := c.call(ctx, address, "Catalogue", CatalogueIn{NewerThan: newerThan}, &out)
-	return out.Snapshot, out.Revision, err
+	if _, err := c.call(ctx, address, "Catalogue", CatalogueIn{NewerThan: newerThan}, &out); err != nil {
+		return nil, 0, err // A late answer may still be written to out.
+	}
+	return out.Snapshot, out.Revision, nil
 }
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -33,6 +33,7 @@
 			LeaveWithin:           qfdocument.Duration(10 * time.Second),
 			LedgerCommitEvery:     qfdocument.Duration(20 * time.Millisecond),
 			MaxSuspectAttempts:    2,
+			SuspectsFor:           qfdocument.Duration(10 * time.Minute),
 		},
 		Peer: PeerSettings{
 			ExchangeEvery: qfdocument.Duration(500 * time.Millisecond),
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -92,6 +92,8 @@
 	// MaxSuspectAttempts bounds the attempts of a request that is suspected of
 	// crashing endpoints, over all nodes and repeats.
 	MaxSuspectAttempts int `validate:"min=1"`
+	// SuspectsFor is how long a suspicion lasts after its latest news.
+	SuspectsFor qfdocument.Duration `validate:"gt=0"`
 }
 
 // PeerSettings govern the exchange between nodes.
--- a/internal/standin/standworld/world.go
+++ b/internal/standin/standworld/world.go
@@ -148,7 +148,7 @@
 		handler = service.Handler()
 		s.leave = service.Leave
 	} else {
-		engine := standengine.New(w.Timer, endpoint, w.behaviourOf(vm.Version), func() { go w.Cloud.Crash(vm.ID) })
+		engine := standengine.New(w.Timer, endpoint, w.behaviourOf(vm.Version), func() { w.Cloud.Crash(vm.ID) })
 		handler = engine.Handler()
 		s.leave = engine.Leave
 	}
