qf: hand the network to nodes and stand-ins

Cause: scenarios on virtual time need connections that a test can cut, silence and delay; the adapters opened TCP on their own. Change: qf.Network (Dial, Listen) is handed to the node, its adapters and the stand-ins; the commands hand in TCP.

--- a/cmd/quetzalfront/node.go
+++ b/cmd/quetzalfront/node.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"quetzalfront/internal/node"
+	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/qfsettings"
 )
@@ -46,7 +47,7 @@
 	}
 	logger := newLogger(&settings.Log)
 	seed := uint64(time.Now().UnixNano()) //nolint:gosec // Any bits will do.
-	n := node.New(settings, node.Connect(settings, qftimer.NewWall(), logger, seed))
+	n := node.New(settings, node.Connect(settings, qftimer.NewWall(), qf.TCP(), logger, seed))
 	if err := n.Start(); err != nil {
 		return fail(err)
 	}
--- a/cmd/quetzalfront/standin.go
+++ b/cmd/quetzalfront/standin.go
@@ -7,6 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qfdocument"
 	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/standin/standworld"
@@ -29,7 +30,7 @@
 	if faults := qfdocument.Decode(data, fleet); len(faults) > 0 {
 		return printFaults(path, faults)
 	}
-	world := standworld.New(qftimer.NewWall())
+	world := standworld.New(qftimer.NewWall(), qf.TCP())
 	defer world.Close()
 	table, cloud, err := world.Serve(fleet.TableAddress, fleet.CloudAddress)
 	if err != nil {
--- a/internal/demo/stage.go
+++ b/internal/demo/stage.go
@@ -33,7 +33,7 @@
 // newStage starts the stand-ins and one node in each zone, applies the
 // catalogue, and waits until every node is ready.
 func newStage(ctx context.Context, d *Deployment, timer qf.Timer) (*stage, error) {
-	s := &stage{deployment: d, timer: timer, world: standworld.New(timer)}
+	s := &stage{deployment: d, timer: timer, world: standworld.New(timer, qf.TCP())}
 	table, cloud, err := s.world.Serve(anyPort, anyPort)
 	if err != nil {
 		return nil, err
@@ -87,7 +87,7 @@
 	settings.Feed.NoticesEvery = qfdocument.Duration(feedEvery)
 	settings.Feed.VMListEvery = qfdocument.Duration(feedEvery)
 	settings.Peer.ExchangeEvery = qfdocument.Duration(feedEvery)
-	n := node.New(settings, node.Connect(settings, s.timer, zerolog.Nop(), uint64(i+1)))
+	n := node.New(settings, node.Connect(settings, s.timer, qf.TCP(), zerolog.Nop(), uint64(i+1)))
 	if err := n.Start(); err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 // Platform holds the services that a node stands on. No field may be nil.
 type Platform struct {
 	Timer   qf.Timer
+	Network qf.Network
 	Table   qf.Table
 	VMList  qf.VMList
 	Cloud   qf.Cloud
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -22,17 +22,17 @@
 )
 
 // Connect returns the platform that the settings name.
-func Connect(settings *qfsettings.Settings, timer qf.Timer, logger zerolog.Logger, seed uint64) Platform {
+func Connect(settings *qfsettings.Settings, timer qf.Timer, network qf.Network, logger zerolog.Logger, seed uint64) Platform {
 	p := &settings.Platform
-	table := qftable.NewClient(p.Table, p.Timeout.Value())
-	cloud := qfcloud.NewClient(p.Cloud, p.VMList, p.Timeout.Value())
+	table := qftable.NewClient(p.Table, p.Timeout.Value(), network.Dial)
+	cloud := qfcloud.NewClient(p.Cloud, p.VMList, p.Timeout.Value(), network.Dial)
 	endpoints := &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout,
+		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
 	}}
 	return Platform{
-		Timer: timer, Table: table, VMList: cloud, Cloud: cloud,
+		Timer: timer, Network: network, Table: table, VMList: cloud, Cloud: cloud,
 		Engine: qfendpoint.NewEngine(endpoints), Service: qfendpoint.NewService(endpoints),
-		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), nil),
+		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), network.Dial, nil),
 		Ledger: qfledger.New(table), Logger: logger,
 		Random: rand.New(rand.NewPCG(seed, seed)),
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -46,8 +46,7 @@
 }
 
 func (n *Node) listen(address netip.AddrPort) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(n.ctx, "tcp", address.String())
+	listener, err := n.platform.Network.Listen(n.ctx, address)
 	if err != nil {
 		qfevent.ServerFailed.Log(&n.platform.Logger, address, err)
 		return nil, qf.NewError(qf.CodeUnavailable, qf.StepSettings, address.String(), err.Error())
--- a/internal/qf/state/qfcloud/client.go
+++ b/internal/qf/state/qfcloud/client.go
@@ -34,8 +34,9 @@
 }
 
 // NewClient returns a client. The timeout bounds one call.
-func NewClient(cloud, list netip.AddrPort, timeout time.Duration) *Client {
-	return &Client{cloud: cloud, list: list, client: &http.Client{Timeout: timeout}}
+func NewClient(cloud, list netip.AddrPort, timeout time.Duration, dial qf.Dial) *Client {
+	transport := &http.Transport{DialContext: dial}
+	return &Client{cloud: cloud, list: list, client: &http.Client{Timeout: timeout, Transport: transport}}
 }
 
 // Prices implements qf.Cloud.
--- a/internal/qf/state/qftable/client.go
+++ b/internal/qf/state/qftable/client.go
@@ -59,8 +59,8 @@
 
 // NewClient returns a client of the service at the address. The timeout bounds
 // one call.
-func NewClient(address netip.AddrPort, timeout time.Duration) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}
+func NewClient(address netip.AddrPort, timeout time.Duration, dial qf.Dial) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DialContext: dial}
 	client := &http.Client{Timeout: timeout, Transport: transport}
 	return &Client{
 		address: address,
--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -86,6 +86,7 @@
 type Client struct {
 	timer   qf.Timer
 	timeout time.Duration
+	network qf.Dial
 	// tls is nil if certificates are off.
 	tls *tls.Config
 
@@ -95,9 +96,9 @@
 
 // NewClient returns a client. The timeout bounds each call; a connection that
 // lets a call time out is closed, because it may have gone silent for good.
-func NewClient(timer qf.Timer, timeout time.Duration, config *tls.Config) *Client {
+func NewClient(timer qf.Timer, timeout time.Duration, dial qf.Dial, config *tls.Config) *Client {
 	return &Client{
-		timer: timer, timeout: timeout, tls: config,
+		timer: timer, timeout: timeout, network: dial, tls: config,
 		connections: map[netip.AddrPort]*rpc.Client{},
 	}
 }
@@ -135,11 +136,18 @@
 }
 
 func (c *Client) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: c.timeout}
-	if c.tls == nil {
-		return dialer.DialContext(ctx, "tcp", address.String())
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	raw, err := c.network(ctx, "tcp", address.String())
+	if err != nil || c.tls == nil {
+		return raw, err
 	}
-	return (&tls.Dialer{NetDialer: dialer, Config: c.tls}).DialContext(ctx, "tcp", address.String())
+	secured := tls.Client(raw, c.tls)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = raw.Close() // The handshake's error says more.
+		return nil, err
+	}
+	return secured, nil
 }
 
 func (c *Client) drop(address netip.AddrPort, connection *rpc.Client) {
--- a/internal/standin/standworld/server.go
+++ b/internal/standin/standworld/server.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
+
+	"quetzalfront/internal/qf"
 )
 
 // server is what runs on a stand-in VM.
@@ -14,8 +15,8 @@
 	leave   func()
 }
 
-func (s *server) start(handler http.Handler) error {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+func (s *server) start(listen qf.Listen, address netip.AddrPort, handler http.Handler) error {
+	listener, err := listen(context.Background(), address)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/standworld/world.go
+++ b/internal/standin/standworld/world.go
@@ -54,9 +54,12 @@
 
 // World is a platform with running endpoints.
 type World struct {
-	Timer qf.Timer
-	Table *standtable.Table
-	Cloud *standcloud.Cloud
+	Timer   qf.Timer
+	network qf.Network
+	// AddressIn returns the address at which a server in the zone listens.
+	AddressIn func(zone qf.AvailabilityZone) netip.AddrPort
+	Table     *standtable.Table
+	Cloud     *standcloud.Cloud
 
 	mu       sync.Mutex
 	journals map[qf.EntryName]*standservice.Journal
@@ -65,10 +68,12 @@
 	servers    []*http.Server
 }
 
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
 // New returns a world without VMs.
-func New(timer qf.Timer) *World {
+func New(timer qf.Timer, network qf.Network) *World {
 	w := &World{
-		Timer: timer, Table: standtable.New(timer),
+		Timer: timer, network: network, AddressIn: func(qf.AvailabilityZone) netip.AddrPort { return loopback }, Table: standtable.New(timer),
 		journals:   map[qf.EntryName]*standservice.Journal{},
 		behaviours: map[qf.Version]standengine.Behaviour{},
 	}
@@ -152,7 +157,7 @@
 		handler = engine.Handler()
 		s.leave = engine.Leave
 	}
-	return s, s.start(handler)
+	return s, s.start(w.network.Listen, w.AddressIn(vm.AvailabilityZone), handler)
 }
 
 func (w *World) behaviourOf(version qf.Version) standengine.Behaviour {
@@ -176,7 +181,7 @@
 }
 
 func (w *World) open(address netip.AddrPort, handler http.Handler) (netip.AddrPort, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address.String())
+	listener, err := w.network.Listen(context.Background(), address)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
