scenario: run scripted scenarios on virtual time over a network in memory

Change: standnet (connections that a test cuts or silences), a testscript language on testing/synctest with the real node, transports and library.

--- /dev/null
+++ b/internal/scenario/commands_test.go
@@ -0,0 +1,304 @@
+package scenario
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	fixtures "quetzalfront"
+	"quetzalfront/internal/node"
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/standin/standcloud"
+	"quetzalfront/internal/standin/standnet"
+	"quetzalfront/internal/standin/standtable"
+)
+
+// script is the state of one script.
+type script struct {
+	t *testing.T
+	d *deployment
+	// verdicts holds what became of the edits, by name.
+	verdicts map[string]qfcatalogue.Verdict
+	since    time.Time
+}
+
+type commandFunc func(ts *testscript.TestScript, args []string) error
+
+// commands returns the language of the scripts. CONTRIBUTING.md lists it.
+func commands(t *testing.T) map[string]func(*testscript.TestScript, bool, []string) {
+	s := &script{t: t, verdicts: map[string]qfcatalogue.Verdict{}}
+	table := map[string]commandFunc{
+		"deploy":  s.deploy,
+		"start":   s.start,
+		"kill":    s.kill,
+		"stop":    s.stop,
+		"reclaim": s.reclaim,
+		"crash":   s.crash,
+		"store":   s.store,
+		"list":    s.list,
+		"network": s.networkFault,
+		"apply":   s.apply,
+		"stream":  s.stream,
+		"call":    s.call,
+		"advance": s.advance,
+		"tokens":  s.tokens,
+		"answers": s.answers,
+		"mark":    s.mark,
+		"expect":  s.expect,
+	}
+	out := map[string]func(*testscript.TestScript, bool, []string){}
+	for name, f := range table {
+		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			err := f(ts, args)
+			if neg && err == nil {
+				ts.Fatalf("%s succeeded, but should not", name)
+			}
+			if !neg {
+				ts.Check(err)
+			}
+		}
+	}
+	return out
+}
+
+// deploy NAME starts a deployment with a node in each zone and its catalogue.
+func (s *script) deploy(_ *testscript.TestScript, args []string) error {
+	d, err := newDeployment(s.t, args[0])
+	if err != nil {
+		return err
+	}
+	s.d = d
+	for i, zone := range d.zones {
+		if err := d.startNode(fmt.Sprintf("node-%d", i+1), zone); err != nil {
+			return err
+		}
+	}
+	data, err := fixtures.Fixtures.ReadFile("_fixtures/" + args[0] + ".toml")
+	if err != nil {
+		return err
+	}
+	if verdict := s.edit("node-1", "operator", 0, data); verdict.Err != nil {
+		return verdict.Err
+	}
+	return s.eventually("all nodes to be ready", func(n *node.Node) bool {
+		return n.IsReady() && len(n.Endpoints()) > 0 && len(n.Addresses("")) == len(d.nodes)
+	})
+}
+
+// eventually waits until a condition holds for every node.
+func (s *script) eventually(what string, holds func(n *node.Node) bool) error {
+	_, err := s.d.eventually(what, func() bool {
+		for _, n := range s.d.nodes {
+			if !holds(n) {
+				return false
+			}
+		}
+		return true
+	})
+	return err
+}
+
+// start NODE ZONE starts a node.
+func (s *script) start(_ *testscript.TestScript, args []string) error {
+	return s.d.startNode(args[0], qf.AvailabilityZone(args[1]))
+}
+
+// kill NODE ends a node without notice.
+func (s *script) kill(_ *testscript.TestScript, args []string) error { return s.d.killNode(args[0]) }
+
+// stop NODE begins a planned stop.
+func (s *script) stop(_ *testscript.TestScript, args []string) error {
+	n := s.d.nodes[args[0]]
+	if n == nil {
+		return fmt.Errorf("no node %q", args[0])
+	}
+	go n.Stop("planned")
+	return nil
+}
+
+// reclaim zone ZONE NOTICE | reclaim entry ENTRY COUNT NOTICE
+func (s *script) reclaim(_ *testscript.TestScript, args []string) error {
+	notice, err := time.ParseDuration(args[len(args)-1])
+	if err != nil {
+		return err
+	}
+	if args[0] == "zone" {
+		s.d.world.Cloud.ReclaimZone(qf.AvailabilityZone(args[1]), notice)
+		return nil
+	}
+	count, err := strconv.Atoi(args[2])
+	if err != nil {
+		return err
+	}
+	s.d.world.Cloud.Reclaim(s.vmsOf(qf.EntryName(args[1]), count), notice)
+	return nil
+}
+
+func (s *script) vmsOf(entry qf.EntryName, count int) []qf.VMID {
+	vms, err := s.d.world.Cloud.VMs(s.t.Context())
+	if err != nil {
+		return nil
+	}
+	var ids []qf.VMID
+	for i := range vms {
+		if vms[i].Entry == entry && vms[i].State == qf.VMLive && len(ids) < count {
+			ids = append(ids, vms[i].ID)
+		}
+	}
+	return ids
+}
+
+// crash ENTRY COUNT ends endpoints without notice.
+func (s *script) crash(_ *testscript.TestScript, args []string) error {
+	count, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	for _, id := range s.vmsOf(qf.EntryName(args[0]), count) {
+		s.d.world.Cloud.Crash(id)
+	}
+	return nil
+}
+
+// store up | down | slow D | lose N | late N D sets the table service's fault.
+func (s *script) store(_ *testscript.TestScript, args []string) error {
+	var f standtable.Faults
+	var err error
+	switch args[0] {
+	case "up":
+	case "down":
+		f.Down = true
+	case "slow":
+		f.Delay, err = time.ParseDuration(args[1])
+	case "lose":
+		f.LoseAnswers, err = strconv.Atoi(args[1])
+	case "late":
+		if f.ApplyLate, err = strconv.Atoi(args[1]); err == nil {
+			f.LateBy, err = time.ParseDuration(args[2])
+		}
+	default:
+		err = fmt.Errorf("no such fault: %s", args[0])
+	}
+	s.d.world.Table.SetFaults(f)
+	return err
+}
+
+// list lag D | list down sets the fault of the cloud API and the VM list.
+func (s *script) list(_ *testscript.TestScript, args []string) error {
+	var f standcloud.Faults
+	var err error
+	if args[0] == "down" {
+		f.Down = true
+	} else {
+		f.ListLag, err = time.ParseDuration(args[1])
+	}
+	s.d.world.Cloud.SetFaults(f)
+	return err
+}
+
+// network cut ZONE ZONE | isolate ZONE | silence ZONE | heal. Two zones that are
+// cut lose each other; an isolated one loses all others and the platform; a
+// silenced one's open connections go silent for good.
+func (s *script) networkFault(_ *testscript.TestScript, args []string) error {
+	if args[0] == "heal" {
+		s.d.network.Heal()
+		return nil
+	}
+	one := s.d.addressIn(qf.AvailabilityZone(args[1]))
+	around := standnet.Link(func(a, b netip.Addr) bool { return (a == one) != (b == one) })
+	switch args[0] {
+	case "isolate":
+		s.d.network.Cut(around)
+	case "silence":
+		s.d.network.Silence(around)
+	case "cut":
+		other := s.d.addressIn(qf.AvailabilityZone(args[2]))
+		s.d.network.Cut(func(a, b netip.Addr) bool {
+			return (a == one && b == other) || (a == other && b == one)
+		})
+	default:
+		return fmt.Errorf("no such fault: %s", args[0])
+	}
+	return nil
+}
+
+// apply NAME NODE OPERATOR BASE FILE edits the catalogue and keeps the verdict
+// under the name.
+func (s *script) apply(ts *testscript.TestScript, args []string) error {
+	base, err := strconv.ParseUint(args[3], 10, 64)
+	if err != nil {
+		return err
+	}
+	s.verdicts[args[0]] = s.edit(args[1], args[2], qf.Revision(base), []byte(ts.ReadFile(args[4])))
+	return nil
+}
+
+func (s *script) edit(id, operator string, base qf.Revision, data []byte) qfcatalogue.Verdict {
+	document, faults := qfcatalogue.Parse(data)
+	if len(faults) > 0 {
+		return qfcatalogue.Verdict{State: qfcatalogue.EditRefused, Err: fmt.Errorf("catalogue: %s", faults[0])}
+	}
+	return s.d.nodes[id].Apply(s.t.Context(), qfcatalogue.Edit{
+		ID: qfcatalogue.NewEditID(), Operator: operator, Base: base, Document: *document,
+	})
+}
+
+// stream COUNT TOKENS ORGANISATION PROMPT sends chats in the background.
+func (s *script) stream(_ *testscript.TestScript, args []string) error {
+	count, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	tokens, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	s.d.stream(count, tokens, args[2], args[3])
+	return nil
+}
+
+// call NAME KEY PATH BODY [NODE...] sends a plain call in the background.
+func (s *script) call(_ *testscript.TestScript, args []string) error {
+	s.d.call(args[0], args[1], args[2], args[3], args[4:]...)
+	return nil
+}
+
+// advance D lets time pass.
+func (s *script) advance(_ *testscript.TestScript, args []string) error {
+	d, err := time.ParseDuration(args[0])
+	time.Sleep(d)
+	return err
+}
+
+// tokens N waits until callers have so many tokens in all.
+func (s *script) tokens(_ *testscript.TestScript, args []string) error {
+	want, err := strconv.ParseInt(args[0], 10, 64)
+	if err != nil {
+		return err
+	}
+	_, err = s.d.eventually("tokens", func() bool { return s.d.sendings.tokens.Load() >= want })
+	return err
+}
+
+// answers N waits for all requests; N streams must have ended, each whole.
+func (s *script) answers(_ *testscript.TestScript, args []string) error {
+	n, err := s.d.answers()
+	if err == nil && strconv.Itoa(n) != args[0] {
+		err = fmt.Errorf("%d streams ended, not %s", n, args[0])
+	}
+	return err
+}
+
+// mark starts a measurement of time for expect within.
+func (s *script) mark(_ *testscript.TestScript, _ []string) error {
+	s.since = s.d.timer.Now()
+	return nil
+}
+
+func joined(args []string) string { return strings.Join(args, " ") }
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,37 @@
+package scenario
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestScripts runs every script in a bubble of its own, in which time passes
+// only while all goroutines wait.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/script/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".txtar")
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				testscript.RunT(&inline{t}, testscript.Params{Files: []string{file}, Cmds: commands(t)})
+			})
+		})
+	}
+}
+
+// inline makes testscript run its one script in the calling goroutine, because
+// a bubble can't have subtests.
+type inline struct{ *testing.T }
+
+func (i *inline) Run(_ string, f func(testscript.T)) { f(i) }
+
+func (i *inline) Parallel() {}
+
+func (i *inline) Verbose() bool { return testing.Verbose() }
--- /dev/null
+++ b/internal/scenario/send_test.go
@@ -0,0 +1,157 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/standin/standengine"
+	"quetzalfront/pkg/qfapi"
+	"quetzalfront/pkg/qfclient"
+)
+
+// sendings are the requests that a script has sent.
+type sendings struct {
+	group  sync.WaitGroup
+	tokens atomic.Int64
+	mu     sync.Mutex
+	// errs holds the errors of streams, calls those of calls by name.
+	errs  []error
+	calls map[string][]callResult
+}
+
+type callResult struct {
+	answer qfclient.CallAnswer
+	err    error
+	took   time.Duration
+}
+
+// callerAddress is where callers stand: outside every zone.
+var callerAddress = netip.MustParseAddr("10.8.0.1")
+
+const callerPatience = 2 * time.Minute
+
+// client returns a caller's client that knows the given nodes, or all of them.
+func (d *deployment) client(organisation string, nodes ...string) *qfclient.Client {
+	var seeds []netip.AddrPort
+	for id, n := range d.nodes {
+		if len(nodes) == 0 || contains(nodes, id) {
+			seeds = append(seeds, n.Self().CallerAddress)
+		}
+	}
+	network := d.network.From(callerAddress)
+	return qfclient.New(qfclient.Options{
+		Seeds: seeds, Organisation: organisation, Timer: d.timer,
+		HTTP: &http.Client{Transport: &http.Transport{DialContext: network.Dial, DisableKeepAlives: true}},
+	})
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// stream sends chats in the background and compares each answer with the
+// reference.
+func (d *deployment) stream(count, tokens int, organisation, prompt string) {
+	client := d.client(organisation)
+	s := &d.sendings
+	for i := range count {
+		s.group.Go(func() {
+			err := chatOnce(client, fmt.Sprintf("%s %d", prompt, i), tokens, &s.tokens)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.errs = append(s.errs, err)
+		})
+	}
+}
+
+func chatOnce(client *qfclient.Client, prompt string, tokens int, counter *atomic.Int64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+	defer cancel()
+	answer, err := client.Chat(ctx, qfapi.ChatRequest{
+		Model: "assistant", MaxTokens: tokens,
+		Messages: []qfapi.ChatMessage{{Role: "user", Content: prompt}},
+	}, func(string) { counter.Add(1) })
+	if err != nil {
+		return fmt.Errorf("request %s: %w", answer.RequestID, err)
+	}
+	want := standengine.Reference([]qf.Message{{Role: "user", Content: prompt}}, tokens)
+	if answer.Text != strings.Join(want, "") {
+		return fmt.Errorf("request %s: the answer differs from the reference", answer.RequestID)
+	}
+	return nil
+}
+
+// answers waits for all streams.
+func (d *deployment) answers() (int, error) {
+	s := &d.sendings
+	s.group.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.errs)
+	err := errors.Join(s.errs...)
+	s.errs = nil
+	return n, err
+}
+
+// call sends a plain call in the background under a name.
+func (d *deployment) call(name, key, path, body string, nodes ...string) {
+	client := d.client("ward-office", nodes...)
+	s := &d.sendings
+	s.group.Go(func() {
+		start := d.timer.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+		defer cancel()
+		answer, err := client.Do(ctx, qfclient.Call{
+			Entry: d.register(), Method: http.MethodPost, Path: path, IdempotencyKey: key, Body: []byte(body),
+		})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.calls == nil {
+			s.calls = map[string][]callResult{}
+		}
+		s.calls[name] = append(s.calls[name], callResult{answer: answer, err: err, took: d.timer.Now().Sub(start)})
+	})
+}
+
+// register returns the name of the deployment's plain service.
+func (d *deployment) register() string {
+	if d.name == "lanka" {
+		return "registry"
+	}
+	return "register"
+}
+
+// outcomeOf returns how a named call ended.
+func outcomeOf(r callResult) qf.FinalOutcome {
+	switch {
+	case r.err == nil:
+		return qf.OutcomeAnswered
+	case qf.RanOf(r.err) == qf.RanNo:
+		return qf.OutcomeNotRun
+	default:
+		return qf.OutcomeUnknown
+	}
+}
+
+func (d *deployment) executions(body string) int {
+	n := 0
+	for _, e := range d.world.Journal(qf.EntryName(d.register())).Executions() {
+		if e.Body == body {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/scenario/world_test.go
@@ -0,0 +1,145 @@
+package scenario
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	fixtures "quetzalfront"
+	"quetzalfront/internal/node"
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfdocument"
+	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/qfsettings"
+	"quetzalfront/internal/standin/standcloud"
+	"quetzalfront/internal/standin/standnet"
+	"quetzalfront/internal/standin/standworld"
+)
+
+// deployment is one of the two users' deployments in a bubble.
+type deployment struct {
+	t       *testing.T
+	name    string
+	timer   qf.Timer
+	network *standnet.Network
+	world   *standworld.World
+	zones   []qf.AvailabilityZone
+	nodes   map[string]*node.Node
+	// table and cloud are the platform's addresses.
+	table, cloud netip.AddrPort
+	// starts counts the starts of nodes, for their seeds.
+	starts   uint64
+	sendings sendings
+}
+
+var zonesOf = map[string][]qf.AvailabilityZone{
+	"lahore": {"lahore-north-a", "lahore-south-a", "lahore-west-a"},
+	"lanka":  {"lanka-east-a", "lanka-north-a", "lanka-south-a"},
+}
+
+// platformAddress is outside every zone.
+var platformAddress = netip.MustParseAddr("10.9.0.1")
+
+func newDeployment(t *testing.T, name string) (*deployment, error) {
+	d := &deployment{
+		t: t, name: name, timer: qftimer.NewWall(), network: standnet.New(),
+		zones: zonesOf[name], nodes: map[string]*node.Node{},
+	}
+	d.world = standworld.New(d.timer, d.network.From(platformAddress))
+	d.world.AddressIn = func(zone qf.AvailabilityZone) netip.AddrPort { return netip.AddrPortFrom(d.addressIn(zone), 0) }
+	any := netip.AddrPortFrom(platformAddress, 0)
+	var err error
+	if d.table, d.cloud, err = d.world.Serve(any, any); err != nil {
+		return nil, err
+	}
+	t.Cleanup(d.close)
+	return d, d.populate()
+}
+
+// addressIn returns the address of all machines in a zone.
+func (d *deployment) addressIn(zone qf.AvailabilityZone) netip.Addr {
+	for i, z := range d.zones {
+		if z == zone {
+			return netip.AddrFrom4([4]byte{10, byte(i + 1), 0, 1})
+		}
+	}
+	return platformAddress
+}
+
+func (d *deployment) populate() error {
+	data, err := fixtures.Fixtures.ReadFile("_fixtures/" + d.name + "-fleet.toml")
+	if err != nil {
+		return err
+	}
+	fleet := &standworld.Fleet{}
+	if faults := qfdocument.Decode(data, fleet); len(faults) > 0 {
+		return fmt.Errorf("fleet: %s", faults[0])
+	}
+	fleet.Nodes = nil
+	return d.world.Populate(d.t.Context(), fleet)
+}
+
+// startNode starts a node in a zone with nothing but its settings.
+func (d *deployment) startNode(id string, zone qf.AvailabilityZone) error {
+	d.starts++
+	s := qfsettings.Default()
+	port := netip.AddrPortFrom(d.addressIn(zone), 0)
+	s.Node = qfsettings.NodeSettings{
+		ID: id, Region: string(standcloud.RegionOf(zone)), AvailabilityZone: string(zone),
+		CallerAddress: port, PeerAddress: port, OperatorAddress: port,
+	}
+	s.Platform.Table, s.Platform.Cloud, s.Platform.VMList = d.table, d.cloud, d.cloud
+	s.Security.Insecure = true
+	for _, peer := range d.nodes {
+		s.Node.Seeds = append(s.Node.Seeds, peer.Self().PeerAddress)
+	}
+	platform := node.Connect(s, d.timer, d.network.From(d.addressIn(zone)), zerolog.Nop(), d.starts)
+	n := node.New(s, platform)
+	if err := n.Start(); err != nil {
+		return err
+	}
+	d.nodes[id] = n
+	self := n.Self()
+	d.world.Cloud.Register(standworld.NodeVM(qf.VMID(id), zone, self.CallerAddress, self.PeerAddress), nil)
+	return nil
+}
+
+// killNode ends a node without notice.
+func (d *deployment) killNode(id string) error {
+	n := d.nodes[id]
+	if n == nil {
+		return fmt.Errorf("no node %q", id)
+	}
+	delete(d.nodes, id)
+	n.Kill()
+	return nil
+}
+
+func (d *deployment) close() {
+	for _, n := range d.nodes {
+		n.Kill()
+	}
+	d.world.Close()
+	d.network.Close()
+}
+
+const (
+	// patience is virtual time; it only ends a scenario that has failed.
+	patience = 5 * time.Minute
+	step     = 20 * time.Millisecond
+)
+
+// eventually waits for a condition and returns how long that took.
+func (d *deployment) eventually(what string, holds func() bool) (time.Duration, error) {
+	start := d.timer.Now()
+	for !holds() {
+		if d.timer.Now().Sub(start) > patience {
+			return 0, fmt.Errorf("waited in vain for %s", what)
+		}
+		time.Sleep(step)
+	}
+	return d.timer.Now().Sub(start), nil
+}
