--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -70,6 +70,9 @@
 		}
 		return
 	}
+	if !n.isNewerListing(asOf) {
+		return
+	}
 	now := n.now()
 	var endpoints []qf.Endpoint
 	for i := range vms {
@@ -90,6 +93,14 @@
 	n.router.SetEndpoints(endpoints)
 }
 
+// isNewerListing reports whether a listing isn't older than the one in use: a
+// list whose lag grows must not bring a former state back.
+func (n *Node) isNewerListing(asOf time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !asOf.Before(n.listAsOf)
+}
+
 func endpointOf(vm *qf.VM) qf.Endpoint {
 	kind := qf.KindModelEngine
 	if vm.Role == qf.RolePlainService {
--- a/internal/standin/standengine/engine.go
+++ b/internal/standin/standengine/engine.go
@@ -96,6 +96,9 @@
 	e.behaviour = behaviour
 }
 
+// Version returns the version that the engine was started with.
+func (e *Engine) Version() qf.Version { return e.self.Version }
+
 // Reference returns the tokens of the right answer.
 func Reference(messages []qf.Message, maxTokens int) []string {
 	tokens := make([]string, 0, maxTokens)
--- a/internal/standin/standnet/conn.go
+++ b/internal/standin/standnet/conn.go
@@ -99,7 +99,7 @@
 // of it; only this end's calls return.
 func (e *end) Close() error {
 	if e.pair.silent.Load() {
-		return e.Conn.SetDeadline(past)
+		return e.SetDeadline(past)
 	}
 	e.pair.close()
 	return nil
--- a/internal/standin/standworld/world.go
+++ b/internal/standin/standworld/world.go
@@ -63,7 +63,9 @@
 
 	mu       sync.Mutex
 	journals map[qf.EntryName]*standservice.Journal
-	// behaviours holds how new engines of a version behave.
+	engines  map[qf.VMID]*standengine.Engine
+	services map[qf.VMID]*standservice.Service
+	// behaviours holds how the engines of a version behave.
 	behaviours map[qf.Version]standengine.Behaviour
 	servers    []*http.Server
 }
@@ -76,16 +78,35 @@
 		Timer: timer, network: network, AddressIn: func(qf.AvailabilityZone) netip.AddrPort { return loopback }, Table: standtable.New(timer),
 		journals:   map[qf.EntryName]*standservice.Journal{},
 		behaviours: map[qf.Version]standengine.Behaviour{},
+		engines:    map[qf.VMID]*standengine.Engine{},
+		services:   map[qf.VMID]*standservice.Service{},
 	}
 	w.Cloud = standcloud.New(timer, nil, w.launch)
 	return w
 }
 
-// SetBehaviour says how engines of a version that start from now on behave.
+// SetBehaviour says how the engines of a version behave from now on.
 func (w *World) SetBehaviour(version qf.Version, behaviour standengine.Behaviour) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.behaviours[version] = behaviour
+	for _, e := range w.engines {
+		if e.Version() == version {
+			e.SetBehaviour(behaviour)
+		}
+	}
+}
+
+// Behaviour returns how the engines of a version behave.
+func (w *World) Behaviour(version qf.Version) standengine.Behaviour { return w.behaviourOf(version) }
+
+// SetServiceBehaviour says how the services that run now behave from now on.
+func (w *World) SetServiceBehaviour(behaviour standservice.Behaviour) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.services {
+		s.SetBehaviour(behaviour)
+	}
 }
 
 // Journal returns the executions of an entry's services.
@@ -150,16 +171,28 @@
 	var handler http.Handler
 	if vm.Role == qf.RolePlainService {
 		service := standservice.New(w.Timer, endpoint, standservice.Behaviour{}, w.Journal(vm.Entry))
+		w.keep(vm.ID, nil, service)
 		handler = service.Handler()
 		s.leave = service.Leave
 	} else {
 		engine := standengine.New(w.Timer, endpoint, w.behaviourOf(vm.Version), func() { go w.Cloud.Crash(vm.ID) })
+		w.keep(vm.ID, engine, nil)
 		handler = engine.Handler()
 		s.leave = engine.Leave
 	}
 	return s, s.start(w.network.Listen, w.AddressIn(vm.AvailabilityZone), handler)
 }
 
+func (w *World) keep(vm qf.VMID, engine *standengine.Engine, service *standservice.Service) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if engine != nil {
+		w.engines[vm] = engine
+		return
+	}
+	w.services[vm] = service
+}
+
 func (w *World) behaviourOf(version qf.Version) standengine.Behaviour {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -204,6 +237,7 @@
 	for _, s := range w.servers {
 		_ = s.Close() // It is given up either way.
 	}
+	w.Cloud.SetFaults(standcloud.Faults{}) // A cloud that is down would keep its VMs.
 	vms, _ := w.Cloud.VMs(context.Background())
 	for i := range vms {
 		w.Cloud.Crash(vms[i].ID)
