--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -69,12 +69,19 @@
 	return out
 }
 
-// deploy NAME starts a deployment with a node in each zone and its catalogue.
+// deploy NAME [FACTOR] starts a deployment with a node in each zone and its
+// catalogue. The factor stretches all intervals of the nodes, so that a script
+// can let hours pass.
 func (s *script) deploy(_ *testscript.TestScript, args []string) error {
 	d, err := newDeployment(s.t, args[0])
 	if err != nil {
 		return err
 	}
+	if len(args) > 1 {
+		if d.stretch, err = strconv.Atoi(args[1]); err != nil {
+			return err
+		}
+	}
 	s.d = d
 	for i, zone := range d.zones {
 		if err := d.startNode(fmt.Sprintf("node-%d", i+1), zone); err != nil {
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -31,7 +31,9 @@
 	// table and cloud are the platform's addresses.
 	table, cloud netip.AddrPort
 	// starts counts the starts of nodes, for their seeds.
-	starts   uint64
+	starts uint64
+	// stretch multiplies the intervals of the nodes; it is at least 1.
+	stretch  int
 	sendings sendings
 }
 
@@ -45,7 +47,7 @@
 
 func newDeployment(t *testing.T, name string) (*deployment, error) {
 	d := &deployment{
-		t: t, name: name, timer: qftimer.NewWall(), network: standnet.New(),
+		t: t, name: name, stretch: 1, timer: qftimer.NewWall(), network: standnet.New(),
 		zones: zonesOf[name], nodes: map[string]*node.Node{},
 	}
 	d.world = standworld.New(d.timer, d.network.From(platformAddress))
@@ -93,6 +95,12 @@
 	}
 	s.Platform.Table, s.Platform.Cloud, s.Platform.VMList = d.table, d.cloud, d.cloud
 	s.Security.Insecure = true
+	for _, interval := range []*qfdocument.Duration{
+		&s.Feed.CatalogueEvery, &s.Feed.VMListEvery, &s.Feed.NoticesEvery, &s.Feed.LoadEvery,
+		&s.Peer.ExchangeEvery, &s.Peer.SuspectAfter, &s.Peer.DeadAfter,
+	} {
+		*interval *= qfdocument.Duration(d.stretch)
+	}
 	for _, peer := range d.nodes {
 		s.Node.Seeds = append(s.Node.Seeds, peer.Self().PeerAddress)
 	}
