settings: report every fault at once, and refuse durations without a unit

Cause: the decoder stops at the first value that it can't take, so that a file with three wrong values needed three runs; a bare number (Timeout = 5) was taken for nanoseconds; rules over several keys and array tables named line 0.

--- a/cmd/quetzalfront/script_test.go
+++ b/cmd/quetzalfront/script_test.go
@@ -41,6 +41,7 @@
 			"answers":   awaitAnswers,
 			"signal":    sendSignal,
 			"file":      fileOnce,
+			"exitcode":  expectExitCode,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Values[chatsKey{}] = &chats{}
--- a/internal/qf/state/qfdocument/document.go
+++ b/internal/qf/state/qfdocument/document.go
@@ -3,7 +3,6 @@
 package qfdocument
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"sort"
@@ -12,11 +11,12 @@
 
 	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
 )
 
 // Fault is one thing that is wrong with a document.
 type Fault struct {
-	// Line counts from 1; 0 means that the fault isn't at one line.
+	// Line counts from 1. A fault that isn't at one line stands at line 1.
 	Line int
 	// Key is the full path, such as "Entries[0].Name".
 	Key string
@@ -32,11 +32,20 @@
 // Duration is a time.Duration that documents write as "1.5s".
 type Duration time.Duration
 
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
+// UnmarshalTOML implements unstable.Unmarshaler. Without it the decoder would
+// take a bare number, which has no unit, for nanoseconds.
+func (d *Duration) UnmarshalTOML(data []byte) error {
+	var raw struct{ Value any }
+	if err := toml.Unmarshal(append([]byte("Value = "), data...), &raw); err != nil {
+		return errors.New("expected a duration, not a table") // The data of a value always parses.
+	}
+	text, _ := raw.Value.(string)
+	parsed, err := time.ParseDuration(text)
 	if err != nil {
-		return fmt.Errorf("expected a duration with a unit, such as \"250ms\" or \"2s\", not %q", text)
+		return &unstable.ParserError{
+			Highlight: data, Key: []string{"Duration"},
+			Message: fmt.Sprintf("expected a duration with a unit, such as \"250ms\" or \"2s\", not %s", data),
+		}
 	}
 	*d = Duration(parsed)
 	return nil
@@ -54,48 +63,28 @@
 // types and failed validation are all faults; they are ordered by line. The
 // content must not be used unless there are none.
 func Decode(data []byte, into any) []Fault {
-	d := toml.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	index := NewLineIndex(data)
-	faults := decodeFaults(d.Decode(into))
-	if len(faults) == 0 || onlyUnknownKeys(faults) {
-		faults = append(faults, Validate(into, index)...)
+	index := newLineIndex(data)
+	faults := decodeAll(data, into, index)
+	if !isSyntaxFault(faults) {
+		faults = append(faults, validateRest(into, index, faults)...)
 	}
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
 	return faults
 }
 
-const expectedKnownKey = "unknown key; remove it or correct its spelling"
-
-func onlyUnknownKeys(faults []Fault) bool {
-	for _, f := range faults {
-		if f.Expected != expectedKnownKey {
-			return false
-		}
+// validateRest validates the keys that decoding found no fault with.
+func validateRest(into any, index *lineIndex, known []Fault) []Fault {
+	wrong := map[string]bool{}
+	for _, f := range known {
+		wrong[f.Key] = true
 	}
-	return true
-}
-
-func decodeFaults(err error) []Fault {
-	if err == nil {
-		return nil
-	}
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		faults := make([]Fault, 0, len(strict.Errors))
-		for i := range strict.Errors {
-			e := &strict.Errors[i]
-			row, _ := e.Position()
-			faults = append(faults, Fault{Line: row, Key: strings.Join(e.Key(), "."), Expected: expectedKnownKey})
+	var faults []Fault
+	for _, f := range Validate(into, index) {
+		if !wrong[f.Key] {
+			faults = append(faults, f)
 		}
-		return faults
-	}
-	var syntax *toml.DecodeError
-	if errors.As(err, &syntax) {
-		row, _ := syntax.Position()
-		return []Fault{{Line: row, Key: strings.Join(syntax.Key(), "."), Expected: strings.TrimPrefix(syntax.Error(), "toml: ")}}
 	}
-	return []Fault{{Expected: strings.TrimPrefix(err.Error(), "toml: ")}}
+	return faults
 }
 
 // LineIndex finds the line of a key.
@@ -103,10 +92,12 @@
 	Line(key string) int
 }
 
+// validate caches what it learns of each struct type.
+var validate = validator.New(validator.WithRequiredStructEnabled())
+
 // Validate checks the struct's validate tags. The index may be nil.
 func Validate(document any, index LineIndex) []Fault {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	err := v.Struct(document)
+	err := validate.Struct(document)
 	var failed validator.ValidationErrors
 	if !errors.As(err, &failed) {
 		return nil
@@ -117,7 +108,7 @@
 		if _, rest, ok := strings.Cut(key, "."); ok {
 			key = rest
 		}
-		fault := Fault{Key: key, Expected: expectation(f)}
+		fault := Fault{Line: firstLine, Key: key, Expected: expectation(f)}
 		if index != nil {
 			fault.Line = index.Line(key)
 		}
@@ -142,6 +133,6 @@
 	case "unique":
 		return fmt.Sprintf("expected each %s only once", f.Param())
 	default:
-		return fmt.Sprintf("expected %s %s", f.Tag(), f.Param())
+		return strings.TrimSpace(fmt.Sprintf("expected %s %s", f.Tag(), f.Param()))
 	}
 }
--- a/internal/qf/state/qfdocument/lines.go
+++ b/internal/qf/state/qfdocument/lines.go
@@ -2,19 +2,29 @@
 
 import (
 	"fmt"
+	"sort"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// lineIndex maps full keys to lines.
+// firstLine is the line of faults that aren't at any one line.
+const firstLine = 1
+
+// lineIndex maps full keys to lines and back.
 type lineIndex struct {
 	lines map[string]int
+	// pairs holds the key of the key-value pair that starts at a line.
+	pairs map[int]string
+	// starts holds the first lines of all expressions, in order.
+	starts []int
 }
 
 // NewLineIndex returns an index of the keys in a TOML document.
-func NewLineIndex(data []byte) LineIndex {
-	x := &lineIndex{lines: map[string]int{}}
+func NewLineIndex(data []byte) LineIndex { return newLineIndex(data) }
+
+func newLineIndex(data []byte) *lineIndex {
+	x := &lineIndex{lines: map[string]int{}, pairs: map[int]string{}}
 	counts := map[string]int{}
 	table := ""
 	p := &unstable.Parser{}
@@ -22,6 +32,9 @@
 	for p.NextExpression() {
 		e := p.Expression()
 		names, line := keyOf(p, e)
+		if line > 0 {
+			x.starts = append(x.starts, line)
+		}
 		switch e.Kind {
 		case unstable.Table:
 			table = indexedKey(names, counts)
@@ -32,7 +45,9 @@
 			table = indexedKey(names, counts)
 			x.lines[table] = line
 		case unstable.KeyValue:
-			x.lines[join(table, strings.Join(names, "."))] = line
+			key := join(table, strings.Join(names, "."))
+			x.lines[key] = line
+			x.pairs[line] = key
 		}
 	}
 	return x
@@ -70,17 +85,42 @@
 	return parent + "." + name
 }
 
-// Line returns the line of the key or of the nearest table around it.
+// Line returns the line of the key, of its first element if it is an array of
+// tables, or of the nearest table around it.
 func (x *lineIndex) Line(key string) int {
 	for key != "" {
 		if line, ok := x.lines[key]; ok {
 			return line
 		}
+		if line, ok := x.lines[key+"[0]"]; ok {
+			return line
+		}
 		cut := strings.LastIndexAny(key, ".[")
 		if cut < 0 {
-			return 0
+			return firstLine
 		}
 		key = key[:cut]
 	}
-	return 0
+	return firstLine
+}
+
+// pairAt returns the key of the pair that covers the line, with its indices, and
+// the pair's first line. The key is empty if a table header covers the line.
+func (x *lineIndex) pairAt(line int) (key string, start int) {
+	next := sort.SearchInts(x.starts, line+1)
+	if next == 0 {
+		return "", 0
+	}
+	start = x.starts[next-1]
+	return x.pairs[start], start
+}
+
+// endOf returns the line after the expression that starts at the line, of a
+// document with so many lines.
+func (x *lineIndex) endOf(start, lines int) int {
+	next := sort.SearchInts(x.starts, start+1)
+	if next == len(x.starts) {
+		return lines + 1
+	}
+	return x.starts[next]
 }
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -27,12 +27,16 @@
 // NodeSettings say where the node stands and listens.
 type NodeSettings struct {
 	// ID is the name of the node's VM.
-	ID               string `validate:"required"`
+	ID string `validate:"required"`
+	// Region and AvailabilityZone say where the VM stands, as the cloud names
+	// them.
 	Region           string `validate:"required"`
 	AvailabilityZone string `validate:"required"`
-	// CallerAddress, PeerAddress and OperatorAddress are an IP and a port each.
-	CallerAddress   netip.AddrPort `validate:"required"`
-	PeerAddress     netip.AddrPort `validate:"required"`
+	// CallerAddress is where callers connect.
+	CallerAddress netip.AddrPort `validate:"required"`
+	// PeerAddress is where other entry nodes connect.
+	PeerAddress netip.AddrPort `validate:"required"`
+	// OperatorAddress is where operators, probes and metric collectors connect.
 	OperatorAddress netip.AddrPort `validate:"required"`
 	// Seeds are peer addresses to ask before the VM list has answered.
 	Seeds []netip.AddrPort
@@ -40,18 +44,23 @@
 
 // PlatformSettings say where the platform's services listen.
 type PlatformSettings struct {
-	Table   netip.AddrPort `validate:"required"`
+	// Table is the transactional table service.
+	Table netip.AddrPort `validate:"required"`
+	// Objects is the object store.
 	Objects netip.AddrPort `validate:"required"`
-	Cloud   netip.AddrPort `validate:"required"`
-	VMList  netip.AddrPort `validate:"required"`
+	// Cloud is the cloud API, with prices, starts and notices.
+	Cloud netip.AddrPort `validate:"required"`
+	// VMList is the list of live and leaving VMs.
+	VMList netip.AddrPort `validate:"required"`
 	// Timeout bounds one call to the platform.
 	Timeout qfdocument.Duration `validate:"gt=0"`
 }
 
 // LogSettings say what is logged.
 type LogSettings struct {
+	// Level is the least severe level that is logged.
 	Level string `validate:"oneof=debug info warn error"`
-	// Format is "json" or "console".
+	// Format is "json" for programs or "console" for people.
 	Format string `validate:"oneof=json console"`
 }
 
@@ -90,19 +99,25 @@
 
 // PeerSettings govern the exchange between nodes.
 type PeerSettings struct {
+	// ExchangeEvery is the time between two exchanges of news.
 	ExchangeEvery qfdocument.Duration `validate:"gt=0"`
 	// SuspectAfter and DeadAfter count from the last news of a node.
 	SuspectAfter qfdocument.Duration `validate:"gt=0"`
 	DeadAfter    qfdocument.Duration `validate:"gt=0"`
-	Timeout      qfdocument.Duration `validate:"gt=0"`
+	// Timeout bounds one call to a peer.
+	Timeout qfdocument.Duration `validate:"gt=0"`
 }
 
 // FeedSettings say how often the platform is polled.
 type FeedSettings struct {
+	// CatalogueEvery is the time between two reads of the catalogue's revision.
 	CatalogueEvery qfdocument.Duration `validate:"gt=0"`
-	VMListEvery    qfdocument.Duration `validate:"gt=0"`
-	NoticesEvery   qfdocument.Duration `validate:"gt=0"`
-	LoadEvery      qfdocument.Duration `validate:"gt=0"`
+	// VMListEvery is the time between two reads of the VM list.
+	VMListEvery qfdocument.Duration `validate:"gt=0"`
+	// NoticesEvery is the time between two reads of the cloud's notices.
+	NoticesEvery qfdocument.Duration `validate:"gt=0"`
+	// LoadEvery is the time between two reads of an endpoint's load.
+	LoadEvery qfdocument.Duration `validate:"gt=0"`
 }
 
 // SecuritySettings say who may call the operators' and peers' ports.
@@ -153,26 +168,26 @@
 	settings := Default()
 	faults := qfdocument.Decode(data, settings)
 	if len(faults) == 0 {
-		faults = settings.crossCheck()
+		faults = settings.crossCheck(qfdocument.NewLineIndex(data))
 	}
 	return settings, faults
 }
 
 // crossCheck checks rules that span several keys.
-func (s *Settings) crossCheck() []qfdocument.Fault {
+func (s *Settings) crossCheck(index qfdocument.LineIndex) []qfdocument.Fault {
 	var faults []qfdocument.Fault
+	add := func(key, expected string) {
+		faults = append(faults, qfdocument.Fault{Line: index.Line(key), Key: key, Expected: expected})
+	}
 	if s.Peer.DeadAfter <= s.Peer.SuspectAfter {
-		faults = append(faults, qfdocument.Fault{Key: "Peer.DeadAfter", Expected: "expected more than Peer.SuspectAfter"})
+		add("Peer.DeadAfter", "expected more than Peer.SuspectAfter")
 	}
 	if s.Request.MaxTimeout < s.Request.DefaultTimeout {
-		faults = append(faults, qfdocument.Fault{Key: "Request.MaxTimeout", Expected: "expected at least Request.DefaultTimeout"})
+		add("Request.MaxTimeout", "expected at least Request.DefaultTimeout")
 	}
 	sec := s.Security
 	if !sec.Insecure && (sec.CertificateFile == "" || sec.KeyFile == "" || sec.AuthorityFile == "") {
-		faults = append(faults, qfdocument.Fault{
-			Key:      "Security.CertificateFile",
-			Expected: "expected CertificateFile, KeyFile and AuthorityFile, or Insecure = true",
-		})
+		add("Security.CertificateFile", "expected CertificateFile, KeyFile and AuthorityFile, or Insecure = true")
 	}
 	return faults
 }
