--- a/internal/qf/state/qfdocument/document.go
+++ b/internal/qf/state/qfdocument/document.go
@@ -32,6 +32,20 @@
 // Duration is a time.Duration that documents write as "1.5s".
 type Duration time.Duration
 
+// UnmarshalText implements encoding.TextUnmarshaler, for JSON.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.New(expectedDuration(text))
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+func expectedDuration(text []byte) string {
+	return fmt.Sprintf("expected a duration with a unit, such as \"250ms\" or \"2s\", not %s", text)
+}
+
 // UnmarshalTOML implements unstable.Unmarshaler. Without it the decoder would
 // take a bare number, which has no unit, for nanoseconds.
 func (d *Duration) UnmarshalTOML(data []byte) error {
@@ -40,14 +54,9 @@
 		return errors.New("expected a duration, not a table") // The data of a value always parses.
 	}
 	text, _ := raw.Value.(string)
-	parsed, err := time.ParseDuration(text)
-	if err != nil {
-		return &unstable.ParserError{
-			Highlight: data, Key: []string{"Duration"},
-			Message: fmt.Sprintf("expected a duration with a unit, such as \"250ms\" or \"2s\", not %s", data),
-		}
+	if d.UnmarshalText([]byte(text)) != nil {
+		return &unstable.ParserError{Highlight: data, Key: []string{"Duration"}, Message: expectedDuration(data)}
 	}
-	*d = Duration(parsed)
 	return nil
 }
 
--- a/internal/qf/state/qfdocument/document_test.go
+++ b/internal/qf/state/qfdocument/document_test.go
@@ -1,8 +1,10 @@
 package qfdocument_test
 
 import (
+	"encoding/json"
 	"reflect"
 	"testing"
+	"time"
 
 	"quetzalfront/internal/qf/state/qfdocument"
 )
@@ -82,3 +84,16 @@
 		})
 	}
 }
+
+func TestDurationSurvivesJSON(t *testing.T) {
+	want := struct{ Wait qfdocument.Duration }{qfdocument.Duration(1500 * time.Millisecond)}
+	data, err := json.Marshal(want)
+	if err != nil || string(data) != `{"Wait":"1.5s"}` {
+		t.Fatalf("%s, %v", data, err)
+	}
+	got := want
+	got.Wait = 0
+	if err := json.Unmarshal(data, &got); err != nil || got != want {
+		t.Errorf("%v, %v; want %v", got, err, want)
+	}
+}
