qfcatalogue: explain every fault of a document at once

Cause: catalogue check stopped at the first value of a wrong type, named unknown keys without their index, took Deadline = 60 as 60 ns and read a MoveBy without an offset in the node's own time zone (go test ./internal/qf/state/qfcatalogue -run TestCheckExplainsEveryFault: 10 of 11 rows failed). Change: documents are decoded again without the lines at fault; keys carry their index; bare numbers for durations, times without offset, names that can't be a path, duplicate calls and regions, limits without a bound and price bounds that contradict each other are faults. Placement gains MaxTotalPricePerHour. LineIndex is a struct now, because its only implementation was.

--- a/internal/qf/state/qfcatalogue/catalogue.go
+++ b/internal/qf/state/qfcatalogue/catalogue.go
@@ -17,7 +17,7 @@
 
 // Entry names one service.
 type Entry struct {
-	Name  qf.EntryName `validate:"required"`
+	Name  qf.EntryName `validate:"required,name"`
 	Kind  qf.EntryKind `validate:"required,oneof=ModelEngine PlainService"`
 	Owner string       `validate:"required"`
 	Class qf.Class     `validate:"required,oneof=Critical Interactive Batch"`
@@ -30,7 +30,7 @@
 	OnceOnly []OnceOnlyCall `validate:"dive"`
 	Limits   []Limit        `validate:"dive"`
 	// Versions are the releases that may run; Target is the one that traffic
-	// should reach by MoveBy.
+	// should reach by MoveBy. No MoveBy leaves the pace to the settings.
 	Versions  []Version           `validate:"required,min=1,unique=Name,dive"`
 	Target    qf.Version          `validate:"required"`
 	MoveBy    time.Time           `validate:"-"`
@@ -57,7 +57,7 @@
 
 // Version is one release of an entry.
 type Version struct {
-	Name qf.Version `validate:"required"`
+	Name qf.Version `validate:"required,name"`
 	// ChecksFencing says whether its endpoints refuse old fencing numbers.
 	ChecksFencing bool
 }
@@ -65,19 +65,24 @@
 // Placement bounds where endpoints run and what they may cost.
 type Placement struct {
 	Regions []qf.Region
-	// MaxPricePerHour is in thousandths of the currency unit; 0 is no bound.
-	MaxPricePerHour uint64
-	MinReplicas     int `validate:"gte=0"`
-	MaxReplicas     int `validate:"gte=0"`
+	// MaxPricePerHour bounds the price of one VM and MaxTotalPricePerHour that of
+	// all VMs of the entry, in thousandths of the currency unit; 0 is no bound.
+	MaxPricePerHour      uint64
+	MaxTotalPricePerHour uint64
+	MinReplicas          int `validate:"gte=0"`
+	MaxReplicas          int `validate:"gte=0"`
 }
 
 // Parse decodes and checks a document. It returns every fault at once.
 func Parse(data []byte) (*Document, []qfdocument.Fault) {
 	document := &Document{}
 	faults := qfdocument.Decode(data, document)
-	if len(faults) == 0 {
-		faults = document.crossCheck(data)
+	for _, f := range document.crossCheck(data) {
+		if !qfdocument.HasFault(faults, f.Key) {
+			faults = append(faults, f)
+		}
 	}
+	qfdocument.SortFaults(faults)
 	return document, faults
 }
 
--- a/internal/qf/state/qfdocument/document.go
+++ b/internal/qf/state/qfdocument/document.go
@@ -6,9 +6,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"reflect"
+	"regexp"
 	"sort"
 	"strings"
-	"time"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
@@ -29,83 +30,118 @@
 	return fmt.Sprintf("line %d: %s: %s", f.Line, f.Key, f.Expected)
 }
 
-// Duration is a time.Duration that documents write as "1.5s".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("expected a duration with a unit, such as \"250ms\" or \"2s\", not %q", text)
-	}
-	*d = Duration(parsed)
-	return nil
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
-
-// Value returns the duration.
-func (d Duration) Value() time.Duration { return time.Duration(d) }
-
 // Decode decodes a document into a pointer to a struct. Unknown keys, wrong
 // types and failed validation are all faults; they are ordered by line. The
 // content must not be used unless there are none.
 func Decode(data []byte, into any) []Fault {
-	d := toml.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
 	index := NewLineIndex(data)
-	faults := decodeFaults(d.Decode(into))
-	if len(faults) == 0 || onlyUnknownKeys(faults) {
-		faults = append(faults, Validate(into, index)...)
+	faults, complete := decodeAll(data, into, index)
+	if complete {
+		faults = append(faults, bareDurations(reflect.ValueOf(into).Elem(), "", index)...)
+		for _, f := range Validate(into, index) {
+			if !HasFault(faults, f.Key) {
+				faults = append(faults, f)
+			}
+		}
 	}
-	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+	SortFaults(faults)
 	return faults
 }
 
-const expectedKnownKey = "unknown key; remove it or correct its spelling"
+// SortFaults orders faults by line.
+func SortFaults(faults []Fault) {
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+}
 
-func onlyUnknownKeys(faults []Fault) bool {
+// HasFault reports whether a fault concerns the key or a part of it.
+func HasFault(faults []Fault, key string) bool {
 	for _, f := range faults {
-		if f.Expected != expectedKnownKey {
-			return false
+		if f.Key == key || strings.HasPrefix(f.Key, key+".") || strings.HasPrefix(f.Key, key+"[") {
+			return true
+		}
+	}
+	return false
+}
+
+// maxTypeFaults bounds how often a document is decoded again without the lines
+// that hold values of a wrong type.
+const maxTypeFaults = 100
+
+// decodeAll decodes the document again and again without the values of a wrong
+// type, because the decoder stops at the first one. The document is complete if
+// nothing but such values is missing.
+func decodeAll(data []byte, into any, index *LineIndex) (faults []Fault, complete bool) {
+	rest := bytes.Clone(data)
+	for range maxTypeFaults {
+		d := toml.NewDecoder(bytes.NewReader(rest))
+		d.DisallowUnknownFields()
+		err := d.Decode(into)
+		var wrong *toml.DecodeError
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) || !errors.As(err, &wrong) {
+			return append(faults, decodeFaults(err, index)...), true
 		}
+		row, _ := wrong.Position()
+		key, known := index.KeyAt(row)
+		if !known || len(wrong.Key()) == 0 {
+			if len(faults) > 0 {
+				return faults, false // A value over several lines was cut.
+			}
+			return []Fault{{Line: row, Key: key, Expected: message(wrong)}}, false
+		}
+		faults = append(faults, Fault{Line: row, Key: key, Expected: message(wrong)})
+		blankLine(rest, row)
 	}
-	return true
+	return faults, false
 }
 
-func decodeFaults(err error) []Fault {
+func message(err error) string { return strings.TrimPrefix(err.Error(), "toml: ") }
+
+// blankLine overwrites the line with spaces, so that the others keep their
+// numbers.
+func blankLine(data []byte, row int) {
+	line := 1
+	for i := range data {
+		if data[i] == '\n' {
+			line++
+			continue
+		}
+		if line == row {
+			data[i] = ' '
+		}
+	}
+}
+
+const expectedKnownKey = "unknown key; remove it or correct its spelling"
+
+// decodeFaults turns the decoder's last error into faults.
+func decodeFaults(err error, index *LineIndex) []Fault {
 	if err == nil {
 		return nil
 	}
 	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		faults := make([]Fault, 0, len(strict.Errors))
-		for i := range strict.Errors {
-			e := &strict.Errors[i]
-			row, _ := e.Position()
-			faults = append(faults, Fault{Line: row, Key: strings.Join(e.Key(), "."), Expected: expectedKnownKey})
-		}
-		return faults
+	if !errors.As(err, &strict) {
+		return []Fault{{Expected: message(err)}}
 	}
-	var syntax *toml.DecodeError
-	if errors.As(err, &syntax) {
-		row, _ := syntax.Position()
-		return []Fault{{Line: row, Key: strings.Join(syntax.Key(), "."), Expected: strings.TrimPrefix(syntax.Error(), "toml: ")}}
+	faults := make([]Fault, 0, len(strict.Errors))
+	for i := range strict.Errors {
+		e := &strict.Errors[i]
+		row, _ := e.Position()
+		key, known := index.KeyAt(row)
+		if !known {
+			key = strings.Join(e.Key(), ".")
+		}
+		faults = append(faults, Fault{Line: row, Key: key, Expected: expectedKnownKey})
 	}
-	return []Fault{{Expected: strings.TrimPrefix(err.Error(), "toml: ")}}
-}
-
-// LineIndex finds the line of a key.
-type LineIndex interface {
-	Line(key string) int
+	return faults
 }
 
 // Validate checks the struct's validate tags. The index may be nil.
-func Validate(document any, index LineIndex) []Fault {
+func Validate(document any, index *LineIndex) []Fault {
 	v := validator.New(validator.WithRequiredStructEnabled())
+	if err := v.RegisterValidation("name", isName); err != nil {
+		return []Fault{{Expected: err.Error()}}
+	}
 	err := v.Struct(document)
 	var failed validator.ValidationErrors
 	if !errors.As(err, &failed) {
@@ -139,9 +175,18 @@
 		return fmt.Sprintf("expected at most %s", f.Param())
 	case "gt":
 		return fmt.Sprintf("expected more than %s", f.Param())
+	case "name":
+		return fmt.Sprintf("expected lower-case letters, digits, \".\" and \"-\" only, not %q", fmt.Sprint(f.Value()))
+	case "startswith":
+		return fmt.Sprintf("expected a value that starts with %q", f.Param())
 	case "unique":
 		return fmt.Sprintf("expected each %s only once", f.Param())
 	default:
 		return fmt.Sprintf("expected %s %s", f.Tag(), f.Param())
 	}
 }
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+// isName checks a name that becomes part of row keys and paths.
+func isName(f validator.FieldLevel) bool { return namePattern.MatchString(f.Field().String()) }
