qfdocument: merge the catalogue's decoding with that of the settings

Cause: the catalogue's checks and the settings each gained a decoder that goes on after a wrong value. Change: one decoder stays, the one that blanks whole expressions and so also names values over several lines; SortFaults, HasFault and the "name" tag come from the catalogue's. No test changed its expectation but for how a bad duration is quoted.

--- a/internal/qf/state/qfdocument/decode.go
+++ b/internal/qf/state/qfdocument/decode.go
@@ -23,7 +23,7 @@
 // decodeAll decodes a document and returns every fault. The decoder stops at the
 // first value that it can't take, so that value is blanked and the rest decoded
 // again.
-func decodeAll(data []byte, into any, index *lineIndex) []Fault {
+func decodeAll(data []byte, into any, index *LineIndex) []Fault {
 	lines := bytes.SplitAfter(data, []byte("\n"))
 	var faults []Fault
 	for {
@@ -53,7 +53,7 @@
 
 // decodeOnce decodes up to the first value that doesn't fit. wrongValue is true
 // if there is one; it is then the only fault.
-func decodeOnce(data []byte, into any, index *lineIndex) (faults []Fault, wrongValue bool) {
+func decodeOnce(data []byte, into any, index *LineIndex) (faults []Fault, wrongValue bool) {
 	d := toml.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
 	d.EnableUnmarshalerInterface()
@@ -76,7 +76,7 @@
 	return []Fault{fault}, fault.Key != syntaxKey
 }
 
-func unknownKeys(strict *toml.StrictMissingError, index *lineIndex) []Fault {
+func unknownKeys(strict *toml.StrictMissingError, index *LineIndex) []Fault {
 	faults := make([]Fault, 0, len(strict.Errors))
 	for i := range strict.Errors {
 		e := &strict.Errors[i]
--- a/internal/qf/state/qfdocument/document.go
+++ b/internal/qf/state/qfdocument/document.go
@@ -5,13 +5,11 @@
 import (
 	"errors"
 	"fmt"
+	"regexp"
 	"sort"
 	"strings"
-	"time"
 
 	"github.com/go-playground/validator/v10"
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pelletier/go-toml/v2/unstable"
 )
 
 // Fault is one thing that is wrong with a document.
@@ -29,83 +27,52 @@
 	return fmt.Sprintf("line %d: %s: %s", f.Line, f.Key, f.Expected)
 }
 
-// Duration is a time.Duration that documents write as "1.5s".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler, for JSON.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return errors.New(expectedDuration(text))
-	}
-	*d = Duration(parsed)
-	return nil
-}
-
-func expectedDuration(text []byte) string {
-	return fmt.Sprintf("expected a duration with a unit, such as \"250ms\" or \"2s\", not %s", text)
-}
-
-// UnmarshalTOML implements unstable.Unmarshaler. Without it the decoder would
-// take a bare number, which has no unit, for nanoseconds.
-func (d *Duration) UnmarshalTOML(data []byte) error {
-	var raw struct{ Value any }
-	if err := toml.Unmarshal(append([]byte("Value = "), data...), &raw); err != nil {
-		return errors.New("expected a duration, not a table") // The data of a value always parses.
-	}
-	text, _ := raw.Value.(string)
-	if d.UnmarshalText([]byte(text)) != nil {
-		return &unstable.ParserError{Highlight: data, Key: []string{"Duration"}, Message: expectedDuration(data)}
-	}
-	return nil
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
-
-// Value returns the duration.
-func (d Duration) Value() time.Duration { return time.Duration(d) }
-
 // Decode decodes a document into a pointer to a struct. Unknown keys, wrong
 // types and failed validation are all faults; they are ordered by line. The
 // content must not be used unless there are none.
 func Decode(data []byte, into any) []Fault {
-	index := newLineIndex(data)
+	index := NewLineIndex(data)
 	faults := decodeAll(data, into, index)
 	if !isSyntaxFault(faults) {
-		faults = append(faults, validateRest(into, index, faults)...)
+		for _, f := range Validate(into, index) {
+			if !HasFault(faults, f.Key) {
+				faults = append(faults, f)
+			}
+		}
 	}
-	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+	SortFaults(faults)
 	return faults
 }
 
-// validateRest validates the keys that decoding found no fault with.
-func validateRest(into any, index *lineIndex, known []Fault) []Fault {
-	wrong := map[string]bool{}
-	for _, f := range known {
-		wrong[f.Key] = true
-	}
-	var faults []Fault
-	for _, f := range Validate(into, index) {
-		if !wrong[f.Key] {
-			faults = append(faults, f)
+// SortFaults orders faults by line.
+func SortFaults(faults []Fault) {
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+}
+
+// HasFault reports whether a fault concerns the key or a part of it.
+func HasFault(faults []Fault, key string) bool {
+	for _, f := range faults {
+		if f.Key == key || strings.HasPrefix(f.Key, key+".") || strings.HasPrefix(f.Key, key+"[") {
+			return true
 		}
 	}
-	return faults
+	return false
 }
 
-// LineIndex finds the line of a key.
-type LineIndex interface {
-	Line(key string) int
+// newValidator returns a validator that knows our own tags.
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	if err := v.RegisterValidation("name", isName); err != nil {
+		panic(err) // Only an empty tag or a missing function is refused.
+	}
+	return v
 }
 
 // validate caches what it learns of each struct type.
-var validate = validator.New(validator.WithRequiredStructEnabled())
+var validate = newValidator()
 
 // Validate checks the struct's validate tags. The index may be nil.
-func Validate(document any, index LineIndex) []Fault {
+func Validate(document any, index *LineIndex) []Fault {
 	err := validate.Struct(document)
 	var failed validator.ValidationErrors
 	if !errors.As(err, &failed) {
@@ -139,9 +106,18 @@
 		return fmt.Sprintf("expected at most %s", f.Param())
 	case "gt":
 		return fmt.Sprintf("expected more than %s", f.Param())
+	case "name":
+		return fmt.Sprintf("expected lower-case letters, digits, \".\" and \"-\" only, not %q", fmt.Sprint(f.Value()))
+	case "startswith":
+		return fmt.Sprintf("expected a value that starts with %q", f.Param())
 	case "unique":
 		return fmt.Sprintf("expected each %s only once", f.Param())
 	default:
 		return strings.TrimSpace(fmt.Sprintf("expected %s %s", f.Tag(), f.Param()))
 	}
 }
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+// isName checks a name that becomes part of row keys and paths.
+func isName(f validator.FieldLevel) bool { return namePattern.MatchString(f.Field().String()) }
--- a/internal/qf/state/qfdocument/document_test.go
+++ b/internal/qf/state/qfdocument/document_test.go
@@ -37,7 +37,7 @@
 		{"missing field", "\nLevel = 'low'\n", []qfdocument.Fault{{Line: 1, Key: "Title", Expected: "is required"}}},
 		{"unknown key", "Title = 'a'\nTitel = 'b'\n", []qfdocument.Fault{{Line: 2, Key: "Titel", Expected: unknown}}},
 		{"bad unit", "Title = 'a'\nWait = '2 seconds'\n", []qfdocument.Fault{
-			{Line: 2, Key: "Wait", Expected: `expected a duration with a unit, such as "250ms" or "2s", not '2 seconds'`},
+			{Line: 2, Key: "Wait", Expected: `expected a duration with a unit, such as "250ms" or "2s", not "2 seconds"`},
 		}},
 		{"no unit", "Title = 'a'\nWait = 2\n", []qfdocument.Fault{
 			{Line: 2, Key: "Wait", Expected: `expected a duration with a unit, such as "250ms" or "2s", not 2`},
@@ -57,7 +57,7 @@
 				"[[Groups.Members]]\nAge = 2\n[[Groups.Members]]\nAge = 200\nWait = 'long'\nHeight = 3\n",
 			[]qfdocument.Fault{
 				{Line: 11, Key: "Groups[1].Members[1].Age", Expected: "expected at most 150"},
-				{Line: 12, Key: "Groups[1].Members[1].Wait", Expected: `expected a duration with a unit, such as "250ms" or "2s", not 'long'`},
+				{Line: 12, Key: "Groups[1].Members[1].Wait", Expected: `expected a duration with a unit, such as "250ms" or "2s", not "long"`},
 				{Line: 13, Key: "Groups[1].Members[1].Height", Expected: unknown},
 			},
 		},
@@ -65,7 +65,7 @@
 			"several wrong values at once",
 			"Wait = 'a'\nTitle = 'b'\n[[Groups]]\nLists = [\n  1,\n  'two',\n]\n[[Groups]]\nName = 'x'\nNick = 'y'",
 			[]qfdocument.Fault{
-				{Line: 1, Key: "Wait", Expected: `expected a duration with a unit, such as "250ms" or "2s", not 'a'`},
+				{Line: 1, Key: "Wait", Expected: `expected a duration with a unit, such as "250ms" or "2s", not "a"`},
 				{Line: 3, Key: "Groups[0].Name", Expected: "is required"},
 				{Line: 6, Key: "Groups[0].Lists", Expected: "cannot decode TOML string into struct field qfdocument_test.group.Lists of type int"},
 				{Line: 10, Key: "Groups[1].Nick", Expected: unknown},
--- a/internal/qf/state/qfdocument/lines.go
+++ b/internal/qf/state/qfdocument/lines.go
@@ -11,8 +11,8 @@
 // firstLine is the line of faults that aren't at any one line.
 const firstLine = 1
 
-// lineIndex maps full keys to lines and back.
-type lineIndex struct {
+// LineIndex maps full keys to lines and back.
+type LineIndex struct {
 	lines map[string]int
 	// pairs holds the key of the key-value pair that starts at a line.
 	pairs map[int]string
@@ -21,10 +21,8 @@
 }
 
 // NewLineIndex returns an index of the keys in a TOML document.
-func NewLineIndex(data []byte) LineIndex { return newLineIndex(data) }
-
-func newLineIndex(data []byte) *lineIndex {
-	x := &lineIndex{lines: map[string]int{}, pairs: map[int]string{}}
+func NewLineIndex(data []byte) *LineIndex {
+	x := &LineIndex{lines: map[string]int{}, pairs: map[int]string{}}
 	counts := map[string]int{}
 	table := ""
 	p := &unstable.Parser{}
@@ -87,7 +85,7 @@
 
 // Line returns the line of the key, of its first element if it is an array of
 // tables, or of the nearest table around it.
-func (x *lineIndex) Line(key string) int {
+func (x *LineIndex) Line(key string) int {
 	for key != "" {
 		if line, ok := x.lines[key]; ok {
 			return line
@@ -106,7 +104,7 @@
 
 // pairAt returns the key of the pair that covers the line, with its indices, and
 // the pair's first line. The key is empty if a table header covers the line.
-func (x *lineIndex) pairAt(line int) (key string, start int) {
+func (x *LineIndex) pairAt(line int) (key string, start int) {
 	next := sort.SearchInts(x.starts, line+1)
 	if next == 0 {
 		return "", 0
@@ -117,7 +115,7 @@
 
 // endOf returns the line after the expression that starts at the line, of a
 // document with so many lines.
-func (x *lineIndex) endOf(start, lines int) int {
+func (x *LineIndex) endOf(start, lines int) int {
 	next := sort.SearchInts(x.starts, start+1)
 	if next == len(x.starts) {
 		return lines + 1
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -174,7 +174,7 @@
 }
 
 // crossCheck checks rules that span several keys.
-func (s *Settings) crossCheck(index qfdocument.LineIndex) []qfdocument.Fault {
+func (s *Settings) crossCheck(index *qfdocument.LineIndex) []qfdocument.Fault {
 	var faults []qfdocument.Fault
 	add := func(key, expected string) {
 		faults = append(faults, qfdocument.Fault{Line: index.Line(key), Key: key, Expected: expected})
--- a/internal/qfsettings/settings_test.go
+++ b/internal/qfsettings/settings_test.go
@@ -42,7 +42,7 @@
 		{"missing address", with("Table = \"127.0.0.1:7100\"\n", ""), []string{"line 8: Platform.Table: is required"}},
 		{
 			"bad unit", good + "[Peer]\nTimeout = '5'\n",
-			[]string{`line 16: Peer.Timeout: expected a duration with a unit, such as "250ms" or "2s", not '5'`},
+			[]string{`line 16: Peer.Timeout: expected a duration with a unit, such as "250ms" or "2s", not "5"`},
 		},
 		{
 			"number for a duration", good + "[Peer]\nTimeout = 5\n",
@@ -64,7 +64,7 @@
 			"several at once", with("ID = \"node-1\"\n", "") + "[Peer]\nTimeout = '5'\nTimout = '5s'\n",
 			[]string{
 				"line 1: Node.ID: is required",
-				`line 15: Peer.Timeout: expected a duration with a unit, such as "250ms" or "2s", not '5'`,
+				`line 15: Peer.Timeout: expected a duration with a unit, such as "250ms" or "2s", not "5"`,
 				"line 16: Peer.Timout: " + unknown,
 			},
 		},
