contract: hold each implementation of a platform interface to one contract

Cause: the stand-ins and the adapters had no tests in common, the object store and the weight store had neither; a late write of the table took effect in a goroutine of its own, so that a reader at the due time saw it or not; a virtual After(0) waited for the next Advance, which the wall timer's doesn't. Change: internal/contract states Table, ObjectStore, WeightStore, Cloud, VMList, Peer and Timer once, with faults as rows, and runs each implementation through it in a bubble of virtual time; new adapters qfobject (RFC 9110 preconditions) and qfweight, stand-ins standobject and standweight, served by `standin` at ObjectsAddress and WeightsAddress. What the adapters share is qfplatform, what the stand-ins share is standfault; late writes and reclaims that are due show in the next call. node.Platform gains Objects. qftable.IsDialFailure and its kin moved to qfplatform; all users are changed. The weight store isn't in node.Platform: no part of a node loads weights yet.

--- a/cmd/quetzalfront/standin.go
+++ b/cmd/quetzalfront/standin.go
@@ -36,10 +36,14 @@
 	if err != nil {
 		return fail(err)
 	}
+	objects, weights, err := world.ServeStores(fleet.ObjectsAddress, fleet.WeightsAddress)
+	if err != nil {
+		return fail(err)
+	}
 	if err := world.Populate(ctx, fleet); err != nil {
 		return fail(err)
 	}
-	fmt.Printf("table %s\ncloud %s\n", table, cloud)
+	fmt.Printf("table %s\ncloud %s\nobjects %s\nweights %s\n", table, cloud, objects, weights)
 	<-ctx.Done()
 	return exitOK
 }
--- /dev/null
+++ b/internal/contract/bench_test.go
@@ -0,0 +1,90 @@
+package contract
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/standin/standnet"
+)
+
+// callTimeout bounds one call of an adapter.
+const callTimeout = 2 * time.Second
+
+var (
+	serverAddress = netip.MustParseAddrPort("10.9.0.1:80")
+	clientAddress = netip.MustParseAddr("10.1.0.1")
+	// closedAddress is one at which nothing listens.
+	closedAddress = netip.MustParseAddrPort("10.9.0.1:81")
+)
+
+// clock is the bubble's; inside a test its time passes only while all wait.
+var clock = qftimer.NewWall()
+
+func sleep(d time.Duration) { <-clock.After(d).C() }
+
+// serve opens a handler on a network in memory and returns a client's dial.
+func serve(t *testing.T, handler http.Handler) qf.Dial {
+	network := standnet.New()
+	listener, err := network.From(serverAddress.Addr()).Listen(t.Context(), serverAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("serve: %v", err)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = server.Close()
+		network.Close()
+	})
+	return network.From(clientAddress).Dial
+}
+
+// eachIn runs a contract on each implementation in a bubble.
+func eachIn[I any](t *testing.T, implementations map[string]func(t *testing.T) I, run func(t *testing.T, implementation I)) {
+	for name, open := range implementations {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { run(t, open(t)) })
+		})
+	}
+}
+
+func wantCode(t *testing.T, err error, want qf.Code) {
+	t.Helper()
+	if got := qf.CodeOf(err); got != want {
+		t.Errorf("code %q (%v), want %q", got, err, want)
+	}
+}
+
+// wantResult checks a result. An unknown one may have any code.
+func wantResult[T any](t *testing.T, result qf.Result[T], certainty qf.Certainty, code qf.Code) {
+	t.Helper()
+	wrongCode := qf.CodeOf(result.Err) != code
+	if certainty == qf.Unknown {
+		wrongCode = result.Err == nil
+	}
+	if result.Certainty != certainty || wrongCode {
+		t.Fatalf("result %s, %v; want %s, %q", result.Certainty, result.Err, certainty, code)
+	}
+}
+
+func contextFor(t *testing.T, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(t.Context(), d)
+}
+
+func retryAfter(err error) time.Duration {
+	var e *qf.Error
+	if errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	Timer   qf.Timer
 	Network qf.Network
 	Table   qf.Table
+	Objects qf.ObjectStore
 	VMList  qf.VMList
 	Cloud   qf.Cloud
 	Engine  qf.ModelEngine
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -11,6 +11,7 @@
 	"quetzalfront/internal/qf/protocol/qfendpoint"
 	"quetzalfront/internal/qf/state/qfcloud"
 	"quetzalfront/internal/qf/state/qfledger"
+	"quetzalfront/internal/qf/state/qfobject"
 	"quetzalfront/internal/qf/state/qftable"
 	"quetzalfront/internal/qf/transport/qfrpc"
 	"quetzalfront/internal/qfsettings"
@@ -30,7 +31,8 @@
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
 	}}
 	return Platform{
-		Timer: timer, Network: network, Table: table, VMList: cloud, Cloud: cloud,
+		Timer: timer, Network: network, Table: table, Objects: qfobject.NewClient(p.Objects, p.Timeout.Value(), network.Dial),
+		VMList: cloud, Cloud: cloud,
 		Engine: qfendpoint.NewEngine(endpoints), Service: qfendpoint.NewService(endpoints),
 		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), network.Dial, nil),
 		Ledger: qfledger.New(table), Logger: logger,
--- a/internal/qf/protocol/qfendpoint/engine.go
+++ b/internal/qf/protocol/qfendpoint/engine.go
@@ -14,7 +14,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/state/qftable"
+	"quetzalfront/internal/qf/state/qfplatform"
 	"quetzalfront/pkg/qfapi"
 )
 
@@ -83,7 +83,7 @@
 // broken classifies a failed exchange: it provably didn't run only if no
 // connection stood.
 func broken(endpoint qf.Endpoint, cause error) *qf.Error {
-	if qftable.IsDialFailure(cause) {
+	if qfplatform.IsDialFailure(cause) {
 		return notRun(endpoint, "no connection", cause)
 	}
 	return &qf.Error{
--- a/internal/qf/protocol/qfendpoint/service.go
+++ b/internal/qf/protocol/qfendpoint/service.go
@@ -8,7 +8,7 @@
 	"net/http"
 
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/state/qftable"
+	"quetzalfront/internal/qf/state/qfplatform"
 	"quetzalfront/pkg/qfapi"
 )
 
@@ -52,7 +52,7 @@
 		return qf.UnknownFor[qf.ServiceAnswer](notRun(endpoint, "could not form the question", err))
 	}
 	result := s.exchange(request, endpoint, attempt)
-	if qftable.IsDialFailure(result.Err) {
+	if qfplatform.IsDialFailure(result.Err) {
 		result.Certainty = qf.Unknown // The question didn't arrive; the attempt may have.
 	}
 	return result
--- /dev/null
+++ b/internal/qf/state/qfplatform/client.go
@@ -0,0 +1,151 @@
+// Package qfplatform holds what the adapters of the platform's services share:
+// how a call is made over HTTP, and what its answer or its failure proves.
+package qfplatform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"quetzalfront/internal/qf"
+)
+
+const maxIdleConnections = 32
+
+var statusByCode = map[qf.Code]int{
+	qf.CodeNotFound:    http.StatusNotFound,
+	qf.CodeConflict:    http.StatusPreconditionFailed,
+	qf.CodeTooLarge:    http.StatusRequestEntityTooLarge,
+	qf.CodeLimited:     http.StatusTooManyRequests,
+	qf.CodeUnavailable: http.StatusServiceUnavailable,
+}
+
+// StatusOf returns the HTTP status that stands for a code.
+func StatusOf(code qf.Code) int {
+	if status, ok := statusByCode[code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// CodeOfStatus returns the code that a HTTP status stands for. Each status but
+// those of CodeInternal proves that the call had no effect.
+func CodeOfStatus(status int) qf.Code {
+	for code, s := range statusByCode {
+		if s == status {
+			return code
+		}
+	}
+	return qf.CodeInternal
+}
+
+// IsDialFailure reports whether a call failed before a connection stood, so
+// that no byte of it can have reached the other end.
+func IsDialFailure(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Client calls one service of the platform.
+type Client struct {
+	address netip.AddrPort
+	http    *http.Client
+}
+
+// NewClient returns a client of the service at the address. The timeout bounds
+// one call.
+func NewClient(address netip.AddrPort, timeout time.Duration, dial qf.Dial) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DialContext: dial}
+	return &Client{address: address, http: &http.Client{Timeout: timeout, Transport: transport}}
+}
+
+// New returns an empty request to the service.
+func (c *Client) New() *sling.Sling {
+	return sling.New().Client(c.http).Base("http://" + c.address.String())
+}
+
+// Read makes a call without effect and decodes its answer.
+func (c *Client) Read(ctx context.Context, step qf.Step, s *sling.Sling, into any) error {
+	request, err := s.Request()
+	if err != nil {
+		return c.failure(qf.CodeInternal, step, "could not form the request", err)
+	}
+	response, err := s.Do(request.WithContext(ctx), into, nil)
+	if err != nil {
+		return c.failure(qf.CodeUnavailable, step, "no answer", err)
+	}
+	return c.Refusal(step, response)
+}
+
+// Write makes a call with an effect. It is NotDone only if the service said so,
+// or if no connection stood.
+func Write[T any](ctx context.Context, c *Client, step qf.Step, s *sling.Sling) qf.Result[T] {
+	request, err := s.Request()
+	if err != nil {
+		return qf.NotDoneFor[T](c.failure(qf.CodeInternal, step, "could not form the request", err))
+	}
+	var value T
+	response, err := s.Do(request.WithContext(ctx), &value, nil)
+	if err != nil {
+		return Broken[T](c, step, err)
+	}
+	return Judge(c, step, response, value)
+}
+
+// Broken returns the result of a write that got no answer.
+func Broken[T any](c *Client, step qf.Step, cause error) qf.Result[T] {
+	failure := c.failure(qf.CodeUnavailable, step, "no answer", cause)
+	if IsDialFailure(cause) {
+		return qf.NotDoneFor[T](failure)
+	}
+	return qf.UnknownFor[T](failure)
+}
+
+// Judge returns the result of a write that was answered.
+func Judge[T any](c *Client, step qf.Step, response *http.Response, value T) qf.Result[T] {
+	refusal := c.Refusal(step, response)
+	switch {
+	case refusal == nil:
+		return qf.DoneWith(value)
+	case qf.CodeOf(refusal) == qf.CodeInternal:
+		return qf.UnknownFor[T](refusal)
+	default:
+		return qf.NotDoneFor[T](refusal)
+	}
+}
+
+// Do makes a call whose answer isn't JSON. The caller closes the body.
+func (c *Client) Do(ctx context.Context, s *sling.Sling) (*http.Response, error) {
+	request, err := s.Request()
+	if err != nil {
+		return nil, err
+	}
+	return c.http.Do(request.WithContext(ctx))
+}
+
+// Refusal returns the error that an answer's status stands for, or nil.
+func (c *Client) Refusal(step qf.Step, response *http.Response) error {
+	if response.StatusCode/100 == http.StatusOK/100 {
+		return nil
+	}
+	err := c.failure(CodeOfStatus(response.StatusCode), step, response.Status, nil)
+	if seconds, parseErr := strconv.Atoi(response.Header.Get("Retry-After")); parseErr == nil {
+		err.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return err
+}
+
+// Failed returns the error of a read that got no whole answer.
+func (c *Client) Failed(step qf.Step, cause error) error {
+	return c.failure(qf.CodeUnavailable, step, "no answer", cause)
+}
+
+func (c *Client) failure(code qf.Code, step qf.Step, reason string, cause error) *qf.Error {
+	return &qf.Error{Code: code, Step: step, Peer: c.address.String(), Reason: reason, Cause: cause}
+}
--- a/internal/qf/state/qftimer/virtual.go
+++ b/internal/qf/state/qftimer/virtual.go
@@ -43,10 +43,13 @@
 	s := &virtualSubscription{
 		timer:    v,
 		c:        make(chan time.Time, 1),
-		due:      v.now.Add(delay),
+		due:      v.now.Add(max(delay, 0)),
 		interval: interval,
 	}
 	v.subscriptions[s] = struct{}{}
+	if delay <= 0 {
+		s.deliver()
+	}
 	return s
 }
 
--- /dev/null
+++ b/internal/qf/state/qfweight/client.go
@@ -0,0 +1,60 @@
+// Package qfweight reaches the platform's rate-limited weight store over HTTP.
+package qfweight
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfplatform"
+)
+
+// The paths of the service.
+const (
+	PathSize         = "/size"
+	PathReservations = "/reservations"
+)
+
+// Weights names the weights of a version. It is the query of a size and the body
+// of a reservation.
+type Weights struct {
+	Entry   qf.EntryName `url:"entry"`
+	Version qf.Version   `url:"version"`
+}
+
+// Size is the answer to the question for a size.
+type Size struct{ Bytes uint64 }
+
+// Reservation is the answer to a reservation.
+type Reservation struct {
+	// CompleteIn is the time until the load would be complete.
+	CompleteIn time.Duration
+}
+
+// Client is a qf.WeightStore that calls the service.
+type Client struct {
+	service *qfplatform.Client
+}
+
+// NewClient returns a client of the service at the address. The timeout bounds
+// one call.
+func NewClient(address netip.AddrPort, timeout time.Duration, dial qf.Dial) *Client {
+	return &Client{service: qfplatform.NewClient(address, timeout, dial)}
+}
+
+// Size implements qf.WeightStore.
+func (c *Client) Size(ctx context.Context, entry qf.EntryName, version qf.Version) (uint64, error) {
+	var size Size
+	s := c.service.New().Get(PathSize).QueryStruct(&Weights{Entry: entry, Version: version})
+	err := c.service.Read(ctx, qf.StepWeights, s, &size)
+	return size.Bytes, err
+}
+
+// Reserve implements qf.WeightStore.
+func (c *Client) Reserve(ctx context.Context, entry qf.EntryName, version qf.Version) (time.Duration, error) {
+	var reservation Reservation
+	s := c.service.New().Post(PathReservations).BodyJSON(Weights{Entry: entry, Version: version})
+	err := c.service.Read(ctx, qf.StepWeights, s, &reservation)
+	return reservation.CompleteIn, err
+}
--- a/internal/standin/standcloud/cloud.go
+++ b/internal/standin/standcloud/cloud.go
@@ -115,7 +115,10 @@
 	return qf.DoneWith(c.vms[id].vm)
 }
 
+// refusal settles what is due and returns why a call isn't run, if it isn't. It
+// is called with the lock held.
 func (c *Cloud) refusal(zone qf.AvailabilityZone) error {
+	c.takeDue()
 	if c.faults.Down {
 		return qf.NewError(qf.CodeUnavailable, qf.StepCloud, "", "the cloud is down")
 	}
@@ -168,8 +171,8 @@
 func (c *Cloud) Stop(_ context.Context, id qf.VMID) qf.Result[qf.VM] {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.faults.Down {
-		return qf.NotDoneFor[qf.VM](c.refusal(""))
+	if err := c.refusal(""); err != nil {
+		return qf.NotDoneFor[qf.VM](err)
 	}
 	m, ok := c.vms[id]
 	if !ok {
@@ -301,6 +304,17 @@
 	return ids
 }
 
+// takeDue takes the VMs whose time to leave has passed, so that an answer never
+// shows them. It is called with the lock held.
+func (c *Cloud) takeDue() {
+	now := c.timer.Now()
+	for _, m := range c.vms {
+		if m.vm.State == qf.VMLeaving && !m.vm.LeaveAt.After(now) {
+			c.remove(m)
+		}
+	}
+}
+
 func (c *Cloud) takeAt(due qf.Subscription, m *machine) {
 	<-due.C()
 	c.mu.Lock()
--- a/internal/standin/standtable/http.go
+++ b/internal/standin/standtable/http.go
@@ -1,17 +1,14 @@
 package standtable
 
 import (
-	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qftable"
+	"quetzalfront/internal/standin/standfault"
 )
 
-const maxTransactionBytes = 4 << 20
-
 // Handler serves the table over HTTP, as the adapter in qftable expects it, and
 // takes faults at PUT /faults.
 func (t *Table) Handler() http.Handler {
@@ -19,18 +16,13 @@
 	mux.HandleFunc("GET "+qftable.PathRows, t.serveScan)
 	mux.HandleFunc("GET "+qftable.PathRow, t.serveRead)
 	mux.HandleFunc("POST "+qftable.PathTransactions, t.serveCommit)
-	mux.HandleFunc("PUT /faults", t.serveFaults)
+	mux.HandleFunc("PUT "+standfault.PathFaults, standfault.ServeFaults(t.SetFaults))
 	return mux
 }
 
 func (t *Table) serveRead(w http.ResponseWriter, r *http.Request) {
 	row, err := t.Read(r.Context(), r.URL.Query().Get("key"))
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(row.Version, 10)))
-	writeJSON(w, http.StatusOK, row)
+	standfault.Respond(w, row, err)
 }
 
 func (t *Table) serveScan(w http.ResponseWriter, r *http.Request) {
@@ -41,52 +33,12 @@
 		return
 	}
 	rows, err := t.Scan(r.Context(), q.Get("prefix"), q.Get("after"), limit)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	writeJSON(w, http.StatusOK, rows)
+	standfault.Respond(w, rows, err)
 }
 
 func (t *Table) serveCommit(w http.ResponseWriter, r *http.Request) {
 	var transaction qf.Transaction
-	body := http.MaxBytesReader(w, r.Body, maxTransactionBytes)
-	if err := json.NewDecoder(body).Decode(&transaction); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	result := t.Commit(r.Context(), transaction)
-	switch result.Certainty {
-	case qf.Done:
-		writeJSON(w, http.StatusOK, result.Value)
-	case qf.NotDone:
-		writeError(w, result.Err)
-	default:
-		panic(http.ErrAbortHandler) // Cuts the connection: the answer is lost.
-	}
-}
-
-func (t *Table) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	t.SetFaults(faults)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // The reader sees a cut body.
-}
-
-func writeError(w http.ResponseWriter, err error) {
-	var e *qf.Error
-	status := http.StatusInternalServerError
-	if errors.As(err, &e) {
-		status = qftable.StatusOf(e.Code)
+	if standfault.ReadJSON(w, r, &transaction) {
+		standfault.Answer(w, t.Commit(r.Context(), transaction))
 	}
-	http.Error(w, err.Error(), status)
 }
--- a/internal/standin/standworld/world.go
+++ b/internal/standin/standworld/world.go
@@ -16,17 +16,22 @@
 	"quetzalfront/internal/qf/state/qfdocument"
 	"quetzalfront/internal/standin/standcloud"
 	"quetzalfront/internal/standin/standengine"
+	"quetzalfront/internal/standin/standobject"
 	"quetzalfront/internal/standin/standservice"
 	"quetzalfront/internal/standin/standtable"
+	"quetzalfront/internal/standin/standweight"
 )
 
 // Fleet describes the VMs with which a world begins.
 type Fleet struct {
-	// TableAddress and CloudAddress are used by Serve; port 0 takes any.
-	TableAddress netip.AddrPort
-	CloudAddress netip.AddrPort
-	Groups       []Group `validate:"dive"`
-	Nodes        []Node  `validate:"dive"`
+	// TableAddress and CloudAddress are used by Serve, ObjectsAddress and
+	// WeightsAddress by ServeStores; port 0 takes any.
+	TableAddress   netip.AddrPort
+	CloudAddress   netip.AddrPort
+	ObjectsAddress netip.AddrPort
+	WeightsAddress netip.AddrPort
+	Groups         []Group `validate:"dive"`
+	Nodes          []Node  `validate:"dive"`
 }
 
 // Group is a number of equal endpoints.
@@ -60,6 +65,8 @@
 	AddressIn func(zone qf.AvailabilityZone) netip.AddrPort
 	Table     *standtable.Table
 	Cloud     *standcloud.Cloud
+	Objects   *standobject.Store
+	Weights   *standweight.Store
 
 	mu       sync.Mutex
 	journals map[qf.EntryName]*standservice.Journal
@@ -73,7 +80,9 @@
 // New returns a world without VMs.
 func New(timer qf.Timer, network qf.Network) *World {
 	w := &World{
-		Timer: timer, network: network, AddressIn: func(qf.AvailabilityZone) netip.AddrPort { return loopback }, Table: standtable.New(timer),
+		Timer: timer, network: network, AddressIn: func(qf.AvailabilityZone) netip.AddrPort { return loopback },
+		Table: standtable.New(timer), Objects: standobject.New(timer),
+		Weights:    standweight.New(timer, standweight.DefaultBytesPerSecond),
 		journals:   map[qf.EntryName]*standservice.Journal{},
 		behaviours: map[qf.Version]standengine.Behaviour{},
 	}
@@ -103,6 +112,7 @@
 	number := 0
 	for _, g := range fleet.Groups {
 		w.SetBehaviour(g.Version, g.behaviour())
+		w.Weights.Add(g.Entry, g.Version, weightBytes)
 		for range g.Count {
 			number++
 			if err := w.startOne(ctx, &g, number); err != nil {
@@ -116,6 +126,9 @@
 	return nil
 }
 
+// weightBytes is the size of every version's weights.
+const weightBytes = 16 << 30
+
 // NodeVM describes the VM of an entry node.
 func NodeVM(id qf.VMID, zone qf.AvailabilityZone, callers, peers netip.AddrPort) qf.VM {
 	return qf.VM{
@@ -180,6 +193,24 @@
 	return
 }
 
+// ServeStores opens the object store and the weight store on the addresses and
+// returns where they listen. An invalid address takes any port of loopback.
+func (w *World) ServeStores(objects, weights netip.AddrPort) (objectsAddress, weightsAddress netip.AddrPort, err error) {
+	objectsAddress, err = w.open(orLoopback(objects), w.Objects.Handler())
+	if err != nil {
+		return
+	}
+	weightsAddress, err = w.open(orLoopback(weights), w.Weights.Handler())
+	return
+}
+
+func orLoopback(address netip.AddrPort) netip.AddrPort {
+	if address.IsValid() {
+		return address
+	}
+	return loopback
+}
+
 func (w *World) open(address netip.AddrPort, handler http.Handler) (netip.AddrPort, error) {
 	listener, err := w.network.Listen(context.Background(), address)
 	if err != nil {
