qftelemetry: metrics, and traces with a span for each hop

Cause: a node showed nothing of what it did but its log. Change: qftelemetry, in the transport layer because it decorates what enters and leaves a node, gives OpenTelemetry metrics at /metrics and spans for a caller's request, each endpoint attempt, a hand-over and its taking over. The W3C context is taken from callers and passed on to endpoints in headers and to peers inside the record (qf.Request.TraceParent, an added field). Sampling: parent or ratio, and a rate limit over both. Spans go to the log (event 151); pprof is on the operators' port. Settings: [Telemetry]. Measured: go test -race ./internal/node ./internal/qf/transport/qftelemetry: one request streamed through a hand-over gives the seven spans in one trace.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -10,6 +10,7 @@
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/state/qfprefix"
+	"quetzalfront/internal/qf/transport/qftelemetry"
 )
 
 // Accept takes a request or refuses it. The request is accepted at the moment at
@@ -153,10 +154,11 @@
 	n.running.Add(1)
 	go func() {
 		defer n.running.Done()
-		n.runner.Run(n.ctx, record)
+		n.runner.Run(qftelemetry.ContextWith(n.ctx, record.Request.TraceParent), record)
 		n.records.Ended()
 		progress := record.Progress(0)
 		n.release(record.Request, len(progress.Text))
+		n.telemetry.RequestEnded(record.Request, progress.Outcome, record.Recomputed())
 		n.logEnd(record, &progress)
 	}()
 }
--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -34,6 +34,7 @@
 
 // AttemptEnded implements qfrequest.Observer.
 func (n *Node) AttemptEnded(_ time.Time, observation qf.Observation) {
+	n.telemetry.AttemptEnded(&observation)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.versions.Observe(observation)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qflimit"
@@ -21,10 +22,12 @@
 	"quetzalfront/internal/qf/coordination/qfroute"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/internal/qfsettings"
 )
 
-// Platform holds the services that a node stands on. No field may be nil.
+// Platform holds the services that a node stands on. No field may be nil unless
+// it says so.
 type Platform struct {
 	Timer   qf.Timer
 	Network qf.Network
@@ -39,6 +42,9 @@
 	Logger  zerolog.Logger
 	// Random draws for decisions. It is guarded by the node's lock.
 	Random *rand.Rand
+	// Spans takes the spans in place of the exporter that the settings name; it
+	// may be nil.
+	Spans sdktrace.SpanExporter
 }
 
 // Phase is where a node stands in its life.
@@ -63,6 +69,7 @@
 	store     *qfcatalogue.Store
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
+	telemetry *qftelemetry.Telemetry
 
 	// mu guards the decisions, which aren't safe for concurrent use.
 	mu         sync.Mutex
@@ -91,7 +98,10 @@
 // by Start.
 func New(settings *qfsettings.Settings, platform Platform) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
+	telemetry := newTelemetry(settings, &platform)
+	platform = instrument(platform, telemetry)
 	n := &Node{
+		telemetry: telemetry,
 		settings:  settings,
 		platform:  platform,
 		catalogue: qfcatalogue.NewCurrent(),
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -14,6 +14,7 @@
 	"quetzalfront/internal/qf/state/qfobject"
 	"quetzalfront/internal/qf/state/qftable"
 	"quetzalfront/internal/qf/transport/qfrpc"
+	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/internal/qfsettings"
 )
 
@@ -27,9 +28,9 @@
 	p := &settings.Platform
 	table := qftable.NewClient(p.Table, p.Timeout.Value(), network.Dial)
 	cloud := qfcloud.NewClient(p.Cloud, p.VMList, p.Timeout.Value(), network.Dial)
-	endpoints := &http.Client{Transport: &http.Transport{
+	endpoints := &http.Client{Transport: qftelemetry.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
-	}}
+	})}
 	return Platform{
 		Timer: timer, Network: network, Table: table, Objects: qfobject.NewClient(p.Objects, p.Timeout.Value(), network.Dial),
 		VMList: cloud, Cloud: cloud,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -37,10 +37,13 @@
 	n.settings.Node.OperatorAddress = addressOf(operators)
 	n.join(addressOf(callers), addressOf(peers))
 	bounded := netutil.LimitListener(callers, n.settings.Request.MaxConnections)
-	n.serveHTTP(bounded, qfhttp.NewCallers(n, n.callerBounds()))
-	n.serveHTTP(operators, qfhttp.NewOperators(n))
+	n.serveHTTP(bounded, n.callersHandler())
+	n.serveHTTP(operators, n.operatorsHandler())
 	n.servePeers(peers)
 	n.startFeeds()
+	if err := n.telemetry.ObserveState(n.observedState); err != nil {
+		return err
+	}
 	qfevent.NodeStarted.Log(&n.platform.Logger, n.settings.Node.ID, addressOf(callers))
 	return nil
 }
@@ -103,7 +106,7 @@
 
 func (n *Node) servePeers(listener net.Listener) {
 	n.workers.Go(func() {
-		if err := qfrpc.Serve(listener, n); err != nil {
+		if err := qfrpc.Serve(listener, n.telemetry.PeerHandler(n)); err != nil {
 			qfevent.ServerFailed.Log(&n.platform.Logger, listener.Addr().String(), err)
 		}
 	})
@@ -130,6 +133,7 @@
 	}
 	n.workers.Wait()
 	n.running.Wait()
+	_ = n.telemetry.Shutdown(context.Background()) // Spans that can't be exported are lost.
 }
 
 // Wait blocks until the node has stopped or the context ends.
--- /dev/null
+++ b/internal/node/telemetry.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"net/http"
+	"net/http/pprof" //nolint:gosec // The default mux that it adds to is never served.
+
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/transport/qfhttp"
+	"quetzalfront/internal/qf/transport/qftelemetry"
+	"quetzalfront/internal/qfsettings"
+	"quetzalfront/pkg/qfapi"
+)
+
+// newTelemetry returns the telemetry that the settings ask for.
+func newTelemetry(settings *qfsettings.Settings, platform *Platform) *qftelemetry.Telemetry {
+	s := &settings.Telemetry
+	var exporter sdktrace.SpanExporter
+	switch {
+	case platform.Spans != nil:
+		exporter = platform.Spans
+	case s.TraceExporter == qfsettings.TraceToLog:
+		exporter = qftelemetry.NewLogExporter(platform.Logger)
+	}
+	telemetry, err := qftelemetry.New(qftelemetry.Config{
+		Node: qf.NodeID(settings.Node.ID), AvailabilityZone: settings.Node.Zone(), Timer: platform.Timer,
+		TraceRatio: s.TraceRatio, MaxTracesPerSecond: s.MaxTracesPerSecond, Exporter: exporter,
+	})
+	if err != nil {
+		panic(err) // The instruments' names and the registry are fixed.
+	}
+	return telemetry
+}
+
+// instrument puts the telemetry between the node and what it calls.
+func instrument(platform Platform, telemetry *qftelemetry.Telemetry) Platform {
+	platform.Engine = telemetry.Engine(platform.Engine)
+	platform.Service = telemetry.Service(platform.Service)
+	platform.Peer = telemetry.Peer(platform.Peer)
+	return platform
+}
+
+// callersHandler returns the handler of the callers' port.
+func (n *Node) callersHandler() http.Handler {
+	return n.telemetry.CallersHandler(qfhttp.NewCallers(n.telemetry.CallerService(n), n.callerBounds()))
+}
+
+// operatorsHandler returns the handler of the operators' port, with metrics and
+// profiles.
+func (n *Node) operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", qfhttp.NewOperators(n))
+	mux.Handle("GET "+qfapi.PathMetrics, n.telemetry.MetricsHandler())
+	mux.HandleFunc("GET "+qfapi.PathProfiles, pprof.Index)
+	mux.HandleFunc("GET "+qfapi.PathProfiles+"cmdline", pprof.Cmdline)
+	mux.HandleFunc("GET "+qfapi.PathProfiles+"profile", pprof.Profile)
+	mux.HandleFunc("GET "+qfapi.PathProfiles+"symbol", pprof.Symbol)
+	mux.HandleFunc("GET "+qfapi.PathProfiles+"trace", pprof.Trace)
+	return mux
+}
+
+// observedState returns what metrics show of the node.
+func (n *Node) observedState() qftelemetry.State {
+	state := qftelemetry.State{
+		Active: n.records.InProgress(), Revision: n.catalogue.Revision(),
+		Endpoints: map[qf.EntryName]int{}, Nodes: map[qf.NodeState]int{},
+	}
+	for _, e := range n.Endpoints() {
+		state.Endpoints[e.Entry]++
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, node := range n.membership.Nodes(n.now()) {
+		state.Nodes[node.State]++
+	}
+	return state
+}
--- /dev/null
+++ b/internal/node/telemetry_test.go
@@ -0,0 +1,132 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"quetzalfront/internal/qf/transport/qftelemetry"
+	"quetzalfront/pkg/qfapi"
+)
+
+func fetch(ctx context.Context, t *testing.T, client *http.Client, url string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(body)
+}
+
+const callersTrace = "00-0102030405060708090a0b0c0d0e0f10-0102030405060708-01"
+
+// keptSpans keeps the spans over the shutdown of the exporter.
+type keptSpans struct{ *tracetest.InMemoryExporter }
+
+func (keptSpans) Shutdown(context.Context) error { return nil }
+
+func TestSpansOfARequestThroughHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		spans := keptSpans{tracetest.NewInMemoryExporter()}
+		s := newSystem(t)
+		first := s.start("node-1", spans, nil)
+		client := s.client()
+		streaming := make(chan struct{}, 1000)
+		done := make(chan error, 1)
+		go func() {
+			answer, err := client.Chat(qftelemetry.ContextWith(t.Context(), callersTrace), qfapi.ChatRequest{
+				Model: "assistant", MaxTokens: 200, Messages: []qfapi.ChatMessage{{Role: "user", Content: "girth"}},
+			}, func(string) { streaming <- struct{}{} })
+			if err == nil && answer.Tokens != 200 {
+				err = fmt.Errorf("%d tokens", answer.Tokens)
+			}
+			done <- err
+		}()
+		<-streaming
+		second := s.start("node-2", spans, nil)
+		first.Stop("test")
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		second.Kill()
+		got := describe(spans.GetSpans().Snapshots())
+		want := []string{
+			"attempt < POST /v1/chat/completions", "attempt < take over", "hand over < POST /v1/chat/completions",
+			"POST /v1/chat/completions < caller", "POST /v1/chat/completions < caller", "take over < hand over",
+			"GET /v1/nodes < caller",
+		}
+		sort.Strings(want)
+		if strings.Join(got, "\n") != strings.Join(want, "\n") {
+			t.Errorf("spans:\n%s\nwant:\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+		}
+	})
+}
+
+// describe names each span of the caller's trace with its parent.
+func describe(spans []sdktrace.ReadOnlySpan) []string {
+	names := map[string]string{"0102030405060708": "caller"}
+	for _, s := range spans {
+		names[s.SpanContext().SpanID().String()] = s.Name()
+	}
+	var lines []string
+	for _, s := range spans {
+		if s.SpanContext().TraceID().String() == "0102030405060708090a0b0c0d0e0f10" {
+			lines = append(lines, s.Name()+" < "+names[s.Parent().SpanID().String()])
+		}
+	}
+	sort.Strings(lines)
+	return lines
+}
+
+func TestOperatorsPortServesMetricsAndProfiles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.start("node-1", nil, nil)
+		chat := qfapi.ChatRequest{
+			Model: "assistant", MaxTokens: 5, Messages: []qfapi.ChatMessage{{Role: "user", Content: "girth"}},
+		}
+		if _, err := s.client().Chat(t.Context(), chat, nil); err != nil {
+			t.Fatal(err)
+		}
+		chat.MaxTokens = 1 << 30
+		if _, err := s.client().Chat(t.Context(), chat, nil); err == nil {
+			t.Fatal("an answer without bound was accepted")
+		}
+		tests := []struct{ path, want string }{
+			{qfapi.PathHealth, ""},
+			{qfapi.PathReady, ""},
+			{qfapi.PathMetrics, `quetzalfront_requests_total{otel_scope_name="quetzalfront",otel_scope_schema_url="",` +
+				`otel_scope_version="",quetzalfront_entry="assistant",quetzalfront_outcome="Answered"} 1`},
+			{qfapi.PathMetrics, `quetzalfront_output_tokens_total{otel_scope_name="quetzalfront",otel_scope_schema_url="",` +
+				`otel_scope_version="",quetzalfront_entry="assistant",quetzalfront_version="v1"} `},
+			{qfapi.PathMetrics, `quetzalfront_active_requests{otel_scope_name="quetzalfront",otel_scope_schema_url="",otel_scope_version=""} 0`},
+			{qfapi.PathMetrics, "quetzalfront_attempt_time_to_first_token_seconds_count"},
+			{qfapi.PathMetrics, "http_server_request_duration_seconds_count"},
+			{qfapi.PathProfiles, "goroutine"},
+			{qfapi.PathProfiles + "goroutine?debug=1", "goroutine profile"},
+		}
+		for _, test := range tests {
+			status, body := s.get(t.Context(), s.operators[0], test.path)
+			if status != http.StatusOK || !strings.Contains(body, test.want) {
+				t.Errorf("%s: status %d, without %q in %s", test.path, status, test.want, body)
+			}
+		}
+	})
+}
--- a/internal/qf/request.go
+++ b/internal/qf/request.go
@@ -48,6 +48,9 @@
 	Key IdempotencyKey
 	// Deadline is absolute; it travels between nodes as the time that is left.
 	Deadline time.Time
+	// TraceParent is the W3C trace context of the hop that brought the request
+	// here; empty means that there is none.
+	TraceParent string
 
 	// Messages and MaxTokens are set for model engines.
 	Messages  []Message
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -33,6 +33,12 @@
 	FieldAddress  = "Address"
 	FieldOperator = "Operator"
 	FieldTime     = "Time"
+	FieldName     = "Name"
+	FieldTrace    = "Trace"
+	FieldSpan     = "Span"
+	FieldParent   = "Parent"
+	FieldTook     = "Took"
+	FieldDetails  = "Details"
 )
 
 const (
@@ -49,6 +55,7 @@
 	NodeDrained     = Event{103, info, "node drained", []string{FieldNode, FieldCount}, "Nothing; Count requests were handed over."}
 	NodeStopped     = Event{104, info, "node stopped", []string{FieldNode}, "Nothing."}
 	ServerFailed    = Event{105, failure, "a listener failed", []string{FieldAddress, FieldError}, "Check the address in the settings; the node stops."}
+	SpanEnded       = Event{151, info, "span ended", []string{FieldName, FieldTrace, FieldSpan, FieldParent, FieldTime, FieldTook, FieldDetails, FieldError}, "Nothing; follow Trace to see a request's hops over all nodes."}
 	RequestEnded    = Event{201, zerolog.DebugLevel, "request ended", []string{FieldRequest, FieldEntry, FieldOutcome}, "Nothing."}
 	RequestRefused  = Event{202, zerolog.DebugLevel, "request refused as not run", []string{FieldEntry, FieldReason}, "Look at limits and load if there are many."}
 	RequestUnknown  = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
@@ -64,7 +71,7 @@
 // All lists every event.
 func All() []Event {
 	return []Event{
-		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed,
+		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed, SpanEnded,
 		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
 		CatalogueInUse, CatalogueFailed, PeerFailed, DepartureKnown, PlatformFailed,
 	}
--- /dev/null
+++ b/internal/qf/transport/qftelemetry/callers.go
@@ -0,0 +1,43 @@
+package qftelemetry
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/protocol/qfrequest"
+	"quetzalfront/internal/qf/transport/qfhttp"
+)
+
+// CallersHandler returns the handler with a span and metrics for each HTTP
+// request. The W3C trace context of the caller becomes the span's parent.
+func (t *Telemetry) CallersHandler(handler http.Handler) http.Handler {
+	return otelhttp.NewHandler(handler, "callers",
+		otelhttp.WithTracerProvider(t.traces), otelhttp.WithMeterProvider(t.meters),
+		otelhttp.WithPropagators(t.propagator),
+	)
+}
+
+// countingService counts the requests that are refused.
+type countingService struct {
+	qfhttp.Service
+	telemetry *Telemetry
+}
+
+// CallerService returns the service with refusals counted, and with the span of
+// the caller's request noted on the request, so that later hops find it.
+func (t *Telemetry) CallerService(service qfhttp.Service) qfhttp.Service {
+	return &countingService{service, t}
+}
+
+// Accept implements qfhttp.Service.
+func (s *countingService) Accept(ctx context.Context, request *qf.Request) (*qfrequest.Record, error) {
+	request.TraceParent = TraceParentOf(ctx)
+	record, err := s.Service.Accept(ctx, request)
+	if err != nil {
+		s.telemetry.refused(ctx, request.Entry, qf.CodeOf(err))
+	}
+	return record, err
+}
--- /dev/null
+++ b/internal/qf/transport/qftelemetry/context.go
@@ -0,0 +1,56 @@
+package qftelemetry
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// headerTraceParent is the header of the W3C trace context.
+const headerTraceParent = "traceparent"
+
+var traceContext propagation.TraceContext
+
+// TraceParentOf returns the W3C trace context of the span in the context, or "".
+func TraceParentOf(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	traceContext.Inject(ctx, carrier)
+	return carrier.Get(headerTraceParent)
+}
+
+// ContextWith returns a context whose parent span is the W3C trace context. A
+// malformed one is ignored.
+func ContextWith(ctx context.Context, traceParent string) context.Context {
+	if traceParent == "" {
+		return ctx
+	}
+	return traceContext.Extract(ctx, propagation.MapCarrier{headerTraceParent: traceParent})
+}
+
+// propagating passes the trace context on in the headers of requests.
+type propagating struct {
+	http.RoundTripper
+}
+
+// NewTransport returns a transport that passes the trace context of a request's
+// context on in its headers.
+func NewTransport(transport *http.Transport) http.RoundTripper { return &propagating{transport} }
+
+// RoundTrip implements http.RoundTripper.
+func (p *propagating) RoundTrip(request *http.Request) (*http.Response, error) {
+	if !trace.SpanContextFromContext(request.Context()).IsValid() {
+		return p.RoundTripper.RoundTrip(request)
+	}
+	traced := request.Clone(request.Context())
+	traceContext.Inject(request.Context(), propagation.HeaderCarrier(traced.Header))
+	return p.RoundTripper.RoundTrip(traced)
+}
+
+// CloseIdleConnections closes the idle connections of the transport below.
+func (p *propagating) CloseIdleConnections() {
+	if c, ok := p.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -11,6 +11,12 @@
 	kibibyte = 1 << 10
 )
 
+// The values of TelemetrySettings.TraceExporter.
+const (
+	TraceToLog = "log"
+	TraceOff   = "none"
+)
+
 // Default returns settings with every default set. Node and Platform addresses
 // have none.
 func Default() *Settings {
@@ -44,5 +50,6 @@
 			NoticesEvery:   qfdocument.Duration(500 * time.Millisecond),
 			LoadEvery:      qfdocument.Duration(500 * time.Millisecond),
 		},
+		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
 	}
 }
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -15,13 +15,14 @@
 // Settings are the settings of one node. Everything but Node and Platform has
 // a default.
 type Settings struct {
-	Node     NodeSettings     `validate:"required"`
-	Platform PlatformSettings `validate:"required"`
-	Log      LogSettings
-	Request  RequestSettings
-	Peer     PeerSettings
-	Feed     FeedSettings
-	Security SecuritySettings
+	Node      NodeSettings     `validate:"required"`
+	Platform  PlatformSettings `validate:"required"`
+	Log       LogSettings
+	Request   RequestSettings
+	Peer      PeerSettings
+	Feed      FeedSettings
+	Security  SecuritySettings
+	Telemetry TelemetrySettings
 }
 
 // NodeSettings say where the node stands and listens.
@@ -131,6 +132,19 @@
 	AuthorityFile   string
 }
 
+// TelemetrySettings bound the traces of requests. Metrics are always on.
+type TelemetrySettings struct {
+	// TraceExporter is where spans go: "log" writes each as event 151, "none"
+	// turns traces off.
+	TraceExporter string `validate:"oneof=log none"`
+	// TraceRatio is the share of requests that are traced, of those whose caller
+	// doesn't decide it in its trace context.
+	TraceRatio float64 `validate:"min=0,max=1"`
+	// MaxTracesPerSecond bounds the traced requests, those that callers ask for
+	// included.
+	MaxTracesPerSecond float64 `validate:"gt=0"`
+}
+
 // Zone returns the node's availability zone.
 func (n *NodeSettings) Zone() qf.AvailabilityZone { return qf.AvailabilityZone(n.AvailabilityZone) }
 
--- a/pkg/qfapi/qfapi.go
+++ b/pkg/qfapi/qfapi.go
@@ -26,6 +26,7 @@
 	PathHealth           = "/healthz"
 	PathReady            = "/readyz"
 	PathMetrics          = "/metrics"
+	PathProfiles         = "/debug/pprof/"
 )
 
 // The header names.
