--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -11,8 +11,10 @@
 	"quetzalfront/internal/qf/protocol/qfendpoint"
 	"quetzalfront/internal/qf/state/qfcloud"
 	"quetzalfront/internal/qf/state/qfledger"
+	"quetzalfront/internal/qf/state/qfobject"
 	"quetzalfront/internal/qf/state/qftable"
 	"quetzalfront/internal/qf/transport/qfrpc"
+	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/internal/qfsettings"
 )
 
@@ -26,11 +28,12 @@
 	p := &settings.Platform
 	table := qftable.NewClient(p.Table, p.Timeout.Value(), network.Dial)
 	cloud := qfcloud.NewClient(p.Cloud, p.VMList, p.Timeout.Value(), network.Dial)
-	endpoints := &http.Client{Transport: &http.Transport{
+	endpoints := &http.Client{Transport: qftelemetry.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
-	}}
+	})}
 	return Platform{
-		Timer: timer, Network: network, Table: table, VMList: cloud, Cloud: cloud,
+		Timer: timer, Network: network, Table: table, Objects: qfobject.NewClient(p.Objects, p.Timeout.Value(), network.Dial),
+		VMList: cloud, Cloud: cloud,
 		Engine: qfendpoint.NewEngine(endpoints), Service: qfendpoint.NewService(endpoints),
 		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), network.Dial, nil),
 		Ledger: qfledger.New(table), Logger: logger,
--- a/internal/qf/state/qfdocument/document.go
+++ b/internal/qf/state/qfdocument/document.go
@@ -3,20 +3,18 @@
 package qfdocument
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
+	"regexp"
 	"sort"
 	"strings"
-	"time"
 
 	"github.com/go-playground/validator/v10"
-	"github.com/pelletier/go-toml/v2"
 )
 
 // Fault is one thing that is wrong with a document.
 type Fault struct {
-	// Line counts from 1; 0 means that the fault isn't at one line.
+	// Line counts from 1. A fault that isn't at one line stands at line 1.
 	Line int
 	// Key is the full path, such as "Entries[0].Name".
 	Key string
@@ -29,84 +27,53 @@
 	return fmt.Sprintf("line %d: %s: %s", f.Line, f.Key, f.Expected)
 }
 
-// Duration is a time.Duration that documents write as "1.5s".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("expected a duration with a unit, such as \"250ms\" or \"2s\", not %q", text)
-	}
-	*d = Duration(parsed)
-	return nil
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
-
-// Value returns the duration.
-func (d Duration) Value() time.Duration { return time.Duration(d) }
-
 // Decode decodes a document into a pointer to a struct. Unknown keys, wrong
 // types and failed validation are all faults; they are ordered by line. The
 // content must not be used unless there are none.
 func Decode(data []byte, into any) []Fault {
-	d := toml.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
 	index := NewLineIndex(data)
-	faults := decodeFaults(d.Decode(into))
-	if len(faults) == 0 || onlyUnknownKeys(faults) {
-		faults = append(faults, Validate(into, index)...)
+	faults := decodeAll(data, into, index)
+	if !isSyntaxFault(faults) {
+		for _, f := range Validate(into, index) {
+			if !HasFault(faults, f.Key) {
+				faults = append(faults, f)
+			}
+		}
 	}
-	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+	SortFaults(faults)
 	return faults
 }
 
-const expectedKnownKey = "unknown key; remove it or correct its spelling"
+// SortFaults orders faults by line.
+func SortFaults(faults []Fault) {
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Line < faults[j].Line })
+}
 
-func onlyUnknownKeys(faults []Fault) bool {
+// HasFault reports whether a fault concerns the key or a part of it.
+func HasFault(faults []Fault, key string) bool {
 	for _, f := range faults {
-		if f.Expected != expectedKnownKey {
-			return false
+		if f.Key == key || strings.HasPrefix(f.Key, key+".") || strings.HasPrefix(f.Key, key+"[") {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
-func decodeFaults(err error) []Fault {
-	if err == nil {
-		return nil
-	}
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		faults := make([]Fault, 0, len(strict.Errors))
-		for i := range strict.Errors {
-			e := &strict.Errors[i]
-			row, _ := e.Position()
-			faults = append(faults, Fault{Line: row, Key: strings.Join(e.Key(), "."), Expected: expectedKnownKey})
-		}
-		return faults
-	}
-	var syntax *toml.DecodeError
-	if errors.As(err, &syntax) {
-		row, _ := syntax.Position()
-		return []Fault{{Line: row, Key: strings.Join(syntax.Key(), "."), Expected: strings.TrimPrefix(syntax.Error(), "toml: ")}}
+// newValidator returns a validator that knows our own tags.
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	if err := v.RegisterValidation("name", isName); err != nil {
+		panic(err) // Only an empty tag or a missing function is refused.
 	}
-	return []Fault{{Expected: strings.TrimPrefix(err.Error(), "toml: ")}}
+	return v
 }
 
-// LineIndex finds the line of a key.
-type LineIndex interface {
-	Line(key string) int
-}
+// validate caches what it learns of each struct type.
+var validate = newValidator()
 
 // Validate checks the struct's validate tags. The index may be nil.
-func Validate(document any, index LineIndex) []Fault {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	err := v.Struct(document)
+func Validate(document any, index *LineIndex) []Fault {
+	err := validate.Struct(document)
 	var failed validator.ValidationErrors
 	if !errors.As(err, &failed) {
 		return nil
@@ -117,7 +84,7 @@
 		if _, rest, ok := strings.Cut(key, "."); ok {
 			key = rest
 		}
-		fault := Fault{Key: key, Expected: expectation(f)}
+		fault := Fault{Line: firstLine, Key: key, Expected: expectation(f)}
 		if index != nil {
 			fault.Line = index.Line(key)
 		}
@@ -139,9 +106,18 @@
 		return fmt.Sprintf("expected at most %s", f.Param())
 	case "gt":
 		return fmt.Sprintf("expected more than %s", f.Param())
+	case "name":
+		return fmt.Sprintf("expected lower-case letters, digits, \".\" and \"-\" only, not %q", fmt.Sprint(f.Value()))
+	case "startswith":
+		return fmt.Sprintf("expected a value that starts with %q", f.Param())
 	case "unique":
 		return fmt.Sprintf("expected each %s only once", f.Param())
 	default:
-		return fmt.Sprintf("expected %s %s", f.Tag(), f.Param())
+		return strings.TrimSpace(fmt.Sprintf("expected %s %s", f.Tag(), f.Param()))
 	}
 }
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+// isName checks a name that becomes part of row keys and paths.
+func isName(f validator.FieldLevel) bool { return namePattern.MatchString(f.Field().String()) }
