qfcatalogue: settle edits whose answer was lost

Cause: a lost answer was passed on as NotYetKnown at once and nothing settled it (trial: Apply under LoseAnswers 1 -> NotYetKnown); a repeat after a later revision and histories above 1000 revisions were wrong. An entry that went through JSON could count as changed. Change: each edit has a row that its write requires to be absent; a lost write is repeated under the same conditions, then the row is read back. catalogue settle shuts out what may still come. History is read in pages and 4096 documents are kept. Operations gains Settle. Script catalogue_race passes.

--- a/cmd/quetzalfront/script_test.go
+++ b/cmd/quetzalfront/script_test.go
@@ -33,14 +33,16 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"freeports": freePorts,
-			"expand":    expand,
-			"await":     await,
-			"chat":      startChats,
-			"streaming": awaitStreaming,
-			"answers":   awaitAnswers,
-			"signal":    sendSignal,
-			"file":      fileOnce,
+			"freeports":  freePorts,
+			"expand":     expand,
+			"await":      await,
+			"chat":       startChats,
+			"streaming":  awaitStreaming,
+			"answers":    awaitAnswers,
+			"signal":     sendSignal,
+			"file":       fileOnce,
+			"race":       raceEdits,
+			"tablefault": tableFault,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Values[chatsKey{}] = &chats{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,7 +94,7 @@
 		settings:  settings,
 		platform:  platform,
 		catalogue: qfcatalogue.NewCurrent(),
-		store:     qfcatalogue.NewStore(platform.Table),
+		store:     qfcatalogue.NewStore(platform.Table, platform.Timer),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
 		router:    qfroute.NewLeastOutstanding(),
 		limiter:   qflimit.NewConcurrency(),
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -44,11 +44,14 @@
 	return verdict
 }
 
-const maxHistory = 1000
+// Settle implements qfhttp.Operations.
+func (n *Node) Settle(ctx context.Context, editID string) qfcatalogue.Verdict {
+	return n.store.Settle(ctx, editID)
+}
 
 // History implements qfhttp.Operations.
 func (n *Node) History(ctx context.Context) ([]qfcatalogue.Snapshot, error) {
-	return n.store.History(ctx, 0, maxHistory)
+	return n.store.Recent(ctx)
 }
 
 // IsReady implements qfhttp.Operations.
--- a/internal/qf/state/qfcatalogue/store.go
+++ b/internal/qf/state/qfcatalogue/store.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"reflect"
 	"time"
 
 	"github.com/google/uuid"
@@ -18,9 +17,15 @@
 // The rows in which the catalogue is kept.
 const (
 	rowHead          = "catalogue/head"
+	rowRevision      = "catalogue/revision"
 	rowHistoryPrefix = "catalogue/history/"
+	rowEditPrefix    = "catalogue/edit/"
 )
 
+// KeepRevisions is the number of revisions whose documents are kept. An edit of
+// an older base is refused.
+const KeepRevisions = 4096
+
 // Snapshot is the whole catalogue at one revision.
 type Snapshot struct {
 	// Revision is 0 before the first edit.
@@ -79,10 +84,12 @@
 // Store keeps the catalogue in the table service.
 type Store struct {
 	table qf.Table
+	timer qf.Timer
 }
 
-// NewStore returns a store that keeps the catalogue in the table.
-func NewStore(table qf.Table) *Store { return &Store{table: table} }
+// NewStore returns a store that keeps the catalogue in the table. The timer
+// paces repeats.
+func NewStore(table qf.Table, timer qf.Timer) *Store { return &Store{table: table, timer: timer} }
 
 // NewEditID returns an identifier for an edit.
 func NewEditID() string { return uuid.NewString() }
@@ -106,179 +113,75 @@
 		return Snapshot{}, nil
 	}
 	row, err := s.table.Read(ctx, historyRow(revision))
+	if errors.Is(err, &qf.Error{Code: qf.CodeNotFound}) {
+		return Snapshot{}, notKept(revision)
+	}
 	if err != nil {
 		return Snapshot{}, err
 	}
 	return Decode(row.Value)
 }
 
-// History returns at most limit revisions after the given one.
-func (s *Store) History(ctx context.Context, after qf.Revision, limit int) ([]Snapshot, error) {
-	rows, err := s.table.Scan(ctx, rowHistoryPrefix, historyRow(after), limit)
-	if err != nil {
-		return nil, err
-	}
-	snapshots := make([]Snapshot, 0, len(rows))
-	for _, row := range rows {
-		snapshot, err := Decode(row.Value)
-		if err != nil {
-			return nil, err
-		}
-		snapshots = append(snapshots, snapshot)
-	}
-	return snapshots, nil
-}
-
-func historyRow(revision qf.Revision) string {
-	return fmt.Sprintf("%s%020d", rowHistoryPrefix, revision)
-}
-
-// maxRebases bounds how often an edit is put on a newer head that didn't touch
-// its entries.
-const maxRebases = 16
-
-// Apply tries to make an edit the newest revision. Edits of different entries
-// don't conflict: the edit's entries are put on the newest head.
-func (s *Store) Apply(ctx context.Context, edit Edit) Verdict {
-	base, err := s.At(ctx, edit.Base)
-	if err != nil {
-		return Verdict{State: EditRefused, Err: err}
-	}
-	touched := Touched(&base.Document, &edit.Document)
-	for range maxRebases {
-		verdict, again := s.tryApply(ctx, edit, touched)
-		if !again {
-			return verdict
-		}
-	}
-	err = qf.NewError(qf.CodeConflict, qf.StepApply, "", "too many edits at once; try again")
-	return Verdict{State: EditRefused, Err: err}
-}
-
-// tryApply makes one attempt on the newest head.
-func (s *Store) tryApply(ctx context.Context, edit Edit, touched []qf.EntryName) (verdict Verdict, again bool) {
-	head, version, err := s.Head(ctx)
-	if err != nil {
-		return Verdict{State: EditRefused, Err: err}, false
-	}
-	if head.Change.EditID == edit.ID {
-		return Verdict{State: EditAccepted, Revision: head.Revision}, false
-	}
-	conflicts, err := s.conflicts(ctx, edit, touched)
-	if err != nil {
-		return Verdict{State: EditRefused, Err: err}, false
-	}
-	if len(conflicts) > 0 {
-		return Verdict{State: EditRefused, Conflicts: conflicts, Err: conflictError(conflicts)}, false
+// Latest returns the newest revision alone, for frequent polls.
+func (s *Store) Latest(ctx context.Context) (qf.Revision, error) {
+	row, err := s.table.Read(ctx, rowRevision)
+	if errors.Is(err, &qf.Error{Code: qf.CodeNotFound}) {
+		return 0, nil
 	}
-	next := rebased(head, edit, touched)
-	transaction, err := commitOf(next, version)
 	if err != nil {
-		return Verdict{State: EditRefused, Err: err}, false
+		return 0, err
 	}
-	result := s.table.Commit(ctx, transaction)
-	switch {
-	case result.Certainty == qf.Done:
-		return Verdict{State: EditAccepted, Revision: next.Revision}, false
-	case result.Certainty == qf.Unknown:
-		return Verdict{State: EditNotYetKnown, Err: result.Err}, false
-	case errors.Is(result.Err, &qf.Error{Code: qf.CodeConflict}):
-		return Verdict{}, true
-	default:
-		return Verdict{State: EditRefused, Err: result.Err}, false
+	var revision qf.Revision
+	if err := json.Unmarshal(row.Value, &revision); err != nil {
+		return 0, decodeError("catalogue revision", err)
 	}
+	return revision, nil
 }
 
-func conflictError(conflicts []Conflict) error {
-	c := conflicts[0]
-	err := qf.NewError(qf.CodeConflict, qf.StepApply, "", fmt.Sprintf(
-		"%s changed entry %q at revision %d", c.Change.Operator, c.Entry, c.Revision))
-	err.Field = "Entries." + string(c.Entry)
-	return err
-}
+const historyPage = 200
 
-// conflicts lists the changes since the edit's base that touch its entries.
-func (s *Store) conflicts(ctx context.Context, edit Edit, touched []qf.EntryName) ([]Conflict, error) {
-	since, err := s.History(ctx, edit.Base, maxHistoryRead)
-	if err != nil {
-		return nil, err
-	}
-	var conflicts []Conflict
-	for _, snapshot := range since {
-		for _, name := range snapshot.Change.Entries {
-			if containsEntry(touched, name) {
-				conflicts = append(conflicts, Conflict{Entry: name, Revision: snapshot.Revision, Change: snapshot.Change})
+// History returns the revisions from after one to up to another, oldest first.
+// It fails with CodeNotFound if some of them aren't kept any more.
+func (s *Store) History(ctx context.Context, after, upTo qf.Revision) ([]Snapshot, error) {
+	var snapshots []Snapshot
+	for after < upTo {
+		rows, err := s.table.Scan(ctx, rowHistoryPrefix, historyRow(after), int(min(historyPage, upTo-after)))
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			snapshot, err := Decode(row.Value)
+			if err != nil {
+				return nil, err
+			}
+			if snapshot.Revision != after+1 {
+				return nil, notKept(after + 1)
 			}
+			after++
+			snapshots = append(snapshots, snapshot)
 		}
-	}
-	return conflicts, nil
-}
-
-const maxHistoryRead = 1000
-
-func containsEntry(names []qf.EntryName, name qf.EntryName) bool {
-	for _, n := range names {
-		if n == name {
-			return true
+		if len(rows) == 0 {
+			return nil, notKept(after + 1)
 		}
 	}
-	return false
+	return snapshots, nil
 }
 
-func commitOf(next Snapshot, headVersion uint64) (qf.Transaction, error) {
-	value, err := next.Encode()
+// Recent returns the revisions that are kept, oldest first.
+func (s *Store) Recent(ctx context.Context) ([]Snapshot, error) {
+	latest, err := s.Latest(ctx)
 	if err != nil {
-		return qf.Transaction{}, err
+		return nil, err
 	}
-	return qf.Transaction{
-		ID: qf.TransactionID(next.Change.EditID),
-		Conditions: []qf.Condition{
-			{Key: rowHead, Version: headVersion},
-			{Key: historyRow(next.Revision), Version: 0},
-		},
-		Writes: []qf.Write{
-			{Key: rowHead, Value: value},
-			{Key: historyRow(next.Revision), Value: value},
-		},
-	}, nil
+	return s.History(ctx, latest-min(latest, KeepRevisions), latest)
 }
 
-// Touched lists the entries in which the two documents differ.
-func Touched(before, after *Document) []qf.EntryName {
-	var names []qf.EntryName
-	for i := range after.Entries {
-		e := &after.Entries[i]
-		old := before.Entry(e.Name)
-		if old == nil || !reflect.DeepEqual(old, e) {
-			names = append(names, e.Name)
-		}
-	}
-	for i := range before.Entries {
-		if after.Entry(before.Entries[i].Name) == nil {
-			names = append(names, before.Entries[i].Name)
-		}
-	}
-	return names
+func notKept(revision qf.Revision) error {
+	return qf.NewError(qf.CodeNotFound, qf.StepCatalogueRead, "", fmt.Sprintf("revision %d is not kept any more; get the newest and edit that", revision))
 }
 
-// rebased puts the edit's entries on the head.
-func rebased(head Snapshot, edit Edit, touched []qf.EntryName) Snapshot {
-	var entries []Entry
-	for i := range head.Document.Entries {
-		if !containsEntry(touched, head.Document.Entries[i].Name) {
-			entries = append(entries, head.Document.Entries[i])
-		}
-	}
-	for i := range edit.Document.Entries {
-		if containsEntry(touched, edit.Document.Entries[i].Name) {
-			entries = append(entries, edit.Document.Entries[i])
-		}
-	}
-	return Snapshot{
-		Revision: head.Revision + 1,
-		Document: Document{Entries: entries},
-		Change:   Change{Operator: edit.Operator, EditID: edit.ID, At: edit.At, Entries: touched},
-	}
+func historyRow(revision qf.Revision) string {
+	return fmt.Sprintf("%s%020d", rowHistoryPrefix, revision)
 }
 
 // Encode renders the snapshot for the table and for peers.
@@ -288,11 +191,15 @@
 func Decode(value []byte) (Snapshot, error) {
 	var s Snapshot
 	if err := json.Unmarshal(value, &s); err != nil {
-		return Snapshot{}, qf.NewError(qf.CodeInternal, qf.StepDecode, "", "catalogue snapshot: "+err.Error())
+		return Snapshot{}, decodeError("catalogue snapshot", err)
 	}
 	return s, nil
 }
 
+func decodeError(what string, err error) error {
+	return qf.NewError(qf.CodeInternal, qf.StepDecode, "", what+": "+err.Error())
+}
+
 // TOML renders the document for people.
 func (d *Document) TOML() (string, error) {
 	var b bytes.Buffer
--- a/internal/qf/transport/qfhttp/operators.go
+++ b/internal/qf/transport/qfhttp/operators.go
@@ -19,6 +19,8 @@
 	Catalogue() *qfcatalogue.Snapshot
 	// Apply tries to make an edit the newest revision.
 	Apply(ctx context.Context, edit qfcatalogue.Edit) qfcatalogue.Verdict
+	// Settle says for good what became of an edit.
+	Settle(ctx context.Context, editID string) qfcatalogue.Verdict
 	// History returns the latest revisions, oldest first.
 	History(ctx context.Context) ([]qfcatalogue.Snapshot, error)
 	// Report returns a report for JSON, or an error with CodeNotFound.
@@ -44,6 +46,7 @@
 	mux.HandleFunc("GET "+qfapi.PathCatalogue, o.serveCatalogue)
 	mux.HandleFunc("PUT "+qfapi.PathCatalogue, o.serveApply)
 	mux.HandleFunc("GET "+qfapi.PathCatalogueHistory, o.serveHistory)
+	mux.HandleFunc("POST "+qfapi.PathCatalogueEdits+"{id}", o.serveSettle)
 	mux.HandleFunc("GET "+qfapi.PathReports+"{name}", o.serveReport)
 	mux.HandleFunc("GET "+qfapi.PathReports+"{name}/{subject}", o.serveReport)
 	return mux
@@ -96,7 +99,12 @@
 	if edit.ID == "" {
 		edit.ID = qfcatalogue.NewEditID()
 	}
-	writeVerdict(w, &edit, o.operations.Apply(r.Context(), edit))
+	writeVerdict(w, edit.ID, o.operations.Apply(r.Context(), edit))
+}
+
+func (o *Operators) serveSettle(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	writeVerdict(w, id, o.operations.Settle(r.Context(), id))
 }
 
 func apiFaults(faults []qfdocument.Fault) []qfapi.Fault {
@@ -107,8 +115,8 @@
 	return out
 }
 
-func writeVerdict(w http.ResponseWriter, edit *qfcatalogue.Edit, verdict qfcatalogue.Verdict) {
-	answer := qfapi.ApplyAnswer{State: string(verdict.State), Revision: uint64(verdict.Revision), EditID: edit.ID}
+func writeVerdict(w http.ResponseWriter, editID string, verdict qfcatalogue.Verdict) {
+	answer := qfapi.ApplyAnswer{State: string(verdict.State), Revision: uint64(verdict.Revision), EditID: editID}
 	for _, c := range verdict.Conflicts {
 		conflict := qfapi.Conflict{
 			Entry: string(c.Entry), Revision: uint64(c.Revision), Operator: c.Change.Operator, At: c.Change.At,
--- a/pkg/qfapi/qfapi.go
+++ b/pkg/qfapi/qfapi.go
@@ -22,10 +22,12 @@
 const (
 	PathCatalogue        = "/v1/catalogue"
 	PathCatalogueHistory = "/v1/catalogue/history"
-	PathReports          = "/v1/reports/"
-	PathHealth           = "/healthz"
-	PathReady            = "/readyz"
-	PathMetrics          = "/metrics"
+	// PathCatalogueEdits is followed by an edit's identifier; a POST settles it.
+	PathCatalogueEdits = "/v1/catalogue/edits/"
+	PathReports        = "/v1/reports/"
+	PathHealth         = "/healthz"
+	PathReady          = "/readyz"
+	PathMetrics        = "/metrics"
 )
 
 // The header names.
