qfcatalogue, node: let polls and peers carry revisions within a read budget

Cause: each node read the whole head row once a second (640 reads a second at 640 nodes), the receiver of an exchange fetched a newer revision only in its own next round, and nothing knew how old a node's news was.

--- a/cmd/quetzalfront/catalogue.go
+++ b/cmd/quetzalfront/catalogue.go
@@ -84,22 +84,28 @@
 func catalogueApply() *command {
 	flags := &operatorFlags{}
 	var path, operator string
+	var wait time.Duration
 	base := -1
 	sub := flaggy.NewSubcommand("apply")
 	sub.Description = "make a file the newest revision"
 	flags.attach(sub)
 	sub.Int(&base, "b", "base-revision", "the revision that was edited; the newest if not given")
+	sub.Duration(&wait, "w", "wait", "wait so long until the revision is in force everywhere; print who isn't there yet")
 	sub.String(&operator, "o", "operator", "who makes the edit; the user's name if not given")
 	sub.AddPositionalValue(&path, "FILE", 1, true, "the catalogue file")
 	return &command{sub: sub, run: func(ctx context.Context) int {
-		return applyCatalogue(ctx, flags, path, operator, base)
+		revision, code := applyCatalogue(ctx, flags, path, operator, base)
+		if code != exitOK || wait <= 0 {
+			return code
+		}
+		return awaitRevision(ctx, flags, revision, wait)
 	}}
 }
 
-func applyCatalogue(ctx context.Context, flags *operatorFlags, path, operator string, base int) int {
+func applyCatalogue(ctx context.Context, flags *operatorFlags, path, operator string, base int) (uint64, int) {
 	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
 	if err != nil {
-		return fail(err)
+		return 0, fail(err)
 	}
 	if operator == "" {
 		operator = userName()
@@ -107,16 +113,16 @@
 	if base < 0 {
 		var current qfapi.CatalogueAnswer
 		if err := flags.get(ctx, qfapi.PathCatalogue, &current); err != nil {
-			return fail(err)
+			return 0, fail(err)
 		}
 		base = int(current.Revision) //nolint:gosec // Revisions are small.
 	}
 	id := qfcatalogue.NewEditID()
 	answer, err := sendApply(ctx, flags, data, operator, base, id)
 	if err != nil {
-		return fail(fmt.Errorf("%w\nwhether edit %s was accepted is not yet known; %s", err, id, settleHint(flags, id)))
+		return 0, fail(fmt.Errorf("%w\nwhether edit %s was accepted is not yet known; %s", err, id, settleHint(flags, id)))
 	}
-	return printVerdict(flags, path, answer)
+	return answer.Revision, printVerdict(flags, path, answer)
 }
 
 func settleHint(flags *operatorFlags, id string) string {
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -8,7 +8,6 @@
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/protocol/qfrequest"
-	"quetzalfront/internal/qf/state/qfcatalogue"
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
@@ -31,36 +30,6 @@
 	}()
 }
 
-// pollCatalogue reads the newest revision from the table.
-func (n *Node) pollCatalogue(ctx context.Context) {
-	snapshot, _, err := n.store.Head(ctx)
-	if err != nil {
-		if ctx.Err() == nil {
-			qfevent.CatalogueFailed.Log(&n.platform.Logger, err)
-		}
-		return
-	}
-	n.offerCatalogue(snapshot)
-}
-
-// offerCatalogue puts a snapshot in force if it is newer.
-func (n *Node) offerCatalogue(snapshot qfcatalogue.Snapshot) {
-	if !n.catalogue.Offer(snapshot) {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	current := n.catalogue.Get()
-	var limits []qf.Limit
-	for i := range current.Document.Entries {
-		e := &current.Document.Entries[i]
-		limits = append(limits, e.QFLimits()...)
-		n.versions.SetTarget(e.Name, e.Target)
-	}
-	n.limiter.SetLimits(limits)
-	qfevent.CatalogueInUse.Log(&n.platform.Logger, current.Revision, current.Change.Operator)
-}
-
 // pollVMList reads the lagging list of VMs.
 func (n *Node) pollVMList(ctx context.Context) {
 	vms, asOf, err := n.platform.VMList.List(ctx)
@@ -217,20 +186,4 @@
 		return
 	}
 	n.learn(answer)
-	if answer.From.CatalogueRevision > n.catalogue.Revision() {
-		n.fetchCatalogue(ctx, peer)
-	}
-}
-
-func (n *Node) fetchCatalogue(ctx context.Context, peer qf.Node) {
-	encoded, _, err := n.platform.Peer.Catalogue(ctx, peer.PeerAddress, n.catalogue.Revision())
-	if err != nil || len(encoded) == 0 {
-		return // The next exchange tries again.
-	}
-	snapshot, err := qfcatalogue.Decode(encoded)
-	if err != nil {
-		qfevent.CatalogueFailed.Log(&n.platform.Logger, err)
-		return
-	}
-	n.offerCatalogue(snapshot)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,8 +60,12 @@
 	platform  Platform
 	catalogue *qfcatalogue.Current
 	store     *qfcatalogue.Store
-	records   *qfrequest.Store
-	runner    *qfrequest.Runner
+	// fetching is true while a peer is asked for its catalogue.
+	fetching atomic.Bool
+	// stale is true while the news of the catalogue is too old for risky actions.
+	stale   atomic.Bool
+	records *qfrequest.Store
+	runner  *qfrequest.Runner
 
 	// mu guards the decisions, which aren't safe for concurrent use.
 	mu         sync.Mutex
@@ -70,6 +74,7 @@
 	budget     *qfretry.Budget
 	membership *qfmember.Membership
 	versions   *qfrollout.TargetOnly
+	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
 
@@ -103,6 +108,11 @@
 		ctx:       ctx,
 		cancel:    cancel,
 	}
+	n.follower = qfcatalogue.NewFollower(n.catalogue, qfcatalogue.Pace{
+		Every:          settings.Feed.CatalogueEvery.Value(),
+		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
+		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
+	}, platform.Random)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -78,15 +78,21 @@
 	defer n.mu.Unlock()
 	var reports []qfapi.NodeReport
 	for _, node := range n.membership.Nodes(n.now()) {
+		if node.ID == qf.NodeID(n.settings.Node.ID) {
+			node.CatalogueRevision, node.CatalogueAge = n.catalogue.Revision(), n.follower.Age(n.now())
+		}
 		reports = append(reports, qfapi.NodeReport{
 			ID: string(node.ID), Region: string(node.Region), AvailabilityZone: string(node.AvailabilityZone),
 			State: string(node.State), Address: node.CallerAddress,
 			Revision: uint64(node.CatalogueRevision), InProgress: node.Load,
+			CatalogueAge: rounded(node.CatalogueAge), NewsAge: rounded(n.membership.NewsAge(n.now(), node.ID)),
 		})
 	}
 	return reports
 }
 
+func rounded(d time.Duration) string { return d.Round(time.Millisecond).String() }
+
 func (n *Node) reportFleet() qfapi.FleetReport {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -10,8 +10,11 @@
 
 // digest returns the news for peers. It is called with the lock held.
 func (n *Node) digest(now time.Time) qf.Digest {
+	self := n.membership.Self()
+	self.CatalogueRevision = n.catalogue.Revision()
+	self.CatalogueAge = n.follower.Age(now)
 	return qf.Digest{
-		From:         n.membership.Self(),
+		From:         self,
 		Nodes:        n.membership.Peers(now),
 		Departures:   n.membership.Departures(now),
 		RolloutStops: n.versions.Stops(),
@@ -24,6 +27,7 @@
 	now := n.now()
 	n.mu.Lock()
 	n.membership.Learn(now, digest.From)
+	n.toldRevision(now, digest.From)
 	for _, node := range digest.Nodes {
 		n.membership.Learn(now, node)
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -111,7 +111,8 @@
 
 func (n *Node) startFeeds() {
 	feed := &n.settings.Feed
-	n.every(feed.CatalogueEvery.Value(), n.pollCatalogue)
+	n.workers.Add(1)
+	go n.followCatalogue()
 	n.every(feed.VMListEvery.Value(), n.pollVMList)
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
--- a/internal/qf/coordination/qfmember/membership.go
+++ b/internal/qf/coordination/qfmember/membership.go
@@ -148,3 +148,13 @@
 func (m *Membership) Nodes(now time.Time) []qf.Node {
 	return append([]qf.Node{m.self}, m.Peers(now)...)
 }
+
+// NewsAge returns how long ago the node's heartbeat last rose; it is zero for the
+// node itself.
+func (m *Membership) NewsAge(now time.Time, id qf.NodeID) time.Duration {
+	p, ok := m.peers[id]
+	if !ok {
+		return 0
+	}
+	return now.Sub(p.newsAt)
+}
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -31,6 +31,9 @@
 	Heartbeat uint64
 	// CatalogueRevision is the newest revision that the node has in force.
 	CatalogueRevision Revision
+	// CatalogueAge is how long before the message the revision was last known to
+	// be the newest.
+	CatalogueAge time.Duration
 	// Load is the node's number of requests in progress.
 	Load int
 }
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -33,6 +33,7 @@
 	FieldAddress  = "Address"
 	FieldOperator = "Operator"
 	FieldTime     = "Time"
+	FieldAge      = "Age"
 )
 
 const (
@@ -56,6 +57,8 @@
 	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
+	CatalogueStale  = Event{310, warning, "no news of the catalogue; no risky actions", []string{FieldRevision, FieldAge}, "See operators/store-outage.md."}
+	CatalogueFresh  = Event{311, info, "news of the catalogue again", []string{FieldRevision}, "Nothing."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
@@ -66,7 +69,7 @@
 	return []Event{
 		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed,
 		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
-		CatalogueInUse, CatalogueFailed, PeerFailed, DepartureKnown, PlatformFailed,
+		CatalogueInUse, CatalogueFailed, CatalogueStale, CatalogueFresh, PeerFailed, DepartureKnown, PlatformFailed,
 	}
 }
 
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -39,10 +39,12 @@
 			Timeout:       qfdocument.Duration(time.Second),
 		},
 		Feed: FeedSettings{
-			CatalogueEvery: qfdocument.Duration(time.Second),
-			VMListEvery:    qfdocument.Duration(time.Second),
-			NoticesEvery:   qfdocument.Duration(500 * time.Millisecond),
-			LoadEvery:      qfdocument.Duration(500 * time.Millisecond),
+			CatalogueEvery:          qfdocument.Duration(time.Second),
+			CatalogueReadsPerSecond: 64,
+			CatalogueStaleAfter:     qfdocument.Duration(30 * time.Second),
+			VMListEvery:             qfdocument.Duration(time.Second),
+			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
+			LoadEvery:               qfdocument.Duration(500 * time.Millisecond),
 		},
 	}
 }
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -99,10 +99,16 @@
 
 // FeedSettings say how often the platform is polled.
 type FeedSettings struct {
-	CatalogueEvery qfdocument.Duration `validate:"gt=0"`
-	VMListEvery    qfdocument.Duration `validate:"gt=0"`
-	NoticesEvery   qfdocument.Duration `validate:"gt=0"`
-	LoadEvery      qfdocument.Duration `validate:"gt=0"`
+	// CatalogueEvery is the least time between two reads of the newest revision
+	// by one node; CatalogueReadsPerSecond bounds the reads of all nodes.
+	CatalogueEvery          qfdocument.Duration `validate:"gt=0"`
+	CatalogueReadsPerSecond int                 `validate:"min=1"`
+	// CatalogueStaleAfter is the age of the last news of the catalogue from which
+	// on a node raises no version's share and gives no orders.
+	CatalogueStaleAfter qfdocument.Duration `validate:"gt=0"`
+	VMListEvery         qfdocument.Duration `validate:"gt=0"`
+	NoticesEvery        qfdocument.Duration `validate:"gt=0"`
+	LoadEvery           qfdocument.Duration `validate:"gt=0"`
 }
 
 // SecuritySettings say who may call the operators' and peers' ports.
--- a/pkg/qfapi/report.go
+++ b/pkg/qfapi/report.go
@@ -13,8 +13,12 @@
 	State            string
 	Address          netip.AddrPort
 	// Revision is the catalogue revision in force there.
-	Revision   uint64
-	InProgress int
+	Revision uint64
+	// CatalogueAge is how old the node's news of the catalogue was when it last
+	// told, and NewsAge how long ago that was.
+	CatalogueAge string
+	NewsAge      string
+	InProgress   int
 }
 
 // FleetReport says what runs where.
