--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,10 @@
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
 	telemetry *qftelemetry.Telemetry
+	// fetching is true while a peer is asked for its catalogue.
+	fetching atomic.Bool
+	// stale is true while the news of the catalogue is too old for risky actions.
+	stale atomic.Bool
 
 	// mu guards the decisions, which aren't safe for concurrent use.
 	mu         sync.Mutex
@@ -78,6 +82,7 @@
 	budget     *qfretry.Budget
 	membership *qfmember.Membership
 	versions   *qfrollout.TargetOnly
+	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
 
@@ -105,7 +110,7 @@
 		settings:  settings,
 		platform:  platform,
 		catalogue: qfcatalogue.NewCurrent(),
-		store:     qfcatalogue.NewStore(platform.Table),
+		store:     qfcatalogue.NewStore(platform.Table, platform.Timer),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
 		router:    qfroute.NewLeastOutstanding(),
 		limiter:   qflimit.NewConcurrency(),
@@ -114,6 +119,11 @@
 		ctx:       ctx,
 		cancel:    cancel,
 	}
+	n.follower = qfcatalogue.NewFollower(n.catalogue, qfcatalogue.Pace{
+		Every:          settings.Feed.CatalogueEvery.Value(),
+		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
+		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
+	}, platform.Random)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -111,7 +111,8 @@
 
 // FeedSettings say how often the platform is polled.
 type FeedSettings struct {
-	// CatalogueEvery is the time between two reads of the catalogue's revision.
+	// CatalogueEvery is the least time between two reads of the catalogue's
+	// revision by one node.
 	CatalogueEvery qfdocument.Duration `validate:"gt=0"`
 	// VMListEvery is the time between two reads of the VM list.
 	VMListEvery qfdocument.Duration `validate:"gt=0"`
@@ -119,6 +120,11 @@
 	NoticesEvery qfdocument.Duration `validate:"gt=0"`
 	// LoadEvery is the time between two reads of an endpoint's load.
 	LoadEvery qfdocument.Duration `validate:"gt=0"`
+	// CatalogueReadsPerSecond bounds the reads of the revision by all nodes.
+	CatalogueReadsPerSecond int `validate:"min=1"`
+	// CatalogueStaleAfter is the age of the last news of the catalogue from which
+	// on a node raises no version's share and gives no orders.
+	CatalogueStaleAfter qfdocument.Duration `validate:"gt=0"`
 }
 
 // SecuritySettings say who may call the operators' and peers' ports.
--- a/pkg/qfapi/qfapi.go
+++ b/pkg/qfapi/qfapi.go
@@ -27,6 +27,8 @@
 	PathReady            = "/readyz"
 	PathMetrics          = "/metrics"
 	PathProfiles         = "/debug/pprof/"
+	// PathCatalogueEdits is followed by an edit's identifier; a POST settles it.
+	PathCatalogueEdits = "/v1/catalogue/edits/"
 )
 
 // The header names.
