--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	Cloud   qf.Cloud
 	Engine  qf.ModelEngine
 	Service qf.PlainService
+	Prober  qf.Prober
 	Peer    qf.Peer
 	Ledger  qf.Ledger
 	Logger  zerolog.Logger
@@ -74,6 +75,11 @@
 	fetching atomic.Bool
 	// stale is true while the news of the catalogue is too old for risky actions.
 	stale atomic.Bool
+	keys  *qfrequest.Keys
+	// beginning holds the once-only requests whose intent is being recorded.
+	beginning sync.Map
+	// swept is the key up to which the ledger was swept. Only the sweep uses it.
+	swept string
 
 	// mu guards the decisions, which aren't safe for concurrent use.
 	mu         sync.Mutex
@@ -130,6 +136,13 @@
 		Router: &lockedRouter{node: n}, Choosing: n, Ledger: platform.Ledger,
 		Budget: &lockedBudget{node: n}, Observer: n,
 		Self: qf.NodeID(settings.Node.ID), SilentAfter: settings.Request.SilentAfter.Value(),
+		Prober: platform.Prober, LeaveWithin: settings.Request.LeaveWithin.Value(),
+		IsCurrent: n.isCurrent,
+	})
+	n.keys = qfrequest.NewKeys(qfrequest.KeysConfig{
+		Timer: platform.Timer, Ledger: platform.Ledger, Service: platform.Service,
+		Self: qf.NodeID(settings.Node.ID), IsInProgress: n.isInProgress, IsCurrent: n.isCurrent,
+		StatusTimeout: settings.Request.SilentAfter.Value(),
 	})
 	return n
 }
--- a/internal/qf/transport/qftelemetry/context.go
+++ b/internal/qf/transport/qftelemetry/context.go
@@ -31,7 +31,7 @@
 
 // propagating passes the trace context on in the headers of requests.
 type propagating struct {
-	http.RoundTripper
+	*http.Transport
 }
 
 // NewTransport returns a transport that passes the trace context of a request's
@@ -41,16 +41,16 @@
 // RoundTrip implements http.RoundTripper.
 func (p *propagating) RoundTrip(request *http.Request) (*http.Response, error) {
 	if !trace.SpanContextFromContext(request.Context()).IsValid() {
-		return p.RoundTripper.RoundTrip(request)
+		return p.Transport.RoundTrip(request)
 	}
 	traced := request.Clone(request.Context())
 	traceContext.Inject(request.Context(), propagation.HeaderCarrier(traced.Header))
-	return p.RoundTripper.RoundTrip(traced)
+	return p.Transport.RoundTrip(traced)
 }
 
-// CloseIdleConnections closes the idle connections of the transport below.
-func (p *propagating) CloseIdleConnections() {
-	if c, ok := p.RoundTripper.(interface{ CloseIdleConnections() }); ok {
-		c.CloseIdleConnections()
-	}
+// Unpooled returns a transport that opens a new connection for each request.
+func (p *propagating) Unpooled() http.RoundTripper {
+	unpooled := p.Clone()
+	unpooled.DisableKeepAlives = true
+	return NewTransport(unpooled)
 }
