--- a/internal/scenario/expect_test.go
+++ b/internal/scenario/expect_test.go
@@ -21,18 +21,20 @@
 //	expect revision N              every node has the revision at some time soon
 //	expect never-below N           no node has an older revision now
 //	expect within D                no more time than D passed since mark
+//	expect no-work-after D         no engine was sent work longer than D after it heard that it leaves
 //	expect live N                  every node sees N live nodes at some time soon
 func (s *script) expect(_ *testscript.TestScript, args []string) error {
 	checks := map[string]func(args []string) error{
-		"executions":  s.expectExecutions,
-		"call":        s.expectCall,
-		"refused":     s.expectRefused,
-		"edit":        s.expectEdit,
-		"one-edit":    s.expectOneEdit,
-		"revision":    s.expectRevision,
-		"never-below": s.expectNeverBelow,
-		"within":      s.expectWithin,
-		"live":        s.expectLive,
+		"executions":    s.expectExecutions,
+		"call":          s.expectCall,
+		"refused":       s.expectRefused,
+		"edit":          s.expectEdit,
+		"one-edit":      s.expectOneEdit,
+		"revision":      s.expectRevision,
+		"never-below":   s.expectNeverBelow,
+		"within":        s.expectWithin,
+		"live":          s.expectLive,
+		"no-work-after": s.expectNoWorkAfter,
 	}
 	check, ok := checks[args[0]]
 	if !ok {
@@ -140,3 +142,11 @@
 	}
 	return s.eventually(args[0]+" live nodes", func(n *node.Node) bool { return len(n.Addresses("")) == want })
 }
+
+func (s *script) expectNoWorkAfter(args []string) error {
+	limit, err := time.ParseDuration(args[0])
+	if latest := s.d.world.LatestArrival(); err == nil && latest > limit {
+		err = fmt.Errorf("a leaving engine was sent work %s later", latest)
+	}
+	return err
+}
--- a/internal/standin/standengine/engine.go
+++ b/internal/standin/standengine/engine.go
@@ -69,10 +69,14 @@
 	queued    int
 	sequence  uint64
 	leaving   bool
-	fencing   qf.FencingNumber
-	state     qf.Order
-	cache     *prefixCache
-	slots     chan struct{}
+	// leavingSince is when the engine heard that it leaves; latest is the longest
+	// time after that at which an attempt still arrived.
+	leavingSince time.Time
+	latest       time.Duration
+	fencing      qf.FencingNumber
+	state        qf.Order
+	cache        *prefixCache
+	slots        chan struct{}
 	// computed counts the prompt tokens that were not found in the cache.
 	computed int
 	kv       map[string]int
@@ -161,9 +165,20 @@
 func (e *Engine) Leave() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.leaving {
+		e.leavingSince = e.timer.Now()
+	}
 	e.leaving = true
 }
 
+// LatestArrival returns how long after it heard that it leaves the engine was
+// still sent work.
+func (e *Engine) LatestArrival() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.latest
+}
+
 // attempt is one generation in progress.
 type attempt struct {
 	request   qf.GenerateRequest
@@ -178,6 +193,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
+		e.latest = max(e.latest, e.timer.Now().Sub(e.leavingSince))
 		err := qf.NewError(qf.CodeLeaving, qf.StepAttempt, string(e.self.ID), "the engine takes no new work")
 		err.Ran = qf.RanNo
 		return nil, err
--- a/internal/standin/standworld/world.go
+++ b/internal/standin/standworld/world.go
@@ -109,6 +109,18 @@
 // Behaviour returns how the engines of a version behave.
 func (w *World) Behaviour(version qf.Version) standengine.Behaviour { return w.behaviourOf(version) }
 
+// LatestArrival returns the longest time after the news of its leaving at which
+// any engine was still sent work.
+func (w *World) LatestArrival() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	latest := time.Duration(0)
+	for _, e := range w.engines {
+		latest = max(latest, e.LatestArrival())
+	}
+	return latest
+}
+
 // SetServiceBehaviour says how the services that run now behave from now on.
 func (w *World) SetServiceBehaviour(behaviour standservice.Behaviour) {
 	w.mu.Lock()
