--- a/internal/scenario/expect_test.go
+++ b/internal/scenario/expect_test.go
@@ -14,6 +14,8 @@
 // expect checks an outcome:
 //
 //	expect executions BODY N       the call ran N times in all
+//	expect never-more BODY N       the call ran at most N times
+//	expect truthful NAME BODY      calls that were said not to have run didn't, those answered ran once
 //	expect call NAME OUTCOME       every call of the name ended so
 //	expect refused NAME D          every call of the name was refused as not run within D
 //	expect edit NAME STATE         the edit was Accepted, Refused or NotYetKnown
@@ -26,6 +28,8 @@
 func (s *script) expect(_ *testscript.TestScript, args []string) error {
 	checks := map[string]func(args []string) error{
 		"executions":    s.expectExecutions,
+		"never-more":    s.expectNeverMore,
+		"truthful":      s.expectTruthful,
 		"call":          s.expectCall,
 		"refused":       s.expectRefused,
 		"edit":          s.expectEdit,
@@ -150,3 +154,27 @@
 	}
 	return err
 }
+
+func (s *script) expectNeverMore(args []string) error {
+	most, err := strconv.Atoi(args[1])
+	if got := s.d.executions(args[0]); err == nil && got > most {
+		err = fmt.Errorf("%q ran %d times", args[0], got)
+	}
+	return err
+}
+
+// expectTruthful compares what the callers of a name were told with what ran.
+func (s *script) expectTruthful(args []string) error {
+	results, err := s.results(args[0])
+	if err != nil {
+		return err
+	}
+	ran := s.d.executions(args[1])
+	for _, r := range results {
+		outcome := outcomeOf(r)
+		if (outcome == qf.OutcomeNotRun && ran != 0) || (outcome == qf.OutcomeAnswered && ran != 1) || ran > 1 {
+			return fmt.Errorf("call %s was told %s, and ran %d times", args[0], outcome, ran)
+		}
+	}
+	return nil
+}
