node: let answers go on with the same text when their node goes away

Cause: after SIGKILL of a node the library had the answer generated anew and skipped the tokens that it had, which joins two texts when engines sample; GET /v1/requests at another node knew nothing; a HandOver with unknown outcome left two owners for good; TakeOver and Restore took from limits that they had not used. `go test ./cmd/quetzalfront -run TestScripts/node_killed_varied` without the resume text fails with "joined from two different texts". Change: from the moment it leaves, a node keeps shadows at peers in other zones and shows callers only what a peer holds; the library sends its text back; event identifiers carry a checksum; any node finds a request; generations, claims and notices leave one owner. qf.Peer.Shadow returns what was kept; its only implementation and its handler are adapted. Deliberate faults: no resume text makes node_killed_varied fail, no gate makes node_killed_in_reclaim fail.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -45,9 +45,28 @@
 		err.Ran = qf.RanNo
 		return nil, err
 	}
+	if isOutdated(record, request) {
+		return nil, nil
+	}
 	return record, nil
 }
 
+// isOutdated reports whether a record can't go on from what the caller has: it
+// holds another text, or it points to the node that the caller has just lost. The
+// caller's text decides, so that every repeat makes progress.
+func isOutdated(record *qfrequest.Record, request *qf.Request) bool {
+	progress := record.Whole()
+	if progress.Moved != nil {
+		return request.PreviousNode.IsValid() && progress.Moved.Node.CallerAddress == request.PreviousNode
+	}
+	for i := range min(len(progress.Text), len(request.ResumeText)) {
+		if progress.Text[i] != request.ResumeText[i] {
+			return true
+		}
+	}
+	return false
+}
+
 func isSameRequest(a, b *qf.Request) bool {
 	return a.Organisation == b.Organisation && a.Entry == b.Entry && a.Key == b.Key &&
 		a.Method == b.Method && a.Path == b.Path && bytes.Equal(a.Body, b.Body) &&
@@ -94,6 +113,10 @@
 // record accepts an admitted request and runs it.
 func (n *Node) record(ctx context.Context, request *qf.Request) (*qfrequest.Record, error) {
 	record := qfrequest.NewRecord(request, n.settings.Request.MaxAttempts)
+	if old := n.records.Get(request.ID); old != nil {
+		record.Raise(old.Generation() + 1)
+		old.Supersede(n.now(), n.Self(), record.Generation())
+	}
 	if !request.OnceOnly() {
 		return record, n.start(record)
 	}
@@ -145,18 +168,24 @@
 	if err := n.records.Add(record); err != nil {
 		return err
 	}
-	n.run(record)
+	n.run(record, true)
+	if record.Request.PreviousNode.IsValid() || len(record.Whole().Text) > 0 {
+		n.stopPrevious(record)
+	}
 	return nil
 }
 
-func (n *Node) run(record *qfrequest.Record) {
+// run runs a record. isCounted says whether its end is reported to the limiter.
+func (n *Node) run(record *qfrequest.Record, isCounted bool) {
 	n.running.Add(1)
 	go func() {
 		defer n.running.Done()
 		n.runner.Run(n.ctx, record)
 		n.records.Ended()
-		progress := record.Progress(0)
-		n.release(record.Request, len(progress.Text))
+		progress := record.Whole()
+		if isCounted {
+			n.release(record.Request, len(progress.Text))
+		}
 		n.logEnd(record, &progress)
 	}()
 }
@@ -169,13 +198,3 @@
 	}
 	qfevent.RequestEnded.Log(&n.platform.Logger, r.ID, r.Entry, progress.Outcome)
 }
-
-// Find returns a record that the node has, or an error with CodeNotFound or
-// CodeMoved.
-func (n *Node) Find(_ context.Context, id qf.RequestID) (*qfrequest.Record, error) {
-	record := n.records.Get(id)
-	if record == nil {
-		return nil, qf.NewError(qf.CodeNotFound, qf.StepResume, n.settings.Node.ID, "the request isn't known here")
-	}
-	return record, nil
-}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/protocol/qfrequest"
+	"quetzalfront/internal/qf/protocol/qfhandover"
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
@@ -16,21 +16,36 @@
 // long as callers may keep those, then accepts nothing more and hands over or
 // finishes what is in progress. A second call changes nothing.
 func (n *Node) Stop(reason string) {
-	if !n.phase.CompareAndSwap(PhaseServing, PhaseLeaving) {
+	if !n.leave(reason) {
 		return
 	}
+	ctx, cancel := n.untilReclaim()
+	defer cancel()
+	n.drain(ctx)
+	n.Kill()
+	qfevent.NodeStopped.Log(&n.platform.Logger, n.settings.Node.ID)
+}
+
+// leave does what comes before the drain. It returns false if the node leaves
+// already.
+func (n *Node) leave(reason string) bool {
+	if !n.phase.CompareAndSwap(PhaseServing, PhaseLeaving) {
+		return false
+	}
 	qfevent.NodeLeaving.Log(&n.platform.Logger, n.settings.Node.ID, reason)
 	n.mu.Lock()
 	n.membership.Leave()
 	n.mu.Unlock()
+	shadows := newShadower(n)
+	n.workers.Go(func() { shadows.run(n.ctx) })
 	n.exchange(n.ctx)
 	n.pause(n.leavingTime())
 	n.phase.Store(PhaseDraining)
-	moved := n.handOverAll()
+	ctx, cancel := n.untilReclaim()
+	defer cancel()
+	moved := n.handOverAll(ctx, shadows)
 	qfevent.NodeDrained.Log(&n.platform.Logger, n.settings.Node.ID, moved)
-	n.drain()
-	n.Kill()
-	qfevent.NodeStopped.Log(&n.platform.Logger, n.settings.Node.ID)
+	return true
 }
 
 // leavingTime is how long the node goes on serving after it left the answers.
@@ -52,71 +67,24 @@
 	}
 }
 
-// handOverAll moves the requests in progress to peers in other availability
-// zones and returns how many were taken.
-func (n *Node) handOverAll() int {
-	moved := 0
-	for i, record := range n.records.Open() {
-		peers := n.successors()
-		if len(peers) == 0 {
-			return moved
-		}
-		if n.handOver(record, peers, i) {
-			moved++
-		}
-	}
-	return moved
-}
-
-// successors returns the live peers, those in other zones first.
+// successors returns the peers that may take requests over.
 func (n *Node) successors() []qf.Node {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var others, same []qf.Node
-	for _, peer := range n.membership.Peers(n.now()) {
-		switch {
-		case peer.State != qf.NodeLive || !peer.CallerAddress.IsValid():
-		case peer.AvailabilityZone == n.settings.Node.Zone():
-			same = append(same, peer)
-		default:
-			others = append(others, peer)
-		}
-	}
-	return append(others, same...)
+	return qfhandover.Successors(n.membership.Self(), n.membership.Peers(n.now()))
 }
 
-// handOver releases one request and offers it to the peers in turn, starting
-// with a different one for each request so that they are spread.
-func (n *Node) handOver(record *qfrequest.Record, peers []qf.Node, turn int) bool {
-	released, ok := record.Release(n.now())
-	if !ok {
-		return false
-	}
-	for i := range peers {
-		peer := peers[(turn+i)%len(peers)]
-		result := n.platform.Peer.HandOver(n.ctx, peer.PeerAddress, []qf.RequestRecord{released})
-		if result.Certainty == qf.Done && len(result.Value) == 1 {
-			record.MoveTo(n.now(), peer)
-			return true
-		}
-		if result.Err != nil {
-			qfevent.HandOverFailed.Log(&n.platform.Logger, peer.ID, result.Err)
-		}
+// untilReclaim returns a context that ends when the VM is taken, if that is
+// known.
+func (n *Node) untilReclaim() (context.Context, context.CancelFunc) {
+	if leaveAt := n.leaveAt.Load(); leaveAt != nil {
+		return context.WithDeadline(n.ctx, *leaveAt)
 	}
-	record.Restore(n.settings.Request.MaxAttempts)
-	n.records.Reopened()
-	n.run(record)
-	return false
+	return context.WithCancel(n.ctx)
 }
 
 // drain waits until the callers have their answers, or until the VM is taken.
-func (n *Node) drain() {
-	ctx := n.ctx
-	if leaveAt := n.leaveAt.Load(); leaveAt != nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, *leaveAt)
-		defer cancel()
-	}
+func (n *Node) drain(ctx context.Context) {
 	for _, s := range n.servers {
 		_ = s.Shutdown(ctx) // What is cut after the reclaim is cut by the platform.
 	}
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -190,7 +190,11 @@
 
 // expire forgets what ended long ago.
 func (n *Node) expire(context.Context) {
-	n.records.Expire(n.now().Add(-n.settings.Request.RetainFor.Value()))
+	now := n.now()
+	n.records.Expire(now.Add(-n.settings.Request.RetainFor.Value()))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.shadows.Expire(now)
 }
 
 // exchange tells each peer the news and takes theirs.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"quetzalfront/internal/qf/coordination/qfretry"
 	"quetzalfront/internal/qf/coordination/qfrollout"
 	"quetzalfront/internal/qf/coordination/qfroute"
+	"quetzalfront/internal/qf/protocol/qfhandover"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
 	"quetzalfront/internal/qfsettings"
@@ -71,6 +72,7 @@
 	versions   *qfrollout.TargetOnly
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
+	shadows    *qfhandover.Shadows
 
 	phase atomic.Value
 	// leaveAt is when the node's VM is taken, if that is known.
@@ -99,6 +101,7 @@
 		limiter:   qflimit.NewConcurrency(),
 		budget:    qfretry.NewBudget(),
 		versions:  qfrollout.NewTargetOnly(),
+		shadows:   qfhandover.NewShadows(settings.Request.MaxInProgress),
 		ctx:       ctx,
 		cancel:    cancel,
 	}
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -97,9 +97,12 @@
 	Exchange(ctx context.Context, address netip.AddrPort, digest Digest) (Digest, error)
 	// HandOver moves requests to the peer. The value lists those it took.
 	HandOver(ctx context.Context, address netip.AddrPort, records []RequestRecord) Result[[]RequestID]
-	// Shadow keeps copies of records at the peer in case the sender dies.
-	Shadow(ctx context.Context, address netip.AddrPort, records []RequestRecord) error
-	// Lookup asks the peer for a record that it owns or shadows.
+	// Shadow keeps copies of records at the peer in case the sender dies, and
+	// returns those that it kept. A peer that owns an earlier generation of a
+	// record stops working on it.
+	Shadow(ctx context.Context, address netip.AddrPort, records []RequestRecord) ([]RequestID, error)
+	// Lookup asks the peer for a record that it owns or shadows. The answer has no
+	// text.
 	Lookup(ctx context.Context, address netip.AddrPort, id RequestID) (RequestRecord, error)
 	// Catalogue fetches the peer's catalogue if it is newer than the revision.
 	Catalogue(ctx context.Context, address netip.AddrPort, newerThan Revision) ([]byte, Revision, error)
--- /dev/null
+++ b/internal/qf/protocol/qfhandover/rank.go
@@ -0,0 +1,51 @@
+// Package qfhandover decides how requests change their owner: which peer gets a
+// request or its shadow, in which order, and which copy of a record stands. It
+// does no I/O and reads no clock.
+package qfhandover
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalfront/internal/qf"
+)
+
+// Rank orders peers for a request by rendezvous hashing: every node computes the
+// same order, so that it knows which peers to ask first for a request that one
+// of them took.
+func Rank(id qf.RequestID, peers []qf.Node) []qf.Node {
+	ranked := slices.Clone(peers)
+	slices.SortFunc(ranked, func(a, b qf.Node) int {
+		if c := cmp.Compare(weight(id, b.ID), weight(id, a.ID)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return ranked
+}
+
+func weight(id qf.RequestID, node qf.NodeID) uint64 {
+	return xxhash.Sum64String(string(id) + "\x00" + string(node))
+}
+
+// Successors returns the peers that may take requests over from a node: live,
+// with an address for callers, and outside its availability zone. Only if there
+// are none, peers in the same zone are returned.
+func Successors(self qf.Node, peers []qf.Node) []qf.Node {
+	var others, same []qf.Node
+	for _, p := range peers {
+		switch {
+		case p.State != qf.NodeLive || !p.CallerAddress.IsValid() || p.ID == self.ID:
+		case p.AvailabilityZone == self.AvailabilityZone:
+			same = append(same, p)
+		default:
+			others = append(others, p)
+		}
+	}
+	if len(others) > 0 {
+		return others
+	}
+	return same
+}
--- /dev/null
+++ b/internal/qf/protocol/qfrequest/ownership.go
@@ -0,0 +1,154 @@
+package qfrequest
+
+import (
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// NewMoved returns a record that only says where a request goes on.
+func NewMoved(now time.Time, request *qf.Request, node qf.Node) *Record {
+	r := NewRecord(request, 1)
+	r.lifecycle.Apply(Event{Kind: EventHandedOver, At: now})
+	r.MoveTo(now, node)
+	return r
+}
+
+// Generation returns the generation under which this node owns the request.
+func (r *Record) Generation() qf.Generation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.generation
+}
+
+// Raise takes a higher generation, because another node may own a lower one.
+func (r *Record) Raise(generation qf.Generation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.generation = max(r.generation, generation)
+}
+
+// Watch notes that a caller is about to read this node's answer.
+func (r *Record) Watch() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watched = true
+}
+
+// IsWatched reports whether a caller has read this node's answer, or is about to.
+func (r *Record) IsWatched() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.watched
+}
+
+// IsOwned reports whether this node works on the request.
+func (r *Record) IsOwned() bool { return r.isOwned() }
+
+// Supersede ends a stale ownership: the attempt in progress stops and readers are
+// told of the new owner. A request that ended here keeps its outcome.
+func (r *Record) Supersede(now time.Time, node qf.Node, generation qf.Generation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.moved != nil || r.outcome != "" {
+		return
+	}
+	if r.lifecycle.Phase() != PhaseEnded {
+		r.lifecycle.Apply(Event{Kind: EventHandedOver, At: now})
+		close(r.released)
+	}
+	r.generation = generation
+	r.moved = &Moved{Node: node}
+	r.endedAt = now
+	r.wake()
+}
+
+// Header describes the record's ownership without its text.
+func (r *Record) Header(now time.Time, owner qf.NodeID) qf.RequestRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return qf.RequestRecord{
+		Request: qf.Request{
+			ID: r.Request.ID, Organisation: r.Request.Organisation, Entry: r.Request.Entry,
+			Kind: r.Request.Kind, Stream: r.Request.Stream,
+		},
+		Generation: r.generation, Owner: owner, TimeLeft: r.Request.Deadline.Sub(now), Final: r.outcome != "",
+		Watched: r.watched,
+	}
+}
+
+// Whole returns everything that the node has of the record, whatever readers may
+// see at present.
+func (r *Record) Whole() Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.progress(0, len(r.text))
+}
+
+// visible is the number of tokens that readers may see. It is called with the
+// lock held.
+func (r *Record) visible() int {
+	if r.gated {
+		return min(r.shadowed, len(r.text))
+	}
+	return len(r.text)
+}
+
+// Gate limits readers to what Shadowed has confirmed from now on.
+func (r *Record) Gate() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gated = true
+}
+
+// Ungate shows readers everything again: no peer can hold a shadow.
+func (r *Record) Ungate() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gated = false
+	r.wake()
+}
+
+// Shadowed notes that a peer holds so many tokens.
+func (r *Record) Shadowed(tokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shadowed = max(r.shadowed, tokens)
+	r.wake()
+}
+
+// needsShadow reports whether a caller may still want something of the record
+// that only this node has.
+func (r *Record) needsShadow() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Request.Kind != qf.KindModelEngine || r.moved != nil {
+		return false
+	}
+	if r.outcome == "" {
+		return r.lifecycle.Phase() != PhaseEnded
+	}
+	return r.outcome == qf.OutcomeAnswered && len(r.readers) > 0
+}
+
+// Shadow returns a copy for a peer: the whole record if whole is true, else what
+// follows the token of the index from. The text is part of the record and must
+// not be changed.
+func (r *Record) Shadow(now time.Time, owner qf.NodeID, from int, whole bool) qf.RequestRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := qf.RequestRecord{
+		Generation: r.generation, Owner: owner, TimeLeft: r.Request.Deadline.Sub(now),
+		Final: r.outcome == qf.OutcomeAnswered,
+	}
+	if whole {
+		out.Request = *r.Request
+		out.Text = r.text[:len(r.text):len(r.text)]
+		return out
+	}
+	out.Update = true
+	out.Request.ID = r.Request.ID
+	out.TextFrom = from
+	out.Text = r.text[from:len(r.text):len(r.text)]
+	return out
+}
--- a/internal/qf/protocol/qfrequest/record.go
+++ b/internal/qf/protocol/qfrequest/record.go
@@ -32,6 +32,12 @@
 	// released is closed when this node gives the request up; the runner then
 	// returns and closes idle.
 	released, idle chan struct{}
+	// gated limits readers to the first shadowed tokens while the node leaves, so
+	// that no caller has more of the answer than the shadow has.
+	gated    bool
+	shadowed int
+	// watched is true once a caller has read this node's answer, or is about to.
+	watched bool
 	// chain holds the reasons of the decisions about the request.
 	chain []Decision
 	// recomputed counts prompt and answer tokens that attempts after the first
@@ -65,10 +71,13 @@
 
 const eventBuffer = 64
 
-// NewRecord returns the record of a request that this node owns.
+// NewRecord returns the record of a request that this node owns. The part of the
+// answer that the caller sent back moves from the request into the record.
 func NewRecord(request *qf.Request, maxAttempts int) *Record {
+	text := request.ResumeText
+	request.ResumeText = nil
 	return &Record{
-		Request: request, lifecycle: NewLifecycle(request, maxAttempts, 0), generation: 1,
+		Request: request, lifecycle: NewLifecycle(request, maxAttempts, len(text)), generation: 1, text: text,
 		readers: map[*Reader]struct{}{}, events: make(chan Event, eventBuffer),
 		released: make(chan struct{}), idle: make(chan struct{}),
 	}
@@ -82,6 +91,9 @@
 	r.lifecycle = NewLifecycle(&request, maxAttempts, len(from.Text))
 	r.generation = from.Generation
 	r.text = append([]string(nil), from.Text...)
+	if from.Final {
+		r.SettleWith(now, nil)
+	}
 	return r
 }
 
@@ -111,6 +123,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readers[reader] = struct{}{}
+	r.watched = true
 	return reader
 }
 
@@ -141,9 +154,17 @@
 func (r *Record) Progress(offset int) Progress {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := Progress{Answer: r.answer, Outcome: r.outcome, Err: r.err, Moved: r.moved}
-	if offset < len(r.text) {
-		p.Text = r.text[offset:len(r.text):len(r.text)]
+	return r.progress(offset, r.visible())
+}
+
+// progress is called with the lock held.
+func (r *Record) progress(offset, limit int) Progress {
+	p := Progress{Moved: r.moved}
+	if limit == len(r.text) {
+		p.Answer, p.Outcome, p.Err = r.answer, r.outcome, r.err
+	}
+	if offset < limit {
+		p.Text = r.text[offset:limit:limit]
 	}
 	return p
 }
@@ -253,16 +274,20 @@
 	}, true
 }
 
-// Restore takes a released request back after nobody took it over. The caller
-// runs it again.
-func (r *Record) Restore(maxAttempts int) {
+// Restore takes a released request back after nobody took it over, under a
+// generation above all those that were offered. The caller runs it again, unless
+// Restore returns false because another node owns the request after all.
+func (r *Record) Restore(maxAttempts int, generation qf.Generation) bool {
 	<-r.idle
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.generation += 2 // The generation that was offered may be in use.
+	if r.moved != nil {
+		return false
+	}
+	r.generation = generation
 	r.lifecycle = NewLifecycle(r.Request, maxAttempts, len(r.text))
 	r.released, r.idle = make(chan struct{}), make(chan struct{})
-	r.events = make(chan Event, eventBuffer)
+	return true // Events of earlier attempts that are still queued ask for nothing.
 }
 
 // MoveTo tells the readers of a released request which node owns it.
--- a/internal/qf/protocol/qfrequest/store.go
+++ b/internal/qf/protocol/qfrequest/store.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	old, ok := s.records[record.Request.ID]
-	if ok && old.generation >= record.generation {
+	if ok && old.Generation() >= record.Generation() {
 		err := qf.NewError(qf.CodeStaleOwnership, qf.StepAccept, "", "the request is already known here")
 		err.Field = "Qf-Request-Id"
 		return err
@@ -86,6 +86,20 @@
 	return open
 }
 
+// Leaving returns the records that peers should have a copy of while the node
+// leaves.
+func (s *Store) Leaving() []*Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var leaving []*Record
+	for _, r := range s.records {
+		if r.needsShadow() {
+			leaving = append(leaving, r)
+		}
+	}
+	return leaving
+}
+
 // Expire forgets the records that ended before the time.
 func (s *Store) Expire(before time.Time) {
 	s.mu.Lock()
--- a/internal/qf/request.go
+++ b/internal/qf/request.go
@@ -1,6 +1,9 @@
 package qf
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Class is the priority class of an entry's requests.
 type Class string
@@ -53,6 +56,11 @@
 	Messages  []Message
 	MaxTokens int
 	Stream    bool
+	// ResumeText is the part of the answer that the caller sent back, token by
+	// token. It moves into the record when the request is accepted.
+	ResumeText []string
+	// PreviousNode is where the caller's answer streamed before, if it said so.
+	PreviousNode netip.AddrPort
 
 	// Method, Path, ContentType and Body are set for plain services.
 	Method      string
@@ -82,4 +90,28 @@
 	Answer *ServiceAnswer
 	// Attempts counts the attempts so far.
 	Attempts int
+	// Update is true in a shadow that continues an earlier one: Request holds only
+	// the identifier, and Text starts with the token of the index TextFrom.
+	Update   bool
+	TextFrom int
+	// Notice is true in a shadow that only tells who owns the request.
+	Notice bool
+	// Watched is true in a notice if callers have read the owner's answer.
+	Watched bool
+	// Copy is true in the answer of a Lookup from a node that holds a shadow and
+	// isn't the owner.
+	Copy bool
+	// Offered lists the nodes that may own an earlier generation, because the
+	// outcome of their hand-over is unknown. The new owner tells them.
+	Offered []NodeID
+}
+
+// Supersedes reports whether a record's ownership is newer than another one of
+// the same request. Equal generations are decided by the owner's name, so that
+// two nodes always agree.
+func (r *RequestRecord) Supersedes(generation Generation, owner NodeID) bool {
+	if r.Generation != generation {
+		return r.Generation > generation
+	}
+	return r.Owner > owner
 }
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -54,6 +54,9 @@
 	RequestUnknown  = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
 	RequestTaken    = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
 	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
+	ShadowAdopted   = Event{220, info, "request adopted from its shadow", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
+	ShadowFailed    = Event{221, warning, "a peer takes no shadows", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
+	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
@@ -66,6 +69,7 @@
 	return []Event{
 		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed,
 		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
+		ShadowAdopted, ShadowFailed, OwnershipLost,
 		CatalogueInUse, CatalogueFailed, PeerFailed, DepartureKnown, PlatformFailed,
 	}
 }
--- a/internal/qf/transport/qfhttp/answer.go
+++ b/internal/qf/transport/qfhttp/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -87,12 +88,18 @@
 	_ = json.NewEncoder(w).Encode(body) // The reader sees a cut body.
 }
 
-func movedBody(id qf.RequestID, moved *qfrequest.Moved, offset int) qfapi.MovedBody {
+func movedBody(id qf.RequestID, moved *qfrequest.Moved, from qfapi.EventID) qfapi.MovedBody {
 	return qfapi.MovedBody{
-		RequestID: string(id), Nodes: []netip.AddrPort{moved.Node.CallerAddress}, LastEventID: offset,
+		RequestID: string(id), Nodes: []netip.AddrPort{moved.Node.CallerAddress}, LastEventID: from.String(),
 	}
 }
 
+// redirect sends a caller that has got nothing yet to where its request goes on.
+func redirect(w http.ResponseWriter, id qf.RequestID, moved *qfrequest.Moved, from qfapi.EventID) {
+	w.Header().Set("Location", "http://"+moved.Node.CallerAddress.String()+qfapi.PathRequests+url.PathEscape(string(id)))
+	writeJSON(w, http.StatusSeeOther, movedBody(id, moved, from))
+}
+
 // answerCall sends the answer of a plain service.
 func answerCall(w http.ResponseWriter, r *http.Request, record *qfrequest.Record, reader *qfrequest.Reader) {
 	progress, err := reader.Wait(r.Context(), 0)
@@ -107,7 +114,7 @@
 	case progress.Err != nil:
 		writeError(w, progress.Err, record.Request.ID)
 	default:
-		writeJSON(w, http.StatusMisdirectedRequest, movedBody(record.Request.ID, progress.Moved, 0))
+		redirect(w, record.Request.ID, progress.Moved, qfapi.EventID{})
 	}
 }
 
@@ -135,7 +142,7 @@
 func sendWhole(w http.ResponseWriter, record *qfrequest.Record, progress *qfrequest.Progress, text string, tokens int) {
 	switch {
 	case progress.Moved != nil:
-		writeJSON(w, http.StatusMisdirectedRequest, movedBody(record.Request.ID, progress.Moved, 0))
+		redirect(w, record.Request.ID, progress.Moved, qfapi.EventID{})
 	case progress.Err != nil:
 		writeError(w, progress.Err, record.Request.ID)
 	default:
@@ -152,21 +159,19 @@
 
 const finishLength = "length"
 
-// stream sends an answer as server-sent events from the offset on. The
-// identifier of an event is the number of tokens that the caller has with it.
-func stream(w http.ResponseWriter, r *http.Request, record *qfrequest.Record, reader *qfrequest.Reader, offset int) {
-	progress, err := reader.Wait(r.Context(), offset)
+// stream sends an answer as server-sent events from what the caller has on.
+func stream(w http.ResponseWriter, r *http.Request, record *qfrequest.Record, reader *qfrequest.Reader, from qfapi.EventID) {
+	progress, err := reader.Wait(r.Context(), from.Tokens)
 	if err != nil {
 		return // The caller is gone.
 	}
-	if len(progress.Text) == 0 && progress.Err != nil && offset == 0 {
-		writeError(w, progress.Err, record.Request.ID)
+	if !begin(w, record, &progress, &from) {
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(http.StatusOK)
-	s := &streamWriter{w: w, controller: http.NewResponseController(w), record: record, offset: offset}
+	s := &streamWriter{w: w, controller: http.NewResponseController(w), record: record, id: from}
 	for {
 		if s.pieces(progress.Text) != nil {
 			return
@@ -175,7 +180,7 @@
 			s.end(&progress)
 			return
 		}
-		if progress, err = reader.Wait(r.Context(), s.offset); err != nil {
+		if progress, err = reader.Wait(r.Context(), s.id.Tokens); err != nil {
 			return
 		}
 	}
@@ -186,12 +191,13 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	record     *qfrequest.Record
-	offset     int
+	// id is the identifier of the last event that the caller has.
+	id qfapi.EventID
 }
 
 func (s *streamWriter) pieces(text []string) error {
 	for _, token := range text {
-		s.offset++
+		s.id = s.id.Extend(token)
 		if err := s.event("", s.chunk(token, nil)); err != nil {
 			return err
 		}
@@ -213,7 +219,7 @@
 	var err error
 	switch {
 	case progress.Moved != nil:
-		err = s.event(qfapi.EventMoved, movedBody(s.record.Request.ID, progress.Moved, s.offset))
+		err = s.event(qfapi.EventMoved, movedBody(s.record.Request.ID, progress.Moved, s.id))
 	case progress.Err != nil:
 		err = s.event(qfapi.EventError, qfapi.ErrorBody{Error: detailOf(progress.Err, s.record.Request.ID)})
 	default:
@@ -234,7 +240,7 @@
 }
 
 func (s *streamWriter) write(kind, data string) error {
-	message := &sse.Message{ID: sse.ID(strconv.Itoa(s.offset))}
+	message := &sse.Message{ID: sse.ID(s.id.String())}
 	if kind != "" {
 		message.Type = sse.Type(kind)
 	}
--- a/internal/qf/transport/qfhttp/callers.go
+++ b/internal/qf/transport/qfhttp/callers.go
@@ -73,7 +73,7 @@
 // serveRequest resumes a request that was accepted before.
 func (c *Callers) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := qf.RequestID(r.PathValue("id"))
-	offset, err := resumeOffset(r)
+	from, err := resumePoint(r, nil)
 	if err != nil {
 		writeError(w, err, id)
 		return
@@ -87,7 +87,7 @@
 		writeError(w, notFound(id), id) // Another organisation's request doesn't show.
 		return
 	}
-	c.answer(w, r, record, offset)
+	c.answer(w, r, record, from)
 }
 
 func notFound(id qf.RequestID) error {
@@ -95,7 +95,7 @@
 }
 
 // answer sends a record's answer in the form that the request asked for.
-func (c *Callers) answer(w http.ResponseWriter, r *http.Request, record *qfrequest.Record, offset int) {
+func (c *Callers) answer(w http.ResponseWriter, r *http.Request, record *qfrequest.Record, from qfapi.EventID) {
 	reader := record.Attach()
 	defer reader.Detach()
 	w.Header().Set(qfapi.HeaderRequestID, string(record.Request.ID))
@@ -103,7 +103,7 @@
 	case record.Request.Kind == qf.KindPlainService:
 		answerCall(w, r, record, reader)
 	case record.Request.Stream:
-		stream(w, r, record, reader, offset)
+		stream(w, r, record, reader, from)
 	default:
 		answerWhole(w, r, record, reader)
 	}
--- a/internal/qf/transport/qfhttp/parse.go
+++ b/internal/qf/transport/qfhttp/parse.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -31,22 +30,22 @@
 		writeError(w, err, "")
 		return
 	}
-	offset, err := resumeOffset(r)
+	from, err := resumePoint(r, request.ResumeText)
 	if err != nil {
 		writeError(w, err, request.ID)
 		return
 	}
-	c.accept(w, r, request, offset)
+	c.accept(w, r, request, from)
 }
 
 // accept asks the service to take the request and sends the answer.
-func (c *Callers) accept(w http.ResponseWriter, r *http.Request, request *qf.Request, offset int) {
+func (c *Callers) accept(w http.ResponseWriter, r *http.Request, request *qf.Request, from qfapi.EventID) {
 	record, err := c.service.Accept(r.Context(), request)
 	if err != nil {
 		writeError(w, err, request.ID)
 		return
 	}
-	c.answer(w, r, record, offset)
+	c.answer(w, r, record, from)
 }
 
 func (c *Callers) parseChat(w http.ResponseWriter, r *http.Request) (*qf.Request, error) {
@@ -72,6 +71,11 @@
 		return nil, err
 	}
 	request.Messages, err = messagesOf(chat.Messages)
+	if err != nil {
+		return nil, err
+	}
+	request.PreviousNode = previousNode(r)
+	request.ResumeText, err = resumeText(chat.Resume, request.MaxTokens)
 	return request, err
 }
 
@@ -184,7 +188,7 @@
 		writeError(w, err, "")
 		return
 	}
-	c.accept(w, r, request, 0)
+	c.accept(w, r, request, qfapi.EventID{})
 }
 
 func (c *Callers) parseService(w http.ResponseWriter, r *http.Request) (*qf.Request, error) {
@@ -224,16 +228,3 @@
 	}
 	return qf.IdempotencyKey(key), nil
 }
-
-// resumeOffset returns the number of tokens that the caller already has.
-func resumeOffset(r *http.Request) (int, error) {
-	last := r.Header.Get(qfapi.HeaderLastEventID)
-	if last == "" {
-		return 0, nil
-	}
-	offset, err := strconv.Atoi(last)
-	if err != nil || offset < 0 {
-		return 0, invalid(qfapi.HeaderLastEventID, "expected the identifier of an event, a number from 0")
-	}
-	return offset, nil
-}
--- a/internal/qf/transport/qfrpc/messages.go
+++ b/internal/qf/transport/qfrpc/messages.go
@@ -18,7 +18,7 @@
 type ShadowIn struct{ Records []qf.RequestRecord }
 
 // ShadowOut is the answer of Shadow.
-type ShadowOut struct{ Kept int }
+type ShadowOut struct{ Kept []qf.RequestID }
 
 // LookupIn is the question of Lookup.
 type LookupIn struct{ ID qf.RequestID }
--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -21,7 +21,7 @@
 type Handler interface {
 	Exchange(digest qf.Digest) qf.Digest
 	TakeOver(records []qf.RequestRecord) []qf.RequestID
-	KeepShadows(records []qf.RequestRecord)
+	KeepShadows(records []qf.RequestRecord) []qf.RequestID
 	Lookup(id qf.RequestID) (qf.RequestRecord, error)
 	CatalogueNewerThan(revision qf.Revision) ([]byte, qf.Revision)
 }
@@ -45,8 +45,7 @@
 
 // Shadow keeps copies of records.
 func (s *Server) Shadow(in ShadowIn, out *ShadowOut) error {
-	s.handler.KeepShadows(in.Records)
-	out.Kept = len(in.Records)
+	out.Kept = s.handler.KeepShadows(in.Records)
 	return nil
 }
 
@@ -201,10 +200,10 @@
 }
 
 // Shadow implements qf.Peer.
-func (c *Client) Shadow(ctx context.Context, address netip.AddrPort, records []qf.RequestRecord) error {
+func (c *Client) Shadow(ctx context.Context, address netip.AddrPort, records []qf.RequestRecord) ([]qf.RequestID, error) {
 	var out ShadowOut
 	_, err := c.call(ctx, address, "Shadow", ShadowIn{Records: records}, &out)
-	return err
+	return out.Kept, err
 }
 
 // Lookup implements qf.Peer.
--- a/internal/standin/standengine/engine.go
+++ b/internal/standin/standengine/engine.go
@@ -32,6 +32,8 @@
 	SlowFactor float64
 	// WrongText makes the answers differ from the reference.
 	WrongText bool
+	// Varies makes each attempt draw its tokens anew, as an engine that samples.
+	Varies bool
 	// CutEvery ends every so-many-th answer without its end mark.
 	CutEvery int
 	// CrossEvery echoes another attempt's identifier on every so-many-th answer.
--- a/internal/standin/standengine/http.go
+++ b/internal/standin/standengine/http.go
@@ -99,6 +99,9 @@
 			return
 		}
 		token := nextToken(hash)
+		if a.behaviour.Varies {
+			token = variedToken(hash, a.request.Attempt)
+		}
 		hash = extendHash(hash, token)
 		if a.behaviour.WrongText {
 			token = "wrong "
--- a/internal/standin/standworld/world.go
+++ b/internal/standin/standworld/world.go
@@ -40,6 +40,8 @@
 	// SlowFactor and FailEvery make bad versions.
 	SlowFactor float64
 	FailEvery  int
+	// Varies makes the engines draw each attempt's tokens anew.
+	Varies bool
 	// TokenInterval overrides the time between two tokens.
 	TokenInterval qfdocument.Duration
 }
@@ -123,6 +125,7 @@
 	b := standengine.DefaultBehaviour()
 	b.SlowFactor = g.SlowFactor
 	b.FailEvery = g.FailEvery
+	b.Varies = g.Varies
 	if g.TokenInterval > 0 {
 		b.TokenInterval = g.TokenInterval.Value()
 	}
--- a/pkg/qfapi/qfapi.go
+++ b/pkg/qfapi/qfapi.go
@@ -45,6 +45,9 @@
 	HeaderBaseRevision = "Qf-Base-Revision"
 	HeaderOperator     = "Qf-Operator"
 	HeaderEditID       = "Qf-Edit-Id"
+	// HeaderPreviousNode is the address of the node that a caller lost while its
+	// answer streamed. What still runs there is stopped.
+	HeaderPreviousNode = "Qf-Previous-Node"
 )
 
 // EventDone is the data of the event that ends a whole streamed answer.
@@ -98,7 +101,7 @@
 	// Nodes are the addresses to try, best first.
 	Nodes []netip.AddrPort
 	// LastEventID is the identifier after which to resume.
-	LastEventID int
+	LastEventID string
 }
 
 // ChatRequest is a chat completion request in the usual shape. Model names the
@@ -108,6 +111,15 @@
 	Messages  []ChatMessage `json:"messages"`
 	MaxTokens int           `json:"max_tokens,omitempty"`
 	Stream    bool          `json:"stream,omitempty"`
+	// Resume is set if the caller has a part of the answer already. A node that
+	// doesn't know the request has its generation go on after that part.
+	Resume *ChatResume `json:"resume,omitempty"`
+}
+
+// ChatResume is the part of an answer that a caller has.
+type ChatResume struct {
+	// Tokens are the pieces in the order in which they came.
+	Tokens []string `json:"tokens"`
 }
 
 // ChatMessage is one turn of a chat.
--- a/pkg/qfclient/chat.go
+++ b/pkg/qfclient/chat.go
@@ -9,7 +9,7 @@
 	"iter"
 	"net/http"
 	"net/netip"
-	"strconv"
+	"net/url"
 	"strings"
 	"time"
 
@@ -40,12 +40,15 @@
 // chat is one request over all of its connections.
 type chat struct {
 	client  *Client
-	body    []byte
+	request qfapi.ChatRequest
 	id      string
-	text    strings.Builder
-	tokens  int
+	// tokens is the answer so far, and last the identifier of its last event.
+	tokens  []string
+	last    qfapi.EventID
 	resumed int
 	onToken func(token string)
+	// previous is the node that was lost, if one was.
+	previous netip.AddrPort
 	// target is where the request is known to go on, if that is known.
 	target netip.AddrPort
 }
@@ -55,22 +58,18 @@
 // gets each token once and in order.
 func (c *Client) Chat(ctx context.Context, request qfapi.ChatRequest, onToken func(token string)) (Answer, error) {
 	request.Stream = true
-	body, err := json.Marshal(request)
-	if err != nil {
-		return Answer{}, err
-	}
 	if onToken == nil {
 		onToken = func(string) {}
 	}
-	x := &chat{client: c, body: body, id: uuid.NewString(), onToken: onToken}
-	err = x.run(ctx)
-	return Answer{RequestID: x.id, Text: x.text.String(), Tokens: x.tokens, Resumed: x.resumed}, err
+	x := &chat{client: c, request: request, id: uuid.NewString(), onToken: onToken, last: qfapi.EventIDOf(nil)}
+	err := x.run(ctx)
+	return Answer{RequestID: x.id, Text: strings.Join(x.tokens, ""), Tokens: len(x.tokens), Resumed: x.resumed}, err
 }
 
 func (x *chat) run(ctx context.Context) error {
 	wait := firstPause
 	for {
-		before := x.tokens
+		before := len(x.tokens)
 		err := x.once(ctx)
 		if err == nil || isFinal(err) {
 			return err
@@ -79,7 +78,7 @@
 			return errors.Join(ctx.Err(), err)
 		}
 		x.resumed++
-		if x.tokens > before || errors.Is(err, errMoved) {
+		if len(x.tokens) > before || errors.Is(err, errMoved) {
 			wait = firstPause
 			continue
 		}
@@ -116,13 +115,11 @@
 	defer cancel()
 	response, err := x.send(ctx, a)
 	if err != nil {
-		x.client.fail(a)
+		x.lose(addressIn(err, a))
 		return err
 	}
 	defer func() { _ = response.Body.Close() }() // It was read to its end or is given up.
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return x.moved(response.Body)
-	}
+	a = addressOf(response.Request.URL, a)
 	if response.StatusCode != http.StatusOK {
 		failure := readError(response)
 		if failure.Code == qf.CodeLeaving {
@@ -132,24 +129,63 @@
 	}
 	err = x.read(response.Body, cancel)
 	if err != nil && !errors.Is(err, errMoved) {
-		x.client.fail(a)
+		x.lose(a)
 	}
 	return err
 }
 
-// send posts the request under the identifier that it always had. A node that
-// knows it goes on after the last event; any other one starts it.
+// lose notes that a node broke off or didn't answer.
+func (x *chat) lose(a netip.AddrPort) {
+	x.previous = a
+	x.client.fail(a)
+}
+
+// addressOf returns the node that answered, which isn't the one that was asked if
+// that one sent the request on.
+func addressOf(location *url.URL, asked netip.AddrPort) netip.AddrPort {
+	if a, err := netip.ParseAddrPort(location.Host); err == nil {
+		return a
+	}
+	return asked
+}
+
+// addressIn returns the node that an error of the HTTP client is about.
+func addressIn(err error, asked netip.AddrPort) netip.AddrPort {
+	var failed *url.Error
+	if !errors.As(err, &failed) {
+		return asked
+	}
+	location, parseErr := url.Parse(failed.URL)
+	if parseErr != nil {
+		return asked
+	}
+	return addressOf(location, asked)
+}
+
+// send posts the request under the identifier that it always had, with the answer
+// so far. A node that knows the request goes on after the last event; any other
+// one has the generation go on after the text.
 func (x *chat) send(ctx context.Context, a netip.AddrPort) (*http.Response, error) {
-	url := "http://" + a.String() + qfapi.PathChatCompletions
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(x.body))
+	if len(x.tokens) > 0 {
+		x.request.Resume = &qfapi.ChatResume{Tokens: x.tokens}
+	}
+	body, err := json.Marshal(x.request)
+	if err != nil {
+		return nil, err
+	}
+	location := "http://" + a.String() + qfapi.PathChatCompletions
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, location, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(qfapi.HeaderOrganisation, x.client.options.Organisation)
 	request.Header.Set(qfapi.HeaderRequestID, x.id)
-	if x.tokens > 0 {
-		request.Header.Set(qfapi.HeaderLastEventID, strconv.Itoa(x.tokens))
+	if len(x.tokens) > 0 {
+		request.Header.Set(qfapi.HeaderLastEventID, x.last.String())
+	}
+	if x.previous.IsValid() {
+		request.Header.Set(qfapi.HeaderPreviousNode, x.previous.String())
 	}
 	return x.client.options.HTTP.Do(request)
 }
@@ -223,19 +259,19 @@
 	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
 		return err
 	}
-	offset, err := strconv.Atoi(event.LastEventID)
+	id, err := qfapi.ParseEventID(event.LastEventID)
 	if err != nil || len(chunk.Choices) != 1 || chunk.ID != x.id {
 		return errors.New("a piece isn't of this answer")
 	}
-	if chunk.Choices[0].FinishReason != nil || offset <= x.tokens {
+	if chunk.Choices[0].FinishReason != nil || id.Tokens <= x.last.Tokens {
 		return nil
 	}
-	if offset != x.tokens+1 {
-		return errors.New("a piece is missing")
-	}
 	token := chunk.Choices[0].Delta.Content
-	x.tokens++
-	x.text.WriteString(token)
+	if id != x.last.Extend(token) {
+		return errors.New("a piece doesn't continue this answer")
+	}
+	x.tokens = append(x.tokens, token)
+	x.last = id
 	x.onToken(token)
 	return nil
 }
