--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qflimit"
@@ -22,13 +23,17 @@
 	"quetzalfront/internal/qf/protocol/qfhandover"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/internal/qfsettings"
 )
 
-// Platform holds the services that a node stands on. No field may be nil.
+// Platform holds the services that a node stands on. No field may be nil unless
+// it says so.
 type Platform struct {
 	Timer   qf.Timer
+	Network qf.Network
 	Table   qf.Table
+	Objects qf.ObjectStore
 	VMList  qf.VMList
 	Cloud   qf.Cloud
 	Engine  qf.ModelEngine
@@ -38,6 +43,9 @@
 	Logger  zerolog.Logger
 	// Random draws for decisions. It is guarded by the node's lock.
 	Random *rand.Rand
+	// Spans takes the spans in place of the exporter that the settings name; it
+	// may be nil.
+	Spans sdktrace.SpanExporter
 }
 
 // Phase is where a node stands in its life.
@@ -62,6 +70,11 @@
 	store     *qfcatalogue.Store
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
+	telemetry *qftelemetry.Telemetry
+	// fetching is true while a peer is asked for its catalogue.
+	fetching atomic.Bool
+	// stale is true while the news of the catalogue is too old for risky actions.
+	stale atomic.Bool
 
 	// mu guards the decisions, which aren't safe for concurrent use.
 	mu         sync.Mutex
@@ -70,6 +83,7 @@
 	budget     *qfretry.Budget
 	membership *qfmember.Membership
 	versions   *qfrollout.TargetOnly
+	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
 	shadows    *qfhandover.Shadows
@@ -91,11 +105,14 @@
 // by Start.
 func New(settings *qfsettings.Settings, platform Platform) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
+	telemetry := newTelemetry(settings, &platform)
+	platform = instrument(platform, telemetry)
 	n := &Node{
+		telemetry: telemetry,
 		settings:  settings,
 		platform:  platform,
 		catalogue: qfcatalogue.NewCurrent(),
-		store:     qfcatalogue.NewStore(platform.Table),
+		store:     qfcatalogue.NewStore(platform.Table, platform.Timer),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
 		router:    qfroute.NewLeastOutstanding(),
 		limiter:   qflimit.NewConcurrency(),
@@ -105,6 +122,11 @@
 		ctx:       ctx,
 		cancel:    cancel,
 	}
+	n.follower = qfcatalogue.NewFollower(n.catalogue, qfcatalogue.Pace{
+		Every:          settings.Feed.CatalogueEvery.Value(),
+		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
+		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
+	}, platform.Random)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -37,17 +37,19 @@
 	n.settings.Node.OperatorAddress = addressOf(operators)
 	n.join(addressOf(callers), addressOf(peers))
 	bounded := netutil.LimitListener(callers, n.settings.Request.MaxConnections)
-	n.serveHTTP(bounded, qfhttp.NewCallers(n, n.callerBounds()))
-	n.serveHTTP(operators, qfhttp.NewOperators(n))
+	n.serveHTTP(bounded, n.callersHandler())
+	n.serveHTTP(operators, n.operatorsHandler())
 	n.servePeers(peers)
 	n.startFeeds()
+	if err := n.telemetry.ObserveState(n.observedState); err != nil {
+		return err
+	}
 	qfevent.NodeStarted.Log(&n.platform.Logger, n.settings.Node.ID, addressOf(callers))
 	return nil
 }
 
 func (n *Node) listen(address netip.AddrPort) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(n.ctx, "tcp", address.String())
+	listener, err := n.platform.Network.Listen(n.ctx, address)
 	if err != nil {
 		qfevent.ServerFailed.Log(&n.platform.Logger, address, err)
 		return nil, qf.NewError(qf.CodeUnavailable, qf.StepSettings, address.String(), err.Error())
@@ -104,7 +106,7 @@
 
 func (n *Node) servePeers(listener net.Listener) {
 	n.workers.Go(func() {
-		if err := qfrpc.Serve(listener, n); err != nil {
+		if err := qfrpc.Serve(listener, n.telemetry.PeerHandler(n)); err != nil {
 			qfevent.ServerFailed.Log(&n.platform.Logger, listener.Addr().String(), err)
 		}
 	})
@@ -112,7 +114,8 @@
 
 func (n *Node) startFeeds() {
 	feed := &n.settings.Feed
-	n.every(feed.CatalogueEvery.Value(), n.pollCatalogue)
+	n.workers.Add(1)
+	go n.followCatalogue()
 	n.every(feed.VMListEvery.Value(), n.pollVMList)
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
@@ -131,6 +134,7 @@
 	}
 	n.workers.Wait()
 	n.running.Wait()
+	_ = n.telemetry.Shutdown(context.Background()) // Spans that can't be exported are lost.
 }
 
 // Wait blocks until the node has stopped or the context ends.
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -33,6 +33,13 @@
 	FieldAddress  = "Address"
 	FieldOperator = "Operator"
 	FieldTime     = "Time"
+	FieldName     = "Name"
+	FieldTrace    = "Trace"
+	FieldSpan     = "Span"
+	FieldParent   = "Parent"
+	FieldTook     = "Took"
+	FieldDetails  = "Details"
+	FieldAge      = "Age"
 )
 
 const (
@@ -49,6 +56,7 @@
 	NodeDrained     = Event{103, info, "node drained", []string{FieldNode, FieldCount}, "Nothing; Count requests were handed over."}
 	NodeStopped     = Event{104, info, "node stopped", []string{FieldNode}, "Nothing."}
 	ServerFailed    = Event{105, failure, "a listener failed", []string{FieldAddress, FieldError}, "Check the address in the settings; the node stops."}
+	SpanEnded       = Event{151, info, "span ended", []string{FieldName, FieldTrace, FieldSpan, FieldParent, FieldTime, FieldTook, FieldDetails, FieldError}, "Nothing; follow Trace to see a request's hops over all nodes."}
 	RequestEnded    = Event{201, zerolog.DebugLevel, "request ended", []string{FieldRequest, FieldEntry, FieldOutcome}, "Nothing."}
 	RequestRefused  = Event{202, zerolog.DebugLevel, "request refused as not run", []string{FieldEntry, FieldReason}, "Look at limits and load if there are many."}
 	RequestUnknown  = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
@@ -59,6 +67,8 @@
 	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
+	CatalogueStale  = Event{310, warning, "no news of the catalogue; no risky actions", []string{FieldRevision, FieldAge}, "See operators/store-outage.md."}
+	CatalogueFresh  = Event{311, info, "news of the catalogue again", []string{FieldRevision}, "Nothing."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
@@ -67,10 +77,10 @@
 // All lists every event.
 func All() []Event {
 	return []Event{
-		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed,
+		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed, SpanEnded,
 		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
 		ShadowAdopted, ShadowFailed, OwnershipLost,
-		CatalogueInUse, CatalogueFailed, PeerFailed, DepartureKnown, PlatformFailed,
+		CatalogueInUse, CatalogueFailed, CatalogueStale, CatalogueFresh, PeerFailed, DepartureKnown, PlatformFailed,
 	}
 }
 
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -11,6 +11,12 @@
 	kibibyte = 1 << 10
 )
 
+// The values of TelemetrySettings.TraceExporter.
+const (
+	TraceToLog = "log"
+	TraceOff   = "none"
+)
+
 // Default returns settings with every default set. Node and Platform addresses
 // have none.
 func Default() *Settings {
@@ -39,10 +45,13 @@
 			Timeout:       qfdocument.Duration(time.Second),
 		},
 		Feed: FeedSettings{
-			CatalogueEvery: qfdocument.Duration(time.Second),
-			VMListEvery:    qfdocument.Duration(time.Second),
-			NoticesEvery:   qfdocument.Duration(500 * time.Millisecond),
-			LoadEvery:      qfdocument.Duration(500 * time.Millisecond),
+			CatalogueEvery:          qfdocument.Duration(time.Second),
+			CatalogueReadsPerSecond: 64,
+			CatalogueStaleAfter:     qfdocument.Duration(30 * time.Second),
+			VMListEvery:             qfdocument.Duration(time.Second),
+			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
+			LoadEvery:               qfdocument.Duration(500 * time.Millisecond),
 		},
+		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
 	}
 }
