--- a/internal/qf/state/qfcatalogue/follow_test.go
+++ b/internal/qf/state/qfcatalogue/follow_test.go
@@ -62,6 +62,12 @@
 	m.fell = m.fell || m.current.Revision() < before
 }
 
+func (m *follower) isFresh() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.follower.IsFresh(wall.Now())
+}
+
 func (m *follower) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		m.mu.Lock()
@@ -232,14 +238,14 @@
 		cutOff.mu.Unlock()
 		store.Apply(ctx, Edit{ID: "2", Base: 1, Document: documentOf("a", "b")})
 		pass(testPace.StaleAfter)
-		if cutOff.current.Revision() != 1 || cutOff.follower.IsFresh(wall.Now()) {
-			t.Errorf("cut off: revision %d, fresh %t", cutOff.current.Revision(), cutOff.follower.IsFresh(wall.Now()))
+		if cutOff.current.Revision() != 1 || cutOff.isFresh() {
+			t.Errorf("cut off: revision %d, fresh %t", cutOff.current.Revision(), cutOff.isFresh())
 		}
 		table.SetFaults(standtable.Faults{Down: true})
 		run(members[5])
 		pass(time.Hour)
-		if members[5].current.Revision() != 2 || members[5].follower.IsFresh(wall.Now()) {
-			t.Errorf("started in the outage: revision %d, fresh %t", members[5].current.Revision(), members[5].follower.IsFresh(wall.Now()))
+		if members[5].current.Revision() != 2 || members[5].isFresh() {
+			t.Errorf("started in the outage: revision %d, fresh %t", members[5].current.Revision(), members[5].isFresh())
 		}
 		table.SetFaults(standtable.Faults{})
 		cutOff.mu.Lock()
@@ -247,8 +253,8 @@
 		cutOff.mu.Unlock()
 		pass(5 * time.Second)
 		for i, m := range members {
-			if m.current.Revision() != 2 || !m.follower.IsFresh(wall.Now()) || m.fell {
-				t.Errorf("member %d afterwards: revision %d, fresh %t", i, m.current.Revision(), m.follower.IsFresh(wall.Now()))
+			if m.current.Revision() != 2 || !m.isFresh() || m.fell {
+				t.Errorf("member %d afterwards: revision %d, fresh %t", i, m.current.Revision(), m.isFresh())
 			}
 		}
 		cancel()
