qfrpc: read an answer only after a call that succeeded

Cause: go test -race ./internal/scenario (once_only_node_killed): Exchange returned the answer's value after a timeout while net/rpc still decoded a late answer into it. Change: the methods return zero values with an error; call says that out must not be read then.

--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -158,7 +158,8 @@
 	_ = connection.Close() // It is given up either way.
 }
 
-// call makes one call. sent is false if it provably didn't leave.
+// call makes one call. sent is false if it provably didn't leave. After an error
+// out must not be read: a late answer may still be written to it.
 func (c *Client) call(ctx context.Context, address netip.AddrPort, method string, in, out any) (sent bool, err error) {
 	connection, err := c.connection(ctx, address)
 	if err != nil {
@@ -189,8 +190,10 @@
 // Exchange implements qf.Peer.
 func (c *Client) Exchange(ctx context.Context, address netip.AddrPort, digest qf.Digest) (qf.Digest, error) {
 	var out ExchangeOut
-	_, err := c.call(ctx, address, "Exchange", ExchangeIn{Digest: digest}, &out)
-	return out.Digest, err
+	if _, err := c.call(ctx, address, "Exchange", ExchangeIn{Digest: digest}, &out); err != nil {
+		return qf.Digest{}, err
+	}
+	return out.Digest, nil
 }
 
 // HandOver implements qf.Peer.
@@ -210,8 +213,10 @@
 // Shadow implements qf.Peer.
 func (c *Client) Shadow(ctx context.Context, address netip.AddrPort, records []qf.RequestRecord) ([]qf.RequestID, error) {
 	var out ShadowOut
-	_, err := c.call(ctx, address, "Shadow", ShadowIn{Records: records}, &out)
-	return out.Kept, err
+	if _, err := c.call(ctx, address, "Shadow", ShadowIn{Records: records}, &out); err != nil {
+		return nil, err
+	}
+	return out.Kept, nil
 }
 
 // Lookup implements qf.Peer.
@@ -229,6 +234,8 @@
 // Catalogue implements qf.Peer.
 func (c *Client) Catalogue(ctx context.Context, address netip.AddrPort, newerThan qf.Revision) ([]byte, qf.Revision, error) {
 	var out CatalogueOut
-	_, err := c.call(ctx, address, "Catalogue", CatalogueIn{NewerThan: newerThan}, &out)
-	return out.Snapshot, out.Revision, err
+	if _, err := c.call(ctx, address, "Catalogue", CatalogueIn{NewerThan: newerThan}, &out); err != nil {
+		return nil, 0, err
+	}
+	return out.Snapshot, out.Revision, nil
 }
