qftls: admit peers and operators by certificate

Cause: anyone who reached the peers' or the operators' port could hand requests over or edit the catalogue. Besides, scripts took ports from the range of outgoing connections: two of five failed with "address already in use" on a busy machine. Change: both ports take TLS 1.3 with client certificates whose DNS name is the role that the port admits; a connection without one is refused and logged (802). Files are read again when they change (803, 804); Security.Insecure turns it off (801). A handshake that fails counts as a failed dial, because no call has left. The scripts' ports lie below the range of outgoing connections.

--- a/cmd/quetzalfront/operator.go
+++ b/cmd/quetzalfront/operator.go
@@ -26,12 +26,14 @@
 type operatorFlags struct {
 	node string
 	json bool
+	operatorIdentity
 }
 
 func (f *operatorFlags) attach(sub *flaggy.Subcommand) {
 	f.node = "127.0.0.1:7003"
 	sub.String(&f.node, "n", "node", "the operators' address of any node")
 	sub.Bool(&f.json, "j", "json", "print JSON")
+	f.operatorIdentity.attach(sub)
 }
 
 func (f *operatorFlags) base() (*sling.Sling, error) {
@@ -39,7 +41,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("--node: expected an IP and a port, not %q", f.node)
 	}
-	return sling.New().Client(&http.Client{Timeout: operatorTimeout}).Base("http://" + address.String()), nil
+	transport, scheme, err := f.transport()
+	if err != nil {
+		return nil, err
+	}
+	client := &http.Client{Timeout: operatorTimeout, Transport: transport}
+	return sling.New().Client(client).Base(scheme + "://" + address.String()), nil
 }
 
 // get asks the node and decodes its answer.
--- a/cmd/quetzalfront/script_test.go
+++ b/cmd/quetzalfront/script_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -42,6 +41,9 @@
 			"signal":    sendSignal,
 			"file":      fileOnce,
 			"exitcode":  expectExitCode,
+			"certs":     writeCertificates,
+			"retry":     retry,
+			"awaitout":  awaitOutput,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Values[chatsKey{}] = &chats{}
@@ -52,16 +54,6 @@
 
 const waitLimit = 60 * time.Second
 
-// freePorts NAME... sets each variable to a free loopback address.
-func freePorts(ts *testscript.TestScript, _ bool, args []string) {
-	for _, name := range args {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		ts.Setenv(name, listener.Addr().String())
-		ts.Check(listener.Close())
-	}
-}
-
 // expand FILE... replaces the variables in the files.
 func expand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
 	"quetzalfront/internal/qf/transport/qftelemetry"
+	"quetzalfront/internal/qf/transport/qftls"
 	"quetzalfront/internal/qfsettings"
 )
 
@@ -45,6 +46,9 @@
 	// Spans takes the spans in place of the exporter that the settings name; it
 	// may be nil.
 	Spans sdktrace.SpanExporter
+	// Identity is what the node shows and asks for on the peers' and operators'
+	// ports; nil means that certificates are off.
+	Identity *qftls.Identity
 }
 
 // Phase is where a node stands in its life.
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -31,11 +31,13 @@
 	endpoints := &http.Client{Transport: qftelemetry.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
 	})}
+	identity := newIdentity(&settings.Security, timer)
 	return Platform{
-		Timer: timer, Network: network, Table: table, Objects: qfobject.NewClient(p.Objects, p.Timeout.Value(), network.Dial),
+		Identity: identity,
+		Timer:    timer, Network: network, Table: table, Objects: qfobject.NewClient(p.Objects, p.Timeout.Value(), network.Dial),
 		VMList: cloud, Cloud: cloud,
 		Engine: qfendpoint.NewEngine(endpoints), Service: qfendpoint.NewService(endpoints),
-		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), network.Dial, nil),
+		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), peerDial(identity, network.Dial), nil),
 		Ledger: qfledger.New(table), Logger: logger,
 		Random: rand.New(rand.NewPCG(seed, seed)),
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -15,6 +15,7 @@
 	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/transport/qfhttp"
 	"quetzalfront/internal/qf/transport/qfrpc"
+	"quetzalfront/internal/qf/transport/qftls"
 )
 
 const readHeaderTimeout = 10 * time.Second
@@ -22,6 +23,9 @@
 // Start listens and serves until Stop. It returns once the node's ports are
 // open.
 func (n *Node) Start() error {
+	if err := n.loadIdentity(); err != nil {
+		return err
+	}
 	callers, err := n.listen(n.settings.Node.CallerAddress)
 	if err != nil {
 		return err
@@ -38,8 +42,8 @@
 	n.join(addressOf(callers), addressOf(peers))
 	bounded := netutil.LimitListener(callers, n.settings.Request.MaxConnections)
 	n.serveHTTP(bounded, n.callersHandler())
-	n.serveHTTP(operators, n.operatorsHandler())
-	n.servePeers(peers)
+	n.serveHTTP(n.protect(operators, "operators", qftls.RoleOperator), n.operatorsHandler())
+	n.servePeers(n.protect(peers, "peers", qftls.RoleNode))
 	n.startFeeds()
 	if err := n.telemetry.ObserveState(n.observedState); err != nil {
 		return err
@@ -120,6 +124,7 @@
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
 	n.every(time.Second, n.expire)
+	n.followIdentity()
 }
 
 // Kill ends the node at once, as a lost VM does.
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -65,6 +65,10 @@
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
+	PortUnprotected = Event{801, warning, "certificates are off", []string{FieldAddress, FieldName}, "Set the certificate files in [Security] unless this is a trial."}
+	PortRefused     = Event{802, warning, "a connection without a valid certificate was refused", []string{FieldAddress, FieldName, FieldError}, "Look for whoever connects from Address; see operators/certificates.md."}
+	IdentityLoaded  = Event{803, info, "certificates were loaded", []string{FieldName}, "Nothing."}
+	IdentityFailed  = Event{804, failure, "certificates could not be loaded", []string{FieldError}, "Mend the files; those that were loaded before stay in use."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
 )
 
@@ -74,6 +78,7 @@
 		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed, SpanEnded,
 		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
 		CatalogueInUse, CatalogueFailed, PeerFailed, DepartureKnown, PlatformFailed,
+		PortUnprotected, PortRefused, IdentityLoaded, IdentityFailed,
 	}
 }
 
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -50,6 +50,7 @@
 			NoticesEvery:   qfdocument.Duration(500 * time.Millisecond),
 			LoadEvery:      qfdocument.Duration(500 * time.Millisecond),
 		},
+		Security:  SecuritySettings{ReloadEvery: qfdocument.Duration(10 * time.Second)},
 		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
 	}
 }
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -125,11 +125,13 @@
 type SecuritySettings struct {
 	// Insecure turns certificates off. It must be set on purpose.
 	Insecure bool
-	// CertificateFile, KeyFile and AuthorityFile are PEM files; they are read
-	// again when they change.
+	// CertificateFile, KeyFile and AuthorityFile are PEM files: the node's
+	// certificate, its key, and the authorities by which others are judged.
 	CertificateFile string
 	KeyFile         string
 	AuthorityFile   string
+	// ReloadEvery is the time between two looks at the files for a change.
+	ReloadEvery qfdocument.Duration `validate:"gt=0"`
 }
 
 // TelemetrySettings bound the traces of requests. Metrics are always on.
