--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	Cloud   qf.Cloud
 	Engine  qf.ModelEngine
 	Service qf.PlainService
+	Prober  qf.Prober
 	Peer    qf.Peer
 	Ledger  qf.Ledger
 	Logger  zerolog.Logger
@@ -74,6 +75,15 @@
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
 	telemetry *qftelemetry.Telemetry
+	// fetching is true while a peer is asked for its catalogue.
+	fetching atomic.Bool
+	// stale is true while the news of the catalogue is too old for risky actions.
+	stale atomic.Bool
+	keys  *qfrequest.Keys
+	// beginning holds the once-only requests whose intent is being recorded.
+	beginning sync.Map
+	// swept is the key up to which the ledger was swept. Only the sweep uses it.
+	swept string
 
 	// mu guards the decisions, which aren't safe for concurrent use.
 	mu         sync.Mutex
@@ -82,6 +92,7 @@
 	budget     *qfretry.Budget
 	membership *qfmember.Membership
 	versions   *qfrollout.TargetOnly
+	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
 
@@ -109,7 +120,7 @@
 		settings:  settings,
 		platform:  platform,
 		catalogue: qfcatalogue.NewCurrent(),
-		store:     qfcatalogue.NewStore(platform.Table),
+		store:     qfcatalogue.NewStore(platform.Table, platform.Timer),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
 		router:    qfroute.NewLeastOutstanding(),
 		limiter:   qflimit.NewConcurrency(),
@@ -118,12 +129,24 @@
 		ctx:       ctx,
 		cancel:    cancel,
 	}
+	n.follower = qfcatalogue.NewFollower(n.catalogue, qfcatalogue.Pace{
+		Every:          settings.Feed.CatalogueEvery.Value(),
+		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
+		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
+	}, platform.Random)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
 		Router: &lockedRouter{node: n}, Choosing: n, Ledger: platform.Ledger,
 		Budget: &lockedBudget{node: n}, Observer: n,
 		Self: qf.NodeID(settings.Node.ID), SilentAfter: settings.Request.SilentAfter.Value(),
+		Prober: platform.Prober, LeaveWithin: settings.Request.LeaveWithin.Value(),
+		IsCurrent: n.isCurrent,
+	})
+	n.keys = qfrequest.NewKeys(qfrequest.KeysConfig{
+		Timer: platform.Timer, Ledger: platform.Ledger, Service: platform.Service,
+		Self: qf.NodeID(settings.Node.ID), IsInProgress: n.isInProgress, IsCurrent: n.isCurrent,
+		StatusTimeout: settings.Request.SilentAfter.Value(),
 	})
 	return n
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -118,13 +118,15 @@
 
 func (n *Node) startFeeds() {
 	feed := &n.settings.Feed
-	n.every(feed.CatalogueEvery.Value(), n.pollCatalogue)
+	n.workers.Add(1)
+	go n.followCatalogue()
 	n.every(feed.VMListEvery.Value(), n.pollVMList)
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
 	n.every(time.Second, n.expire)
 	n.followIdentity()
+	n.every(sweepEvery, n.sweepLedger)
 }
 
 // Kill ends the node at once, as a lost VM does.
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -39,6 +39,7 @@
 	FieldParent   = "Parent"
 	FieldTook     = "Took"
 	FieldDetails  = "Details"
+	FieldAge      = "Age"
 )
 
 const (
@@ -61,8 +62,11 @@
 	RequestUnknown  = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
 	RequestTaken    = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
 	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
+	LedgerSwept     = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
+	CatalogueStale  = Event{310, warning, "no news of the catalogue; no risky actions", []string{FieldRevision, FieldAge}, "See operators/store-outage.md."}
+	CatalogueFresh  = Event{311, info, "news of the catalogue again", []string{FieldRevision}, "Nothing."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
 	PortUnprotected = Event{801, warning, "certificates are off", []string{FieldAddress, FieldName}, "Set the certificate files in [Security] unless this is a trial."}
@@ -75,10 +79,29 @@
 // All lists every event.
 func All() []Event {
 	return []Event{
-		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed, SpanEnded,
-		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
-		CatalogueInUse, CatalogueFailed, PeerFailed, DepartureKnown, PlatformFailed,
-		PortUnprotected, PortRefused, IdentityLoaded, IdentityFailed,
+		NodeStarted,
+		NodeLeaving,
+		NodeDrained,
+		NodeStopped,
+		ServerFailed,
+		SpanEnded,
+		RequestEnded,
+		RequestRefused,
+		RequestUnknown,
+		RequestTaken,
+		HandOverFailed,
+		LedgerSwept,
+		CatalogueInUse,
+		CatalogueFailed,
+		CatalogueStale,
+		CatalogueFresh,
+		PeerFailed,
+		DepartureKnown,
+		PlatformFailed,
+		PortUnprotected,
+		PortRefused,
+		IdentityLoaded,
+		IdentityFailed,
 	}
 }
 
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -93,6 +93,12 @@
 	// IdempotencyRecordsFor is how long the outcome of a once-only request is
 	// kept.
 	IdempotencyRecordsFor qfdocument.Duration `validate:"gt=0"`
+	// LeaveWithin is how long after its intent a once-only attempt may leave. A
+	// node that was paused for longer asks the ledger again.
+	LeaveWithin qfdocument.Duration `validate:"gt=0"`
+	// LedgerCommitEvery is the shortest time between two transactions in which a
+	// node records intents and outcomes.
+	LedgerCommitEvery qfdocument.Duration `validate:"gt=0"`
 	// MaxSuspectAttempts bounds the attempts of a request that is suspected of
 	// crashing endpoints, over all nodes and repeats.
 	MaxSuspectAttempts int `validate:"min=1"`
@@ -111,7 +117,8 @@
 
 // FeedSettings say how often the platform is polled.
 type FeedSettings struct {
-	// CatalogueEvery is the time between two reads of the catalogue's revision.
+	// CatalogueEvery is the least time between two reads of the catalogue's
+	// revision by one node.
 	CatalogueEvery qfdocument.Duration `validate:"gt=0"`
 	// VMListEvery is the time between two reads of the VM list.
 	VMListEvery qfdocument.Duration `validate:"gt=0"`
@@ -119,6 +126,11 @@
 	NoticesEvery qfdocument.Duration `validate:"gt=0"`
 	// LoadEvery is the time between two reads of an endpoint's load.
 	LoadEvery qfdocument.Duration `validate:"gt=0"`
+	// CatalogueReadsPerSecond bounds the reads of the revision by all nodes.
+	CatalogueReadsPerSecond int `validate:"min=1"`
+	// CatalogueStaleAfter is the age of the last news of the catalogue from which
+	// on a node raises no version's share and gives no orders.
+	CatalogueStaleAfter qfdocument.Duration `validate:"gt=0"`
 }
 
 // SecuritySettings say who may call the operators' and peers' ports.
@@ -201,6 +213,12 @@
 	if s.Request.MaxTimeout < s.Request.DefaultTimeout {
 		add("Request.MaxTimeout", "expected at least Request.DefaultTimeout")
 	}
+	if s.Request.IdempotencyRecordsFor <= s.Request.MaxTimeout+s.Request.LeaveWithin {
+		faults = append(faults, qfdocument.Fault{
+			Key:      "Request.IdempotencyRecordsFor",
+			Expected: "expected more than Request.MaxTimeout and Request.LeaveWithin together",
+		})
+	}
 	sec := s.Security
 	if !sec.Insecure && (sec.CertificateFile == "" || sec.KeyFile == "" || sec.AuthorityFile == "") {
 		add("Security.CertificateFile", "expected CertificateFile, KeyFile and AuthorityFile, or Insecure = true")
--- a/internal/scenario/expect_test.go
+++ b/internal/scenario/expect_test.go
@@ -14,6 +14,8 @@
 // expect checks an outcome:
 //
 //	expect executions BODY N       the call ran N times in all
+//	expect never-more BODY N       the call ran at most N times
+//	expect truthful NAME BODY      calls that were said not to have run didn't, those answered ran once
 //	expect call NAME OUTCOME       every call of the name ended so
 //	expect refused NAME D          every call of the name was refused as not run within D
 //	expect edit NAME STATE         the edit was Accepted, Refused or NotYetKnown
@@ -21,18 +23,22 @@
 //	expect revision N              every node has the revision at some time soon
 //	expect never-below N           no node has an older revision now
 //	expect within D                no more time than D passed since mark
+//	expect no-work-after D         no engine was sent work longer than D after it heard that it leaves
 //	expect live N                  every node sees N live nodes at some time soon
 func (s *script) expect(_ *testscript.TestScript, args []string) error {
 	checks := map[string]func(args []string) error{
-		"executions":  s.expectExecutions,
-		"call":        s.expectCall,
-		"refused":     s.expectRefused,
-		"edit":        s.expectEdit,
-		"one-edit":    s.expectOneEdit,
-		"revision":    s.expectRevision,
-		"never-below": s.expectNeverBelow,
-		"within":      s.expectWithin,
-		"live":        s.expectLive,
+		"executions":    s.expectExecutions,
+		"never-more":    s.expectNeverMore,
+		"truthful":      s.expectTruthful,
+		"call":          s.expectCall,
+		"refused":       s.expectRefused,
+		"edit":          s.expectEdit,
+		"one-edit":      s.expectOneEdit,
+		"revision":      s.expectRevision,
+		"never-below":   s.expectNeverBelow,
+		"within":        s.expectWithin,
+		"live":          s.expectLive,
+		"no-work-after": s.expectNoWorkAfter,
 	}
 	check, ok := checks[args[0]]
 	if !ok {
@@ -140,3 +146,35 @@
 	}
 	return s.eventually(args[0]+" live nodes", func(n *node.Node) bool { return len(n.Addresses("")) == want })
 }
+
+func (s *script) expectNoWorkAfter(args []string) error {
+	limit, err := time.ParseDuration(args[0])
+	if latest := s.d.world.LatestArrival(); err == nil && latest > limit {
+		err = fmt.Errorf("a leaving engine was sent work %s later", latest)
+	}
+	return err
+}
+
+func (s *script) expectNeverMore(args []string) error {
+	most, err := strconv.Atoi(args[1])
+	if got := s.d.executions(args[0]); err == nil && got > most {
+		err = fmt.Errorf("%q ran %d times", args[0], got)
+	}
+	return err
+}
+
+// expectTruthful compares what the callers of a name were told with what ran.
+func (s *script) expectTruthful(args []string) error {
+	results, err := s.results(args[0])
+	if err != nil {
+		return err
+	}
+	ran := s.d.executions(args[1])
+	for _, r := range results {
+		outcome := outcomeOf(r)
+		if (outcome == qf.OutcomeNotRun && ran != 0) || (outcome == qf.OutcomeAnswered && ran != 1) || ran > 1 {
+			return fmt.Errorf("call %s was told %s, and ran %d times", args[0], outcome, ran)
+		}
+	}
+	return nil
+}
