--- a/cmd/quetzalfront/script_test.go
+++ b/cmd/quetzalfront/script_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -43,6 +42,9 @@
 			"signal":     sendSignal,
 			"file":       fileOnce,
 			"exitcode":   expectExitCode,
+			"certs":      writeCertificates,
+			"retry":      retry,
+			"awaitout":   awaitOutput,
 			"race":       raceEdits,
 			"tablefault": tableFault,
 			"reclaim":    reclaim,
@@ -60,34 +62,6 @@
 
 const waitLimit = 60 * time.Second
 
-// The ports of scripts lie below those that the system gives to outgoing
-// connections, so that a port which was found free stays so until its process
-// starts. Each run of the tests begins at another one.
-const (
-	firstPort   = 10000
-	portsPerRun = 200
-	runs        = 110
-)
-
-var lastPort atomic.Int64
-
-// freePorts NAME... sets each variable to a free loopback address.
-func freePorts(ts *testscript.TestScript, _ bool, args []string) {
-	lastPort.CompareAndSwap(0, int64(firstPort+os.Getpid()%runs*portsPerRun))
-	for _, name := range args {
-		for {
-			address := fmt.Sprintf("127.0.0.1:%d", lastPort.Add(1))
-			listener, err := net.Listen("tcp", address)
-			if err != nil {
-				continue // Another program has the port.
-			}
-			ts.Setenv(name, address)
-			ts.Check(listener.Close())
-			break
-		}
-	}
-}
-
 // expand FILE... replaces the variables in the files.
 func expand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -31,12 +31,14 @@
 	endpoints := &http.Client{Transport: qftelemetry.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
 	})}
+	identity := newIdentity(&settings.Security, timer)
 	engine := qfendpoint.NewEngine(endpoints)
 	return Platform{
-		Timer: timer, Network: network, Table: table, Objects: qfobject.NewClient(p.Objects, p.Timeout.Value(), network.Dial),
+		Identity: identity,
+		Timer:    timer, Network: network, Table: table, Objects: qfobject.NewClient(p.Objects, p.Timeout.Value(), network.Dial),
 		VMList: cloud, Cloud: cloud,
 		Engine: engine, Prober: engine, Service: qfendpoint.NewService(endpoints),
-		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), network.Dial, nil),
+		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), peerDial(identity, network.Dial), nil),
 		Ledger: qfledger.New(timer, table, ledgerOptions(settings)), Logger: logger,
 		Random: rand.New(rand.NewPCG(seed, seed)),
 	}
