--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -49,6 +49,7 @@
 
 // AttemptEnded implements qfrequest.Observer.
 func (n *Node) AttemptEnded(_ time.Time, observation qf.Observation) {
+	n.telemetry.AttemptEnded(&observation)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.versions.Observe(observation)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qflimit"
@@ -20,16 +21,22 @@
 	"quetzalfront/internal/qf/coordination/qfrollout"
 	"quetzalfront/internal/qf/coordination/qfroute"
 	"quetzalfront/internal/qf/coordination/qfsuspect"
+	"quetzalfront/internal/qf/protocol/qfhandover"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
 	"quetzalfront/internal/qf/state/qftrial"
+	"quetzalfront/internal/qf/transport/qftelemetry"
+	"quetzalfront/internal/qf/transport/qftls"
 	"quetzalfront/internal/qfsettings"
 )
 
-// Platform holds the services that a node stands on. No field may be nil.
+// Platform holds the services that a node stands on. No field may be nil unless
+// it says so.
 type Platform struct {
 	Timer   qf.Timer
+	Network qf.Network
 	Table   qf.Table
+	Objects qf.ObjectStore
 	VMList  qf.VMList
 	Cloud   qf.Cloud
 	Engine  qf.ModelEngine
@@ -40,6 +47,12 @@
 	Logger  zerolog.Logger
 	// Random draws for decisions. It is guarded by the node's lock.
 	Random *rand.Rand
+	// Spans takes the spans in place of the exporter that the settings name; it
+	// may be nil.
+	Spans sdktrace.SpanExporter
+	// Identity is what the node shows and asks for on the peers' and operators'
+	// ports; nil means that certificates are off.
+	Identity *qftls.Identity
 }
 
 // Phase is where a node stands in its life.
@@ -64,7 +77,12 @@
 	store     *qfcatalogue.Store
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
-	keys      *qfrequest.Keys
+	telemetry *qftelemetry.Telemetry
+	// fetching is true while a peer is asked for its catalogue.
+	fetching atomic.Bool
+	// stale is true while the news of the catalogue is too old for risky actions.
+	stale atomic.Bool
+	keys  *qfrequest.Keys
 	// beginning holds the once-only requests whose intent is being recorded.
 	beginning sync.Map
 	// swept is the key up to which the ledger was swept. Only the sweep uses it.
@@ -83,8 +101,10 @@
 	deadUntil  map[qf.EndpointID]time.Time
 	membership *qfmember.Membership
 	versions   *qfrollout.TargetOnly
+	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
+	shadows    *qfhandover.Shadows
 
 	phase atomic.Value
 	// leaveAt is when the node's VM is taken, if that is known.
@@ -103,11 +123,14 @@
 // by Start.
 func New(settings *qfsettings.Settings, platform Platform) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
+	telemetry := newTelemetry(settings, &platform)
+	platform = instrument(platform, telemetry)
 	n := &Node{
+		telemetry: telemetry,
 		settings:  settings,
 		platform:  platform,
 		catalogue: qfcatalogue.NewCurrent(),
-		store:     qfcatalogue.NewStore(platform.Table),
+		store:     qfcatalogue.NewStore(platform.Table, platform.Timer),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
 		router:    qfroute.NewLeastOutstanding(),
 		limiter:   qflimit.NewConcurrency(),
@@ -123,9 +146,15 @@
 			ExpireAfter: settings.Request.SuspectsFor.Value(),
 		}),
 		versions: qfrollout.NewTargetOnly(),
+		shadows:  qfhandover.NewShadows(settings.Request.MaxInProgress),
 		ctx:      ctx,
 		cancel:   cancel,
 	}
+	n.follower = qfcatalogue.NewFollower(n.catalogue, qfcatalogue.Pace{
+		Every:          settings.Feed.CatalogueEvery.Value(),
+		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
+		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
+	}, platform.Random)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -11,8 +11,10 @@
 	"quetzalfront/internal/qf/protocol/qfendpoint"
 	"quetzalfront/internal/qf/state/qfcloud"
 	"quetzalfront/internal/qf/state/qfledger"
+	"quetzalfront/internal/qf/state/qfobject"
 	"quetzalfront/internal/qf/state/qftable"
 	"quetzalfront/internal/qf/transport/qfrpc"
+	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/internal/qfsettings"
 )
 
@@ -22,18 +24,21 @@
 )
 
 // Connect returns the platform that the settings name.
-func Connect(settings *qfsettings.Settings, timer qf.Timer, logger zerolog.Logger, seed uint64) Platform {
+func Connect(settings *qfsettings.Settings, timer qf.Timer, network qf.Network, logger zerolog.Logger, seed uint64) Platform {
 	p := &settings.Platform
-	table := qftable.NewClient(p.Table, p.Timeout.Value())
-	cloud := qfcloud.NewClient(p.Cloud, p.VMList, p.Timeout.Value())
-	endpoints := &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout,
-	}}
+	table := qftable.NewClient(p.Table, p.Timeout.Value(), network.Dial)
+	cloud := qfcloud.NewClient(p.Cloud, p.VMList, p.Timeout.Value(), network.Dial)
+	endpoints := &http.Client{Transport: qftelemetry.NewTransport(&http.Transport{
+		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
+	})}
+	identity := newIdentity(&settings.Security, timer)
 	engine := qfendpoint.NewEngine(endpoints)
 	return Platform{
-		Timer: timer, Table: table, VMList: cloud, Cloud: cloud,
+		Identity: identity,
+		Timer:    timer, Network: network, Table: table, Objects: qfobject.NewClient(p.Objects, p.Timeout.Value(), network.Dial),
+		VMList: cloud, Cloud: cloud,
 		Engine: engine, Prober: engine, Service: qfendpoint.NewService(endpoints),
-		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), nil),
+		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), peerDial(identity, network.Dial), nil),
 		Ledger: qfledger.New(timer, table, ledgerOptions(settings)), Logger: logger,
 		Random: rand.New(rand.NewPCG(seed, seed)),
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -15,6 +15,7 @@
 	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/transport/qfhttp"
 	"quetzalfront/internal/qf/transport/qfrpc"
+	"quetzalfront/internal/qf/transport/qftls"
 )
 
 const readHeaderTimeout = 10 * time.Second
@@ -22,6 +23,9 @@
 // Start listens and serves until Stop. It returns once the node's ports are
 // open.
 func (n *Node) Start() error {
+	if err := n.loadIdentity(); err != nil {
+		return err
+	}
 	callers, err := n.listen(n.settings.Node.CallerAddress)
 	if err != nil {
 		return err
@@ -37,17 +41,19 @@
 	n.settings.Node.OperatorAddress = addressOf(operators)
 	n.join(addressOf(callers), addressOf(peers))
 	bounded := netutil.LimitListener(callers, n.settings.Request.MaxConnections)
-	n.serveHTTP(bounded, qfhttp.NewCallers(n, n.callerBounds()))
-	n.serveHTTP(operators, qfhttp.NewOperators(n))
-	n.servePeers(peers)
+	n.serveHTTP(bounded, n.callersHandler())
+	n.serveHTTP(n.protect(operators, "operators", qftls.RoleOperator), n.operatorsHandler())
+	n.servePeers(n.protect(peers, "peers", qftls.RoleNode))
 	n.startFeeds()
+	if err := n.telemetry.ObserveState(n.observedState); err != nil {
+		return err
+	}
 	qfevent.NodeStarted.Log(&n.platform.Logger, n.settings.Node.ID, addressOf(callers))
 	return nil
 }
 
 func (n *Node) listen(address netip.AddrPort) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(n.ctx, "tcp", address.String())
+	listener, err := n.platform.Network.Listen(n.ctx, address)
 	if err != nil {
 		qfevent.ServerFailed.Log(&n.platform.Logger, address, err)
 		return nil, qf.NewError(qf.CodeUnavailable, qf.StepSettings, address.String(), err.Error())
@@ -104,7 +110,7 @@
 
 func (n *Node) servePeers(listener net.Listener) {
 	n.workers.Go(func() {
-		if err := qfrpc.Serve(listener, n); err != nil {
+		if err := qfrpc.Serve(listener, n.telemetry.PeerHandler(n)); err != nil {
 			qfevent.ServerFailed.Log(&n.platform.Logger, listener.Addr().String(), err)
 		}
 	})
@@ -112,12 +118,14 @@
 
 func (n *Node) startFeeds() {
 	feed := &n.settings.Feed
-	n.every(feed.CatalogueEvery.Value(), n.pollCatalogue)
+	n.workers.Add(1)
+	go n.followCatalogue()
 	n.every(feed.VMListEvery.Value(), n.pollVMList)
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
 	n.every(time.Second, n.expire)
+	n.followIdentity()
 	n.every(sweepEvery, n.sweepLedger)
 }
 
@@ -132,6 +140,7 @@
 	}
 	n.workers.Wait()
 	n.running.Wait()
+	_ = n.telemetry.Shutdown(context.Background()) // Spans that can't be exported are lost.
 }
 
 // Wait blocks until the node has stopped or the context ends.
--- a/internal/qf/protocol/qfendpoint/clients.go
+++ b/internal/qf/protocol/qfendpoint/clients.go
@@ -15,12 +15,18 @@
 	pooled, fresh *http.Client
 }
 
+// unpooler is a transport that has a twin without a pool of open connections.
+type unpooler interface{ Unpooled() http.RoundTripper }
+
 func newClients(pooled *http.Client) clients {
 	fresh := *pooled
-	if transport, ok := pooled.Transport.(*http.Transport); ok {
+	switch transport := pooled.Transport.(type) {
+	case *http.Transport:
 		unpooled := transport.Clone()
 		unpooled.DisableKeepAlives = true
 		fresh.Transport = unpooled
+	case unpooler:
+		fresh.Transport = transport.Unpooled()
 	}
 	return clients{pooled: pooled, fresh: &fresh}
 }
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -33,6 +33,13 @@
 	FieldAddress  = "Address"
 	FieldOperator = "Operator"
 	FieldTime     = "Time"
+	FieldName     = "Name"
+	FieldTrace    = "Trace"
+	FieldSpan     = "Span"
+	FieldParent   = "Parent"
+	FieldTook     = "Took"
+	FieldDetails  = "Details"
+	FieldAge      = "Age"
 )
 
 const (
@@ -49,6 +56,7 @@
 	NodeDrained     = Event{103, info, "node drained", []string{FieldNode, FieldCount}, "Nothing; Count requests were handed over."}
 	NodeStopped     = Event{104, info, "node stopped", []string{FieldNode}, "Nothing."}
 	ServerFailed    = Event{105, failure, "a listener failed", []string{FieldAddress, FieldError}, "Check the address in the settings; the node stops."}
+	SpanEnded       = Event{151, info, "span ended", []string{FieldName, FieldTrace, FieldSpan, FieldParent, FieldTime, FieldTook, FieldDetails, FieldError}, "Nothing; follow Trace to see a request's hops over all nodes."}
 	RequestEnded    = Event{201, zerolog.DebugLevel, "request ended", []string{FieldRequest, FieldEntry, FieldOutcome}, "Nothing."}
 	RequestRefused  = Event{202, zerolog.DebugLevel, "request refused as not run", []string{FieldEntry, FieldReason}, "Look at limits and load if there are many."}
 	RequestUnknown  = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
@@ -57,20 +65,53 @@
 	LedgerSwept     = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
 	SuspectTried    = Event{207, warning, "a request suspected of crashing endpoints is tried apart", []string{FieldRequest, FieldEntry}, "Run report explain with the request."}
 	SuspectRefused  = Event{208, warning, "a request suspected of crashing endpoints is refused", []string{FieldRequest, FieldEntry}, "Find its caller; look at the endpoints' logs."}
+	ShadowAdopted   = Event{220, info, "request adopted from its shadow", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
+	ShadowFailed    = Event{221, warning, "a peer takes no shadows", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
+	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
+	CatalogueStale  = Event{310, warning, "no news of the catalogue; no risky actions", []string{FieldRevision, FieldAge}, "See operators/store-outage.md."}
+	CatalogueFresh  = Event{311, info, "news of the catalogue again", []string{FieldRevision}, "Nothing."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
+	PortUnprotected = Event{801, warning, "certificates are off", []string{FieldAddress, FieldName}, "Set the certificate files in [Security] unless this is a trial."}
+	PortRefused     = Event{802, warning, "a connection without a valid certificate was refused", []string{FieldAddress, FieldName, FieldError}, "Look for whoever connects from Address; see operators/certificates.md."}
+	IdentityLoaded  = Event{803, info, "certificates were loaded", []string{FieldName}, "Nothing."}
+	IdentityFailed  = Event{804, failure, "certificates could not be loaded", []string{FieldError}, "Mend the files; those that were loaded before stay in use."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
 )
 
 // All lists every event.
 func All() []Event {
 	return []Event{
-		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed,
-		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed, LedgerSwept,
-		SuspectTried, SuspectRefused,
-		CatalogueInUse, CatalogueFailed, PeerFailed, DepartureKnown, PlatformFailed,
+		NodeStarted,
+		NodeLeaving,
+		NodeDrained,
+		NodeStopped,
+		ServerFailed,
+		SpanEnded,
+		RequestEnded,
+		RequestRefused,
+		RequestUnknown,
+		RequestTaken,
+		HandOverFailed,
+		LedgerSwept,
+		SuspectTried,
+		SuspectRefused,
+		ShadowAdopted,
+		ShadowFailed,
+		OwnershipLost,
+		CatalogueInUse,
+		CatalogueFailed,
+		CatalogueStale,
+		CatalogueFresh,
+		PeerFailed,
+		DepartureKnown,
+		PortUnprotected,
+		PortRefused,
+		IdentityLoaded,
+		IdentityFailed,
+		PlatformFailed,
 	}
 }
 
--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -21,7 +21,7 @@
 type Handler interface {
 	Exchange(digest qf.Digest) qf.Digest
 	TakeOver(records []qf.RequestRecord) []qf.RequestID
-	KeepShadows(records []qf.RequestRecord)
+	KeepShadows(records []qf.RequestRecord) []qf.RequestID
 	Lookup(id qf.RequestID) (qf.RequestRecord, error)
 	CatalogueNewerThan(revision qf.Revision) ([]byte, qf.Revision)
 }
@@ -45,8 +45,7 @@
 
 // Shadow keeps copies of records.
 func (s *Server) Shadow(in ShadowIn, out *ShadowOut) error {
-	s.handler.KeepShadows(in.Records)
-	out.Kept = len(in.Records)
+	out.Kept = s.handler.KeepShadows(in.Records)
 	return nil
 }
 
@@ -86,6 +85,7 @@
 type Client struct {
 	timer   qf.Timer
 	timeout time.Duration
+	network qf.Dial
 	// tls is nil if certificates are off.
 	tls *tls.Config
 
@@ -95,9 +95,9 @@
 
 // NewClient returns a client. The timeout bounds each call; a connection that
 // lets a call time out is closed, because it may have gone silent for good.
-func NewClient(timer qf.Timer, timeout time.Duration, config *tls.Config) *Client {
+func NewClient(timer qf.Timer, timeout time.Duration, dial qf.Dial, config *tls.Config) *Client {
 	return &Client{
-		timer: timer, timeout: timeout, tls: config,
+		timer: timer, timeout: timeout, network: dial, tls: config,
 		connections: map[netip.AddrPort]*rpc.Client{},
 	}
 }
@@ -135,11 +135,18 @@
 }
 
 func (c *Client) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: c.timeout}
-	if c.tls == nil {
-		return dialer.DialContext(ctx, "tcp", address.String())
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	raw, err := c.network(ctx, "tcp", address.String())
+	if err != nil || c.tls == nil {
+		return raw, err
+	}
+	secured := tls.Client(raw, c.tls)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = raw.Close() // The handshake's error says more.
+		return nil, err
 	}
-	return (&tls.Dialer{NetDialer: dialer, Config: c.tls}).DialContext(ctx, "tcp", address.String())
+	return secured, nil
 }
 
 func (c *Client) drop(address netip.AddrPort, connection *rpc.Client) {
@@ -151,7 +158,8 @@
 	_ = connection.Close() // It is given up either way.
 }
 
-// call makes one call. sent is false if it provably didn't leave.
+// call makes one call. sent is false if it provably didn't leave. After an error
+// out must not be read: a late answer may still be written to it.
 func (c *Client) call(ctx context.Context, address netip.AddrPort, method string, in, out any) (sent bool, err error) {
 	connection, err := c.connection(ctx, address)
 	if err != nil {
@@ -203,10 +211,12 @@
 }
 
 // Shadow implements qf.Peer.
-func (c *Client) Shadow(ctx context.Context, address netip.AddrPort, records []qf.RequestRecord) error {
+func (c *Client) Shadow(ctx context.Context, address netip.AddrPort, records []qf.RequestRecord) ([]qf.RequestID, error) {
 	var out ShadowOut
-	_, err := c.call(ctx, address, "Shadow", ShadowIn{Records: records}, &out)
-	return err
+	if _, err := c.call(ctx, address, "Shadow", ShadowIn{Records: records}, &out); err != nil {
+		return nil, err
+	}
+	return out.Kept, nil
 }
 
 // Lookup implements qf.Peer.
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -11,6 +11,12 @@
 	kibibyte = 1 << 10
 )
 
+// The values of TelemetrySettings.TraceExporter.
+const (
+	TraceToLog = "log"
+	TraceOff   = "none"
+)
+
 // Default returns settings with every default set. Node and Platform addresses
 // have none.
 func Default() *Settings {
@@ -42,10 +48,14 @@
 			Timeout:       qfdocument.Duration(time.Second),
 		},
 		Feed: FeedSettings{
-			CatalogueEvery: qfdocument.Duration(time.Second),
-			VMListEvery:    qfdocument.Duration(time.Second),
-			NoticesEvery:   qfdocument.Duration(500 * time.Millisecond),
-			LoadEvery:      qfdocument.Duration(500 * time.Millisecond),
+			CatalogueEvery:          qfdocument.Duration(time.Second),
+			CatalogueReadsPerSecond: 64,
+			CatalogueStaleAfter:     qfdocument.Duration(30 * time.Second),
+			VMListEvery:             qfdocument.Duration(time.Second),
+			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
+			LoadEvery:               qfdocument.Duration(500 * time.Millisecond),
 		},
+		Security:  SecuritySettings{ReloadEvery: qfdocument.Duration(10 * time.Second)},
+		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
 	}
 }
--- a/internal/standin/standworld/world.go
+++ b/internal/standin/standworld/world.go
@@ -16,17 +16,22 @@
 	"quetzalfront/internal/qf/state/qfdocument"
 	"quetzalfront/internal/standin/standcloud"
 	"quetzalfront/internal/standin/standengine"
+	"quetzalfront/internal/standin/standobject"
 	"quetzalfront/internal/standin/standservice"
 	"quetzalfront/internal/standin/standtable"
+	"quetzalfront/internal/standin/standweight"
 )
 
 // Fleet describes the VMs with which a world begins.
 type Fleet struct {
-	// TableAddress and CloudAddress are used by Serve; port 0 takes any.
-	TableAddress netip.AddrPort
-	CloudAddress netip.AddrPort
-	Groups       []Group `validate:"dive"`
-	Nodes        []Node  `validate:"dive"`
+	// TableAddress and CloudAddress are used by Serve, ObjectsAddress and
+	// WeightsAddress by ServeStores; port 0 takes any.
+	TableAddress   netip.AddrPort
+	CloudAddress   netip.AddrPort
+	ObjectsAddress netip.AddrPort
+	WeightsAddress netip.AddrPort
+	Groups         []Group `validate:"dive"`
+	Nodes          []Node  `validate:"dive"`
 }
 
 // Group is a number of equal endpoints.
@@ -40,6 +45,8 @@
 	// SlowFactor and FailEvery make bad versions.
 	SlowFactor float64
 	FailEvery  int
+	// Varies makes the engines draw each attempt's tokens anew.
+	Varies bool
 	// TokenInterval overrides the time between two tokens.
 	TokenInterval qfdocument.Duration
 }
@@ -54,33 +61,75 @@
 
 // World is a platform with running endpoints.
 type World struct {
-	Timer qf.Timer
-	Table *standtable.Table
-	Cloud *standcloud.Cloud
+	Timer   qf.Timer
+	network qf.Network
+	// AddressIn returns the address at which a server in the zone listens.
+	AddressIn func(zone qf.AvailabilityZone) netip.AddrPort
+	Table     *standtable.Table
+	Cloud     *standcloud.Cloud
+	Objects   *standobject.Store
+	Weights   *standweight.Store
 
 	mu       sync.Mutex
 	journals map[qf.EntryName]*standservice.Journal
-	// behaviours holds how new engines of a version behave.
+	engines  map[qf.VMID]*standengine.Engine
+	services map[qf.VMID]*standservice.Service
+	// behaviours holds how the engines of a version behave.
 	behaviours map[qf.Version]standengine.Behaviour
 	servers    []*http.Server
 }
 
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
 // New returns a world without VMs.
-func New(timer qf.Timer) *World {
+func New(timer qf.Timer, network qf.Network) *World {
 	w := &World{
-		Timer: timer, Table: standtable.New(timer),
+		Timer: timer, network: network, AddressIn: func(qf.AvailabilityZone) netip.AddrPort { return loopback },
+		Table: standtable.New(timer), Objects: standobject.New(timer),
+		Weights:    standweight.New(timer, standweight.DefaultBytesPerSecond),
 		journals:   map[qf.EntryName]*standservice.Journal{},
 		behaviours: map[qf.Version]standengine.Behaviour{},
+		engines:    map[qf.VMID]*standengine.Engine{},
+		services:   map[qf.VMID]*standservice.Service{},
 	}
 	w.Cloud = standcloud.New(timer, nil, w.launch)
 	return w
 }
 
-// SetBehaviour says how engines of a version that start from now on behave.
+// SetBehaviour says how the engines of a version behave from now on.
 func (w *World) SetBehaviour(version qf.Version, behaviour standengine.Behaviour) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.behaviours[version] = behaviour
+	for _, e := range w.engines {
+		if e.Version() == version {
+			e.SetBehaviour(behaviour)
+		}
+	}
+}
+
+// Behaviour returns how the engines of a version behave.
+func (w *World) Behaviour(version qf.Version) standengine.Behaviour { return w.behaviourOf(version) }
+
+// LatestArrival returns the longest time after the news of its leaving at which
+// any engine was still sent work.
+func (w *World) LatestArrival() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	latest := time.Duration(0)
+	for _, e := range w.engines {
+		latest = max(latest, e.LatestArrival())
+	}
+	return latest
+}
+
+// SetServiceBehaviour says how the services that run now behave from now on.
+func (w *World) SetServiceBehaviour(behaviour standservice.Behaviour) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.services {
+		s.SetBehaviour(behaviour)
+	}
 }
 
 // Journal returns the executions of an entry's services.
@@ -98,6 +147,7 @@
 	number := 0
 	for _, g := range fleet.Groups {
 		w.SetBehaviour(g.Version, g.behaviour())
+		w.Weights.Add(g.Entry, g.Version, weightBytes)
 		for range g.Count {
 			number++
 			if err := w.startOne(ctx, &g, number); err != nil {
@@ -111,6 +161,9 @@
 	return nil
 }
 
+// weightBytes is the size of every version's weights.
+const weightBytes = 16 << 30
+
 // NodeVM describes the VM of an entry node.
 func NodeVM(id qf.VMID, zone qf.AvailabilityZone, callers, peers netip.AddrPort) qf.VM {
 	return qf.VM{
@@ -123,6 +176,7 @@
 	b := standengine.DefaultBehaviour()
 	b.SlowFactor = g.SlowFactor
 	b.FailEvery = g.FailEvery
+	b.Varies = g.Varies
 	if g.TokenInterval > 0 {
 		b.TokenInterval = g.TokenInterval.Value()
 	}
@@ -145,14 +199,26 @@
 	var handler http.Handler
 	if vm.Role == qf.RolePlainService {
 		service := standservice.New(w.Timer, endpoint, standservice.Behaviour{}, w.Journal(vm.Entry))
+		w.keep(vm.ID, nil, service)
 		handler = service.Handler()
 		s.leave = service.Leave
 	} else {
 		engine := standengine.New(w.Timer, endpoint, w.behaviourOf(vm.Version), func() { w.Cloud.Crash(vm.ID) })
+		w.keep(vm.ID, engine, nil)
 		handler = engine.Handler()
 		s.leave = engine.Leave
 	}
-	return s, s.start(handler)
+	return s, s.start(w.network.Listen, w.AddressIn(vm.AvailabilityZone), handler)
+}
+
+func (w *World) keep(vm qf.VMID, engine *standengine.Engine, service *standservice.Service) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if engine != nil {
+		w.engines[vm] = engine
+		return
+	}
+	w.services[vm] = service
 }
 
 func (w *World) behaviourOf(version qf.Version) standengine.Behaviour {
@@ -175,8 +241,26 @@
 	return
 }
 
+// ServeStores opens the object store and the weight store on the addresses and
+// returns where they listen. An invalid address takes any port of loopback.
+func (w *World) ServeStores(objects, weights netip.AddrPort) (objectsAddress, weightsAddress netip.AddrPort, err error) {
+	objectsAddress, err = w.open(orLoopback(objects), w.Objects.Handler())
+	if err != nil {
+		return
+	}
+	weightsAddress, err = w.open(orLoopback(weights), w.Weights.Handler())
+	return
+}
+
+func orLoopback(address netip.AddrPort) netip.AddrPort {
+	if address.IsValid() {
+		return address
+	}
+	return loopback
+}
+
 func (w *World) open(address netip.AddrPort, handler http.Handler) (netip.AddrPort, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address.String())
+	listener, err := w.network.Listen(context.Background(), address)
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
@@ -199,6 +283,7 @@
 	for _, s := range w.servers {
 		_ = s.Close() // It is given up either way.
 	}
+	w.Cloud.SetFaults(standcloud.Faults{}) // A cloud that is down would keep its VMs.
 	vms, _ := w.Cloud.VMs(context.Background())
 	for i := range vms {
 		w.Cloud.Crash(vms[i].ID)
