qfendpoint: hold adapters and stand-ins to one contract

Cause: nothing tested the endpoints' contracts over real connections. The new test found that net/http sent a GET without a body again on a reused connection that had broken: 3 calls arrived instead of 2, and the call that was taken for broken ran. Change: one contract test each for model engines and plain services, which takes an adapter and a server, over loopback HTTP, with rows for refused, failed, cut, crossed, gapped and silent streams and for calls that break before and after they ran. Bodies are hidden from net/http's own repetition whatever the method. The stand-ins can leave out a token and cross the answers of calls.

--- /dev/null
+++ b/internal/qf/protocol/qfendpoint/contract_test.go
@@ -0,0 +1,282 @@
+package qfendpoint_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/protocol/qfendpoint"
+	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/standin/standengine"
+	"quetzalfront/internal/standin/standservice"
+	"quetzalfront/pkg/qfapi"
+)
+
+// recorder notes the headers of the calls that arrive.
+type recorder struct {
+	http.Handler
+	mu      sync.Mutex
+	headers []http.Header
+}
+
+func (r *recorder) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	r.mu.Lock()
+	r.headers = append(r.headers, request.Header.Clone())
+	r.mu.Unlock()
+	r.Handler.ServeHTTP(w, request)
+}
+
+func (r *recorder) arrived() []http.Header {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]http.Header(nil), r.headers...)
+}
+
+// open serves a handler on loopback and returns it as an endpoint.
+func open(t *testing.T, handler http.Handler) (qf.Endpoint, *recorder) {
+	r := &recorder{Handler: handler}
+	server := httptest.NewServer(r)
+	server.Config.ErrorLog = nil
+	t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	return qf.Endpoint{ID: "e", Address: address}, r
+}
+
+// closed returns an endpoint at which nobody listens.
+func closed() qf.Endpoint {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	return qf.Endpoint{ID: "e", Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+}
+
+func client(t *testing.T) *http.Client {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+var question = []qf.Message{{Role: "user", Content: "Which tree?"}}
+
+const answerTokens = 8
+
+// TestModelEngine checks the adapter and the stand-in against the contract.
+func TestModelEngine(t *testing.T) {
+	testModelEngine(t, func(t *testing.T) qf.ModelEngine { return qfendpoint.NewEngine(client(t)) },
+		func(t *testing.T, b standengine.Behaviour, leaves bool) (qf.Endpoint, *recorder) {
+			engine := standengine.New(qftimer.NewWall(), qf.Endpoint{ID: "e"}, b, nil)
+			if leaves {
+				engine.Leave()
+			}
+			return open(t, engine.Handler())
+		})
+}
+
+// testModelEngine is the contract of model engines: what a node may conclude from
+// each way in which an attempt ends.
+func testModelEngine(t *testing.T, adapter func(*testing.T) qf.ModelEngine, serve func(*testing.T, standengine.Behaviour, bool) (qf.Endpoint, *recorder)) {
+	fast := func(change func(b *standengine.Behaviour)) standengine.Behaviour {
+		b := standengine.DefaultBehaviour()
+		b.TokenInterval, b.PrefillPerToken = 0, 0
+		change(&b)
+		return b
+	}
+	tests := []struct {
+		name      string
+		behaviour standengine.Behaviour
+		leaves    bool
+		resume    int
+		// ran is what the error of Generate or Next proves; empty if the stream ends.
+		ran qf.Ran
+		// pieces is the number of right pieces, in order and with the right echo.
+		pieces int
+		ends   bool
+	}{
+		{"whole", fast(func(*standengine.Behaviour) {}), false, 0, "", answerTokens, true},
+		{"resumed", fast(func(*standengine.Behaviour) {}), false, 3, "", answerTokens - 3, true},
+		{"resumed at the end", fast(func(*standengine.Behaviour) {}), false, answerTokens, "", 0, true},
+		{"refused", fast(func(*standengine.Behaviour) {}), true, 0, qf.RanNo, 0, false},
+		{"failed", fast(func(b *standengine.Behaviour) { b.FailEvery = 1 }), false, 0, qf.RanUnknown, 0, false},
+		{"cut", fast(func(b *standengine.Behaviour) { b.CutEvery = 1 }), false, 0, "", answerTokens / 2, false},
+		{"crossed", fast(func(b *standengine.Behaviour) { b.CrossEvery = 1 }), false, 0, "", 0, false},
+		{"a gap", fast(func(b *standengine.Behaviour) { b.GapEvery = 1 }), false, 0, "", answerTokens / 2, false},
+		{"silent", fast(func(b *standengine.Behaviour) { b.SilentAfter = 2 }), false, 0, qf.RanUnknown, 2, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			endpoint, arrived := serve(t, test.behaviour, test.leaves)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			reference := standengine.Reference(question, answerTokens)
+			stream, err := adapter(t).Generate(ctx, endpoint, qf.GenerateRequest{
+				Attempt: "a", Messages: question, MaxTokens: answerTokens,
+				ResumeText: strings.Join(reference[:test.resume], ""), ResumeTokens: test.resume,
+				Hop: qf.Hop{TimeLeft: 3 * time.Second},
+			})
+			pieces, ended := 0, false
+			if err == nil {
+				pieces, ended, err = readPieces(ctx, cancel, stream, reference, test.resume, test.pieces)
+			}
+			if pieces != test.pieces || ended != test.ends {
+				t.Errorf("%d right pieces, end mark %v; want %d and %v", pieces, ended, test.pieces, test.ends)
+			}
+			if test.ran != "" && (err == nil || qf.RanOf(err) != test.ran) {
+				t.Errorf("got %v, want Ran %s", err, test.ran)
+			}
+			if got := arrived.arrived(); len(got) != 1 || got[0].Get(qfapi.HeaderTimeout) != "3s" {
+				t.Errorf("%d calls arrived; the first has the time %q", len(got), got[0].Get(qfapi.HeaderTimeout))
+			}
+		})
+	}
+	t.Run("no connection", func(t *testing.T) {
+		_, err := adapter(t).Generate(t.Context(), closed(), qf.GenerateRequest{Attempt: "a", Messages: question, MaxTokens: 1})
+		if qf.RanOf(err) != qf.RanNo || !qfendpoint.IsRefused(err) {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
+// readPieces counts the pieces that are right, up to the first that isn't. After
+// those that were expected of a silent stream it cancels the attempt.
+func readPieces(ctx context.Context, cancel context.CancelFunc, stream qf.PieceStream, reference []string, offset, expected int) (pieces int, ended bool, err error) {
+	defer func() { _ = stream.Close() }()
+	for {
+		piece, err := stream.Next(ctx)
+		switch {
+		case errors.Is(err, io.EOF):
+			return pieces, false, nil
+		case err != nil:
+			return pieces, false, err
+		case piece.Attempt != "a" || piece.Offset != offset+pieces:
+			return pieces, false, nil
+		case piece.End:
+			return pieces, true, nil
+		case piece.Text != reference[piece.Offset]:
+			return pieces, false, errors.New("a wrong text: " + piece.Text)
+		}
+		pieces++
+		if pieces == expected && expected == 2 {
+			cancel()
+		}
+	}
+}
+
+// TestPlainService checks the adapter and the stand-in against the contract.
+func TestPlainService(t *testing.T) {
+	testPlainService(t, func(t *testing.T) qf.PlainService { return qfendpoint.NewService(client(t)) },
+		func(t *testing.T, timer qf.Timer, b standservice.Behaviour, journal *standservice.Journal) (qf.Endpoint, *recorder) {
+			return open(t, standservice.New(timer, qf.Endpoint{ID: "e"}, b, journal).Handler())
+		})
+}
+
+// testPlainService is the contract of plain services: what a node may conclude
+// from a call and from the status that it asks for afterwards. Each call is the
+// second on its connection, on which net/http would send some requests again.
+func testPlainService(t *testing.T, adapter func(*testing.T) qf.PlainService, serve func(*testing.T, qf.Timer, standservice.Behaviour, *standservice.Journal) (qf.Endpoint, *recorder)) {
+	tests := []struct {
+		name         string
+		behaviour    standservice.Behaviour
+		call, status qf.Certainty
+		executions   int
+		// get sends a GET without a body in place of a POST.
+		get bool
+	}{
+		{"answered", standservice.Behaviour{}, qf.Done, qf.Done, 2, false},
+		{"refused", standservice.Behaviour{RefuseEvery: 2}, qf.NotDone, qf.NotDone, 1, false},
+		{"broken before it ran", standservice.Behaviour{BreakBefore: 2}, qf.Unknown, qf.NotDone, 1, false},
+		{"a GET, broken before it ran", standservice.Behaviour{BreakBefore: 2}, qf.Unknown, qf.NotDone, 1, true},
+		{"broken after it ran", standservice.Behaviour{BreakAfter: 2}, qf.Unknown, qf.Done, 2, false},
+		{"crossed", standservice.Behaviour{CrossEvery: 2}, qf.Unknown, qf.Done, 2, false},
+		{"broken, no status", standservice.Behaviour{BreakAfter: 2, NoStatus: true}, qf.Unknown, qf.Unknown, 2, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			journal := &standservice.Journal{}
+			endpoint, arrived := serve(t, qftimer.NewWall(), test.behaviour, journal)
+			service := adapter(t)
+			call := qf.ServiceCall{Attempt: "first", Method: "POST", Path: "/permits", Body: []byte("filing"), Hop: qf.Hop{TimeLeft: time.Second}}
+			if test.get {
+				call.Method, call.Body = http.MethodGet, nil
+			}
+			if first := service.Call(t.Context(), endpoint, call); first.Certainty != qf.Done {
+				t.Fatal(first.Err)
+			}
+			call.Attempt = "second"
+			result := service.Call(t.Context(), endpoint, call)
+			if result.Certainty != test.call || (result.Err == nil) != (test.call == qf.Done) {
+				t.Errorf("the call: %s, %v", result.Certainty, result.Err)
+			}
+			if n := len(arrived.arrived()); n != 2 {
+				t.Errorf("%d calls arrived", n)
+			}
+			status := service.Status(t.Context(), endpoint, "second")
+			if status.Certainty != test.status {
+				t.Errorf("the status: %s, %v", status.Certainty, status.Err)
+			}
+			if status.Certainty == qf.Done && (status.Value.Attempt != "second" || !strings.HasPrefix(string(status.Value.Body), standservice.Reference("POST", "/permits", "filing"))) {
+				t.Errorf("the status has %+v", status.Value)
+			}
+			if n := len(journal.Executions()); n != test.executions {
+				t.Errorf("%d calls ran", n)
+			}
+			for _, h := range arrived.arrived()[:2] {
+				if h.Get("Idempotency-Key") != "" || h.Get(qfapi.HeaderTimeout) != "1s" {
+					t.Errorf("headers %v", h)
+				}
+			}
+		})
+	}
+	t.Run("a status bars what hasn't arrived", func(t *testing.T) {
+		journal := &standservice.Journal{}
+		endpoint, _ := serve(t, qftimer.NewWall(), standservice.Behaviour{}, journal)
+		service := adapter(t)
+		if status := service.Status(t.Context(), endpoint, "a"); status.Certainty != qf.NotDone {
+			t.Errorf("the status: %s", status.Certainty)
+		}
+		late := service.Call(t.Context(), endpoint, qf.ServiceCall{Attempt: "a", Method: "POST", Path: "/permits"})
+		if late.Certainty != qf.NotDone || len(journal.Executions()) != 0 {
+			t.Errorf("the late call: %s, %d ran", late.Certainty, len(journal.Executions()))
+		}
+	})
+	t.Run("still running", func(t *testing.T) {
+		timer := qftimer.NewVirtual(time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC))
+		endpoint, _ := serve(t, timer, standservice.Behaviour{Takes: time.Hour}, &standservice.Journal{})
+		service := adapter(t)
+		answered := make(chan qf.Result[qf.ServiceAnswer], 1)
+		go func() {
+			answered <- service.Call(t.Context(), endpoint, qf.ServiceCall{Attempt: "a", Method: "POST", Path: "/permits"})
+		}()
+		for running := 0; running == 0; {
+			report, err := service.Load(t.Context(), endpoint)
+			if err != nil {
+				t.Fatal(err)
+			}
+			running = report.Running
+		}
+		if status := service.Status(t.Context(), endpoint, "a"); status.Certainty != qf.Unknown || qf.CodeOf(status.Err) != qf.CodeStillRunning {
+			t.Errorf("the status: %s, %v", status.Certainty, status.Err)
+		}
+		for len(answered) == 0 { // The call may subscribe to the time after an advance.
+			timer.Advance(time.Hour)
+		}
+		if result := <-answered; result.Certainty != qf.Done {
+			t.Errorf("the call: %s, %v", result.Certainty, result.Err)
+		}
+	})
+	t.Run("no connection", func(t *testing.T) {
+		gone := closed()
+		if call := adapter(t).Call(t.Context(), gone, qf.ServiceCall{Attempt: "a", Method: "POST", Path: "/"}); call.Certainty != qf.NotDone {
+			t.Errorf("the call: %s", call.Certainty)
+		}
+		if status := adapter(t).Status(t.Context(), gone, "a"); status.Certainty != qf.Unknown {
+			t.Errorf("the status: %s", status.Certainty)
+		}
+	})
+}
--- a/internal/qf/protocol/qfendpoint/service.go
+++ b/internal/qf/protocol/qfendpoint/service.go
@@ -31,11 +31,11 @@
 // breaks.
 func (s *Service) Call(ctx context.Context, endpoint qf.Endpoint, call qf.ServiceCall) qf.Result[qf.ServiceAnswer] {
 	url := "http://" + endpoint.Address.String() + call.Path
-	request, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(ctx, call.Method, url, onceReadable{bytes.NewReader(call.Body)})
 	if err != nil {
 		return qf.NotDoneFor[qf.ServiceAnswer](notRun(endpoint, "could not form the call", err))
 	}
-	request.GetBody = nil // Without it net/http can't send the body twice.
+	request.ContentLength = int64(len(call.Body))
 	request.Header.Set(HeaderAttempt, string(call.Attempt))
 	request.Header.Set(qfapi.HeaderOrganisation, string(call.Organisation))
 	if timeout := timeoutOf(call.Hop); timeout != "" {
@@ -47,6 +47,10 @@
 	return exchange(s.of(call.Hop), request, endpoint, call.Attempt)
 }
 
+// onceReadable hides from net/http that a body is empty or could be read again. It
+// sends requests again whose body allows that, some of them on its own account.
+type onceReadable struct{ io.Reader }
+
 // Status implements qf.PlainService. It always asks over a new connection.
 func (s *Service) Status(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID) qf.Result[qf.ServiceAnswer] {
 	url := "http://" + endpoint.Address.String() + PathStatus + string(attempt)
--- a/internal/standin/standengine/engine.go
+++ b/internal/standin/standengine/engine.go
@@ -36,6 +36,8 @@
 	Varies bool
 	// CutEvery ends every so-many-th answer without its end mark.
 	CutEvery int
+	// GapEvery leaves out a token in the middle of every so-many-th answer.
+	GapEvery int
 	// CrossEvery echoes another attempt's identifier on every so-many-th answer.
 	CrossEvery int
 	// SilentAfter makes streams go silent after so many tokens; 0 means never.
--- a/internal/standin/standengine/http.go
+++ b/internal/standin/standengine/http.go
@@ -106,6 +106,9 @@
 		if a.behaviour.WrongText {
 			token = "wrong "
 		}
+		if a.leavesOut(offset) {
+			continue
+		}
 		if writeChunk(w, chunkOf(echo, a, offset, token, nil)) != nil {
 			return
 		}
@@ -116,6 +119,11 @@
 	_ = writeData(w, qfapi.EventDone)
 }
 
+// leavesOut reports whether the token in the middle of the answer goes missing.
+func (a *attempt) leavesOut(offset int) bool {
+	return isEvery(a.number, a.behaviour.GapEvery) && offset == (a.request.ResumeTokens+a.request.MaxTokens)/2
+}
+
 // misbehaves ends or blocks the stream where the behaviour says so.
 func (e *Engine) misbehaves(ctx context.Context, a *attempt, offset int) bool {
 	half := a.request.ResumeTokens + (a.request.MaxTokens-a.request.ResumeTokens)/2
--- a/internal/standin/standservice/service.go
+++ b/internal/standin/standservice/service.go
@@ -26,6 +26,8 @@
 	BreakAfter  int
 	// RefuseEvery refuses every so-many-th call with proof that it didn't run.
 	RefuseEvery int
+	// CrossEvery echoes another attempt's identifier on every so-many-th answer.
+	CrossEvery int
 	// NoStatus makes the service forget what it ran.
 	NoStatus bool
 }
@@ -137,6 +139,9 @@
 	if isEvery(number, behaviour.BreakAfter) {
 		panic(http.ErrAbortHandler)
 	}
+	if isEvery(number, behaviour.CrossEvery) {
+		answer.Attempt = "another-" + answer.Attempt
+	}
 	writeAnswer(w, &answer)
 }
 
