--- a/internal/qf/protocol/qfrequest/silence_test.go
+++ b/internal/qf/protocol/qfrequest/silence_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfretry"
 	"quetzalfront/internal/qf/protocol/qfendpoint"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qftimer"
@@ -27,10 +28,11 @@
 	service qf.Endpoint
 	journal *standservice.Journal
 	runner  *qfrequest.Runner
+	budget  *lockedBudget
 }
 
 func newSite(t *testing.T, engine standengine.Behaviour, service standservice.Behaviour) *site {
-	s := &site{network: newNetwork(), timer: qftimer.NewWall(), journal: &standservice.Journal{}}
+	s := &site{network: newNetwork(), timer: qftimer.NewWall(), journal: &standservice.Journal{}, budget: &lockedBudget{Budget: qfretry.NewBudget()}}
 	for i := range 2 {
 		e := qf.Endpoint{
 			ID: qf.EndpointID(fmt.Sprint("e", i)), Kind: qf.KindModelEngine,
@@ -45,7 +47,7 @@
 	adapter := qfendpoint.NewEngine(client)
 	s.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: s.timer, Engine: adapter, Prober: adapter, Service: qfendpoint.NewService(client),
-		Router: quietRouter{}, Choosing: s, Budget: s, Observer: s, Self: "n", SilentAfter: silentAfter,
+		Router: quietRouter{}, Choosing: s, Budget: s.budget, Observer: s, Self: "n", SilentAfter: silentAfter,
 		LeaveWithin: time.Minute, IsCurrent: func(qf.Endpoint) bool { return true },
 	})
 	return s
@@ -64,9 +66,6 @@
 	return qf.RouteChoice{}, qf.NewError(qf.CodeNoEndpoint, qf.StepRoute, "", "none")
 }
 
-// Retry implements qfrequest.RetryBudget.
-func (s *site) Retry(qf.RetryQuery) qf.RetryVerdict { return qf.RetryVerdict{Allowed: true} }
-
 // AttemptEnded implements qfrequest.Observer.
 func (s *site) AttemptEnded(time.Time, qf.Observation) {}
 
