qfledger: share the table's writes by the number of live nodes

Change: a setting for all nodes together, LedgerCommitsPerSecond, which each node divides by the number of live nodes that it knows, once a second.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"quetzalfront/internal/qf/protocol/qfhandover"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/qf/state/qfledger"
 	"quetzalfront/internal/qf/state/qftrial"
 	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/internal/qf/transport/qftls"
@@ -44,7 +45,9 @@
 	Prober  qf.Prober
 	Peer    qf.Peer
 	Ledger  qf.Ledger
-	Logger  zerolog.Logger
+	// LedgerPace is the pace of Ledger.
+	LedgerPace *qfledger.Pace
+	Logger     zerolog.Logger
 	// Random draws for decisions. It is guarded by the node's lock.
 	Random *rand.Rand
 	// Spans takes the spans in place of the exporter that the settings name; it
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -32,6 +32,7 @@
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
 	})}
 	identity := newIdentity(&settings.Security, timer)
+	pace := &qfledger.Pace{PerSecond: settings.Request.LedgerCommitsPerSecond}
 	engine := qfendpoint.NewEngine(endpoints)
 	return Platform{
 		Identity: identity,
@@ -39,16 +40,11 @@
 		VMList: cloud, Cloud: cloud,
 		Engine: engine, Prober: engine, Service: qfendpoint.NewService(endpoints),
 		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), peerDial(identity, network.Dial), nil),
-		Ledger: qfledger.New(timer, table, ledgerOptions(settings)), Logger: logger,
+		Ledger: qfledger.New(timer, table, ledgerOptions(settings, pace)), LedgerPace: pace, Logger: logger,
 		Random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
-// ledgerOptions spread the table's writes for the ledger evenly over time.
-func ledgerOptions(settings *qfsettings.Settings) qfledger.Options {
-	every := settings.Request.LedgerCommitEvery.Value()
-	return qfledger.Options{
-		RecordsFor:  settings.Request.IdempotencyRecordsFor.Value(),
-		CommitEvery: func() time.Duration { return every },
-	}
+func ledgerOptions(settings *qfsettings.Settings, pace *qfledger.Pace) qfledger.Options {
+	return qfledger.Options{RecordsFor: settings.Request.IdempotencyRecordsFor.Value(), CommitEvery: pace.Every}
 }
--- a/internal/node/sweep.go
+++ b/internal/node/sweep.go
@@ -12,10 +12,12 @@
 // so that this many a minute can expire without the ledger growing: 64 * 60.
 const sweepEvery = time.Second
 
-// sweepLedger deletes expired records of once-only requests. The first live node
+// sweepLedger tells the ledger the number of nodes, and deletes expired records of once-only requests. The first live node
 // by name does it; two that both think so do each other no harm.
 func (n *Node) sweepLedger(ctx context.Context) {
-	if !n.isFirst() {
+	live, isFirst := n.rank()
+	n.platform.LedgerPace.SetNodes(live)
+	if !isFirst {
 		return
 	}
 	next, deleted, err := n.platform.Ledger.Sweep(ctx, n.swept)
@@ -28,15 +30,19 @@
 	}
 }
 
-// isFirst reports whether no live node has a smaller name.
-func (n *Node) isFirst() bool {
+// rank returns the number of live nodes and whether this one's name is the first
+// among them.
+func (n *Node) rank() (live int, isFirst bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	live, isFirst = 1, true
 	self := qf.NodeID(n.settings.Node.ID)
-	for _, node := range n.membership.Nodes(n.now()) {
-		if node.State == qf.NodeLive && node.ID < self {
-			return false
+	for _, node := range n.membership.Peers(n.now()) {
+		if node.State != qf.NodeLive {
+			continue
 		}
+		live++
+		isFirst = isFirst && self < node.ID
 	}
-	return true
+	return live, isFirst
 }
--- a/internal/qf/state/qfledger/ledger_test.go
+++ b/internal/qf/state/qfledger/ledger_test.go
@@ -167,6 +167,21 @@
 	})
 }
 
+// TestPace checks that the nodes together keep to the rate.
+func TestPace(t *testing.T) {
+	tests := []struct {
+		nodes int
+		every time.Duration
+	}{{0, 2 * time.Millisecond}, {1, 2 * time.Millisecond}, {7, 14 * time.Millisecond}, {640, 1280 * time.Millisecond}}
+	for _, test := range tests {
+		p := &Pace{PerSecond: 500}
+		p.SetNodes(test.nodes)
+		if got := p.Every(); got != test.every {
+			t.Errorf("%d nodes: every %s, want %s", test.nodes, got, test.every)
+		}
+	}
+}
+
 // TestGroupCommit measures the transactions for the intents and outcomes of many
 // once-only requests, one in ten of them with a key in use.
 func TestGroupCommit(t *testing.T) {
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -96,9 +96,9 @@
 	// LeaveWithin is how long after its intent a once-only attempt may leave. A
 	// node that was paused for longer asks the ledger again.
 	LeaveWithin qfdocument.Duration `validate:"gt=0"`
-	// LedgerCommitEvery is the shortest time between two transactions in which a
-	// node records intents and outcomes.
-	LedgerCommitEvery qfdocument.Duration `validate:"gt=0"`
+	// LedgerCommitsPerSecond is the number of transactions in which all nodes
+	// together may record intents and outcomes.
+	LedgerCommitsPerSecond int `validate:"min=1"`
 	// MaxSuspectAttempts bounds the attempts of a request that is suspected of
 	// crashing endpoints, over all nodes and repeats.
 	MaxSuspectAttempts int `validate:"min=1"`
