qftimer: deliver wall time over ordinary channels

Cause: go test -race ./internal/scenario crashed twice in the runtime (SIGSEGV in maybeRunChan, a select on a timer's channel in a bubble), in different scripts; ruled out: our own data races, which were mended before the second crash's binary was read, and memory. Change: Wall subscribes through time.AfterFunc and sends to a channel of its own; ticks that a paused process missed are not made up for.

--- a/internal/qf/state/qftimer/wall.go
+++ b/internal/qf/state/qftimer/wall.go
@@ -9,7 +9,8 @@
 	"quetzalfront/internal/qf"
 )
 
-// Wall is a timer that follows the machine's clock.
+// Wall is a timer that follows the machine's clock. Inside testing/synctest that
+// clock is virtual.
 type Wall struct{}
 
 // NewWall returns a timer that follows the machine's clock.
@@ -19,23 +20,62 @@
 func (*Wall) Now() time.Time { return time.Now() }
 
 // Every implements qf.Timer.
-func (*Wall) Every(interval time.Duration) qf.Subscription {
-	t := time.NewTicker(interval)
-	return &wallSubscription{c: t.C, stop: t.Stop}
-}
+func (*Wall) Every(interval time.Duration) qf.Subscription { return subscribe(interval, interval) }
 
 // After implements qf.Timer.
-func (*Wall) After(delay time.Duration) qf.Subscription {
-	t := time.NewTimer(delay)
-	return &wallSubscription{c: t.C, stop: func() { t.Stop() }}
-}
+func (*Wall) After(delay time.Duration) qf.Subscription { return subscribe(delay, 0) }
 
+// wallSubscription delivers times over an ordinary channel. The channels of
+// time.Timer would do, but the runtime of Go 1.26 crashes now and then in a
+// select on them under the race detector inside testing/synctest.
 type wallSubscription struct {
-	c    <-chan time.Time
-	stop func()
-	once sync.Once
+	c chan time.Time
+	// interval is zero for a subscription that fires once.
+	interval time.Duration
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	due     time.Time
+	stopped bool
+}
+
+func subscribe(delay, interval time.Duration) *wallSubscription {
+	s := &wallSubscription{c: make(chan time.Time, 1), interval: interval, due: time.Now().Add(delay)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(delay, s.fire)
+	return s
+}
+
+func (s *wallSubscription) fire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
+	now := time.Now()
+	select {
+	case s.c <- now:
+	default: // A slow receiver misses ticks.
+	}
+	if s.interval > 0 {
+		s.due = nextDue(s.due, now, s.interval)
+		s.timer.Reset(s.due.Sub(now))
+	}
+}
+
+// nextDue returns the first multiple of the interval after now, so that a process
+// that was paused doesn't make up for the ticks that it missed.
+func nextDue(due, now time.Time, interval time.Duration) time.Time {
+	missed := now.Sub(due) / interval
+	return due.Add((missed + 1) * interval)
 }
 
 func (s *wallSubscription) C() <-chan time.Time { return s.c }
 
-func (s *wallSubscription) Stop() { s.once.Do(s.stop) }
+func (s *wallSubscription) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	s.timer.Stop()
+}
