qfhttp, qfendpoint: refuse what is over a bound, with a typed error

Cause: a connection over the bound waited unseen in the kernel's queue; any number of connections could read one answer; an engine could make a node keep pieces of a mebibyte each; the peers' and the operators' ports had no bound. Change: over MaxConnections a caller gets a typed refusal (Overloaded, Ran No, when to come back); Request.MaxReaders and MaxAnswerBytes and Security.MaxConnections are settings; an answer over its bound or with more tokens than asked for is broken off. Measured: go test -race -count=4 ./internal/node and go test ./internal/qf/transport/qfhttp: pass. Before, three connections over a bound of one hung until the first ended. Headers over the bound get net/http's own 431, which isn't typed.

--- /dev/null
+++ b/internal/node/bounds_test.go
@@ -0,0 +1,180 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfdocument"
+	"quetzalfront/internal/qfsettings"
+	"quetzalfront/internal/standin/standengine"
+	"quetzalfront/pkg/qfapi"
+)
+
+// open sends a streamed chat over a connection of its own and returns the
+// answer, whose body isn't read.
+func (s *system) open(ctx context.Context, address netip.AddrPort, id string, header http.Header) *http.Response {
+	s.t.Helper()
+	body := `{"model":"assistant","messages":[{"role":"user","content":"girth"}],"max_tokens":50,"stream":true}`
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+qfapi.PathChatCompletions, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set(qfapi.HeaderOrganisation, "parks")
+	request.Header.Set(qfapi.HeaderRequestID, id)
+	response, err := s.http.Do(request)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+func TestOverABoundIsRefused(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(settings *qfsettings.Settings)
+		// id returns the identifier of the i-th of three requests at once.
+		id     func(i int) string
+		header http.Header
+		// wantOpen is how many of the three are answered.
+		wantOpen int
+		status   int
+		code     qf.Code
+		ran      qf.Ran
+	}{
+		{"within all bounds", nil, number, nil, 3, 0, "", ""},
+		{
+			"requests in progress", func(s *qfsettings.Settings) { s.Request.MaxInProgress = 2 },
+			number, nil, 2, http.StatusServiceUnavailable, qf.CodeOverloaded, qf.RanNo,
+		},
+		{
+			"connections", func(s *qfsettings.Settings) { s.Request.MaxConnections = 1 },
+			number, nil, 1, http.StatusServiceUnavailable, qf.CodeOverloaded, qf.RanNo,
+		},
+		{
+			"readers of one answer", func(s *qfsettings.Settings) { s.Request.MaxReaders = 2 },
+			func(int) string { return "request" }, nil, 2, http.StatusServiceUnavailable, qf.CodeOverloaded, qf.RanUnknown,
+		},
+		{
+			"header", func(s *qfsettings.Settings) { s.Request.MaxHeaderBytes = 4096 },
+			number,
+			http.Header{"X-Long": {strings.Repeat("x", 16384)}},
+			0, http.StatusRequestHeaderFieldsTooLarge, "", "",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(t)
+				n := s.start("node-1", nil, test.change)
+				open := 0
+				for i := range 3 {
+					response := s.open(t.Context(), n.Self().CallerAddress, test.id(i), test.header)
+					if response.StatusCode == http.StatusOK {
+						open++
+						continue
+					}
+					text, err := io.ReadAll(response.Body)
+					var body qfapi.ErrorBody
+					if err == nil && test.code != "" {
+						err = json.Unmarshal(text, &body)
+					}
+					if test.code == "" {
+						err = nil // The HTTP server itself refuses, and cuts the connection.
+					}
+					e := body.Error
+					if err != nil || response.StatusCode != test.status || e.Code != string(test.code) || e.Ran != string(test.ran) {
+						t.Errorf("request %d: status %d, %s, %v", i, response.StatusCode, text, err)
+					}
+					if test.code != "" && (e.RetryAfter == "" || response.Header.Get(qfapi.HeaderRetryAfter) == "") {
+						t.Errorf("request %d: %s doesn't say when to come back", i, text)
+					}
+				}
+				if open != test.wantOpen {
+					t.Errorf("%d of 3 answered, want %d", open, test.wantOpen)
+				}
+			})
+		})
+	}
+}
+
+func number(i int) string { return fmt.Sprintf("request-%d", i) }
+
+// TestAnAnswerOverItsBoundIsCut lets engines send far more text than the node may
+// keep.
+func TestAnAnswerOverItsBoundIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		n := s.start("node-1", nil, func(settings *qfsettings.Settings) {
+			settings.Request.MaxAnswerBytes = 5 * len(standengine.Reference(nil, 1)[0])
+			settings.Request.MaxAttempts = 1
+		})
+		response := s.open(t.Context(), n.Self().CallerAddress, "request", nil)
+		lines, events := bufio.NewScanner(response.Body), 0
+		last := ""
+		for lines.Scan() {
+			if text, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+				events++
+				last = text
+			}
+		}
+		var body qfapi.ErrorBody
+		if err := json.Unmarshal([]byte(last), &body); err != nil || body.Error.Code != string(qf.CodeTooLarge) || events != 6 {
+			t.Errorf("%d events, the last %s, %v", events, last, err)
+		}
+	})
+}
+
+// TestOtherPortsBoundTheirConnections opens one connection more than allowed.
+func TestOtherPortsBoundTheirConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		n := s.start("node-1", nil, func(settings *qfsettings.Settings) {
+			settings.Security.MaxConnections = 2
+			settings.Peer.ExchangeEvery = qfdocument.Duration(patience)
+		})
+		for _, address := range []netip.AddrPort{n.Self().PeerAddress, s.operators[0]} {
+			if got := s.openAtOnce(address, 3); got != 2 {
+				t.Errorf("%d of 3 connections stay open", got)
+			}
+		}
+	})
+}
+
+// openAtOnce opens connections and returns how many of them stay open.
+func (s *system) openAtOnce(address netip.AddrPort, count int) int {
+	var connections []net.Conn
+	for range count {
+		connection, err := s.network.From(callerAddress).Dial(s.t.Context(), "tcp", address.String())
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		connections = append(connections, connection)
+	}
+	closed := make(chan struct{}, count)
+	for _, connection := range connections {
+		go func() {
+			_, _ = connection.Read(make([]byte, 1))
+			closed <- struct{}{}
+		}()
+	}
+	synctest.Wait()
+	stay := count - len(closed)
+	for _, connection := range connections {
+		_ = connection.Close()
+	}
+	return stay
+}
--- a/internal/node/identity.go
+++ b/internal/node/identity.go
@@ -6,6 +6,7 @@
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qfevent"
+	"quetzalfront/internal/qf/transport/qfhttp"
 	"quetzalfront/internal/qf/transport/qftls"
 	"quetzalfront/internal/qfsettings"
 )
@@ -54,9 +55,10 @@
 	})
 }
 
-// protect admits only holders of a certificate of the role to a port, unless
-// certificates are off.
+// protect bounds the connections of a port and admits only holders of a
+// certificate of the role, unless certificates are off.
 func (n *Node) protect(listener net.Listener, port string, admitted qftls.Role) net.Listener {
+	listener = qfhttp.BoundOthers(n.platform.Timer, listener, n.settings.Security.MaxConnections)
 	if n.platform.Identity == nil {
 		qfevent.PortUnprotected.Log(&n.platform.Logger, listener.Addr().String(), port)
 		return listener
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -8,8 +8,6 @@
 	"net/netip"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qfmember"
 	"quetzalfront/internal/qf/state/qfevent"
@@ -40,7 +38,7 @@
 	}
 	n.settings.Node.OperatorAddress = addressOf(operators)
 	n.join(addressOf(callers), addressOf(peers))
-	bounded := netutil.LimitListener(callers, n.settings.Request.MaxConnections)
+	bounded := qfhttp.BoundCallers(n.platform.Timer, callers, n.settings.Request.MaxConnections)
 	n.serveHTTP(bounded, n.callersHandler())
 	n.serveHTTP(n.protect(operators, "operators", qftls.RoleOperator), n.operatorsHandler())
 	n.servePeers(n.protect(peers, "peers", qftls.RoleNode))
@@ -90,7 +88,7 @@
 	r := &n.settings.Request
 	return qfhttp.Bounds{
 		MaxBodyBytes: r.MaxBodyBytes, MaxTokens: r.MaxTokens,
-		DefaultTimeout: r.DefaultTimeout.Value(), MaxTimeout: r.MaxTimeout.Value(),
+		MaxReaders: r.MaxReaders, DefaultTimeout: r.DefaultTimeout.Value(), MaxTimeout: r.MaxTimeout.Value(),
 		KeepAddressesFor: r.KeepAddressesFor.Value(),
 	}
 }
--- a/internal/node/telemetry_test.go
+++ b/internal/node/telemetry_test.go
@@ -65,6 +65,7 @@
 		if err := <-done; err != nil {
 			t.Fatal(err)
 		}
+		synctest.Wait() // The handlers note the end of their spans last.
 		second.Kill()
 		got := describe(spans.GetSpans().Snapshots())
 		want := []string{
--- a/internal/qf/transport/qfhttp/callers.go
+++ b/internal/qf/transport/qfhttp/callers.go
@@ -28,8 +28,10 @@
 
 // Bounds limit what callers may send.
 type Bounds struct {
-	MaxBodyBytes     int64
-	MaxTokens        int
+	MaxBodyBytes int64
+	MaxTokens    int
+	// MaxReaders bounds the connections that read the answer of one request.
+	MaxReaders       int
 	DefaultTimeout   time.Duration
 	MaxTimeout       time.Duration
 	KeepAddressesFor time.Duration
@@ -39,6 +41,7 @@
 type Callers struct {
 	service Service
 	bounds  Bounds
+	readers readerCount
 }
 
 // NewCallers returns the handler of the callers' port.
@@ -96,6 +99,12 @@
 
 // answer sends a record's answer in the form that the request asked for.
 func (c *Callers) answer(w http.ResponseWriter, r *http.Request, record *qfrequest.Record, offset int) {
+	id := record.Request.ID
+	if !c.readers.add(id, c.bounds.MaxReaders) {
+		writeError(w, tooManyReaders(c.bounds.MaxReaders), id)
+		return
+	}
+	defer c.readers.remove(id)
 	reader := record.Attach()
 	defer reader.Detach()
 	w.Header().Set(qfapi.HeaderRequestID, string(record.Request.ID))
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -29,6 +29,8 @@
 			MaxInProgress:         8192,
 			MaxConnections:        16384,
 			MaxTokens:             4096,
+			MaxAnswerBytes:        4 * mebibyte,
+			MaxReaders:            16,
 			DefaultTimeout:        qfdocument.Duration(60 * time.Second),
 			MaxTimeout:            qfdocument.Duration(10 * time.Minute),
 			RetainFor:             qfdocument.Duration(30 * time.Second),
@@ -54,7 +56,7 @@
 			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
 			LoadEvery:               qfdocument.Duration(500 * time.Millisecond),
 		},
-		Security:  SecuritySettings{ReloadEvery: qfdocument.Duration(10 * time.Second)},
+		Security:  SecuritySettings{MaxConnections: 2048, ReloadEvery: qfdocument.Duration(10 * time.Second)},
 		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
 	}
 }
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -74,8 +74,11 @@
 	MaxInProgress int `validate:"min=1"`
 	// MaxConnections bounds the callers' open connections.
 	MaxConnections int `validate:"min=1"`
-	// MaxTokens bounds the length of an answer.
-	MaxTokens int `validate:"min=1"`
+	// MaxTokens bounds the length of an answer in tokens, MaxAnswerBytes its text.
+	MaxTokens      int `validate:"min=1"`
+	MaxAnswerBytes int `validate:"min=1024"`
+	// MaxReaders bounds the connections that read the answer of one request.
+	MaxReaders int `validate:"min=1"`
 	// DefaultTimeout is used where neither the caller nor the catalogue gives a
 	// deadline; MaxTimeout bounds what a caller may ask for.
 	DefaultTimeout qfdocument.Duration `validate:"gt=0"`
@@ -142,6 +145,9 @@
 	CertificateFile string
 	KeyFile         string
 	AuthorityFile   string
+	// MaxConnections bounds the open connections of the peers' port, and those of
+	// the operators' port.
+	MaxConnections int `validate:"min=1"`
 	// ReloadEvery is the time between two looks at the files for a change.
 	ReloadEvery qfdocument.Duration `validate:"gt=0"`
 }
