benchload: put a bounded load on nodes over loopback and measure it

Cause: nothing showed what callers see of a running node under load. Change: `quetzalfront load`: open-loop Poisson arrivals from a seed, bounded in number and time; each request counts once as answered, refused as not run, or unknown; goodput, first-token and between-token quantiles (HdrHistogram) from the arrival on, tokens recomputed and cost from the operators' ports.

--- /dev/null
+++ b/internal/bench/benchload/report.go
@@ -0,0 +1,147 @@
+package benchload
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"quetzalfront/internal/qf"
+)
+
+// outcome is what became of one request.
+type outcome struct {
+	arrival time.Time
+	// first and last are the times of the first and the last token.
+	first, last time.Time
+	// gaps are the times between tokens.
+	gaps    []time.Duration
+	tokens  int
+	resumed int
+	err     error
+}
+
+func (o *outcome) token(at time.Time) {
+	if o.tokens == 0 {
+		o.first = at
+	} else {
+		o.gaps = append(o.gaps, at.Sub(o.last))
+	}
+	o.last = at
+	o.tokens++
+}
+
+// The range of the histograms and the precision of their values.
+const (
+	leastLatency      = time.Microsecond
+	greatestLatency   = MaxDuration
+	significantDigits = 3
+)
+
+// recorder collects outcomes. It is safe for concurrent use.
+type recorder struct {
+	mu       sync.Mutex
+	outcomes []*outcome
+	unsent   int
+}
+
+func newRecorder() *recorder { return &recorder{} }
+
+func (r *recorder) notSent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unsent++
+}
+
+func (r *recorder) take(o *outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes = append(r.outcomes, o)
+}
+
+// Quantiles are those of a latency.
+type Quantiles struct {
+	Count               int64
+	P50, P95, P99, P999 time.Duration
+	Max                 time.Duration
+}
+
+// Report is what a run measured.
+type Report struct {
+	Seed uint64
+	// Sent counts the requests; each is in exactly one of Answered, NotRun and
+	// Unknown. NotSent counts arrivals over the generator's own bound.
+	Sent, Answered, NotRun, Unknown, NotSent int
+	// NotRunByCode says why requests were refused as not run.
+	NotRunByCode map[string]int
+	// Resumed counts how often answers went on over another connection.
+	Resumed int
+	Tokens  int
+	Took    time.Duration
+	// RequestsPerSecond and TokensPerSecond count whole answers, Goodput those
+	// within both latency targets.
+	RequestsPerSecond, TokensPerSecond, Goodput float64
+	FirstToken, BetweenTokens                   Quantiles
+	// Recomputed and Cost come from the operators' ports, if any were named.
+	Recomputed *int     `json:",omitempty"`
+	Cost       *float64 `json:",omitempty"`
+}
+
+func (r *recorder) report(options *Options, took time.Duration) *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := &Report{Seed: options.Seed, Sent: len(r.outcomes), NotSent: r.unsent, NotRunByCode: map[string]int{}, Took: took}
+	first, between := newHistogram(), newHistogram()
+	good := 0
+	for _, o := range r.outcomes {
+		report.Resumed += o.resumed
+		switch {
+		case o.err == nil:
+			report.Answered++
+			report.Tokens += o.tokens
+			if o.isGood(options) {
+				good++
+			}
+		case qf.RanOf(o.err) == qf.RanNo:
+			report.NotRun++
+			report.NotRunByCode[string(qf.CodeOf(o.err))]++
+		default:
+			report.Unknown++
+		}
+		if o.tokens > 0 {
+			record(first, o.first.Sub(o.arrival))
+		}
+		for _, gap := range o.gaps {
+			record(between, gap)
+		}
+	}
+	seconds := took.Seconds()
+	report.RequestsPerSecond = float64(report.Answered) / seconds
+	report.TokensPerSecond = float64(report.Tokens) / seconds
+	report.Goodput = float64(good) / seconds
+	report.FirstToken, report.BetweenTokens = quantilesOf(first), quantilesOf(between)
+	return report
+}
+
+// isGood reports whether an answer met both latency targets.
+func (o *outcome) isGood(options *Options) bool {
+	if o.tokens == 0 || o.first.Sub(o.arrival) > options.FirstTokenTarget {
+		return false
+	}
+	return o.tokens == 1 || o.last.Sub(o.first)/time.Duration(o.tokens-1) <= options.BetweenTokenTarget
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(int64(leastLatency), int64(greatestLatency), significantDigits)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(int64(min(max(d, 0), greatestLatency))) // Only values out of range are refused.
+}
+
+func quantilesOf(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) }
+	return Quantiles{
+		Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), P999: at(99.9), Max: time.Duration(h.Max()),
+	}
+}
