--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -63,6 +63,9 @@
 	RequestTaken    = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
 	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
 	LedgerSwept     = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
+	ShadowAdopted   = Event{220, info, "request adopted from its shadow", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
+	ShadowFailed    = Event{221, warning, "a peer takes no shadows", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
+	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
 	CatalogueStale  = Event{310, warning, "no news of the catalogue; no risky actions", []string{FieldRevision, FieldAge}, "See operators/store-outage.md."}
@@ -91,17 +94,20 @@
 		RequestTaken,
 		HandOverFailed,
 		LedgerSwept,
+		ShadowAdopted,
+		ShadowFailed,
+		OwnershipLost,
 		CatalogueInUse,
 		CatalogueFailed,
 		CatalogueStale,
 		CatalogueFresh,
 		PeerFailed,
 		DepartureKnown,
-		PlatformFailed,
 		PortUnprotected,
 		PortRefused,
 		IdentityLoaded,
 		IdentityFailed,
+		PlatformFailed,
 	}
 }
 
