docs: give the scripts' language a page of its own

Cause: TestScenarioPage takes every table row of docs/SCENARIOS.md for a promise, and failed on the commands. Change: docs/SCENARIO-LANGUAGE.md. Measured: TestScenarioPage: 20 errors -> ok.

--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -32,7 +32,7 @@
 
 type commandFunc func(ts *testscript.TestScript, args []string) error
 
-// commands returns the language of the scripts. docs/SCENARIOS.md lists it.
+// commands returns the language of the scripts. docs/SCENARIO-LANGUAGE.md lists it.
 func commands(t *testing.T) map[string]func(*testscript.TestScript, bool, []string) {
 	s := &script{t: t, verdicts: map[string]qfcatalogue.Verdict{}}
 	table := map[string]commandFunc{
