--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -78,7 +78,7 @@
 	settings.Node.ID = fmt.Sprintf("node-%d", i)
 	settings.Node.AvailabilityZone = fmt.Sprintf("zone-%d", i)
 	n := New(settings, Platform{
-		Timer: timer, Table: table, VMList: f, Cloud: f, Engine: f.engine, Service: nil,
+		Timer: timer, Table: table, VMList: f, Cloud: f, Engine: f.engine, Prober: f.engine, Service: nil,
 		Ledger: qfledger.New(timer, table, ledgerOptions(settings)), Peer: &memoryPeer{fleet: f, from: qf.NodeID(settings.Node.ID)},
 		Logger: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, uint64(i))),
 	})
@@ -274,6 +274,12 @@
 	return qf.LoadReport{}, nil
 }
 
+// Probe implements qf.Prober.
+func (e *fakeEngine) Probe(ctx context.Context, endpoint qf.Endpoint) (qf.LoadReport, error) {
+	return e.Load(ctx, endpoint)
+}
+
+// CacheEvents implements qf.ModelEngine.
 func (e *fakeEngine) CacheEvents(context.Context, qf.Endpoint, uint64) ([]qf.CacheEvent, error) {
 	return nil, nil
 }
