--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -34,6 +34,8 @@
 	FieldOperator = "Operator"
 	FieldTime     = "Time"
 	FieldAge      = "Age"
+	FieldDuty     = "Duty"
+	FieldFencing  = "Fencing"
 )
 
 const (
@@ -61,6 +63,8 @@
 	CatalogueFresh  = Event{311, info, "news of the catalogue again", []string{FieldRevision}, "Nothing."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
+	LeaseTaken      = Event{601, info, "lease taken", []string{FieldDuty, FieldFencing}, "Nothing."}
+	LeaseLost       = Event{602, warning, "lease lost", []string{FieldDuty, FieldReason}, "Nothing; another node takes over. Check the table service if it recurs."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
 )
 
@@ -69,7 +73,7 @@
 	return []Event{
 		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed,
 		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
-		CatalogueInUse, CatalogueFailed, CatalogueStale, CatalogueFresh, PeerFailed, DepartureKnown, PlatformFailed,
+		CatalogueInUse, CatalogueFailed, CatalogueStale, CatalogueFresh, PeerFailed, DepartureKnown, LeaseTaken, LeaseLost, PlatformFailed,
 	}
 }
 
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -38,6 +38,12 @@
 			DeadAfter:     qfdocument.Duration(8 * time.Second),
 			Timeout:       qfdocument.Duration(time.Second),
 		},
+		Lease: LeaseSettings{
+			Duration:    qfdocument.Duration(6 * time.Second),
+			RenewEvery:  qfdocument.Duration(2 * time.Second),
+			RankDelay:   qfdocument.Duration(500 * time.Millisecond),
+			ClockMargin: 0.01,
+		},
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
 			CatalogueReadsPerSecond: 64,
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -21,6 +21,7 @@
 	Request  RequestSettings
 	Peer     PeerSettings
 	Feed     FeedSettings
+	Lease    LeaseSettings
 	Security SecuritySettings
 }
 
@@ -111,6 +112,19 @@
 	LoadEvery           qfdocument.Duration `validate:"gt=0"`
 }
 
+// LeaseSettings govern who may act for all nodes. They must be the same at all
+// nodes.
+type LeaseSettings struct {
+	// Duration is how long one write keeps a lease; RenewEvery is the time
+	// between two renewals.
+	Duration   qfdocument.Duration `validate:"gt=0"`
+	RenewEvery qfdocument.Duration `validate:"gt=0"`
+	// RankDelay keeps a candidate back for each better one.
+	RankDelay qfdocument.Duration `validate:"gt=0"`
+	// ClockMargin is the share by which two nodes' clocks may differ in rate.
+	ClockMargin float64 `validate:"gte=0,lte=0.5"`
+}
+
 // SecuritySettings say who may call the operators' and peers' ports.
 type SecuritySettings struct {
 	// Insecure turns certificates off. It must be set on purpose.
@@ -173,6 +187,9 @@
 	if s.Request.MaxTimeout < s.Request.DefaultTimeout {
 		faults = append(faults, qfdocument.Fault{Key: "Request.MaxTimeout", Expected: "expected at least Request.DefaultTimeout"})
 	}
+	if 2*s.Lease.RenewEvery >= s.Lease.Duration {
+		faults = append(faults, qfdocument.Fault{Key: "Lease.RenewEvery", Expected: "expected less than half of Lease.Duration"})
+	}
 	sec := s.Security
 	if !sec.Insecure && (sec.CertificateFile == "" || sec.KeyFile == "" || sec.AuthorityFile == "") {
 		faults = append(faults, qfdocument.Fault{
