qfrollout, node: move versions in judged stages under a lease

Cause: TargetOnly sent all traffic to a new target at once and judged nothing. Change: each route (organisation, region, class, once-only) ramps on its own, judged against the old version at the same time by mixtures of likelihood ratios with a stated false-alarm rate; nodes stop on their own evidence, the lease holder on all; plans, stops and evidence travel in digests; the plan's row is written conditionally and a successor goes on from it. Observation, RouteChoice and Digest gain fields; TargetOnly stays as a baseline. Settings Rollout.*, events 610-613. Tries before it: time thresholds on the 90th percentile gave false alarms, all endpoints for a small share hid load faults, comparing at the same time above 60 % blamed the new version for its load.

--- a/internal/node/catalogue.go
+++ b/internal/node/catalogue.go
@@ -81,8 +81,8 @@
 	for i := range current.Document.Entries {
 		e := &current.Document.Entries[i]
 		limits = append(limits, e.QFLimits()...)
-		n.versions.SetTarget(e.Name, e.Target)
 	}
+	n.versions.SetWishes(wishesOf(current))
 	n.limiter.SetLimits(limits)
 	qfevent.CatalogueInUse.Log(&n.platform.Logger, current.Revision, current.Change.Operator)
 }
--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -23,11 +23,14 @@
 		Class: request.Class, OnceOnly: request.OnceOnly(), Draw: n.platform.Random.Float64(),
 	})
 	query.Version = version
+	query.Excluded = append(n.unusedOf(request.Entry, version), avoid...)
 	choice, err := n.router.Choose(query)
 	if err != nil && version != "" {
-		query.Version = ""
+		query.Version, query.Excluded = "", avoid
 		choice, err = n.router.Choose(query)
+		choice.Forced = true
 	}
+	choice.Load = n.loads[choice.Endpoint.ID]
 	choice.Reason.Rule = reason.Rule + ", " + choice.Reason.Rule
 	return choice, err
 }
@@ -36,6 +39,11 @@
 func (n *Node) AttemptEnded(_ time.Time, observation qf.Observation) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		if e := &n.endpoints[i]; e.ID == observation.Endpoint && n.membership.IsDeparting(e.VM, e.Incarnation) {
+			observation.Cut = true
+		}
+	}
 	n.versions.Observe(observation)
 }
 
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -24,6 +24,7 @@
 	n.membership.Leave()
 	n.mu.Unlock()
 	n.exchange(n.ctx)
+	n.leases.release(n.ctx)
 	n.pause(n.leavingTime())
 	n.phase.Store(PhaseDraining)
 	moved := n.handOverAll()
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -151,6 +151,7 @@
 	now := n.now()
 	n.mu.Lock()
 	n.router.Reported(now, report)
+	n.loads[endpoint.ID] = report.Running + report.Queued
 	n.mu.Unlock()
 	if report.Leaving {
 		n.learnDeparture(now, qf.Departure{VM: endpoint.VM, Incarnation: endpoint.Incarnation})
@@ -172,7 +173,9 @@
 	n.mu.Unlock()
 	var exchanges sync.WaitGroup
 	for _, peer := range peers {
-		exchanges.Go(func() { n.exchangeWith(ctx, peer, digest) })
+		told := digest
+		told.RolloutEvidence = n.evidenceFor(peer.ID)
+		exchanges.Go(func() { n.exchangeWith(ctx, peer, told) })
 	}
 	exchanges.Wait()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,10 +73,19 @@
 	limiter    qf.Limiter
 	budget     *qfretry.Budget
 	membership *qfmember.Membership
-	versions   *qfrollout.TargetOnly
+	versions   *qfrollout.Chooser
 	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
+	// loads holds the last reported number of running requests.
+	loads map[qf.EndpointID]int
+	// evidence is what peers have told of the rollouts that this node controls.
+	evidence map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence
+
+	// incarnation is set before the node serves.
+	incarnation qf.Incarnation
+	leases      *leases
+	rollouts    *rollouts
 
 	phase atomic.Value
 	// leaveAt is when the node's VM is taken, if that is known.
@@ -104,7 +113,8 @@
 		router:    qfroute.NewLeastOutstanding(),
 		limiter:   qflimit.NewConcurrency(),
 		budget:    qfretry.NewBudget(),
-		versions:  qfrollout.NewTargetOnly(),
+		loads:     map[qf.EndpointID]int{},
+		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
 		ctx:       ctx,
 		cancel:    cancel,
 	}
@@ -113,6 +123,10 @@
 		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
 		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
 	}, platform.Random)
+	n.incarnation = qf.Incarnation(n.now().UnixMilli())
+	n.versions = qfrollout.NewChooser(qf.Node{ID: qf.NodeID(settings.Node.ID), Incarnation: n.incarnation}, platform.Random)
+	n.leases = newLeases(n, rand.New(rand.NewPCG(platform.Random.Uint64(), platform.Random.Uint64())))
+	n.rollouts = newRollouts(n)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -18,6 +18,7 @@
 		Nodes:        n.membership.Peers(now),
 		Departures:   n.membership.Departures(now),
 		RolloutStops: n.versions.Stops(),
+		RolloutPlans: n.versions.Plans(),
 		LimitUses:    n.limiter.Uses(now),
 	}
 }
@@ -31,9 +32,7 @@
 	for _, node := range digest.Nodes {
 		n.membership.Learn(now, node)
 	}
-	for _, stop := range digest.RolloutStops {
-		n.versions.Stop(stop)
-	}
+	n.learnRollouts(now, &digest)
 	n.limiter.PeerUses(now, digest.LimitUses)
 	for _, sent := range digest.SentLoads {
 		n.router.PeerSent(sent)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -65,7 +65,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.membership = qfmember.New(qf.Node{
-		ID: qf.NodeID(s.ID), Incarnation: qf.Incarnation(n.now().UnixMilli()),
+		ID: qf.NodeID(s.ID), Incarnation: n.incarnation,
 		Region: qf.Region(s.Region), AvailabilityZone: s.Zone(),
 		CallerAddress: callers, PeerAddress: peers, State: qf.NodeLive,
 	}, qfmember.Timing{
@@ -117,6 +117,8 @@
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
+	n.every(leaseStep, n.stepLeases)
+	n.every(rolloutStep, n.rollouts.step)
 	n.every(time.Second, n.expire)
 }
 
--- /dev/null
+++ b/internal/qf/coordination/qfrollout/wish_test.go
@@ -0,0 +1,67 @@
+package qfrollout
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+var (
+	testStart = time.Unix(1_000_000, 0)
+	testPace  = Pace{Within: 30 * time.Minute, WatchFor: 5 * time.Minute}
+)
+
+// Each row is an edit that meets a rollout in some phase.
+func TestWishes(t *testing.T) {
+	soon := testStart.Add(20 * time.Minute)
+	settled := qf.RolloutPlan{Entry: "e", From: "v1", To: "v1", Generation: 4, Step: 1, Phase: qf.RolloutDone, Revision: 5}
+	ramping := qf.RolloutPlan{Entry: "e", From: "v1", To: "v2", Generation: 4, Step: 9, Phase: qf.RolloutRamping, Revision: 5, MoveBy: soon, WatchFor: testPace.WatchFor}
+	with := func(plan qf.RolloutPlan, phase qf.RolloutPhase) qf.RolloutPlan {
+		plan.Phase = phase
+		return plan
+	}
+	rows := []struct {
+		name string
+		plan qf.RolloutPlan
+		wish Wish
+		// want is From>To:Generation:Phase; empty means that nothing changes.
+		want string
+		late string
+	}{
+		{"first version", qf.RolloutPlan{}, Wish{Target: "v1", Revision: 1}, "v1>v1:1:Done", ""},
+		{"nothing new", settled, Wish{Target: "v1", Revision: 6}, "", ""},
+		{"new version", settled, Wish{Target: "v2", Revision: 6, MoveBy: soon}, "v1>v2:5:Ramping", ""},
+		{"new version, deadline past", settled, Wish{Target: "v2", Revision: 6, MoveBy: testStart.Add(-time.Hour)}, "v1>v2:5:Ramping", "was past"},
+		{"new version, deadline too near", settled, Wish{Target: "v2", Revision: 6, MoveBy: testStart.Add(30 * time.Second)}, "v1>v2:5:Ramping", "only 30s away"},
+		{"an older catalogue", settled, Wish{Target: "v0", Revision: 4}, "", ""},
+		{"same wish under way", ramping, Wish{Target: "v2", Revision: 6, MoveBy: soon}, "", ""},
+		{"another deadline under way", ramping, Wish{Target: "v2", Revision: 6, MoveBy: soon.Add(time.Hour)}, "v1>v2:4:Ramping", ""},
+		{"a second rollout under way", ramping, Wish{Target: "v3", Revision: 6}, "v1>v3:5:Ramping", ""},
+		{"rollback under way", ramping, Wish{Target: "v1", Revision: 6}, "v1>v1:5:Done", ""},
+		{"rollback in the watch", with(ramping, qf.RolloutWatching), Wish{Target: "v1", Revision: 6}, "v1>v1:5:Done", ""},
+		{"bad, wished again", with(ramping, qf.RolloutTakenBack), Wish{Target: "v2", Revision: 6}, "", ""},
+		{"bad, target set back", with(ramping, qf.RolloutTakenBack), Wish{Target: "v1", Revision: 6}, "v1>v1:5:Done", ""},
+		{"bad, another version", with(ramping, qf.RolloutTakenBack), Wish{Target: "v3", Revision: 6}, "v1>v3:5:Ramping", ""},
+		{"done, back to the old one", with(ramping, qf.RolloutDone), Wish{Target: "v1", Revision: 6}, "v2>v1:5:Ramping", ""},
+		{"rollback of a rollback", settled, Wish{Target: "v2", Revision: 7}, "v1>v2:5:Ramping", ""},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			row.wish.Entry = "e"
+			next := planFor(testStart, &row.plan, &row.wish, testPace)
+			got, late := "", ""
+			if next != nil {
+				got = string(next.From) + ">" + string(next.To) + ":" + string(rune('0'+next.Generation)) + ":" + string(next.Phase)
+				late = next.Late
+				if !next.IsNewerThan(&row.plan) {
+					t.Error("the plan doesn't replace the one before")
+				}
+			}
+			if got != row.want || !strings.Contains(late, row.late) || (late != "") != (row.late != "") {
+				t.Errorf("plan %q late %q, want %q %q", got, late, row.want, row.late)
+			}
+		})
+	}
+}
--- a/internal/qf/decision.go
+++ b/internal/qf/decision.go
@@ -39,7 +39,11 @@
 	Endpoint Endpoint
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
-	Reason     Reason
+	// Forced means that no endpoint of the version asked for was available.
+	Forced bool
+	// Load is the endpoint's last reported number of requests.
+	Load   int
+	Reason Reason
 }
 
 // Router picks an endpoint and learns from what becomes of attempts. It does
@@ -140,6 +144,16 @@
 	Complete     bool
 	// Load is the endpoint's number of running requests at the start.
 	Load int
+	// Endpoint served the attempt, which began at StartedAt.
+	Endpoint  EndpointID
+	StartedAt time.Time
+	OnceOnly  bool
+	// Forced means that the version wasn't drawn: no endpoint of the drawn one
+	// was available.
+	Forced bool
+	// Cut means that the attempt ended for a reason that says nothing about the
+	// version, such as a hand-over or an announced departure.
+	Cut bool
 }
 
 // VersionChooser splits traffic between versions and judges them. It does no
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -89,9 +89,13 @@
 	Nodes        []Node
 	Departures   []Departure
 	RolloutStops []RolloutStop
-	LimitUses    []LimitUse
-	SentLoads    []SentLoad
-	Suspicions   []Suspicion
+	// RolloutPlans are those that the sender has in force.
+	RolloutPlans []RolloutPlan
+	// RolloutEvidence is sent only to the holder of the rollout's lease.
+	RolloutEvidence []RolloutEvidence
+	LimitUses       []LimitUse
+	SentLoads       []SentLoad
+	Suspicions      []Suspicion
 }
 
 // Peer is the contract between entry nodes.
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -68,6 +68,9 @@
 	moves                      int
 	silent                     qf.Subscription
 	attempt                    qf.AttemptID
+	// cut is true if the attempt in progress ends for a reason that says nothing
+	// about its endpoint's version.
+	cut bool
 }
 
 // Run brings a record to its end. It returns when the request has ended or was
@@ -86,6 +89,7 @@
 		case <-deadline.C():
 			more = x.handle(Event{Kind: EventDeadline})
 		case <-record.released:
+			x.cut = true
 			return
 		case <-x.silence():
 			more = x.handle(x.silentEvent())
@@ -165,7 +169,8 @@
 // start chooses an endpoint and begins an attempt there.
 func (x *run) start(action Action) bool {
 	now := x.config.Timer.Now()
-	x.endAttempt(action.Cause == StartMove)
+	x.cut = action.Cause == StartMove
+	x.endAttempt(x.cut)
 	if action.Cause == StartRetry && !x.config.Budget.Allow(now, x.record.Request) {
 		err := qf.NewError(qf.CodeBroken, qf.StepAttempt, string(action.Avoid), "the retry budget is spent")
 		return x.handle(Event{Kind: EventRetryDenied, Err: err})
@@ -200,6 +205,7 @@
 	x.startedAt = now
 	x.firstAt, x.lastAt = time.Time{}, now
 	x.tokens = 0
+	x.cut = false
 	x.record.note(Decision{
 		At: now, Step: qf.StepRoute, Endpoint: choice.Endpoint.ID, Reason: choice.Reason, Note: string(cause),
 	})
@@ -243,6 +249,11 @@
 	o := qf.Observation{
 		At: now, Entry: r.Entry, Version: x.choice.Endpoint.Version, Organisation: r.Organisation,
 		Region: x.choice.Endpoint.Region, Class: r.Class, Failed: !ok, Complete: ok, Tokens: x.tokens,
+		Load: x.choice.Load, Endpoint: x.choice.Endpoint.ID, StartedAt: x.startedAt,
+		OnceOnly: r.OnceOnly(), Forced: x.choice.Forced, Cut: x.cut,
+	}
+	if r.Kind == qf.KindPlainService {
+		o.FirstToken = now.Sub(x.startedAt)
 	}
 	if !x.firstAt.IsZero() {
 		o.FirstToken = x.firstAt.Sub(x.startedAt)
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -65,6 +65,10 @@
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
 	LeaseTaken      = Event{601, info, "lease taken", []string{FieldDuty, FieldFencing}, "Nothing."}
 	LeaseLost       = Event{602, warning, "lease lost", []string{FieldDuty, FieldReason}, "Nothing; another node takes over. Check the table service if it recurs."}
+	RolloutChanged  = Event{610, info, "rollout changed its phase", []string{FieldEntry, FieldVersion, FieldOutcome, FieldReason}, "Run report rollouts."}
+	RolloutStopped  = Event{611, warning, "a version is stopped", []string{FieldEntry, FieldVersion, FieldReason}, "Run report rollouts; mend the version."}
+	RolloutLate     = Event{612, warning, "a rollout will be late", []string{FieldEntry, FieldVersion, FieldReason}, "Move the deadline, or see operators/rollouts.md."}
+	RolloutFailed   = Event{613, warning, "a rollout's plan could not be kept", []string{FieldEntry, FieldError}, "Check the table service; shares hold meanwhile."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
 )
 
@@ -73,7 +77,7 @@
 	return []Event{
 		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed,
 		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
-		CatalogueInUse, CatalogueFailed, CatalogueStale, CatalogueFresh, PeerFailed, DepartureKnown, LeaseTaken, LeaseLost, PlatformFailed,
+		CatalogueInUse, CatalogueFailed, CatalogueStale, CatalogueFresh, PeerFailed, DepartureKnown, LeaseTaken, LeaseLost, RolloutChanged, RolloutStopped, RolloutLate, RolloutFailed, PlatformFailed,
 	}
 }
 
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -44,6 +44,10 @@
 			RankDelay:   qfdocument.Duration(500 * time.Millisecond),
 			ClockMargin: 0.01,
 		},
+		Rollout: RolloutSettings{
+			Within:   qfdocument.Duration(30 * time.Minute),
+			WatchFor: qfdocument.Duration(5 * time.Minute),
+		},
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
 			CatalogueReadsPerSecond: 64,
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -22,6 +22,7 @@
 	Peer     PeerSettings
 	Feed     FeedSettings
 	Lease    LeaseSettings
+	Rollout  RolloutSettings
 	Security SecuritySettings
 }
 
@@ -125,6 +126,14 @@
 	ClockMargin float64 `validate:"gte=0,lte=0.5"`
 }
 
+// RolloutSettings give the times of rollouts for which the catalogue gives none.
+type RolloutSettings struct {
+	// Within is the time in which traffic moves if an entry has no MoveBy.
+	Within qfdocument.Duration `validate:"gt=0"`
+	// WatchFor is how long the old version is kept if an entry has no WatchFor.
+	WatchFor qfdocument.Duration `validate:"gt=0"`
+}
+
 // SecuritySettings say who may call the operators' and peers' ports.
 type SecuritySettings struct {
 	// Insecure turns certificates off. It must be set on purpose.
