--- a/internal/bench/benchrollout/run.go
+++ b/internal/bench/benchrollout/run.go
@@ -64,7 +64,7 @@
 	crashEvery = 2400
 	// longestRequest bounds a simulated request.
 	longestRequest = 30 * time.Second
-	tail           = 2 * time.Minute
+	tail           = 12 * time.Minute
 )
 
 // simulate runs one rollout until its watch is over.
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -39,6 +39,9 @@
 		}
 		return
 	}
+	if !n.isNewerListing(asOf) {
+		return
+	}
 	now := n.now()
 	var endpoints []qf.Endpoint
 	for i := range vms {
@@ -59,6 +62,14 @@
 	n.router.SetEndpoints(endpoints)
 }
 
+// isNewerListing reports whether a listing isn't older than the one in use: a
+// list whose lag grows must not bring a former state back.
+func (n *Node) isNewerListing(asOf time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !asOf.Before(n.listAsOf)
+}
+
 func endpointOf(vm *qf.VM) qf.Endpoint {
 	kind := qf.KindModelEngine
 	if vm.Role == qf.RolePlainService {
@@ -160,7 +171,11 @@
 
 // expire forgets what ended long ago.
 func (n *Node) expire(context.Context) {
-	n.records.Expire(n.now().Add(-n.settings.Request.RetainFor.Value()))
+	now := n.now()
+	n.records.Expire(now.Add(-n.settings.Request.RetainFor.Value()))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.shadows.Expire(now)
 }
 
 // exchange tells each peer the news and takes theirs.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qflimit"
@@ -19,25 +20,37 @@
 	"quetzalfront/internal/qf/coordination/qfretry"
 	"quetzalfront/internal/qf/coordination/qfrollout"
 	"quetzalfront/internal/qf/coordination/qfroute"
+	"quetzalfront/internal/qf/protocol/qfhandover"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/qf/transport/qftelemetry"
+	"quetzalfront/internal/qf/transport/qftls"
 	"quetzalfront/internal/qfsettings"
 )
 
-// Platform holds the services that a node stands on. No field may be nil.
+// Platform holds the services that a node stands on. No field may be nil unless
+// it says so.
 type Platform struct {
 	Timer   qf.Timer
 	Network qf.Network
 	Table   qf.Table
+	Objects qf.ObjectStore
 	VMList  qf.VMList
 	Cloud   qf.Cloud
 	Engine  qf.ModelEngine
 	Service qf.PlainService
+	Prober  qf.Prober
 	Peer    qf.Peer
 	Ledger  qf.Ledger
 	Logger  zerolog.Logger
 	// Random draws for decisions. It is guarded by the node's lock.
 	Random *rand.Rand
+	// Spans takes the spans in place of the exporter that the settings name; it
+	// may be nil.
+	Spans sdktrace.SpanExporter
+	// Identity is what the node shows and asks for on the peers' and operators'
+	// ports; nil means that certificates are off.
+	Identity *qftls.Identity
 }
 
 // Phase is where a node stands in its life.
@@ -60,12 +73,18 @@
 	platform  Platform
 	catalogue *qfcatalogue.Current
 	store     *qfcatalogue.Store
+	records   *qfrequest.Store
+	runner    *qfrequest.Runner
+	telemetry *qftelemetry.Telemetry
 	// fetching is true while a peer is asked for its catalogue.
 	fetching atomic.Bool
 	// stale is true while the news of the catalogue is too old for risky actions.
-	stale   atomic.Bool
-	records *qfrequest.Store
-	runner  *qfrequest.Runner
+	stale atomic.Bool
+	keys  *qfrequest.Keys
+	// beginning holds the once-only requests whose intent is being recorded.
+	beginning sync.Map
+	// swept is the key up to which the ledger was swept. Only the sweep uses it.
+	swept string
 
 	// mu guards the decisions, which aren't safe for concurrent use.
 	mu         sync.Mutex
@@ -86,6 +105,7 @@
 	incarnation qf.Incarnation
 	leases      *leases
 	rollouts    *rollouts
+	shadows     *qfhandover.Shadows
 
 	phase atomic.Value
 	// leaveAt is when the node's VM is taken, if that is known.
@@ -104,7 +124,10 @@
 // by Start.
 func New(settings *qfsettings.Settings, platform Platform) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
+	telemetry := newTelemetry(settings, &platform)
+	platform = instrument(platform, telemetry)
 	n := &Node{
+		telemetry: telemetry,
 		settings:  settings,
 		platform:  platform,
 		catalogue: qfcatalogue.NewCurrent(),
@@ -115,6 +138,7 @@
 		budget:    qfretry.NewBudget(),
 		loads:     map[qf.EndpointID]int{},
 		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
+		shadows:   qfhandover.NewShadows(settings.Request.MaxInProgress),
 		ctx:       ctx,
 		cancel:    cancel,
 	}
@@ -133,6 +157,13 @@
 		Router: &lockedRouter{node: n}, Choosing: n, Ledger: platform.Ledger,
 		Budget: &lockedBudget{node: n}, Observer: n,
 		Self: qf.NodeID(settings.Node.ID), SilentAfter: settings.Request.SilentAfter.Value(),
+		Prober: platform.Prober, LeaveWithin: settings.Request.LeaveWithin.Value(),
+		IsCurrent: n.isCurrent,
+	})
+	n.keys = qfrequest.NewKeys(qfrequest.KeysConfig{
+		Timer: platform.Timer, Ledger: platform.Ledger, Service: platform.Service,
+		Self: qf.NodeID(settings.Node.ID), IsInProgress: n.isInProgress, IsCurrent: n.isCurrent,
+		StatusTimeout: settings.Request.SilentAfter.Value(),
 	})
 	return n
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -15,6 +15,7 @@
 	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/transport/qfhttp"
 	"quetzalfront/internal/qf/transport/qfrpc"
+	"quetzalfront/internal/qf/transport/qftls"
 )
 
 const readHeaderTimeout = 10 * time.Second
@@ -22,6 +23,9 @@
 // Start listens and serves until Stop. It returns once the node's ports are
 // open.
 func (n *Node) Start() error {
+	if err := n.loadIdentity(); err != nil {
+		return err
+	}
 	callers, err := n.listen(n.settings.Node.CallerAddress)
 	if err != nil {
 		return err
@@ -37,10 +41,13 @@
 	n.settings.Node.OperatorAddress = addressOf(operators)
 	n.join(addressOf(callers), addressOf(peers))
 	bounded := netutil.LimitListener(callers, n.settings.Request.MaxConnections)
-	n.serveHTTP(bounded, qfhttp.NewCallers(n, n.callerBounds()))
-	n.serveHTTP(operators, qfhttp.NewOperators(n))
-	n.servePeers(peers)
+	n.serveHTTP(bounded, n.callersHandler())
+	n.serveHTTP(n.protect(operators, "operators", qftls.RoleOperator), n.operatorsHandler())
+	n.servePeers(n.protect(peers, "peers", qftls.RoleNode))
 	n.startFeeds()
+	if err := n.telemetry.ObserveState(n.observedState); err != nil {
+		return err
+	}
 	qfevent.NodeStarted.Log(&n.platform.Logger, n.settings.Node.ID, addressOf(callers))
 	return nil
 }
@@ -103,7 +110,7 @@
 
 func (n *Node) servePeers(listener net.Listener) {
 	n.workers.Go(func() {
-		if err := qfrpc.Serve(listener, n); err != nil {
+		if err := qfrpc.Serve(listener, n.telemetry.PeerHandler(n)); err != nil {
 			qfevent.ServerFailed.Log(&n.platform.Logger, listener.Addr().String(), err)
 		}
 	})
@@ -120,6 +127,8 @@
 	n.every(leaseStep, n.stepLeases)
 	n.every(rolloutStep, n.rollouts.step)
 	n.every(time.Second, n.expire)
+	n.followIdentity()
+	n.every(sweepEvery, n.sweepLedger)
 }
 
 // Kill ends the node at once, as a lost VM does.
@@ -133,6 +142,7 @@
 	}
 	n.workers.Wait()
 	n.running.Wait()
+	_ = n.telemetry.Shutdown(context.Background()) // Spans that can't be exported are lost.
 }
 
 // Wait blocks until the node has stopped or the context ends.
--- a/internal/qf/coordination/qfrollout/controller.go
+++ b/internal/qf/coordination/qfrollout/controller.go
@@ -26,6 +26,9 @@
 	// silentAfter is the time without attempts after which a route doesn't hold
 	// others up.
 	silentAfter = 30 * time.Second
+	// longestWatch bounds the watch, as a multiple of its set time, if some routes
+	// have seen too few attempts since they moved.
+	longestWatch = 3
 )
 
 // Controller drives one entry's rollout from the plan that was last written to
@@ -317,7 +320,7 @@
 		next.Phase, next.Watched = qf.RolloutWatching, 0
 		next.Reason = fmt.Sprintf("all routes with traffic have moved; %s is kept for %s", next.From, next.WatchFor)
 		return true
-	case next.Phase == qf.RolloutWatching && next.Watched >= next.WatchFor && !now.Before(next.MoveBy):
+	case next.Phase == qf.RolloutWatching && !now.Before(next.MoveBy) && c.isWatched(next):
 		next.Phase, next.RestShare = qf.RolloutDone, 1
 		next.Routes = slices.DeleteFunc(next.Routes, func(r qf.RouteProgress) bool { return isThrough(next, &r) })
 		next.Reason = fmt.Sprintf("traffic has moved and nothing bad was seen for %s", next.Watched.Round(time.Second))
@@ -330,6 +333,21 @@
 	}
 }
 
+// isWatched reports whether the watch has lasted long enough, and every route with
+// traffic has seen enough attempts in it.
+func (c *Controller) isWatched(next *qf.RolloutPlan) bool {
+	if next.Watched < next.WatchFor {
+		return false
+	}
+	for i := range next.Routes {
+		r := &next.Routes[i]
+		if isThrough(next, r) && r.StageNew < stageAttempts && !c.isSilent(r) && !isTrickle(next, r) {
+			return next.Watched >= longestWatch*next.WatchFor
+		}
+	}
+	return true
+}
+
 // late says why traffic won't have moved by the deadline, as soon as that shows.
 func (c *Controller) late(now time.Time, next *qf.RolloutPlan, hasOnceOnly bool) string {
 	if next.Phase != qf.RolloutRamping || next.MoveBy.IsZero() {
--- a/internal/qf/protocol/qfrequest/record.go
+++ b/internal/qf/protocol/qfrequest/record.go
@@ -16,6 +16,8 @@
 	mu         sync.Mutex
 	lifecycle  *Lifecycle
 	generation qf.Generation
+	// history is what had happened when this node released the request last.
+	history History
 	// text holds the tokens of the answer so far.
 	text []string
 	// answer is the whole answer of a plain service.
@@ -32,20 +34,23 @@
 	// released is closed when this node gives the request up; the runner then
 	// returns and closes idle.
 	released, idle chan struct{}
+	// gated limits readers to the first shadowed tokens while the node leaves, so
+	// that no caller has more of the answer than the shadow has.
+	gated    bool
+	shadowed int
+	// watched is true once a caller has read this node's answer, or is about to.
+	watched bool
 	// chain holds the reasons of the decisions about the request.
 	chain []Decision
 	// recomputed counts prompt and answer tokens that attempts after the first
 	// had to compute again.
 	recomputed int
-	// intent is the ledger's record of a once-only request. It is set before the
-	// runner starts.
-	intent qf.Intent
+	// plan is set exactly for a once-only request, before the runner starts.
+	plan *Plan
+	// unrecorded is the outcome that the ledger doesn't have yet, if any.
+	unrecorded *unrecordedOutcome
 }
 
-// SetIntent notes the ledger's record of a once-only request. It must be called
-// before the request runs.
-func (r *Record) SetIntent(intent qf.Intent) { r.intent = intent }
-
 // Moved says where a request goes on.
 type Moved struct {
 	Node qf.Node
@@ -65,10 +70,13 @@
 
 const eventBuffer = 64
 
-// NewRecord returns the record of a request that this node owns.
+// NewRecord returns the record of a request that this node owns. The part of the
+// answer that the caller sent back moves from the request into the record.
 func NewRecord(request *qf.Request, maxAttempts int) *Record {
+	text := request.ResumeText
+	request.ResumeText = nil
 	return &Record{
-		Request: request, lifecycle: NewLifecycle(request, maxAttempts, 0), generation: 1,
+		Request: request, lifecycle: NewLifecycle(request, maxAttempts, History{Tokens: len(text)}), generation: 1, text: text,
 		readers: map[*Reader]struct{}{}, events: make(chan Event, eventBuffer),
 		released: make(chan struct{}), idle: make(chan struct{}),
 	}
@@ -79,9 +87,12 @@
 	request := from.Request
 	request.Deadline = now.Add(from.TimeLeft)
 	r := NewRecord(&request, maxAttempts)
-	r.lifecycle = NewLifecycle(&request, maxAttempts, len(from.Text))
+	r.lifecycle = NewLifecycle(&request, maxAttempts, History{Tokens: len(from.Text), MayHaveRun: from.MayHaveRun})
 	r.generation = from.Generation
 	r.text = append([]string(nil), from.Text...)
+	if from.Final {
+		r.SettleWith(now, nil)
+	}
 	return r
 }
 
@@ -111,6 +122,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readers[reader] = struct{}{}
+	r.watched = true
 	return reader
 }
 
@@ -141,9 +153,17 @@
 func (r *Record) Progress(offset int) Progress {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := Progress{Answer: r.answer, Outcome: r.outcome, Err: r.err, Moved: r.moved}
-	if offset < len(r.text) {
-		p.Text = r.text[offset:len(r.text):len(r.text)]
+	return r.progress(offset, r.visible())
+}
+
+// progress is called with the lock held.
+func (r *Record) progress(offset, limit int) Progress {
+	p := Progress{Moved: r.moved}
+	if limit == len(r.text) {
+		p.Answer, p.Outcome, p.Err = r.answer, r.outcome, r.err
+	}
+	if offset < limit {
+		p.Text = r.text[offset:limit:limit]
 	}
 	return p
 }
@@ -216,9 +236,7 @@
 		r.text = append(r.text, e.Piece.Text)
 		r.wake()
 	case ActionFinish:
-		if e.Answer != nil {
-			r.answer = e.Answer
-		}
+		r.answer = action.Answer
 	default:
 	}
 	return action
@@ -245,24 +263,29 @@
 		return qf.RequestRecord{}, false
 	}
 	attempts := r.lifecycle.Attempts()
+	r.history = r.lifecycle.History()
 	r.lifecycle.Apply(Event{Kind: EventHandedOver, At: now})
 	close(r.released)
 	return qf.RequestRecord{
 		Request: *r.Request, Generation: r.generation + 1, TimeLeft: r.Request.Deadline.Sub(now),
-		Text: append([]string(nil), r.text...), Attempts: attempts,
+		Text: append([]string(nil), r.text...), Attempts: attempts, MayHaveRun: r.history.MayHaveRun,
 	}, true
 }
 
-// Restore takes a released request back after nobody took it over. The caller
-// runs it again.
-func (r *Record) Restore(maxAttempts int) {
+// Restore takes a released request back after nobody took it over, under a
+// generation above all those that were offered. The caller runs it again, unless
+// Restore returns false because another node owns the request after all.
+func (r *Record) Restore(maxAttempts int, generation qf.Generation) bool {
 	<-r.idle
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.generation += 2 // The generation that was offered may be in use.
-	r.lifecycle = NewLifecycle(r.Request, maxAttempts, len(r.text))
+	if r.moved != nil {
+		return false
+	}
+	r.generation = generation
+	r.lifecycle = NewLifecycle(r.Request, maxAttempts, r.history)
 	r.released, r.idle = make(chan struct{}), make(chan struct{})
-	r.events = make(chan Event, eventBuffer)
+	return true // Events of earlier attempts that are still queued ask for nothing.
 }
 
 // MoveTo tells the readers of a released request which node owns it.
--- a/internal/qf/state/qfdocument/document.go
+++ b/internal/qf/state/qfdocument/document.go
@@ -3,21 +3,18 @@
 package qfdocument
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"reflect"
 	"regexp"
 	"sort"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
-	"github.com/pelletier/go-toml/v2"
 )
 
 // Fault is one thing that is wrong with a document.
 type Fault struct {
-	// Line counts from 1; 0 means that the fault isn't at one line.
+	// Line counts from 1. A fault that isn't at one line stands at line 1.
 	Line int
 	// Key is the full path, such as "Entries[0].Name".
 	Key string
@@ -35,9 +32,8 @@
 // content must not be used unless there are none.
 func Decode(data []byte, into any) []Fault {
 	index := NewLineIndex(data)
-	faults, complete := decodeAll(data, into, index)
-	if complete {
-		faults = append(faults, bareDurations(reflect.ValueOf(into).Elem(), "", index)...)
+	faults := decodeAll(data, into, index)
+	if !isSyntaxFault(faults) {
 		for _, f := range Validate(into, index) {
 			if !HasFault(faults, f.Key) {
 				faults = append(faults, f)
@@ -63,86 +59,21 @@
 	return false
 }
 
-// maxTypeFaults bounds how often a document is decoded again without the lines
-// that hold values of a wrong type.
-const maxTypeFaults = 100
-
-// decodeAll decodes the document again and again without the values of a wrong
-// type, because the decoder stops at the first one. The document is complete if
-// nothing but such values is missing.
-func decodeAll(data []byte, into any, index *LineIndex) (faults []Fault, complete bool) {
-	rest := bytes.Clone(data)
-	for range maxTypeFaults {
-		d := toml.NewDecoder(bytes.NewReader(rest))
-		d.DisallowUnknownFields()
-		err := d.Decode(into)
-		var wrong *toml.DecodeError
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) || !errors.As(err, &wrong) {
-			return append(faults, decodeFaults(err, index)...), true
-		}
-		row, _ := wrong.Position()
-		key, known := index.KeyAt(row)
-		if !known || len(wrong.Key()) == 0 {
-			if len(faults) > 0 {
-				return faults, false // A value over several lines was cut.
-			}
-			return []Fault{{Line: row, Key: key, Expected: message(wrong)}}, false
-		}
-		faults = append(faults, Fault{Line: row, Key: key, Expected: message(wrong)})
-		blankLine(rest, row)
-	}
-	return faults, false
-}
-
-func message(err error) string { return strings.TrimPrefix(err.Error(), "toml: ") }
-
-// blankLine overwrites the line with spaces, so that the others keep their
-// numbers.
-func blankLine(data []byte, row int) {
-	line := 1
-	for i := range data {
-		if data[i] == '\n' {
-			line++
-			continue
-		}
-		if line == row {
-			data[i] = ' '
-		}
+// newValidator returns a validator that knows our own tags.
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	if err := v.RegisterValidation("name", isName); err != nil {
+		panic(err) // Only an empty tag or a missing function is refused.
 	}
+	return v
 }
 
-const expectedKnownKey = "unknown key; remove it or correct its spelling"
-
-// decodeFaults turns the decoder's last error into faults.
-func decodeFaults(err error, index *LineIndex) []Fault {
-	if err == nil {
-		return nil
-	}
-	var strict *toml.StrictMissingError
-	if !errors.As(err, &strict) {
-		return []Fault{{Expected: message(err)}}
-	}
-	faults := make([]Fault, 0, len(strict.Errors))
-	for i := range strict.Errors {
-		e := &strict.Errors[i]
-		row, _ := e.Position()
-		key, known := index.KeyAt(row)
-		if !known {
-			key = strings.Join(e.Key(), ".")
-		}
-		faults = append(faults, Fault{Line: row, Key: key, Expected: expectedKnownKey})
-	}
-	return faults
-}
+// validate caches what it learns of each struct type.
+var validate = newValidator()
 
 // Validate checks the struct's validate tags. The index may be nil.
 func Validate(document any, index *LineIndex) []Fault {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	if err := v.RegisterValidation("name", isName); err != nil {
-		return []Fault{{Expected: err.Error()}}
-	}
-	err := v.Struct(document)
+	err := validate.Struct(document)
 	var failed validator.ValidationErrors
 	if !errors.As(err, &failed) {
 		return nil
@@ -153,7 +84,7 @@
 		if _, rest, ok := strings.Cut(key, "."); ok {
 			key = rest
 		}
-		fault := Fault{Key: key, Expected: expectation(f)}
+		fault := Fault{Line: firstLine, Key: key, Expected: expectation(f)}
 		if index != nil {
 			fault.Line = index.Line(key)
 		}
@@ -182,7 +113,7 @@
 	case "unique":
 		return fmt.Sprintf("expected each %s only once", f.Param())
 	default:
-		return fmt.Sprintf("expected %s %s", f.Tag(), f.Param())
+		return strings.TrimSpace(fmt.Sprintf("expected %s %s", f.Tag(), f.Param()))
 	}
 }
 
--- a/internal/qf/state/qfdocument/duration.go
+++ b/internal/qf/state/qfdocument/duration.go
@@ -1,9 +1,12 @@
 package qfdocument
 
 import (
+	"errors"
 	"fmt"
-	"reflect"
 	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
 )
 
 // Duration is a time.Duration that documents write as "1.5s".
@@ -11,7 +14,7 @@
 
 const expectedDuration = "expected a duration with a unit, such as \"250ms\" or \"2s\""
 
-// UnmarshalText implements encoding.TextUnmarshaler.
+// UnmarshalText implements encoding.TextUnmarshaler, for JSON.
 func (d *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	if err != nil {
@@ -21,6 +24,24 @@
 	return nil
 }
 
+// UnmarshalTOML implements unstable.Unmarshaler. Without it the decoder would
+// take a bare number, which has no unit, for nanoseconds.
+func (d *Duration) UnmarshalTOML(data []byte) error {
+	var raw struct{ Value any }
+	if err := toml.Unmarshal(append([]byte("Value = "), data...), &raw); err != nil {
+		return errors.New("expected a duration, not a table") // The data of a value always parses.
+	}
+	text, isText := raw.Value.(string)
+	err := d.UnmarshalText([]byte(text))
+	if !isText {
+		err = fmt.Errorf("%s, not %s", expectedDuration, data)
+	}
+	if err == nil {
+		return nil
+	}
+	return &unstable.ParserError{Highlight: data, Key: []string{"Duration"}, Message: err.Error()}
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(time.Duration(d).String()), nil
@@ -28,33 +49,3 @@
 
 // Value returns the duration.
 func (d Duration) Value() time.Duration { return time.Duration(d) }
-
-// bareDurations finds durations that are written as a number. The decoder takes
-// those as nanoseconds, which nobody means; they are set to zero.
-func bareDurations(v reflect.Value, key string, index *LineIndex) []Fault {
-	switch v.Kind() {
-	case reflect.Struct:
-		var faults []Fault
-		for i := range v.NumField() {
-			if f := v.Type().Field(i); f.IsExported() {
-				faults = append(faults, bareDurations(v.Field(i), join(key, f.Name), index)...)
-			}
-		}
-		return faults
-	case reflect.Slice:
-		var faults []Fault
-		for i := range v.Len() {
-			faults = append(faults, bareDurations(v.Index(i), fmt.Sprintf("%s[%d]", key, i), index)...)
-		}
-		return faults
-	case reflect.Int64:
-		if v.Type() != reflect.TypeFor[Duration]() || !index.numbers[key] {
-			return nil
-		}
-		fault := Fault{Line: index.Line(key), Key: key, Expected: fmt.Sprintf("%s, not %d", expectedDuration, v.Int())}
-		v.SetInt(0)
-		return []Fault{fault}
-	default:
-		return nil
-	}
-}
--- a/internal/qf/state/qfdocument/lines.go
+++ b/internal/qf/state/qfdocument/lines.go
@@ -2,23 +2,27 @@
 
 import (
 	"fmt"
+	"sort"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
+// firstLine is the line of faults that aren't at any one line.
+const firstLine = 1
+
 // LineIndex maps full keys to lines and back.
 type LineIndex struct {
 	lines map[string]int
-	// keys holds the last key that starts on a line.
-	keys map[int]string
-	// numbers holds the keys whose value is a number.
-	numbers map[string]bool
+	// pairs holds the key of the key-value pair that starts at a line.
+	pairs map[int]string
+	// starts holds the first lines of all expressions, in order.
+	starts []int
 }
 
 // NewLineIndex returns an index of the keys in a TOML document.
 func NewLineIndex(data []byte) *LineIndex {
-	x := &LineIndex{lines: map[string]int{}, keys: map[int]string{}, numbers: map[string]bool{}}
+	x := &LineIndex{lines: map[string]int{}, pairs: map[int]string{}}
 	counts := map[string]int{}
 	table := ""
 	p := &unstable.Parser{}
@@ -26,47 +30,27 @@
 	for p.NextExpression() {
 		e := p.Expression()
 		names, line := keyOf(p, e)
+		if line > 0 {
+			x.starts = append(x.starts, line)
+		}
 		switch e.Kind {
 		case unstable.Table:
 			table = indexedKey(names, counts)
-			x.add(table, line)
+			x.lines[table] = line
 		case unstable.ArrayTable:
 			last := len(names) - 1
 			counts[join(indexedKey(names[:last], counts), names[last])]++
 			table = indexedKey(names, counts)
-			x.add(table, line)
+			x.lines[table] = line
 		case unstable.KeyValue:
 			key := join(table, strings.Join(names, "."))
-			x.add(key, line)
-			x.numbers[key] = e.Value().Kind == unstable.Integer || e.Value().Kind == unstable.Float
+			x.lines[key] = line
+			x.pairs[line] = key
 		}
 	}
 	return x
 }
 
-func (x *LineIndex) add(key string, line int) {
-	x.lines[key] = line
-	x.keys[line] = key
-	if array, _, ok := cutIndex(key); ok && x.lines[array] == 0 {
-		x.lines[array] = line // The array stands where its first element does.
-	}
-}
-
-// cutIndex splits "Entries[0]" into the array and the index.
-func cutIndex(key string) (array, index string, ok bool) {
-	if !strings.HasSuffix(key, "]") {
-		return key, "", false
-	}
-	cut := strings.LastIndexByte(key, '[')
-	return key[:cut], key[cut:], true
-}
-
-// KeyAt returns the key that starts on the line.
-func (x *LineIndex) KeyAt(line int) (string, bool) {
-	key, ok := x.keys[line]
-	return key, ok
-}
-
 func keyOf(p *unstable.Parser, e *unstable.Node) (names []string, line int) {
 	it := e.Key()
 	for it.Next() {
@@ -99,17 +83,42 @@
 	return parent + "." + name
 }
 
-// Line returns the line of the key or of the nearest table around it.
+// Line returns the line of the key, of its first element if it is an array of
+// tables, or of the nearest table around it.
 func (x *LineIndex) Line(key string) int {
 	for key != "" {
 		if line, ok := x.lines[key]; ok {
 			return line
 		}
+		if line, ok := x.lines[key+"[0]"]; ok {
+			return line
+		}
 		cut := strings.LastIndexAny(key, ".[")
 		if cut < 0 {
-			return 0
+			return firstLine
 		}
 		key = key[:cut]
 	}
-	return 0
+	return firstLine
+}
+
+// pairAt returns the key of the pair that covers the line, with its indices, and
+// the pair's first line. The key is empty if a table header covers the line.
+func (x *LineIndex) pairAt(line int) (key string, start int) {
+	next := sort.SearchInts(x.starts, line+1)
+	if next == 0 {
+		return "", 0
+	}
+	start = x.starts[next-1]
+	return x.pairs[start], start
+}
+
+// endOf returns the line after the expression that starts at the line, of a
+// document with so many lines.
+func (x *LineIndex) endOf(start, lines int) int {
+	next := sort.SearchInts(x.starts, start+1)
+	if next == len(x.starts) {
+		return lines + 1
+	}
+	return x.starts[next]
 }
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -15,26 +15,31 @@
 // Settings are the settings of one node. Everything but Node and Platform has
 // a default.
 type Settings struct {
-	Node     NodeSettings     `validate:"required"`
-	Platform PlatformSettings `validate:"required"`
-	Log      LogSettings
-	Request  RequestSettings
-	Peer     PeerSettings
-	Feed     FeedSettings
-	Lease    LeaseSettings
-	Rollout  RolloutSettings
-	Security SecuritySettings
+	Node      NodeSettings     `validate:"required"`
+	Platform  PlatformSettings `validate:"required"`
+	Log       LogSettings
+	Request   RequestSettings
+	Peer      PeerSettings
+	Feed      FeedSettings
+	Lease     LeaseSettings
+	Rollout   RolloutSettings
+	Security  SecuritySettings
+	Telemetry TelemetrySettings
 }
 
 // NodeSettings say where the node stands and listens.
 type NodeSettings struct {
 	// ID is the name of the node's VM.
-	ID               string `validate:"required"`
+	ID string `validate:"required"`
+	// Region and AvailabilityZone say where the VM stands, as the cloud names
+	// them.
 	Region           string `validate:"required"`
 	AvailabilityZone string `validate:"required"`
-	// CallerAddress, PeerAddress and OperatorAddress are an IP and a port each.
-	CallerAddress   netip.AddrPort `validate:"required"`
-	PeerAddress     netip.AddrPort `validate:"required"`
+	// CallerAddress is where callers connect.
+	CallerAddress netip.AddrPort `validate:"required"`
+	// PeerAddress is where other entry nodes connect.
+	PeerAddress netip.AddrPort `validate:"required"`
+	// OperatorAddress is where operators, probes and metric collectors connect.
 	OperatorAddress netip.AddrPort `validate:"required"`
 	// Seeds are peer addresses to ask before the VM list has answered.
 	Seeds []netip.AddrPort
@@ -42,18 +47,23 @@
 
 // PlatformSettings say where the platform's services listen.
 type PlatformSettings struct {
-	Table   netip.AddrPort `validate:"required"`
+	// Table is the transactional table service.
+	Table netip.AddrPort `validate:"required"`
+	// Objects is the object store.
 	Objects netip.AddrPort `validate:"required"`
-	Cloud   netip.AddrPort `validate:"required"`
-	VMList  netip.AddrPort `validate:"required"`
+	// Cloud is the cloud API, with prices, starts and notices.
+	Cloud netip.AddrPort `validate:"required"`
+	// VMList is the list of live and leaving VMs.
+	VMList netip.AddrPort `validate:"required"`
 	// Timeout bounds one call to the platform.
 	Timeout qfdocument.Duration `validate:"gt=0"`
 }
 
 // LogSettings say what is logged.
 type LogSettings struct {
+	// Level is the least severe level that is logged.
 	Level string `validate:"oneof=debug info warn error"`
-	// Format is "json" or "console".
+	// Format is "json" for programs or "console" for people.
 	Format string `validate:"oneof=json console"`
 }
 
@@ -85,6 +95,12 @@
 	// IdempotencyRecordsFor is how long the outcome of a once-only request is
 	// kept.
 	IdempotencyRecordsFor qfdocument.Duration `validate:"gt=0"`
+	// LeaveWithin is how long after its intent a once-only attempt may leave. A
+	// node that was paused for longer asks the ledger again.
+	LeaveWithin qfdocument.Duration `validate:"gt=0"`
+	// LedgerCommitEvery is the shortest time between two transactions in which a
+	// node records intents and outcomes.
+	LedgerCommitEvery qfdocument.Duration `validate:"gt=0"`
 	// MaxSuspectAttempts bounds the attempts of a request that is suspected of
 	// crashing endpoints, over all nodes and repeats.
 	MaxSuspectAttempts int `validate:"min=1"`
@@ -92,25 +108,31 @@
 
 // PeerSettings govern the exchange between nodes.
 type PeerSettings struct {
+	// ExchangeEvery is the time between two exchanges of news.
 	ExchangeEvery qfdocument.Duration `validate:"gt=0"`
 	// SuspectAfter and DeadAfter count from the last news of a node.
 	SuspectAfter qfdocument.Duration `validate:"gt=0"`
 	DeadAfter    qfdocument.Duration `validate:"gt=0"`
-	Timeout      qfdocument.Duration `validate:"gt=0"`
+	// Timeout bounds one call to a peer.
+	Timeout qfdocument.Duration `validate:"gt=0"`
 }
 
 // FeedSettings say how often the platform is polled.
 type FeedSettings struct {
-	// CatalogueEvery is the least time between two reads of the newest revision
-	// by one node; CatalogueReadsPerSecond bounds the reads of all nodes.
-	CatalogueEvery          qfdocument.Duration `validate:"gt=0"`
-	CatalogueReadsPerSecond int                 `validate:"min=1"`
+	// CatalogueEvery is the least time between two reads of the catalogue's
+	// revision by one node.
+	CatalogueEvery qfdocument.Duration `validate:"gt=0"`
+	// VMListEvery is the time between two reads of the VM list.
+	VMListEvery qfdocument.Duration `validate:"gt=0"`
+	// NoticesEvery is the time between two reads of the cloud's notices.
+	NoticesEvery qfdocument.Duration `validate:"gt=0"`
+	// LoadEvery is the time between two reads of an endpoint's load.
+	LoadEvery qfdocument.Duration `validate:"gt=0"`
+	// CatalogueReadsPerSecond bounds the reads of the revision by all nodes.
+	CatalogueReadsPerSecond int `validate:"min=1"`
 	// CatalogueStaleAfter is the age of the last news of the catalogue from which
 	// on a node raises no version's share and gives no orders.
 	CatalogueStaleAfter qfdocument.Duration `validate:"gt=0"`
-	VMListEvery         qfdocument.Duration `validate:"gt=0"`
-	NoticesEvery        qfdocument.Duration `validate:"gt=0"`
-	LoadEvery           qfdocument.Duration `validate:"gt=0"`
 }
 
 // LeaseSettings govern who may act for all nodes. They must be the same at all
@@ -138,11 +160,26 @@
 type SecuritySettings struct {
 	// Insecure turns certificates off. It must be set on purpose.
 	Insecure bool
-	// CertificateFile, KeyFile and AuthorityFile are PEM files; they are read
-	// again when they change.
+	// CertificateFile, KeyFile and AuthorityFile are PEM files: the node's
+	// certificate, its key, and the authorities by which others are judged.
 	CertificateFile string
 	KeyFile         string
 	AuthorityFile   string
+	// ReloadEvery is the time between two looks at the files for a change.
+	ReloadEvery qfdocument.Duration `validate:"gt=0"`
+}
+
+// TelemetrySettings bound the traces of requests. Metrics are always on.
+type TelemetrySettings struct {
+	// TraceExporter is where spans go: "log" writes each as event 151, "none"
+	// turns traces off.
+	TraceExporter string `validate:"oneof=log none"`
+	// TraceRatio is the share of requests that are traced, of those whose caller
+	// doesn't decide it in its trace context.
+	TraceRatio float64 `validate:"min=0,max=1"`
+	// MaxTracesPerSecond bounds the traced requests, those that callers ask for
+	// included.
+	MaxTracesPerSecond float64 `validate:"gt=0"`
 }
 
 // Zone returns the node's availability zone.
@@ -182,29 +219,35 @@
 	settings := Default()
 	faults := qfdocument.Decode(data, settings)
 	if len(faults) == 0 {
-		faults = settings.crossCheck()
+		faults = settings.crossCheck(qfdocument.NewLineIndex(data))
 	}
 	return settings, faults
 }
 
 // crossCheck checks rules that span several keys.
-func (s *Settings) crossCheck() []qfdocument.Fault {
+func (s *Settings) crossCheck(index *qfdocument.LineIndex) []qfdocument.Fault {
 	var faults []qfdocument.Fault
+	add := func(key, expected string) {
+		faults = append(faults, qfdocument.Fault{Line: index.Line(key), Key: key, Expected: expected})
+	}
 	if s.Peer.DeadAfter <= s.Peer.SuspectAfter {
-		faults = append(faults, qfdocument.Fault{Key: "Peer.DeadAfter", Expected: "expected more than Peer.SuspectAfter"})
+		add("Peer.DeadAfter", "expected more than Peer.SuspectAfter")
 	}
 	if s.Request.MaxTimeout < s.Request.DefaultTimeout {
-		faults = append(faults, qfdocument.Fault{Key: "Request.MaxTimeout", Expected: "expected at least Request.DefaultTimeout"})
+		add("Request.MaxTimeout", "expected at least Request.DefaultTimeout")
+	}
+	if s.Request.IdempotencyRecordsFor <= s.Request.MaxTimeout+s.Request.LeaveWithin {
+		faults = append(faults, qfdocument.Fault{
+			Key:      "Request.IdempotencyRecordsFor",
+			Expected: "expected more than Request.MaxTimeout and Request.LeaveWithin together",
+		})
 	}
 	if 2*s.Lease.RenewEvery >= s.Lease.Duration {
 		faults = append(faults, qfdocument.Fault{Key: "Lease.RenewEvery", Expected: "expected less than half of Lease.Duration"})
 	}
 	sec := s.Security
 	if !sec.Insecure && (sec.CertificateFile == "" || sec.KeyFile == "" || sec.AuthorityFile == "") {
-		faults = append(faults, qfdocument.Fault{
-			Key:      "Security.CertificateFile",
-			Expected: "expected CertificateFile, KeyFile and AuthorityFile, or Insecure = true",
-		})
+		add("Security.CertificateFile", "expected CertificateFile, KeyFile and AuthorityFile, or Insecure = true")
 	}
 	return faults
 }
