--- a/internal/bench/benchrollout/run.go
+++ b/internal/bench/benchrollout/run.go
@@ -176,6 +176,7 @@
 	isBad := version == newVersion && s.bad.isBad(s.w, at, route, use)
 	o := s.w.observe(s.random, &s.bad, isBad, use)
 	o.Entry, o.Version, o.StartedAt = entryName, version, now
+	o.EndpointRegion = route.Region
 	o.Organisation, o.Region, o.Class, o.OnceOnly = route.Organisation, route.Region, route.Class, route.OnceOnly
 	took := min(longestRequest, o.FirstToken+time.Duration(o.Tokens)*o.BetweenToken)
 	due := (slot + 1 + int(took/tick)) % len(s.pending)
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -18,6 +18,7 @@
 		RolloutStops: n.versions.Stops(),
 		RolloutPlans: n.versions.Plans(),
 		LimitUses:    n.limiter.Uses(now),
+		Suspicions:   n.suspects.Suspicions(now),
 	}
 }
 
@@ -32,6 +33,7 @@
 	}
 	n.learnRollouts(now, &digest)
 	n.limiter.PeerUses(now, digest.LimitUses)
+	n.suspects.Learn(now, digest.Suspicions)
 	for _, sent := range digest.SentLoads {
 		n.router.PeerSent(sent)
 	}
--- a/internal/qf/coordination/qfrollout/usual.go
+++ b/internal/qf/coordination/qfrollout/usual.go
@@ -48,8 +48,8 @@
 		return
 	}
 	for _, kind := range []timeKind{firstToken, betweenToken} {
-		u.timesOf(timesKey{kind, o.Region, levelOf(o.Load)}).add(kind.of(o))
-		u.timesOf(timesKey{kind, o.Region, anyLevel}).add(kind.of(o))
+		u.timesOf(timesKey{kind, o.EndpointRegion, levelOf(o.Load)}).add(kind.of(o))
+		u.timesOf(timesKey{kind, o.EndpointRegion, anyLevel}).add(kind.of(o))
 	}
 	u.lengthsOf(routeOf(o.Organisation, o.Region, o.Class, o.OnceOnly)).add(float64(o.Tokens))
 }
@@ -57,10 +57,10 @@
 // judgeTime says whether an attempt is slow, by the old version's times at the
 // same load if enough is known of that, or else at any load.
 func (u *usual) judgeTime(o *qf.Observation, kind timeKind, isNoise bool) event {
-	limit, isExact := u.timesOf(timesKey{kind, o.Region, levelOf(o.Load)}).slowLimit()
+	limit, isExact := u.timesOf(timesKey{kind, o.EndpointRegion, levelOf(o.Load)}).slowLimit()
 	applies := isExact
 	if !isExact {
-		limit, applies = u.timesOf(timesKey{kind, o.Region, anyLevel}).slowLimit()
+		limit, applies = u.timesOf(timesKey{kind, o.EndpointRegion, anyLevel}).slowLimit()
 	}
 	return event{applies: applies, isExact: isExact, happened: kind.of(o) > limit || isNoise}
 }
--- a/internal/qf/decision.go
+++ b/internal/qf/decision.go
@@ -132,6 +132,7 @@
 // Observation reports one finished attempt to rollout judgement.
 type Observation struct {
 	At           time.Time
+	Request      RequestID
 	Entry        EntryName
 	Version      Version
 	Organisation Organisation
@@ -146,6 +147,8 @@
 	Complete bool
 	// Load is the endpoint's number of running requests at the start.
 	Load int
+	// EndpointRegion is where the endpoint stands.
+	EndpointRegion Region
 	// Endpoint served the attempt, which began at StartedAt.
 	Endpoint  EndpointID
 	StartedAt time.Time
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -65,6 +65,8 @@
 	RequestTaken    = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
 	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
 	LedgerSwept     = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
+	SuspectTried    = Event{207, warning, "a request suspected of crashing endpoints is tried apart", []string{FieldRequest, FieldEntry}, "Run report explain with the request."}
+	SuspectRefused  = Event{208, warning, "a request suspected of crashing endpoints is refused", []string{FieldRequest, FieldEntry}, "Find its caller; look at the endpoints' logs."}
 	ShadowAdopted   = Event{220, info, "request adopted from its shadow", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
 	ShadowFailed    = Event{221, warning, "a peer takes no shadows", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
 	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
@@ -102,6 +104,8 @@
 		RequestTaken,
 		HandOverFailed,
 		LedgerSwept,
+		SuspectTried,
+		SuspectRefused,
 		ShadowAdopted,
 		ShadowFailed,
 		OwnershipLost,
