--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -39,6 +39,7 @@
 	shadows := newShadower(n)
 	n.workers.Go(func() { shadows.run(n.ctx) })
 	n.exchange(n.ctx)
+	n.leases.release(n.ctx)
 	n.pause(n.leavingTime())
 	n.phase.Store(PhaseDraining)
 	ctx, cancel := n.untilReclaim()
