--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -38,11 +38,15 @@
 		Class: request.Class, OnceOnly: request.OnceOnly(), Draw: n.platform.Random.Float64(),
 	})
 	query.Version = version
+	avoid := query.Excluded
+	query.Excluded = append(n.unusedOf(request.Entry, version), avoid...)
 	choice, err := n.choose(query, isSuspect)
 	if err != nil && version != "" {
-		query.Version = ""
+		query.Version, query.Excluded = "", avoid
 		choice, err = n.choose(query, isSuspect)
+		choice.Forced = true
 	}
+	choice.Load = n.loads[choice.Endpoint.ID]
 	choice.Reason.Rule = reason.Rule + ", " + choice.Reason.Rule
 	return choice, err
 }
@@ -52,6 +56,13 @@
 	n.telemetry.AttemptEnded(&observation)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		if e := &n.endpoints[i]; e.ID == observation.Endpoint && n.membership.IsDeparting(e.VM, e.Incarnation) {
+			observation.Cut = true
+		}
+	}
+	// A route is the caller's side; the runner tells the endpoint's region.
+	observation.EndpointRegion, observation.Region = observation.Region, qf.Region(n.settings.Node.Region)
 	n.versions.Observe(observation)
 	n.budget.Observe(&observation)
 	n.suspectOver(observation.Request)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,11 +103,20 @@
 	// deadUntil holds the endpoints that refused a connection.
 	deadUntil  map[qf.EndpointID]time.Time
 	membership *qfmember.Membership
-	versions   *qfrollout.TargetOnly
+	versions   *qfrollout.Chooser
 	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
-	shadows    *qfhandover.Shadows
+	// loads holds the last reported number of running requests.
+	loads map[qf.EndpointID]int
+	// evidence is what peers have told of the rollouts that this node controls.
+	evidence map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence
+
+	// incarnation is set before the node serves.
+	incarnation qf.Incarnation
+	leases      *leases
+	rollouts    *rollouts
+	shadows     *qfhandover.Shadows
 
 	phase atomic.Value
 	// leaveAt is when the node's VM is taken, if that is known.
@@ -138,6 +147,8 @@
 		router:    qfroute.NewLeastOutstanding(),
 		limiter:   qflimit.NewConcurrency(),
 		budget:    qfretry.NewBudget(),
+		loads:     map[qf.EndpointID]int{},
+		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
 		suspects: qfsuspect.New(qfsuspect.Config{
 			MaxDeaths:   settings.Request.MaxSuspectAttempts + 1,
 			ExpireAfter: settings.Request.SuspectsFor.Value(),
@@ -148,16 +159,19 @@
 			MaxAttempts: settings.Request.MaxSuspectAttempts,
 			ExpireAfter: settings.Request.SuspectsFor.Value(),
 		}),
-		versions: qfrollout.NewTargetOnly(),
-		shadows:  qfhandover.NewShadows(settings.Request.MaxInProgress),
-		ctx:      ctx,
-		cancel:   cancel,
+		shadows: qfhandover.NewShadows(settings.Request.MaxInProgress),
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 	n.follower = qfcatalogue.NewFollower(n.catalogue, qfcatalogue.Pace{
 		Every:          settings.Feed.CatalogueEvery.Value(),
 		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
 		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
 	}, platform.Random)
+	n.incarnation = qf.Incarnation(n.now().UnixMilli())
+	n.versions = qfrollout.NewChooser(qf.Node{ID: qf.NodeID(settings.Node.ID), Incarnation: n.incarnation}, platform.Random)
+	n.leases = newLeases(n, rand.New(rand.NewPCG(platform.Random.Uint64(), platform.Random.Uint64())))
+	n.rollouts = newRollouts(n)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -8,8 +8,6 @@
 	"net/netip"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qfmember"
 	"quetzalfront/internal/qf/state/qfevent"
@@ -40,7 +38,7 @@
 	}
 	n.settings.Node.OperatorAddress = addressOf(operators)
 	n.join(addressOf(callers), addressOf(peers))
-	bounded := netutil.LimitListener(callers, n.settings.Request.MaxConnections)
+	bounded := qfhttp.BoundCallers(n.platform.Timer, callers, n.settings.Request.MaxConnections)
 	n.serveHTTP(bounded, n.callersHandler())
 	n.serveHTTP(n.protect(operators, "operators", qftls.RoleOperator), n.operatorsHandler())
 	n.servePeers(n.protect(peers, "peers", qftls.RoleNode))
@@ -72,7 +70,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.membership = qfmember.New(qf.Node{
-		ID: qf.NodeID(s.ID), Incarnation: qf.Incarnation(n.now().UnixMilli()),
+		ID: qf.NodeID(s.ID), Incarnation: n.incarnation,
 		Region: qf.Region(s.Region), AvailabilityZone: s.Zone(),
 		CallerAddress: callers, PeerAddress: peers, State: qf.NodeLive,
 	}, qfmember.Timing{
@@ -90,7 +88,7 @@
 	r := &n.settings.Request
 	return qfhttp.Bounds{
 		MaxBodyBytes: r.MaxBodyBytes, MaxTokens: r.MaxTokens,
-		DefaultTimeout: r.DefaultTimeout.Value(), MaxTimeout: r.MaxTimeout.Value(),
+		MaxReaders: r.MaxReaders, DefaultTimeout: r.DefaultTimeout.Value(), MaxTimeout: r.MaxTimeout.Value(),
 		KeepAddressesFor: r.KeepAddressesFor.Value(),
 	}
 }
@@ -124,6 +122,8 @@
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
+	n.every(leaseStep, n.stepLeases)
+	n.every(rolloutStep, n.rollouts.step)
 	n.every(time.Second, n.expire)
 	n.followIdentity()
 	n.every(sweepEvery, n.sweepLedger)
--- a/internal/node/suspect.go
+++ b/internal/node/suspect.go
@@ -67,11 +67,13 @@
 		return
 	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	now := n.now()
 	n.deadUntil[endpoint.ID] = now.Add(deadFor)
-	if !n.membership.IsDeparting(endpoint.VM, endpoint.Incarnation) {
+	isNews := !n.membership.IsDeparting(endpoint.VM, endpoint.Incarnation) &&
 		n.suspects.Died(now, qfsuspect.Death{Endpoint: endpoint.ID, AvailabilityZone: endpoint.AvailabilityZone})
+	n.mu.Unlock()
+	if isNews {
+		go n.exchange(n.ctx) // The caller may repeat the request at a peer before the next regular exchange.
 	}
 }
 
--- a/internal/qf/coordination/qfsuspect/suspects.go
+++ b/internal/qf/coordination/qfsuspect/suspects.go
@@ -90,8 +90,9 @@
 
 // Died takes the death of an endpoint and blames it on the requests that broke
 // there, unless it belongs to a wave. A broken connection is no death. Telling of
-// a death twice changes nothing but the requests that broke since.
-func (s *Suspects) Died(now time.Time, death Death) {
+// a death twice changes nothing but the requests that broke since. It reports
+// whether there is something new to tell peers.
+func (s *Suspects) Died(now time.Time, death Death) (isNews bool) {
 	s.settleWaves(now)
 	i := slices.IndexFunc(s.deaths, func(d *blamedDeath) bool { return d.Endpoint == death.Endpoint })
 	if i < 0 {
@@ -104,9 +105,11 @@
 		if isIn && !d.excused && !slices.Contains(d.blamed, b.fingerprint) {
 			d.blamed = append(d.blamed, b.fingerprint)
 			s.blame(now, b.fingerprint, d.Endpoint)
+			isNews = true
 		}
 	}
 	s.breaks = slices.DeleteFunc(s.breaks, func(b brokenAttempt) bool { return b.endpoint == d.Endpoint })
+	return isNews
 }
 
 func (s *Suspects) blame(now time.Time, fingerprint uint64, endpoint qf.EndpointID) {
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -73,6 +73,9 @@
 	tokens                     int
 	moves                      int
 	attempt                    qf.AttemptID
+	// cut is true if the attempt in progress ends for a reason that says nothing
+	// about its endpoint's version.
+	cut bool
 	// progressAt is when the attempt last made progress or was checked on.
 	progressAt time.Time
 	// reconnect is set for an attempt after one that went silent.
@@ -106,6 +109,7 @@
 		case <-deadline.C():
 			more = x.handle(Event{Kind: EventDeadline})
 		case <-record.released:
+			x.cut = true
 			return
 		case <-ctx.Done():
 			return // The node is gone; a peer or the ledger knows the rest.
@@ -193,7 +197,8 @@
 // delay that the budget sets.
 func (x *run) start(action Action) bool {
 	now := x.config.Timer.Now()
-	x.endAttempt(action.Cause == StartMove)
+	x.cut = action.Cause == StartMove
+	x.endAttempt(x.cut)
 	if action.Cause != StartRetry && action.Cause != StartReconnect {
 		return x.launch(action)
 	}
@@ -312,6 +317,7 @@
 	x.startedAt = now
 	x.firstAt, x.lastAt = time.Time{}, now
 	x.tokens = 0
+	x.cut = false
 	x.record.note(Decision{
 		At: now, Step: qf.StepRoute, Endpoint: choice.Endpoint.ID, Reason: choice.Reason, Note: string(cause),
 	})
@@ -354,7 +360,11 @@
 	o := qf.Observation{
 		At: now, Request: r.ID, Entry: r.Entry, Version: x.choice.Endpoint.Version, Organisation: r.Organisation,
 		Region: x.choice.Endpoint.Region, Class: r.Class, Failed: !ok, Complete: ok, Tokens: x.tokens,
-		Took: now.Sub(x.startedAt),
+		Took: now.Sub(x.startedAt), Load: x.choice.Load, Endpoint: x.choice.Endpoint.ID, StartedAt: x.startedAt,
+		OnceOnly: r.OnceOnly(), Forced: x.choice.Forced, Cut: x.cut,
+	}
+	if r.Kind == qf.KindPlainService {
+		o.FirstToken = now.Sub(x.startedAt)
 	}
 	if !x.firstAt.IsZero() {
 		o.FirstToken = x.firstAt.Sub(x.startedAt)
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -40,6 +40,8 @@
 	FieldTook     = "Took"
 	FieldDetails  = "Details"
 	FieldAge      = "Age"
+	FieldDuty     = "Duty"
+	FieldFencing  = "Fencing"
 )
 
 const (
@@ -74,6 +76,12 @@
 	CatalogueFresh  = Event{311, info, "news of the catalogue again", []string{FieldRevision}, "Nothing."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
+	LeaseTaken      = Event{601, info, "lease taken", []string{FieldDuty, FieldFencing}, "Nothing."}
+	LeaseLost       = Event{602, warning, "lease lost", []string{FieldDuty, FieldReason}, "Nothing; another node takes over. Check the table service if it recurs."}
+	RolloutChanged  = Event{610, info, "rollout changed its phase", []string{FieldEntry, FieldVersion, FieldOutcome, FieldReason}, "Run report rollouts."}
+	RolloutStopped  = Event{611, warning, "a version is stopped", []string{FieldEntry, FieldVersion, FieldReason}, "Run report rollouts; mend the version."}
+	RolloutLate     = Event{612, warning, "a rollout will be late", []string{FieldEntry, FieldVersion, FieldReason}, "Move the deadline, or see operators/rollouts.md."}
+	RolloutFailed   = Event{613, warning, "a rollout's plan could not be kept", []string{FieldEntry, FieldError}, "Check the table service; shares hold meanwhile."}
 	PortUnprotected = Event{801, warning, "certificates are off", []string{FieldAddress, FieldName}, "Set the certificate files in [Security] unless this is a trial."}
 	PortRefused     = Event{802, warning, "a connection without a valid certificate was refused", []string{FieldAddress, FieldName, FieldError}, "Look for whoever connects from Address; see operators/certificates.md."}
 	IdentityLoaded  = Event{803, info, "certificates were loaded", []string{FieldName}, "Nothing."}
@@ -107,6 +115,12 @@
 		CatalogueFresh,
 		PeerFailed,
 		DepartureKnown,
+		LeaseTaken,
+		LeaseLost,
+		RolloutChanged,
+		RolloutStopped,
+		RolloutLate,
+		RolloutFailed,
 		PortUnprotected,
 		PortRefused,
 		IdentityLoaded,
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -29,6 +29,8 @@
 			MaxInProgress:          8192,
 			MaxConnections:         16384,
 			MaxTokens:              4096,
+			MaxAnswerBytes:         4 * mebibyte,
+			MaxReaders:             16,
 			DefaultTimeout:         qfdocument.Duration(60 * time.Second),
 			MaxTimeout:             qfdocument.Duration(10 * time.Minute),
 			RetainFor:              qfdocument.Duration(30 * time.Second),
@@ -47,6 +49,16 @@
 			DeadAfter:     qfdocument.Duration(8 * time.Second),
 			Timeout:       qfdocument.Duration(time.Second),
 		},
+		Lease: LeaseSettings{
+			Duration:    qfdocument.Duration(6 * time.Second),
+			RenewEvery:  qfdocument.Duration(2 * time.Second),
+			RankDelay:   qfdocument.Duration(500 * time.Millisecond),
+			ClockMargin: 0.01,
+		},
+		Rollout: RolloutSettings{
+			Within:   qfdocument.Duration(30 * time.Minute),
+			WatchFor: qfdocument.Duration(5 * time.Minute),
+		},
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
 			CatalogueReadsPerSecond: 64,
@@ -55,7 +67,7 @@
 			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
 			LoadEvery:               qfdocument.Duration(500 * time.Millisecond),
 		},
-		Security:  SecuritySettings{ReloadEvery: qfdocument.Duration(10 * time.Second)},
+		Security:  SecuritySettings{MaxConnections: 2048, ReloadEvery: qfdocument.Duration(10 * time.Second)},
 		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
 	}
 }
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -21,6 +21,8 @@
 	Request   RequestSettings
 	Peer      PeerSettings
 	Feed      FeedSettings
+	Lease     LeaseSettings
+	Rollout   RolloutSettings
 	Security  SecuritySettings
 	Telemetry TelemetrySettings
 }
@@ -74,8 +76,11 @@
 	MaxInProgress int `validate:"min=1"`
 	// MaxConnections bounds the callers' open connections.
 	MaxConnections int `validate:"min=1"`
-	// MaxTokens bounds the length of an answer.
-	MaxTokens int `validate:"min=1"`
+	// MaxTokens bounds the length of an answer in tokens, MaxAnswerBytes its text.
+	MaxTokens      int `validate:"min=1"`
+	MaxAnswerBytes int `validate:"min=1024"`
+	// MaxReaders bounds the connections that read the answer of one request.
+	MaxReaders int `validate:"min=1"`
 	// DefaultTimeout is used where neither the caller nor the catalogue gives a
 	// deadline; MaxTimeout bounds what a caller may ask for.
 	DefaultTimeout qfdocument.Duration `validate:"gt=0"`
@@ -135,6 +140,27 @@
 	CatalogueStaleAfter qfdocument.Duration `validate:"gt=0"`
 }
 
+// LeaseSettings govern who may act for all nodes. They must be the same at all
+// nodes.
+type LeaseSettings struct {
+	// Duration is how long one write keeps a lease; RenewEvery is the time
+	// between two renewals.
+	Duration   qfdocument.Duration `validate:"gt=0"`
+	RenewEvery qfdocument.Duration `validate:"gt=0"`
+	// RankDelay keeps a candidate back for each better one.
+	RankDelay qfdocument.Duration `validate:"gt=0"`
+	// ClockMargin is the share by which two nodes' clocks may differ in rate.
+	ClockMargin float64 `validate:"gte=0,lte=0.5"`
+}
+
+// RolloutSettings give the times of rollouts for which the catalogue gives none.
+type RolloutSettings struct {
+	// Within is the time in which traffic moves if an entry has no MoveBy.
+	Within qfdocument.Duration `validate:"gt=0"`
+	// WatchFor is how long the old version is kept if an entry has no WatchFor.
+	WatchFor qfdocument.Duration `validate:"gt=0"`
+}
+
 // SecuritySettings say who may call the operators' and peers' ports.
 type SecuritySettings struct {
 	// Insecure turns certificates off. It must be set on purpose.
@@ -144,6 +170,9 @@
 	CertificateFile string
 	KeyFile         string
 	AuthorityFile   string
+	// MaxConnections bounds the open connections of the peers' port, and those of
+	// the operators' port.
+	MaxConnections int `validate:"min=1"`
 	// ReloadEvery is the time between two looks at the files for a change.
 	ReloadEvery qfdocument.Duration `validate:"gt=0"`
 }
@@ -221,6 +250,9 @@
 			Expected: "expected more than Request.MaxTimeout and Request.LeaveWithin together",
 		})
 	}
+	if 2*s.Lease.RenewEvery >= s.Lease.Duration {
+		faults = append(faults, qfdocument.Fault{Key: "Lease.RenewEvery", Expected: "expected less than half of Lease.Duration"})
+	}
 	sec := s.Security
 	if !sec.Insecure && (sec.CertificateFile == "" || sec.KeyFile == "" || sec.AuthorityFile == "") {
 		add("Security.CertificateFile", "expected CertificateFile, KeyFile and AuthorityFile, or Insecure = true")
