node, qfrequest: answer a used key without an endpoint, and put off suspects by a type

A choice that failed as Overloaded was tried again until the deadline, which was meant for suspects alone; and a suspect whose only own endpoint was to be avoided, or whose entry had no endpoint at all, waited for ever. Change: the key is looked up first and freed again if it was new. A put-off choice is an error type of its own. A suspect waits only while other suspects are in its way.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"reflect"
 	"time"
 
@@ -131,7 +132,7 @@
 	request := record.Request
 	choice, err := n.Choose(n.now(), request, 0, nil)
 	if err != nil {
-		return nil, n.refuse(request, qf.CodeOf(err), err.Error())
+		return n.answerWithoutEndpoint(ctx, record, err)
 	}
 	n.beginning.Store(request.ID, true)
 	defer n.beginning.Delete(request.ID)
@@ -149,6 +150,29 @@
 	return record, nil
 }
 
+// answerWithoutEndpoint answers a once-only request for which no endpoint can be
+// chosen: as its key stands if it was used before, else as not run.
+func (n *Node) answerWithoutEndpoint(ctx context.Context, record *qfrequest.Record, cause error) (*qfrequest.Record, error) {
+	request := record.Request
+	intent, err := n.keys.Open(ctx, record, qf.RouteChoice{})
+	if err != nil {
+		return nil, err
+	}
+	if intent.State != qf.IntentFresh {
+		return n.earlier(record, intent)
+	}
+	_ = n.platform.Ledger.Finish(ctx, request, intent, qf.OutcomeNotRun, nil) // The ledger remembers a failure.
+	var refused *qf.Error
+	if errors.As(cause, &refused) && refused.RetryAfter > 0 {
+		return nil, refused
+	}
+	code := qf.CodeNoEndpoint
+	if !errors.Is(cause, &qf.Error{Code: code}) {
+		code = qf.CodeOverloaded
+	}
+	return nil, n.refuse(request, code, cause.Error())
+}
+
 // isInProgress reports whether the owner of an intent lives and works on it.
 func (n *Node) isInProgress(intent qf.Intent) bool {
 	if string(intent.Owner) == n.settings.Node.ID {
--- a/internal/node/suspect.go
+++ b/internal/node/suspect.go
@@ -8,6 +8,7 @@
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qfsuspect"
 	"quetzalfront/internal/qf/protocol/qfendpoint"
+	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
@@ -138,12 +139,12 @@
 // suspects are in progress, if it can go elsewhere. It is called with the lock
 // held.
 func (n *Node) choose(query *qf.RouteQuery, isSuspect bool) (qf.RouteChoice, error) {
+	if isSuspect {
+		return n.chooseApart(query)
+	}
 	alive, apart := *query, *query
 	alive.Excluded = append(n.dead(), query.Excluded...)
 	apart.Excluded = append(n.suspects.Occupied(), alive.Excluded...)
-	if isSuspect {
-		return n.chooseApart(&apart)
-	}
 	choice, err := n.router.Choose(apart)
 	for _, wider := range []qf.RouteQuery{alive, *query} {
 		if err != nil {
@@ -160,22 +161,28 @@
 // chooseApart picks an endpoint at which no other suspect is in progress, so that
 // an innocent one doesn't share a second death with the guilty one. Nodes keep to
 // different endpoints for the same reason. It is called with the lock held.
-func (n *Node) chooseApart(apart *qf.RouteQuery) (qf.RouteChoice, error) {
-	own := *apart
-	own.Excluded = append(n.othersEndpoints(), apart.Excluded...)
-	choice, err := n.router.Choose(own)
-	if err != nil && n.ownsNone(apart.Request.Entry) {
-		choice, err = n.router.Choose(*apart)
-	}
-	if err != nil {
-		return choice, &qf.Error{
-			Code: qf.CodeOverloaded, Step: qf.StepRoute, Peer: n.settings.Node.ID, Ran: qf.RanNo,
-			Reason: "suspects are tried one by one", RetryAfter: suspectPause, Cause: err,
+func (n *Node) chooseApart(query *qf.RouteQuery) (qf.RouteChoice, error) {
+	taken := append(n.suspects.Occupied(), n.dead()...)
+	own := append(n.othersEndpoints(), taken...)
+	exclusions := [][]qf.EndpointID{append(slices.Clone(own), query.Excluded...), own}
+	if n.ownsNone(query.Request.Entry) {
+		exclusions = append(exclusions, taken)
+	}
+	wider := *query
+	for _, excluded := range exclusions {
+		wider.Excluded = excluded
+		choice, err := n.router.Choose(wider)
+		if err == nil {
+			n.suspectRuns[query.Request.ID] = choice.Endpoint.ID
+			n.suspects.Started(choice.Endpoint.ID)
+			return choice, nil
 		}
 	}
-	n.suspectRuns[apart.Request.ID] = choice.Endpoint.ID
-	n.suspects.Started(choice.Endpoint.ID)
-	return choice, nil
+	wider.Excluded = n.dead()
+	if choice, err := n.router.Choose(wider); err != nil {
+		return choice, err // There is nothing to wait for.
+	}
+	return qf.RouteChoice{}, &qfrequest.Postponed{Wait: suspectPause}
 }
 
 // othersEndpoints returns the endpoints at which other nodes try suspects.
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
-	"github.com/google/uuid"
-
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qfprefix"
 )
@@ -28,6 +25,7 @@
 
 // Choosing picks an endpoint for a request; it joins version and route.
 type Choosing interface {
+	// Choose returns a *Postponed if the choice is to be made later.
 	Choose(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) (qf.RouteChoice, error)
 }
 
@@ -193,112 +191,6 @@
 	}
 }
 
-// start ends the last attempt and begins the next one, if it is a retry after the
-// delay that the budget sets.
-func (x *run) start(action Action) bool {
-	now := x.config.Timer.Now()
-	x.cut = action.Cause == StartMove
-	x.endAttempt(x.cut)
-	if action.Cause != StartRetry && action.Cause != StartReconnect {
-		return x.launch(action)
-	}
-	verdict := x.config.Budget.Retry(x.retryQuery(now, action))
-	x.record.note(Decision{At: now, Step: qf.StepAttempt, Endpoint: x.choice.Endpoint.ID, Reason: verdict.Reason, Note: string(action.Cause)})
-	if !verdict.Allowed {
-		err := qf.NewError(qf.CodeBroken, qf.StepAttempt, string(x.choice.Endpoint.ID), verdict.Reason.Rule)
-		return x.handle(Event{Kind: EventRetryDenied, Err: err})
-	}
-	if verdict.Delay <= 0 {
-		return x.launch(action)
-	}
-	x.delayed = action
-	x.retryAt = x.config.Timer.After(verdict.Delay)
-	return true
-}
-
-func (x *run) retryQuery(now time.Time, action Action) qf.RetryQuery {
-	r := x.record.Request
-	return qf.RetryQuery{
-		Now: now, Request: r, Retry: x.record.attempts(), RemainingTokens: r.MaxTokens - x.record.offset(),
-		AtOnce: action.Cause == StartReconnect,
-	}
-}
-
-func (x *run) stopRetry() {
-	if x.retryAt != nil {
-		x.retryAt.Stop()
-	}
-}
-
-func (x *run) retryDue() <-chan time.Time {
-	if x.retryAt == nil {
-		return nil
-	}
-	return x.retryAt.C()
-}
-
-// launch chooses an endpoint and begins an attempt there.
-func (x *run) launch(action Action) bool {
-	now := x.config.Timer.Now()
-	x.reconnect = action.Cause == StartReconnect
-	if action.Cause == StartMove {
-		x.moves++
-	}
-	if action.Avoid != "" {
-		x.avoid = append(x.avoid, action.Avoid)
-	}
-	if planned := x.record.plan; planned != nil && action.Cause == StartFirst {
-		return x.begin(now, planned.Choice, planned.Attempt, action.Cause)
-	}
-	choice, err := x.choose(now, action.Cause)
-	if wait := adviceToWait(err); wait > 0 {
-		x.delayed = action
-		x.retryAt = x.config.Timer.After(wait)
-		return true
-	}
-	if err != nil {
-		return x.handle(Event{Kind: EventNoEndpoint, Err: err})
-	}
-	attempt := NewAttemptID()
-	if x.record.Request.OnceOnly() {
-		x.choice = choice
-		go x.replace(choice.Endpoint, attempt, x.record.plan.Intent)
-		return true
-	}
-	return x.begin(now, choice, attempt, action.Cause)
-}
-
-// adviceToWait returns how long a choice is to be put off, or 0.
-func adviceToWait(err error) time.Duration {
-	if qf.CodeOf(err) != qf.CodeOverloaded {
-		return 0
-	}
-	var e *qf.Error
-	if errors.As(err, &e) {
-		return e.RetryAfter
-	}
-	return 0
-}
-
-// choose picks an endpoint. After a silent connection it is the same one.
-func (x *run) choose(now time.Time, cause StartCause) (qf.RouteChoice, error) {
-	if cause == StartReconnect {
-		choice := x.choice
-		choice.Reason = qf.Reason{Rule: "ResumeOverNewConnection"}
-		return choice, nil
-	}
-	offset := x.record.offset()
-	choice, err := x.config.Choosing.Choose(now, x.record.Request, offset, x.avoid)
-	if qf.CodeOf(err) == qf.CodeNoEndpoint && len(x.avoid) > 0 {
-		x.avoid = nil // Better an endpoint that failed before than none.
-		choice, err = x.config.Choosing.Choose(now, x.record.Request, offset, nil)
-	}
-	return choice, err
-}
-
-// NewAttemptID returns an identifier that no other attempt has.
-func NewAttemptID() qf.AttemptID { return qf.AttemptID(uuid.NewString()) }
-
 func (r *Record) attempts() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/internal/qf/state/qftrial/trials_test.go
@@ -0,0 +1,91 @@
+package qftrial
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/standin/standtable"
+)
+
+func newTrials() (*Trials, *standtable.Table) {
+	timer := qftimer.NewWall()
+	table := standtable.New(timer)
+	return New(timer, table, Options{MaxAttempts: 2, ExpireAfter: 10 * time.Minute}), table
+}
+
+// TestClaim checks whether one more attempt is granted after each history.
+func TestClaim(t *testing.T) {
+	tests := []struct {
+		name   string
+		before int
+		reset  bool
+		wait   time.Duration
+		faults standtable.Faults
+		want   qf.Code
+	}{
+		{name: "the first"},
+		{name: "the last", before: 1},
+		{name: "one too many", before: 2, want: qf.CodeSuspect},
+		{name: "still one too many", before: 2, wait: 9 * time.Minute, want: qf.CodeSuspect},
+		{name: "after the expiry", before: 2, wait: 11 * time.Minute},
+		{name: "after an answer", before: 2, reset: true},
+		{name: "the table down", faults: standtable.Faults{Down: true}, want: qf.CodeUnavailable},
+		{name: "a lost answer costs an attempt", faults: standtable.Faults{LoseAnswers: 1}},
+		{name: "a lost answer costs the last attempt", before: 1, faults: standtable.Faults{LoseAnswers: 1}, want: qf.CodeSuspect},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				trials, table := newTrials()
+				for range test.before {
+					if err := trials.Claim(t.Context(), 1); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if test.reset {
+					if err := trials.Reset(t.Context(), 1); err != nil {
+						t.Fatal(err)
+					}
+				}
+				<-trials.timer.After(test.wait + time.Second).C()
+				table.SetFaults(test.faults)
+				if err := trials.Claim(t.Context(), 1); qf.CodeOf(err) != test.want {
+					t.Errorf("got %v, want %q", err, test.want)
+				}
+				table.SetFaults(standtable.Faults{})
+				if err := trials.Claim(t.Context(), 2); err != nil {
+					t.Errorf("another request: %v", err)
+				}
+			})
+		})
+	}
+}
+
+// TestClaimTogether checks that nodes which claim at once get no more attempts
+// than there are.
+func TestClaimTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		trials, table := newTrials()
+		table.SetFaults(standtable.Faults{Delay: time.Millisecond})
+		var mu sync.Mutex
+		granted := 0
+		var nodes sync.WaitGroup
+		for range 20 {
+			nodes.Go(func() {
+				if trials.Claim(t.Context(), 1) == nil {
+					mu.Lock()
+					defer mu.Unlock()
+					granted++
+				}
+			})
+		}
+		nodes.Wait()
+		if granted != 2 {
+			t.Errorf("%d attempts were granted", granted)
+		}
+	})
+}
