node: buy and give up VMs by the fleet plan, under a lease

Cause: the planner was pure and nothing acted on it. Change: the holder of the duty 'fleet' reads prices and VMs from the cloud, plans, starts under fenced tokens, drains by departures and orders, and stops idle VMs; Placement.RequestsPerReplica; scenarios for a refused zone and for a planner that dies while answers are lost.

--- a/internal/node/lease.go
+++ b/internal/node/lease.go
@@ -167,5 +167,5 @@
 		}
 	}
 	n.mu.Unlock()
-	n.leases.step(ctx, n.duties(), live)
+	n.leases.step(ctx, append(n.duties(), dutyFleet), live)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,6 +113,7 @@
 	incarnation qf.Incarnation
 	leases      *leases
 	rollouts    *rollouts
+	buyer       *buyer
 	shadows     *qfhandover.Shadows
 
 	phase atomic.Value
@@ -169,6 +170,7 @@
 	n.versions = qfrollout.NewChooser(qf.Node{ID: qf.NodeID(settings.Node.ID), Incarnation: n.incarnation}, platform.Random)
 	n.leases = newLeases(n, rand.New(rand.NewPCG(platform.Random.Uint64(), platform.Random.Uint64())))
 	n.rollouts = newRollouts(n)
+	n.buyer = newBuyer(n)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -124,6 +124,7 @@
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
 	n.every(leaseStep, n.stepLeases)
 	n.every(rolloutStep, n.rollouts.step)
+	n.every(n.settings.Fleet.PlanEvery.Value(), n.buyer.step)
 	n.every(time.Second, n.expire)
 	n.followIdentity()
 	n.every(sweepEvery, n.sweepLedger)
--- a/internal/qf/coordination/qffleet/planner.go
+++ b/internal/qf/coordination/qffleet/planner.go
@@ -264,7 +264,7 @@
 // never one without which the loss of a zone would break the need.
 func (p *Planner) surplus(now time.Time, entry *EntryNeed, plan []Count, have []qf.VM, replicas int) []Action {
 	allowed := int(math.Ceil(float64(planned(plan)) * (1 + p.settings.Slack)))
-	if len(plan) == 0 || len(have) <= allowed {
+	if (len(plan) == 0 && replicas > 0) || len(have) <= allowed {
 		delete(p.lowSince, entry.Entry)
 		return nil
 	}
--- a/internal/qf/state/qfcatalogue/catalogue.go
+++ b/internal/qf/state/qfcatalogue/catalogue.go
@@ -69,8 +69,11 @@
 	// all VMs of the entry, in thousandths of the currency unit; 0 is no bound.
 	MaxPricePerHour      uint64
 	MaxTotalPricePerHour uint64
-	MinReplicas          int `validate:"gte=0"`
-	MaxReplicas          int `validate:"gte=0"`
+	// RequestsPerReplica is the number of running requests at which a replica holds
+	// the latency target; 0 keeps MinReplicas whatever the load.
+	RequestsPerReplica int `validate:"gte=0"`
+	MinReplicas        int `validate:"gte=0"`
+	MaxReplicas        int `validate:"gte=0"`
 }
 
 // Parse decodes and checks a document. It returns every fault at once.
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -18,30 +18,31 @@
 
 // The names of fields.
 const (
-	FieldNode     = "Node"
-	FieldRequest  = "Request"
-	FieldEntry    = "Entry"
-	FieldVersion  = "Version"
-	FieldEndpoint = "Endpoint"
-	FieldVM       = "VM"
-	FieldRevision = "Revision"
-	FieldPeer     = "Peer"
-	FieldCount    = "Count"
-	FieldOutcome  = "Outcome"
-	FieldReason   = "Reason"
-	FieldError    = "Error"
-	FieldAddress  = "Address"
-	FieldOperator = "Operator"
-	FieldTime     = "Time"
-	FieldName     = "Name"
-	FieldTrace    = "Trace"
-	FieldSpan     = "Span"
-	FieldParent   = "Parent"
-	FieldTook     = "Took"
-	FieldDetails  = "Details"
-	FieldAge      = "Age"
-	FieldDuty     = "Duty"
-	FieldFencing  = "Fencing"
+	FieldNode             = "Node"
+	FieldRequest          = "Request"
+	FieldEntry            = "Entry"
+	FieldVersion          = "Version"
+	FieldEndpoint         = "Endpoint"
+	FieldVM               = "VM"
+	FieldRevision         = "Revision"
+	FieldPeer             = "Peer"
+	FieldCount            = "Count"
+	FieldOutcome          = "Outcome"
+	FieldReason           = "Reason"
+	FieldError            = "Error"
+	FieldAddress          = "Address"
+	FieldOperator         = "Operator"
+	FieldTime             = "Time"
+	FieldAvailabilityZone = "AvailabilityZone"
+	FieldName             = "Name"
+	FieldTrace            = "Trace"
+	FieldSpan             = "Span"
+	FieldParent           = "Parent"
+	FieldTook             = "Took"
+	FieldDetails          = "Details"
+	FieldAge              = "Age"
+	FieldDuty             = "Duty"
+	FieldFencing          = "Fencing"
 )
 
 const (
@@ -87,6 +88,9 @@
 	IdentityLoaded  = Event{803, info, "certificates were loaded", []string{FieldName}, "Nothing."}
 	IdentityFailed  = Event{804, failure, "certificates could not be loaded", []string{FieldError}, "Mend the files; those that were loaded before stay in use."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
+	VMStarted       = Event{701, info, "VM started", []string{FieldVM, FieldEntry, FieldVersion, FieldReason}, "Nothing."}
+	VMDrained       = Event{702, info, "VM given up", []string{FieldVM, FieldReason}, "Nothing; it is stopped once it is idle."}
+	StartFailed     = Event{703, warning, "start of a VM failed", []string{FieldAvailabilityZone, FieldOutcome, FieldError}, "Nothing at once; other zones are used. See operators/reclaim.md if it lasts."}
 )
 
 // All lists every event.
@@ -126,6 +130,9 @@
 		IdentityLoaded,
 		IdentityFailed,
 		PlatformFailed,
+		VMStarted,
+		VMDrained,
+		StartFailed,
 	}
 }
 
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -59,6 +59,10 @@
 			Within:   qfdocument.Duration(30 * time.Minute),
 			WatchFor: qfdocument.Duration(5 * time.Minute),
 		},
+		Fleet: FleetSettings{
+			PlanEvery:  qfdocument.Duration(5 * time.Second),
+			StartTakes: qfdocument.Duration(4 * time.Minute),
+		},
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
 			CatalogueReadsPerSecond: 64,
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -23,6 +23,7 @@
 	Feed      FeedSettings
 	Lease     LeaseSettings
 	Rollout   RolloutSettings
+	Fleet     FleetSettings
 	Security  SecuritySettings
 	Telemetry TelemetrySettings
 }
@@ -153,6 +154,14 @@
 	ClockMargin float64 `validate:"gte=0,lte=0.5"`
 }
 
+// FleetSettings govern the purchase of VMs. They must be the same at all nodes.
+type FleetSettings struct {
+	// PlanEvery is the time between two plans.
+	PlanEvery qfdocument.Duration `validate:"gt=0"`
+	// StartTakes is the time from the order of a VM to its first request.
+	StartTakes qfdocument.Duration `validate:"gt=0"`
+}
+
 // RolloutSettings give the times of rollouts for which the catalogue gives none.
 type RolloutSettings struct {
 	// Within is the time in which traffic moves if an entry has no MoveBy.
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -55,6 +55,8 @@
 		"engine":  s.engine,
 		"service": s.service,
 		"poison":  s.poison,
+		"prices":  s.prices,
+		"cloud":   s.cloud,
 		"expect":  s.expect,
 	}
 	out := map[string]func(*testscript.TestScript, bool, []string){}
@@ -361,6 +363,41 @@
 	return nil
 }
 
+// prices ON-DEMAND RECLAIMABLE sets the prices of engines, in thousandths, in all
+// zones; without them no VM is bought.
+func (s *script) prices(_ *testscript.TestScript, args []string) error {
+	var prices []qf.Price
+	for i, class := range []qf.VMClass{qf.ClassOnDemand, qf.ClassReclaimable} {
+		perHour, err := strconv.ParseUint(args[i], 10, 64)
+		if err != nil {
+			return err
+		}
+		for _, zone := range s.d.zones {
+			prices = append(prices, qf.Price{AvailabilityZone: zone, Class: class, Role: qf.RoleModelEngine, PerHour: perHour})
+		}
+	}
+	s.d.world.Cloud.SetPrices(prices)
+	return nil
+}
+
+// cloud well | refuse ZONE | lose N sets the cloud API's fault: starts in a zone are
+// refused, or N starts and stops lose their answers.
+func (s *script) cloud(_ *testscript.TestScript, args []string) error {
+	var f standcloud.Faults
+	var err error
+	switch args[0] {
+	case "well":
+	case "refuse":
+		f.RefuseStarts = []qf.AvailabilityZone{qf.AvailabilityZone(args[1])}
+	case "lose":
+		f.LoseAnswers, err = strconv.Atoi(args[1])
+	default:
+		err = fmt.Errorf("no such fault: %s", args[0])
+	}
+	s.d.world.Cloud.SetFaults(f)
+	return err
+}
+
 // call NAME KEY PATH BODY [NODE...] sends a plain call in the background.
 func (s *script) call(_ *testscript.TestScript, args []string) error {
 	s.d.call(args[0], args[1], args[2], args[3], args[4:]...)
--- a/internal/scenario/expect_test.go
+++ b/internal/scenario/expect_test.go
@@ -25,22 +25,24 @@
 //	expect within D                no more time than D passed since mark
 //	expect no-work-after D         no engine was sent work longer than D after it heard that it leaves
 //	expect engines N               at least N engines are left
+//	expect engines-become N        N engines live at some time soon, and still 2 min later
 //	expect live N                  every node sees N live nodes at some time soon
 func (s *script) expect(_ *testscript.TestScript, args []string) error {
 	checks := map[string]func(args []string) error{
-		"executions":    s.expectExecutions,
-		"never-more":    s.expectNeverMore,
-		"truthful":      s.expectTruthful,
-		"engines":       s.expectEngines,
-		"call":          s.expectCall,
-		"refused":       s.expectRefused,
-		"edit":          s.expectEdit,
-		"one-edit":      s.expectOneEdit,
-		"revision":      s.expectRevision,
-		"never-below":   s.expectNeverBelow,
-		"within":        s.expectWithin,
-		"live":          s.expectLive,
-		"no-work-after": s.expectNoWorkAfter,
+		"executions":     s.expectExecutions,
+		"never-more":     s.expectNeverMore,
+		"truthful":       s.expectTruthful,
+		"engines":        s.expectEngines,
+		"engines-become": s.expectEnginesBecome,
+		"call":           s.expectCall,
+		"refused":        s.expectRefused,
+		"edit":           s.expectEdit,
+		"one-edit":       s.expectOneEdit,
+		"revision":       s.expectRevision,
+		"never-below":    s.expectNeverBelow,
+		"within":         s.expectWithin,
+		"live":           s.expectLive,
+		"no-work-after":  s.expectNoWorkAfter,
 	}
 	check, ok := checks[args[0]]
 	if !ok {
@@ -191,3 +193,21 @@
 	}
 	return nil
 }
+
+const allEngines = 1000
+
+func (s *script) expectEnginesBecome(args []string) error {
+	want, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	count := func() int { return len(s.vmsOf("assistant", allEngines)) }
+	if _, err := s.d.eventually(args[0]+" engines", func() bool { return count() == want }); err != nil {
+		return fmt.Errorf("%w: there are %d", err, count())
+	}
+	s.d.pause(2 * time.Minute)
+	if got := count(); got != want {
+		return fmt.Errorf("there were %s engines, and 2 min later %d", args[0], got)
+	}
+	return nil
+}
