--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -32,6 +32,18 @@
 	return choice, err
 }
 
+// IsLeaving implements qfrequest.Choosing.
+func (n *Node) IsLeaving(endpoint qf.EndpointID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		if e := &n.endpoints[i]; e.ID == endpoint {
+			return n.membership.IsDeparting(e.VM, e.Incarnation)
+		}
+	}
+	return false
+}
+
 // AttemptEnded implements qfrequest.Observer.
 func (n *Node) AttemptEnded(_ time.Time, observation qf.Observation) {
 	n.telemetry.AttemptEnded(&observation)
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
@@ -55,6 +54,7 @@
 		}
 		endpoints = append(endpoints, endpointOf(vm))
 	}
+	n.mover.keep(endpoints)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.endpoints = endpoints
@@ -106,8 +106,8 @@
 	}
 }
 
-// learnDeparture takes news that a VM leaves: no new work goes there, and what
-// runs there moves.
+// learnDeparture takes news that a VM leaves: no new work goes there. What runs
+// there moves at the mover's next step, when the whole wave of news is known.
 func (n *Node) learnDeparture(now time.Time, d qf.Departure) {
 	n.mu.Lock()
 	isNews := n.membership.LearnDeparture(now, d)
@@ -123,16 +123,6 @@
 		leaveAt := now.Add(d.In)
 		n.leaveAt.Store(&leaveAt)
 		go n.Stop("reclaim")
-		return
-	}
-	n.moveFrom(now, qf.EndpointID(d.VM))
-}
-
-func (n *Node) moveFrom(now time.Time, endpoint qf.EndpointID) {
-	for _, record := range n.records.Open() {
-		if record.Endpoint() == endpoint {
-			record.Post(qfrequest.Event{Kind: qfrequest.EventLeaving, At: now, Endpoint: endpoint})
-		}
 	}
 }
 
@@ -163,6 +153,7 @@
 	n.mu.Lock()
 	n.router.Reported(now, report)
 	n.mu.Unlock()
+	n.mover.reported(report)
 	if report.Leaving {
 		n.learnDeparture(now, qf.Departure{VM: endpoint.VM, Incarnation: endpoint.Incarnation})
 	}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/netip"
 	"strings"
@@ -202,92 +201,6 @@
 	return nil, 0, nil
 }
 
-// tokenEvery is the time between two tokens of the fake engine.
-const tokenEvery = 20 * time.Millisecond
-
-// fakeEngine implements qf.ModelEngine. Its tokens carry the attempt in which they
-// were generated and the number of tokens before them.
-type fakeEngine struct {
-	timer qf.Timer
-
-	mu sync.Mutex
-	// running counts the streams of a request that are open.
-	running map[qf.RequestID]int
-	starts  map[qf.RequestID]int
-}
-
-func newFakeEngine(timer qf.Timer) *fakeEngine {
-	return &fakeEngine{timer: timer, running: map[qf.RequestID]int{}, starts: map[qf.RequestID]int{}}
-}
-
-func (e *fakeEngine) runningOf(id qf.RequestID) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.running[id]
-}
-
-// Generate implements qf.ModelEngine.
-func (e *fakeEngine) Generate(_ context.Context, _ qf.Endpoint, r qf.GenerateRequest) (qf.PieceStream, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.running[r.Request]++
-	e.starts[r.Request]++
-	return &fakeStream{engine: e, request: r, offset: r.ResumeTokens}, nil
-}
-
-type fakeStream struct {
-	engine  *fakeEngine
-	request qf.GenerateRequest
-	offset  int
-	closed  bool
-}
-
-// Next implements qf.PieceStream.
-func (s *fakeStream) Next(ctx context.Context) (qf.Piece, error) {
-	select {
-	case <-s.engine.timer.After(tokenEvery).C():
-	case <-ctx.Done():
-		return qf.Piece{}, io.ErrUnexpectedEOF
-	}
-	piece := qf.Piece{Attempt: s.request.Attempt, Offset: s.offset}
-	if s.offset >= s.request.MaxTokens {
-		piece.End = true
-		return piece, nil
-	}
-	piece.Text = fmt.Sprintf("%d/%.4s ", s.offset, s.request.Attempt)
-	s.offset++
-	return piece, nil
-}
-
-// Close implements qf.PieceStream.
-func (s *fakeStream) Close() error {
-	s.engine.mu.Lock()
-	defer s.engine.mu.Unlock()
-	if !s.closed {
-		s.closed = true
-		s.engine.running[s.request.Request]--
-	}
-	return nil
-}
-
-func (e *fakeEngine) Load(context.Context, qf.Endpoint) (qf.LoadReport, error) {
-	return qf.LoadReport{}, nil
-}
-
-func (e *fakeEngine) CacheEvents(context.Context, qf.Endpoint, uint64) ([]qf.CacheEvent, error) {
-	return nil, nil
-}
-
-func (e *fakeEngine) Order(context.Context, qf.Endpoint, qf.Order) qf.Result[qf.LoadReport] {
-	return qf.Result[qf.LoadReport]{}
-}
-
-func (e *fakeEngine) ExportKV(context.Context, qf.Endpoint, qf.AttemptID) (qf.KVExport, error) {
-	return qf.KVExport{}, qf.NewError(qf.CodeNotFound, qf.StepResume, "", "no such attempt")
-}
-
-func (e *fakeEngine) ImportKV(context.Context, qf.Endpoint, qf.KVExport) error { return nil }
-
 // send has a node accept a request of so many tokens.
 func (f *fleet) send(node int, id qf.RequestID, tokens int) {
 	f.t.Helper()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,7 @@
 	store     *qfcatalogue.Store
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
+	mover     *mover
 	telemetry *qftelemetry.Telemetry
 	// fetching is true while a peer is asked for its catalogue.
 	fetching atomic.Bool
@@ -127,6 +128,7 @@
 		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
 		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
 	}, platform.Random)
+	n.mover = newMover(n)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -120,6 +120,7 @@
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
+	n.every(moveEvery, n.mover.step)
 	n.every(time.Second, n.expire)
 }
 
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -36,6 +36,9 @@
 	isStale := n.shadows.IsStale(from)
 	n.mu.Unlock()
 	record := qfrequest.Resumed(from, n.now(), n.settings.Request.MaxAttempts)
+	if to, ok := n.endpoint(from.Endpoint); ok {
+		record.Prefer(to, from.Attempt)
+	}
 	if isStale || n.startTaken(record) != nil {
 		return false
 	}
@@ -48,6 +51,18 @@
 	return true
 }
 
+// endpoint returns an endpoint that isn't under notice.
+func (n *Node) endpoint(id qf.EndpointID) (qf.Endpoint, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		if e := &n.endpoints[i]; e.ID == id {
+			return *e, !n.membership.IsDeparting(e.VM, e.Incarnation)
+		}
+	}
+	return qf.Endpoint{}, false
+}
+
 // startTaken runs a request that was accepted by another node. It counts against
 // the limits where they have room, but is never refused because of them.
 func (n *Node) startTaken(record *qfrequest.Record) error {
--- a/internal/qf/coordination/qfmember/membership.go
+++ b/internal/qf/coordination/qfmember/membership.go
@@ -34,8 +34,14 @@
 type departure struct {
 	incarnation qf.Incarnation
 	leaveAt     time.Time
+	// isAssumed is true if nobody said when the VM is taken.
+	isAssumed bool
 }
 
+// assumedNotice is the time until a VM is taken of which only the endpoint said
+// that it leaves.
+const assumedNotice = 2 * time.Second
+
 // New returns a view that knows only the node itself.
 func New(self qf.Node, timing Timing) *Membership {
 	return &Membership{
@@ -88,11 +94,20 @@
 }
 
 // LearnDeparture takes news that a VM leaves. It reports whether that was news.
+// The time of a departure that was only assumed is corrected when it is told.
 func (m *Membership) LearnDeparture(now time.Time, d qf.Departure) bool {
-	if known, ok := m.departures[d.VM]; ok && known.incarnation >= d.Incarnation {
+	known, ok := m.departures[d.VM]
+	if ok && known.incarnation >= d.Incarnation {
+		if known.isAssumed && d.In != 0 && known.incarnation == d.Incarnation {
+			m.departures[d.VM] = departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In)}
+		}
 		return false
 	}
-	m.departures[d.VM] = departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In)}
+	news := departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In)}
+	if d.In == 0 {
+		news = departure{incarnation: d.Incarnation, leaveAt: now.Add(assumedNotice), isAssumed: true}
+	}
+	m.departures[d.VM] = news
 	if p, ok := m.peers[qf.NodeID(d.VM)]; ok && p.node.Incarnation <= d.Incarnation {
 		p.node.State = qf.NodeLeaving
 	}
@@ -103,7 +118,11 @@
 func (m *Membership) Departures(now time.Time) []qf.Departure {
 	departures := make([]qf.Departure, 0, len(m.departures))
 	for vm, d := range m.departures {
-		departures = append(departures, qf.Departure{VM: vm, Incarnation: d.incarnation, In: d.leaveAt.Sub(now)})
+		in := d.leaveAt.Sub(now)
+		if d.isAssumed {
+			in = 0
+		}
+		departures = append(departures, qf.Departure{VM: vm, Incarnation: d.incarnation, In: in})
 	}
 	sort.Slice(departures, func(i, j int) bool { return departures[i].VM < departures[j].VM })
 	return departures
@@ -115,6 +134,12 @@
 	return ok && d.incarnation >= incarnation
 }
 
+// LeaveAt returns when a VM's incarnation is taken, if it is known to leave.
+func (m *Membership) LeaveAt(vm qf.VMID, incarnation qf.Incarnation) (time.Time, bool) {
+	d, ok := m.departures[vm]
+	return d.leaveAt, ok && d.incarnation >= incarnation
+}
+
 // stateOf derives a peer's state from the age of its news.
 func (m *Membership) stateOf(now time.Time, p *member) qf.NodeState {
 	age := now.Sub(p.newsAt)
--- /dev/null
+++ b/internal/qf/coordination/qfmove/plan.go
@@ -0,0 +1,223 @@
+// Package qfmove plans how streams leave endpoints that will be reclaimed: which
+// finish where they are, which take their KV cache along, which are resumed from
+// their text, and where they go. It does no I/O and reads no clock.
+package qfmove
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// Way says how a stream leaves.
+type Way string
+
+// The ways.
+const (
+	// WayStay lets the stream finish where it is: it ends before the reclaim.
+	WayStay Way = "Stay"
+	// WayExport moves the KV cache, so that nothing is computed again.
+	WayExport Way = "Export"
+	// WayResume has the destination compute the prompt and the text so far.
+	WayResume Way = "Resume"
+)
+
+// Stream is one answer in progress at an endpoint that leaves.
+type Stream struct {
+	Request  qf.RequestID
+	Endpoint qf.Endpoint
+	Priority int
+	// LeaveAt is when the endpoint is taken.
+	LeaveAt time.Time
+	// BytesPerSecond is the part of the endpoint's link that this node may use.
+	BytesPerSecond uint64
+	// Computed is the number of tokens in the KV cache: those of the prompt and of
+	// the answer so far.
+	Computed int
+	// Remaining bounds the tokens that are still to come.
+	Remaining int
+	// Pace is the time between two tokens, or 0 if it isn't known yet.
+	Pace time.Duration
+}
+
+// Destination is an endpoint to which streams may go.
+type Destination struct {
+	Endpoint qf.Endpoint
+	// Running is the number of requests that it is known to have.
+	Running int
+}
+
+// Network describes what moving KV cache costs.
+type Network struct {
+	BytesPerToken uint64
+	// PerExport is the time that each export takes besides its bytes.
+	PerExport time.Duration
+	// Margin is kept free before the reclaim.
+	Margin time.Duration
+}
+
+// Move is the plan for one stream.
+type Move struct {
+	Request qf.RequestID
+	Way     Way
+	// To is the zero value for WayStay, or if no destination is known; the router
+	// then chooses when the stream is resumed.
+	To     qf.Endpoint
+	Reason qf.Reason
+}
+
+// Plan decides how each stream leaves. Moves are in the order in which they must
+// start. Destinations must not include an endpoint that is under notice. A zone of
+// which VMs are under notice is used only if there is no other: a wave takes whole
+// zones, and its notices come one after the other.
+func Plan(now time.Time, streams []Stream, destinations []Destination, network Network) []Move {
+	p := newPlanner(now, streams, destinations, network)
+	ordered := slices.Clone(streams)
+	slices.SortStableFunc(ordered, func(a, b Stream) int {
+		return cmp.Or(cmp.Compare(network.value(&b), network.value(&a)), cmp.Compare(b.Priority, a.Priority),
+			cmp.Compare(a.Request, b.Request))
+	})
+	var moves, resumes []Move
+	for i := range ordered {
+		move := p.plan(&ordered[i])
+		if move.Way == WayResume {
+			resumes = append(resumes, move)
+			continue
+		}
+		moves = append(moves, move)
+	}
+	// A resumption needs nothing of the leaving endpoint, so that all start at once;
+	// exports wait for each other.
+	return append(resumes, moves...)
+}
+
+// value is the number of computed tokens that an export saves for each second of
+// the endpoint's link.
+func (n *Network) value(s *Stream) float64 {
+	took := n.transfer(s)
+	if took <= 0 {
+		return 0
+	}
+	return float64(s.Computed) / took.Seconds()
+}
+
+func (n *Network) transfer(s *Stream) time.Duration {
+	if s.BytesPerSecond == 0 {
+		return 0
+	}
+	bytes := float64(s.Computed) * float64(n.BytesPerToken)
+	return n.PerExport + time.Duration(bytes/float64(s.BytesPerSecond)*float64(time.Second))
+}
+
+// planner is one run of Plan.
+type planner struct {
+	now          time.Time
+	network      Network
+	destinations []Destination
+	// added counts the streams that were given to each destination.
+	added map[qf.EndpointID]int
+	// exportEnd and importEnd say until when an endpoint's link is in use.
+	exportEnd, importEnd map[qf.EndpointID]time.Time
+	// leavingZones holds the zones of which an endpoint leaves.
+	leavingZones map[qf.AvailabilityZone]bool
+}
+
+func newPlanner(now time.Time, streams []Stream, destinations []Destination, network Network) *planner {
+	p := &planner{
+		now: now, network: network, destinations: destinations, added: map[qf.EndpointID]int{},
+		exportEnd: map[qf.EndpointID]time.Time{}, importEnd: map[qf.EndpointID]time.Time{},
+		leavingZones: map[qf.AvailabilityZone]bool{},
+	}
+	for i := range streams {
+		p.leavingZones[streams[i].Endpoint.AvailabilityZone] = true
+	}
+	return p
+}
+
+func (p *planner) plan(s *Stream) Move {
+	left := s.LeaveAt.Sub(p.now) - p.network.Margin
+	needed := time.Duration(s.Remaining) * s.Pace
+	figures := []qf.Figure{
+		{Name: "SecondsLeft", Value: left.Seconds()},
+		{Name: "SecondsNeeded", Value: needed.Seconds()},
+		{Name: "ComputedTokens", Value: float64(s.Computed)},
+	}
+	if s.Pace > 0 && needed <= left {
+		return Move{Request: s.Request, Way: WayStay, Reason: qf.Reason{Rule: "EndsBeforeReclaim", Figures: figures}}
+	}
+	if to, ok := p.export(s); ok {
+		return Move{Request: s.Request, Way: WayExport, To: to, Reason: qf.Reason{Rule: "MostTokensPerSecond", Figures: figures}}
+	}
+	move := Move{Request: s.Request, Way: WayResume, Reason: qf.Reason{Rule: "NoTimeToExport", Figures: figures}}
+	if d := p.choose(s); d != nil {
+		move.To = d.Endpoint
+		p.added[d.Endpoint.ID]++
+	}
+	return move
+}
+
+// export reserves the links for one export, if it ends in time.
+func (p *planner) export(s *Stream) (qf.Endpoint, bool) {
+	d := p.choose(s)
+	if d == nil || s.BytesPerSecond == 0 {
+		return qf.Endpoint{}, false
+	}
+	begin := p.now
+	if end := p.exportEnd[s.Endpoint.ID]; end.After(begin) {
+		begin = end
+	}
+	if end := p.importEnd[d.Endpoint.ID]; end.After(begin) {
+		begin = end
+	}
+	end := begin.Add(p.network.transfer(s))
+	if end.After(s.LeaveAt.Add(-p.network.Margin)) {
+		return qf.Endpoint{}, false
+	}
+	p.exportEnd[s.Endpoint.ID] = end
+	p.importEnd[d.Endpoint.ID] = end
+	p.added[d.Endpoint.ID]++
+	return d.Endpoint, true
+}
+
+// choose returns the destination with the fewest requests: outside the zones that
+// leave, then in the stream's region, then by name. KV cache only fits the same
+// version, and which other version a stream may go to is the router's choice.
+func (p *planner) choose(s *Stream) *Destination {
+	var best *Destination
+	for i := range p.destinations {
+		d := &p.destinations[i]
+		e := &d.Endpoint
+		if e.Entry != s.Endpoint.Entry || e.Version != s.Endpoint.Version {
+			continue
+		}
+		if best == nil || p.isBetter(s, d, best) {
+			best = d
+		}
+	}
+	return best
+}
+
+// farPenalty is how many requests more a destination in the stream's region may
+// have than one in another region, to which traffic is slow and paid for.
+const farPenalty = 4
+
+func (p *planner) isBetter(s *Stream, a, b *Destination) bool {
+	aLeaves, bLeaves := p.leavingZones[a.Endpoint.AvailabilityZone], p.leavingZones[b.Endpoint.AvailabilityZone]
+	if aLeaves != bLeaves {
+		return bLeaves
+	}
+	if c := cmp.Compare(p.load(s, a), p.load(s, b)); c != 0 {
+		return c < 0
+	}
+	return a.Endpoint.ID < b.Endpoint.ID
+}
+
+func (p *planner) load(s *Stream, d *Destination) int {
+	load := d.Running + p.added[d.Endpoint.ID]
+	if d.Endpoint.Region != s.Endpoint.Region {
+		load += farPenalty
+	}
+	return load
+}
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -43,7 +43,8 @@
 type Departure struct {
 	VM          VMID
 	Incarnation Incarnation
-	// In is the time until the VM leaves, when the news was sent.
+	// In is the time until the VM leaves, when the news was sent; 0 means that
+	// nobody said when.
 	In time.Duration
 }
 
--- a/internal/qf/protocol/qfhandover/shadows.go
+++ b/internal/qf/protocol/qfhandover/shadows.go
@@ -88,6 +88,7 @@
 	if skip := held - record.TextFrom; skip < len(record.Text) {
 		s.record.Text = append(s.record.Text, record.Text[skip:]...)
 	}
+	s.record.Endpoint, s.record.Attempt = record.Endpoint, record.Attempt
 	if record.Final {
 		s.record.Final = true
 		s.record.Finish = record.Finish
--- a/internal/qf/protocol/qfrequest/ownership.go
+++ b/internal/qf/protocol/qfrequest/ownership.go
@@ -139,7 +139,7 @@
 	defer r.mu.Unlock()
 	out := qf.RequestRecord{
 		Generation: r.generation, Owner: owner, TimeLeft: r.Request.Deadline.Sub(now),
-		Final: r.outcome == qf.OutcomeAnswered,
+		Final: r.outcome == qf.OutcomeAnswered, Endpoint: r.lifecycle.Endpoint(), Attempt: r.lifecycle.attempt,
 	}
 	if whole {
 		out.Request = *r.Request
--- a/internal/qf/protocol/qfrequest/record.go
+++ b/internal/qf/protocol/qfrequest/record.go
@@ -38,6 +38,9 @@
 	shadowed int
 	// watched is true once a caller has read this node's answer, or is about to.
 	watched bool
+	// pace times the attempt in progress, and planned is where it moves next.
+	pace    pace
+	planned *Planned
 	// chain holds the reasons of the decisions about the request.
 	chain []Decision
 	// recomputed counts prompt and answer tokens that attempts after the first
@@ -232,6 +235,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	action := r.lifecycle.Apply(e)
+	r.pace.note(e, action.Kind)
 	switch action.Kind {
 	case ActionDeliver:
 		r.text = append(r.text, e.Piece.Text)
@@ -266,11 +270,13 @@
 		return qf.RequestRecord{}, false
 	}
 	attempts := r.lifecycle.Attempts()
+	endpoint, attempt := r.lifecycle.Endpoint(), r.lifecycle.attempt
 	r.lifecycle.Apply(Event{Kind: EventHandedOver, At: now})
 	close(r.released)
 	return qf.RequestRecord{
 		Request: *r.Request, Generation: r.generation + 1, TimeLeft: r.Request.Deadline.Sub(now),
 		Text: append([]string(nil), r.text...), Attempts: attempts,
+		Endpoint: endpoint, Attempt: attempt,
 	}, true
 }
 
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -28,6 +28,8 @@
 // Choosing picks an endpoint for a request; it joins version and route.
 type Choosing interface {
 	Choose(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) (qf.RouteChoice, error)
+	// IsLeaving reports whether an endpoint is under notice.
+	IsLeaving(endpoint qf.EndpointID) bool
 }
 
 // Config holds what a runner works with. No field may be nil.
@@ -68,6 +70,8 @@
 	moves                      int
 	silent                     qf.Subscription
 	attempt                    qf.AttemptID
+	// kvHandle names KV cache for the next attempt, if any was imported.
+	kvHandle string
 }
 
 // Run brings a record to its end. It returns when the request has ended or was
@@ -165,6 +169,9 @@
 // start chooses an endpoint and begins an attempt there.
 func (x *run) start(action Action) bool {
 	now := x.config.Timer.Now()
+	if action.Cause == StartRetry && x.config.Choosing.IsLeaving(action.Avoid) {
+		action.Cause = StartMove // An announced reclaim isn't a failure; it costs no retry.
+	}
 	x.endAttempt(action.Cause == StartMove)
 	if action.Cause == StartRetry && !x.config.Budget.Allow(now, x.record.Request) {
 		err := qf.NewError(qf.CodeBroken, qf.StepAttempt, string(action.Avoid), "the retry budget is spent")
@@ -176,6 +183,10 @@
 	if action.Avoid != "" {
 		x.avoid = append(x.avoid, action.Avoid)
 	}
+	if planned, ok := x.takePlanned(&action); ok {
+		x.kvHandle = planned.KVHandle
+		return x.begin(now, qf.RouteChoice{Endpoint: planned.To, Reason: planned.Reason}, action.Cause)
+	}
 	offset := x.record.offset()
 	choice, err := x.config.Choosing.Choose(now, x.record.Request, offset, x.avoid)
 	if err != nil && len(x.avoid) > 0 {
@@ -209,7 +220,7 @@
 	ctx, cancel := context.WithDeadline(x.ctx, x.record.Request.Deadline)
 	x.cancel = cancel
 	if x.record.Request.Kind == qf.KindModelEngine {
-		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText())
+		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText(), x.takeKVHandle())
 	} else {
 		go x.call(ctx, choice.Endpoint, x.attempt)
 	}
@@ -273,12 +284,12 @@
 }
 
 // generate runs one attempt at a model engine and posts its pieces.
-func (x *run) generate(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID, text []string) {
+func (x *run) generate(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID, text []string, kvHandle string) {
 	r := x.record.Request
 	stream, err := x.config.Engine.Generate(ctx, endpoint, qf.GenerateRequest{
 		Request: r.ID, Attempt: attempt, Entry: r.Entry, Organisation: r.Organisation,
 		Messages: r.Messages, MaxTokens: r.MaxTokens, Priority: r.Class.Priority(),
-		ResumeText: strings.Join(text, ""), ResumeTokens: len(text), Deadline: r.Deadline,
+		ResumeText: strings.Join(text, ""), ResumeTokens: len(text), KVHandle: kvHandle, Deadline: r.Deadline,
 	})
 	if err != nil {
 		x.post(ctx, brokenEvent(attempt, err))
--- a/internal/qf/request.go
+++ b/internal/qf/request.go
@@ -93,6 +93,10 @@
 	Answer *ServiceAnswer
 	// Attempts counts the attempts so far.
 	Attempts int
+	// Endpoint and Attempt name the attempt in progress. The endpoint still has the
+	// KV cache of the attempt, so that the next owner goes on there if it can.
+	Endpoint EndpointID
+	Attempt  AttemptID
 	// Update is true in a shadow that continues an earlier one: Request holds only
 	// the identifier, and Text starts with the token of the index TextFrom.
 	Update   bool
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -64,6 +64,8 @@
 	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
 	ShadowAdopted   = Event{220, info, "request adopted from its shadow", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
 	ShadowFailed    = Event{221, warning, "a peer takes no shadows", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
+	StreamsMoving   = Event{223, info, "answers leave an endpoint", []string{FieldEndpoint, FieldCount}, "Nothing."}
+	ExportFailed    = Event{224, warning, "KV cache could not be moved", []string{FieldRequest, FieldEndpoint, FieldError}, "Nothing; the answer is resumed from its text."}
 	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
@@ -79,7 +81,7 @@
 	return []Event{
 		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed, SpanEnded,
 		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
-		ShadowAdopted, ShadowFailed, OwnershipLost,
+		ShadowAdopted, ShadowFailed, OwnershipLost, StreamsMoving, ExportFailed,
 		CatalogueInUse, CatalogueFailed, CatalogueStale, CatalogueFresh, PeerFailed, DepartureKnown, PlatformFailed,
 	}
 }
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -7,6 +7,7 @@
 )
 
 const (
+	gibibyte = 1 << 30
 	mebibyte = 1 << 20
 	kibibyte = 1 << 10
 )
@@ -44,6 +45,11 @@
 			DeadAfter:     qfdocument.Duration(8 * time.Second),
 			Timeout:       qfdocument.Duration(time.Second),
 		},
+		Move: MoveSettings{
+			KVBytesPerToken:  128 * kibibyte,
+			KVBytesPerSecond: gibibyte,
+			Margin:           qfdocument.Duration(500 * time.Millisecond),
+		},
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
 			CatalogueReadsPerSecond: 64,
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -21,6 +21,7 @@
 	Request   RequestSettings
 	Peer      PeerSettings
 	Feed      FeedSettings
+	Move      MoveSettings
 	Security  SecuritySettings
 	Telemetry TelemetrySettings
 }
@@ -127,6 +128,17 @@
 	CatalogueStaleAfter qfdocument.Duration `validate:"gt=0"`
 }
 
+// MoveSettings govern how answers leave model engines that will be reclaimed.
+type MoveSettings struct {
+	// KVBytesPerToken is the size of one token's KV cache.
+	KVBytesPerToken uint64 `validate:"min=1"`
+	// KVBytesPerSecond is the rate at which an engine is expected to export KV
+	// cache until exports have been seen; 0 turns exports off.
+	KVBytesPerSecond uint64
+	// Margin is kept free before an engine is taken.
+	Margin qfdocument.Duration `validate:"gt=0"`
+}
+
 // SecuritySettings say who may call the operators' and peers' ports.
 type SecuritySettings struct {
 	// Insecure turns certificates off. It must be set on purpose.
--- a/internal/standin/standengine/engine.go
+++ b/internal/standin/standengine/engine.go
@@ -34,6 +34,10 @@
 	WrongText bool
 	// Varies makes each attempt draw its tokens anew, as an engine that samples.
 	Varies bool
+	// KVBytesPerSecond bounds exports of KV cache; 0 means that they take no time.
+	KVBytesPerSecond uint64
+	// FailExports and FailImports refuse exports and imports.
+	FailExports, FailImports bool
 	// CutEvery ends every so-many-th answer without its end mark.
 	CutEvery int
 	// CrossEvery echoes another attempt's identifier on every so-many-th answer.
--- a/internal/standin/standengine/http.go
+++ b/internal/standin/standengine/http.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -218,11 +219,22 @@
 	handle := r.URL.Query().Get("attempt")
 	e.mu.Lock()
 	tokens, ok := e.kv[handle]
+	behaviour := e.behaviour
 	e.mu.Unlock()
+	if behaviour.FailExports {
+		http.Error(w, "the export failed", http.StatusInternalServerError)
+		return
+	}
 	if !ok {
 		http.Error(w, "attempt: not known", http.StatusNotFound)
 		return
 	}
+	if rate := behaviour.KVBytesPerSecond; rate > 0 {
+		seconds := float64(tokens) * kvBytesPerToken / float64(rate)
+		if e.pause(r.Context(), time.Duration(seconds*float64(time.Second))) != nil {
+			return
+		}
+	}
 	writeJSON(w, qf.KVExport{Handle: handle, Tokens: tokens, Bytes: uint64(tokens) * kvBytesPerToken})
 }
 
@@ -234,8 +246,15 @@
 		return
 	}
 	e.mu.Lock()
-	e.kv[export.Handle] = export.Tokens
+	refused := e.behaviour.FailImports
+	if !refused {
+		e.kv[export.Handle] = export.Tokens
+	}
 	e.mu.Unlock()
+	if refused {
+		http.Error(w, "the import failed", http.StatusInternalServerError)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
