--- a/cmd/quetzalfront/node.go
+++ b/cmd/quetzalfront/node.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -12,6 +14,7 @@
 
 	"quetzalfront/internal/node"
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/qfsettings"
 )
@@ -52,11 +55,26 @@
 		return fail(err)
 	}
 	n.Wait(ctx)
+	if settings.Node.SecondSignalAborts {
+		abortOnSignal(n, &logger)
+	}
 	n.Stop("signal")
 	n.Wait(context.Background())
 	return exitOK
 }
 
+// abortOnSignal ends the node at the next signal. Without it later signals change
+// nothing, because the first one's handler stays in place.
+func abortOnSignal(n *node.Node, logger *zerolog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		qfevent.NodeAborted.Log(logger, n.Self().ID)
+		n.Kill()
+	}()
+}
+
 func newLogger(settings *qfsettings.LogSettings) zerolog.Logger {
 	level, err := zerolog.ParseLevel(settings.Level)
 	if err != nil {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -9,8 +9,15 @@
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
-// handOverMargin is how long before a reclaim the requests are handed over.
-const handOverMargin = 2 * time.Second
+const (
+	// handOverMargin is how long before a reclaim the requests are handed over.
+	handOverMargin = 2 * time.Second
+	// newsSpread is how long it takes until no node hands out the address of one
+	// that leaves.
+	newsSpread = 2 * time.Second
+	// leaveStep is how often a leaving node looks whether its time is up.
+	leaveStep = 100 * time.Millisecond
+)
 
 // Stop ends the node gracefully: it leaves the address answers, serves for as
 // long as callers may keep those, then accepts nothing more and hands over or
@@ -39,7 +46,7 @@
 	shadows := newShadower(n)
 	n.workers.Go(func() { shadows.run(n.ctx) })
 	n.exchange(n.ctx)
-	n.pause(n.leavingTime())
+	n.serveOn(n.now())
 	n.phase.Store(PhaseDraining)
 	ctx, cancel := n.untilReclaim()
 	defer cancel()
@@ -48,14 +55,19 @@
 	return true
 }
 
-// leavingTime is how long the node goes on serving after it left the answers.
-func (n *Node) leavingTime() time.Duration {
-	keep := n.settings.Request.KeepAddressesFor.Value()
-	leaveAt := n.leaveAt.Load()
-	if leaveAt == nil {
-		return keep
+// serveOn blocks for as long as callers may still come: until the last answer with
+// this node's address may not be kept any more, or until the requests must be
+// handed over. A reclaim that is announced meanwhile shortens the time.
+func (n *Node) serveOn(leftAt time.Time) {
+	until := leftAt.Add(n.settings.Request.KeepAddressesFor.Value() + newsSpread)
+	for n.ctx.Err() == nil {
+		leaveAt := n.leaveAt.Load()
+		now := n.now()
+		if !now.Before(until) || leaveAt != nil && !now.Before(leaveAt.Add(-handOverMargin)) {
+			return
+		}
+		n.pause(leaveStep)
 	}
-	return max(0, min(keep, leaveAt.Sub(n.now())-handOverMargin))
 }
 
 func (n *Node) pause(d time.Duration) {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -78,7 +78,7 @@
 	settings.Node.AvailabilityZone = fmt.Sprintf("zone-%d", i)
 	n := New(settings, Platform{
 		Timer: timer, Table: table, VMList: f, Cloud: f, Engine: f.engine, Service: nil,
-		Ledger: qfledger.New(table), Peer: &memoryPeer{fleet: f, from: qf.NodeID(settings.Node.ID)},
+		Ledger: qfledger.New(timer, table, ledgerOptions(settings)), Peer: &memoryPeer{fleet: f, from: qf.NodeID(settings.Node.ID)},
 		Logger: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, uint64(i))),
 	})
 	address := addressFor(i)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
 	"quetzalfront/internal/qf/transport/qftelemetry"
+	"quetzalfront/internal/qf/transport/qftls"
 	"quetzalfront/internal/qfsettings"
 )
 
@@ -38,6 +39,7 @@
 	Cloud   qf.Cloud
 	Engine  qf.ModelEngine
 	Service qf.PlainService
+	Prober  qf.Prober
 	Peer    qf.Peer
 	Ledger  qf.Ledger
 	Logger  zerolog.Logger
@@ -46,6 +48,9 @@
 	// Spans takes the spans in place of the exporter that the settings name; it
 	// may be nil.
 	Spans sdktrace.SpanExporter
+	// Identity is what the node shows and asks for on the peers' and operators'
+	// ports; nil means that certificates are off.
+	Identity *qftls.Identity
 }
 
 // Phase is where a node stands in its life.
@@ -76,6 +81,11 @@
 	fetching atomic.Bool
 	// stale is true while the news of the catalogue is too old for risky actions.
 	stale atomic.Bool
+	keys  *qfrequest.Keys
+	// beginning holds the once-only requests whose intent is being recorded.
+	beginning sync.Map
+	// swept is the key up to which the ledger was swept. Only the sweep uses it.
+	swept string
 
 	// mu guards the decisions, which aren't safe for concurrent use.
 	mu         sync.Mutex
@@ -135,6 +145,13 @@
 		Router: &lockedRouter{node: n}, Choosing: n, Ledger: platform.Ledger,
 		Budget: &lockedBudget{node: n}, Observer: n,
 		Self: qf.NodeID(settings.Node.ID), SilentAfter: settings.Request.SilentAfter.Value(),
+		Prober: platform.Prober, LeaveWithin: settings.Request.LeaveWithin.Value(),
+		IsCurrent: n.isCurrent,
+	})
+	n.keys = qfrequest.NewKeys(qfrequest.KeysConfig{
+		Timer: platform.Timer, Ledger: platform.Ledger, Service: platform.Service,
+		Self: qf.NodeID(settings.Node.ID), IsInProgress: n.isInProgress, IsCurrent: n.isCurrent,
+		StatusTimeout: settings.Request.SilentAfter.Value(),
 	})
 	return n
 }
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -31,12 +31,24 @@
 	endpoints := &http.Client{Transport: qftelemetry.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
 	})}
+	identity := newIdentity(&settings.Security, timer)
+	engine := qfendpoint.NewEngine(endpoints)
 	return Platform{
-		Timer: timer, Network: network, Table: table, Objects: qfobject.NewClient(p.Objects, p.Timeout.Value(), network.Dial),
+		Identity: identity,
+		Timer:    timer, Network: network, Table: table, Objects: qfobject.NewClient(p.Objects, p.Timeout.Value(), network.Dial),
 		VMList: cloud, Cloud: cloud,
-		Engine: qfendpoint.NewEngine(endpoints), Service: qfendpoint.NewService(endpoints),
-		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), network.Dial, nil),
-		Ledger: qfledger.New(table), Logger: logger,
+		Engine: engine, Prober: engine, Service: qfendpoint.NewService(endpoints),
+		Peer:   qfrpc.NewClient(timer, settings.Peer.Timeout.Value(), peerDial(identity, network.Dial), nil),
+		Ledger: qfledger.New(timer, table, ledgerOptions(settings)), Logger: logger,
 		Random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
+
+// ledgerOptions spread the table's writes for the ledger evenly over time.
+func ledgerOptions(settings *qfsettings.Settings) qfledger.Options {
+	every := settings.Request.LedgerCommitEvery.Value()
+	return qfledger.Options{
+		RecordsFor:  settings.Request.IdempotencyRecordsFor.Value(),
+		CommitEvery: func() time.Duration { return every },
+	}
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -15,6 +15,7 @@
 	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/transport/qfhttp"
 	"quetzalfront/internal/qf/transport/qfrpc"
+	"quetzalfront/internal/qf/transport/qftls"
 )
 
 const readHeaderTimeout = 10 * time.Second
@@ -22,6 +23,9 @@
 // Start listens and serves until Stop. It returns once the node's ports are
 // open.
 func (n *Node) Start() error {
+	if err := n.loadIdentity(); err != nil {
+		return err
+	}
 	callers, err := n.listen(n.settings.Node.CallerAddress)
 	if err != nil {
 		return err
@@ -38,8 +42,8 @@
 	n.join(addressOf(callers), addressOf(peers))
 	bounded := netutil.LimitListener(callers, n.settings.Request.MaxConnections)
 	n.serveHTTP(bounded, n.callersHandler())
-	n.serveHTTP(operators, n.operatorsHandler())
-	n.servePeers(peers)
+	n.serveHTTP(n.protect(operators, "operators", qftls.RoleOperator), n.operatorsHandler())
+	n.servePeers(n.protect(peers, "peers", qftls.RoleNode))
 	n.startFeeds()
 	if err := n.telemetry.ObserveState(n.observedState); err != nil {
 		return err
@@ -93,7 +97,7 @@
 
 func (n *Node) serveHTTP(listener net.Listener, handler http.Handler) {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
+		Handler: n.closing(handler), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: n.settings.Request.MaxHeaderBytes,
 	}
 	n.servers = append(n.servers, server)
@@ -104,6 +108,17 @@
 	})
 }
 
+// closing tells clients to close their connections once the node leaves, so that
+// none of them sends a request over a connection that the drain closes.
+func (n *Node) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.Phase() != PhaseServing {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 func (n *Node) servePeers(listener net.Listener) {
 	n.workers.Go(func() {
 		if err := qfrpc.Serve(listener, n.telemetry.PeerHandler(n)); err != nil {
@@ -122,6 +137,8 @@
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
 	n.every(moveEvery, n.mover.step)
 	n.every(time.Second, n.expire)
+	n.followIdentity()
+	n.every(sweepEvery, n.sweepLedger)
 }
 
 // Kill ends the node at once, as a lost VM does.
--- a/internal/node/telemetry_test.go
+++ b/internal/node/telemetry_test.go
@@ -65,6 +65,7 @@
 		if err := <-done; err != nil {
 			t.Fatal(err)
 		}
+		synctest.Wait() // The last handler has returned and ended its span.
 		second.Kill()
 		got := describe(spans.GetSpans().Snapshots())
 		want := []string{
--- a/internal/qf/protocol/qfrequest/record.go
+++ b/internal/qf/protocol/qfrequest/record.go
@@ -16,6 +16,8 @@
 	mu         sync.Mutex
 	lifecycle  *Lifecycle
 	generation qf.Generation
+	// history is what had happened when this node released the request last.
+	history History
 	// text holds the tokens of the answer so far.
 	text []string
 	// answer is the whole answer of a plain service.
@@ -46,15 +48,12 @@
 	// recomputed counts prompt and answer tokens that attempts after the first
 	// had to compute again.
 	recomputed int
-	// intent is the ledger's record of a once-only request. It is set before the
-	// runner starts.
-	intent qf.Intent
+	// plan is set exactly for a once-only request, before the runner starts.
+	plan *Plan
+	// unrecorded is the outcome that the ledger doesn't have yet, if any.
+	unrecorded *unrecordedOutcome
 }
 
-// SetIntent notes the ledger's record of a once-only request. It must be called
-// before the request runs.
-func (r *Record) SetIntent(intent qf.Intent) { r.intent = intent }
-
 // Moved says where a request goes on.
 type Moved struct {
 	Node qf.Node
@@ -80,7 +79,7 @@
 	text := request.ResumeText
 	request.ResumeText = nil
 	return &Record{
-		Request: request, lifecycle: NewLifecycle(request, maxAttempts, len(text)), generation: 1, text: text,
+		Request: request, lifecycle: NewLifecycle(request, maxAttempts, History{Tokens: len(text)}), generation: 1, text: text,
 		readers: map[*Reader]struct{}{}, events: make(chan Event, eventBuffer),
 		released: make(chan struct{}), idle: make(chan struct{}),
 	}
@@ -91,7 +90,7 @@
 	request := from.Request
 	request.Deadline = now.Add(from.TimeLeft)
 	r := NewRecord(&request, maxAttempts)
-	r.lifecycle = NewLifecycle(&request, maxAttempts, len(from.Text))
+	r.lifecycle = NewLifecycle(&request, maxAttempts, History{Tokens: len(from.Text), MayHaveRun: from.MayHaveRun})
 	r.generation = from.Generation
 	r.text = append([]string(nil), from.Text...)
 	if from.Final {
@@ -241,9 +240,7 @@
 		r.text = append(r.text, e.Piece.Text)
 		r.wake()
 	case ActionFinish:
-		if e.Answer != nil {
-			r.answer = e.Answer
-		}
+		r.answer = action.Answer
 	default:
 	}
 	return action
@@ -271,11 +268,12 @@
 	}
 	attempts := r.lifecycle.Attempts()
 	endpoint, attempt := r.lifecycle.Endpoint(), r.lifecycle.attempt
+	r.history = r.lifecycle.History()
 	r.lifecycle.Apply(Event{Kind: EventHandedOver, At: now})
 	close(r.released)
 	return qf.RequestRecord{
 		Request: *r.Request, Generation: r.generation + 1, TimeLeft: r.Request.Deadline.Sub(now),
-		Text: append([]string(nil), r.text...), Attempts: attempts,
+		Text: append([]string(nil), r.text...), Attempts: attempts, MayHaveRun: r.history.MayHaveRun,
 		Endpoint: endpoint, Attempt: attempt,
 	}, true
 }
@@ -291,7 +289,7 @@
 		return false
 	}
 	r.generation = generation
-	r.lifecycle = NewLifecycle(r.Request, maxAttempts, len(r.text))
+	r.lifecycle = NewLifecycle(r.Request, maxAttempts, r.history)
 	r.released, r.idle = make(chan struct{}), make(chan struct{})
 	return true // Events of earlier attempts that are still queued ask for nothing.
 }
--- a/internal/qf/request.go
+++ b/internal/qf/request.go
@@ -97,6 +97,9 @@
 	// KV cache of the attempt, so that the next owner goes on there if it can.
 	Endpoint EndpointID
 	Attempt  AttemptID
+	// MayHaveRun is false only if it is proven that no attempt started, so that
+	// the next owner may still refuse the request as not run.
+	MayHaveRun bool
 	// Update is true in a shadow that continues an earlier one: Request holds only
 	// the identifier, and Text starts with the token of the index TextFrom.
 	Update   bool
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -62,8 +62,10 @@
 	RequestUnknown  = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
 	RequestTaken    = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
 	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
+	LedgerSwept     = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
 	ShadowAdopted   = Event{220, info, "request adopted from its shadow", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
 	ShadowFailed    = Event{221, warning, "a peer takes no shadows", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
+	NodeAborted     = Event{225, warning, "node ended at a second signal", []string{FieldNode}, "Answers in progress were cut; unset Node.SecondSignalAborts if that isn't wanted."}
 	StreamsMoving   = Event{223, info, "answers leave an endpoint", []string{FieldEndpoint, FieldCount}, "Nothing."}
 	ExportFailed    = Event{224, warning, "KV cache could not be moved", []string{FieldRequest, FieldEndpoint, FieldError}, "Nothing; the answer is resumed from its text."}
 	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
@@ -73,16 +75,45 @@
 	CatalogueFresh  = Event{311, info, "news of the catalogue again", []string{FieldRevision}, "Nothing."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
+	PortUnprotected = Event{801, warning, "certificates are off", []string{FieldAddress, FieldName}, "Set the certificate files in [Security] unless this is a trial."}
+	PortRefused     = Event{802, warning, "a connection without a valid certificate was refused", []string{FieldAddress, FieldName, FieldError}, "Look for whoever connects from Address; see operators/certificates.md."}
+	IdentityLoaded  = Event{803, info, "certificates were loaded", []string{FieldName}, "Nothing."}
+	IdentityFailed  = Event{804, failure, "certificates could not be loaded", []string{FieldError}, "Mend the files; those that were loaded before stay in use."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
 )
 
 // All lists every event.
 func All() []Event {
 	return []Event{
-		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed, SpanEnded,
-		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
-		ShadowAdopted, ShadowFailed, OwnershipLost, StreamsMoving, ExportFailed,
-		CatalogueInUse, CatalogueFailed, CatalogueStale, CatalogueFresh, PeerFailed, DepartureKnown, PlatformFailed,
+		NodeStarted,
+		NodeLeaving,
+		NodeDrained,
+		NodeStopped,
+		ServerFailed,
+		SpanEnded,
+		RequestEnded,
+		RequestRefused,
+		RequestUnknown,
+		RequestTaken,
+		HandOverFailed,
+		LedgerSwept,
+		ShadowAdopted,
+		ShadowFailed,
+		OwnershipLost,
+		NodeAborted,
+		StreamsMoving,
+		ExportFailed,
+		CatalogueInUse,
+		CatalogueFailed,
+		CatalogueStale,
+		CatalogueFresh,
+		PeerFailed,
+		DepartureKnown,
+		PortUnprotected,
+		PortRefused,
+		IdentityLoaded,
+		IdentityFailed,
+		PlatformFailed,
 	}
 }
 
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -37,6 +37,8 @@
 			SilentAfter:           qfdocument.Duration(5 * time.Second),
 			KeepAddressesFor:      qfdocument.Duration(5 * time.Second),
 			IdempotencyRecordsFor: qfdocument.Duration(24 * time.Hour),
+			LeaveWithin:           qfdocument.Duration(10 * time.Second),
+			LedgerCommitEvery:     qfdocument.Duration(20 * time.Millisecond),
 			MaxSuspectAttempts:    2,
 		},
 		Peer: PeerSettings{
@@ -58,6 +60,7 @@
 			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
 			LoadEvery:               qfdocument.Duration(500 * time.Millisecond),
 		},
+		Security:  SecuritySettings{ReloadEvery: qfdocument.Duration(10 * time.Second)},
 		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
 	}
 }
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -42,6 +42,9 @@
 	OperatorAddress netip.AddrPort `validate:"required"`
 	// Seeds are peer addresses to ask before the VM list has answered.
 	Seeds []netip.AddrPort
+	// SecondSignalAborts makes a second SIGTERM or SIGINT end the node at once,
+	// answers in progress included. Without it only the first one counts.
+	SecondSignalAborts bool
 }
 
 // PlatformSettings say where the platform's services listen.
@@ -94,6 +97,12 @@
 	// IdempotencyRecordsFor is how long the outcome of a once-only request is
 	// kept.
 	IdempotencyRecordsFor qfdocument.Duration `validate:"gt=0"`
+	// LeaveWithin is how long after its intent a once-only attempt may leave. A
+	// node that was paused for longer asks the ledger again.
+	LeaveWithin qfdocument.Duration `validate:"gt=0"`
+	// LedgerCommitEvery is the shortest time between two transactions in which a
+	// node records intents and outcomes.
+	LedgerCommitEvery qfdocument.Duration `validate:"gt=0"`
 	// MaxSuspectAttempts bounds the attempts of a request that is suspected of
 	// crashing endpoints, over all nodes and repeats.
 	MaxSuspectAttempts int `validate:"min=1"`
@@ -143,11 +152,13 @@
 type SecuritySettings struct {
 	// Insecure turns certificates off. It must be set on purpose.
 	Insecure bool
-	// CertificateFile, KeyFile and AuthorityFile are PEM files; they are read
-	// again when they change.
+	// CertificateFile, KeyFile and AuthorityFile are PEM files: the node's
+	// certificate, its key, and the authorities by which others are judged.
 	CertificateFile string
 	KeyFile         string
 	AuthorityFile   string
+	// ReloadEvery is the time between two looks at the files for a change.
+	ReloadEvery qfdocument.Duration `validate:"gt=0"`
 }
 
 // TelemetrySettings bound the traces of requests. Metrics are always on.
@@ -217,6 +228,12 @@
 	if s.Request.MaxTimeout < s.Request.DefaultTimeout {
 		add("Request.MaxTimeout", "expected at least Request.DefaultTimeout")
 	}
+	if s.Request.IdempotencyRecordsFor <= s.Request.MaxTimeout+s.Request.LeaveWithin {
+		faults = append(faults, qfdocument.Fault{
+			Key:      "Request.IdempotencyRecordsFor",
+			Expected: "expected more than Request.MaxTimeout and Request.LeaveWithin together",
+		})
+	}
 	sec := s.Security
 	if !sec.Insecure && (sec.CertificateFile == "" || sec.KeyFile == "" || sec.AuthorityFile == "") {
 		add("Security.CertificateFile", "expected CertificateFile, KeyFile and AuthorityFile, or Insecure = true")
