qfaddress, qfmember: balance callers by their answers and find lost peers again

Cause: every caller got all nodes and took turns, so that two in three requests crossed regions; a node whose VM was under notice but which was silent stayed in the answers, because its start time was compared with the cloud's incarnation; peers that lost each other for longer than Peer.DeadAfter never exchanged again (zone_isolated in KNOWN-RED.txt). Tests that counted live nodes by the length of an address answer use LiveNodes, which is the same list as before.

--- a/internal/node/fake_engine_test.go
+++ b/internal/node/fake_engine_test.go
@@ -145,8 +145,17 @@
 	return nil
 }
 
-func (e *fakeEngine) Load(context.Context, qf.Endpoint) (qf.LoadReport, error) {
-	return qf.LoadReport{}, qf.NewError(qf.CodeUnavailable, qf.StepStatus, "", "no report")
+// Load implements qf.ModelEngine.
+func (e *fakeEngine) Load(_ context.Context, endpoint qf.Endpoint) (qf.LoadReport, error) {
+	if isClosed(e.goneOf(endpoint.ID)) {
+		return qf.LoadReport{}, qf.NewError(qf.CodeUnavailable, qf.StepStatus, string(endpoint.ID), "no connection")
+	}
+	return qf.LoadReport{Endpoint: endpoint.ID}, nil
+}
+
+// Probe implements qf.Prober.
+func (e *fakeEngine) Probe(ctx context.Context, endpoint qf.Endpoint) (qf.LoadReport, error) {
+	return e.Load(ctx, endpoint)
 }
 
 func (e *fakeEngine) CacheEvents(context.Context, qf.Endpoint, uint64) ([]qf.CacheEvent, error) {
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -57,6 +57,7 @@
 	n.mover.keep(endpoints)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.learnVanished(now, endpoints)
 	n.endpoints = endpoints
 	n.listAsOf = asOf
 	n.router.SetEndpoints(endpoints)
@@ -111,15 +112,17 @@
 func (n *Node) learnDeparture(now time.Time, d qf.Departure) {
 	n.mu.Lock()
 	isNews := n.membership.LearnDeparture(now, d)
+	isSelf := n.membership.IsSelfLeaving(now, d)
 	if isNews {
 		n.router.Departing(d.VM, d.Incarnation)
+		n.suspects.Excused(qf.EndpointID(d.VM))
 	}
 	n.mu.Unlock()
 	if !isNews {
 		return
 	}
 	qfevent.DepartureKnown.Log(&n.platform.Logger, d.VM, now.Add(d.In))
-	if qf.NodeID(d.VM) == qf.NodeID(n.settings.Node.ID) {
+	if isSelf {
 		leaveAt := now.Add(d.In)
 		n.leaveAt.Store(&leaveAt)
 		go n.Stop("reclaim")
@@ -147,6 +150,7 @@
 	}
 	report, err := load(ctx, endpoint)
 	if err != nil {
+		n.learnDeath(endpoint, err)
 		return // Silence shows in the router through the attempts.
 	}
 	now := n.now()
@@ -174,6 +178,9 @@
 	n.mu.Lock()
 	n.membership.Beat(n.catalogue.Revision(), n.records.InProgress())
 	peers := n.membership.Peers(now)
+	if lost, ok := n.membership.Probe(now); ok {
+		peers = append(peers, lost)
+	}
 	digest := n.digest(now)
 	n.mu.Unlock()
 	var exchanges sync.WaitGroup
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -77,7 +77,7 @@
 	settings.Node.ID = fmt.Sprintf("node-%d", i)
 	settings.Node.AvailabilityZone = fmt.Sprintf("zone-%d", i)
 	n := New(settings, Platform{
-		Timer: timer, Table: table, VMList: f, Cloud: f, Engine: f.engine, Service: nil,
+		Timer: timer, Table: table, VMList: f, Cloud: f, Engine: f.engine, Prober: f.engine, Service: nil,
 		Ledger: qfledger.New(timer, table, ledgerOptions(settings)), Peer: &memoryPeer{fleet: f, from: qf.NodeID(settings.Node.ID)},
 		Logger: zerolog.Nop(), Random: rand.New(rand.NewPCG(1, uint64(i))),
 	})
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfaddress"
 	"quetzalfront/internal/qf/state/qfcatalogue"
 	"quetzalfront/pkg/qfapi"
 )
@@ -13,9 +13,17 @@
 // Now implements qfhttp.Service.
 func (n *Node) Now() time.Time { return n.now() }
 
-// Addresses implements qfhttp.Service: live nodes, those of the caller's region
-// first.
+// Addresses implements qfhttp.Service. A node whose VM is under notice is left out
+// at once, even if it hasn't said that it leaves.
 func (n *Node) Addresses(from qf.Region) []qf.Node {
+	nodes := n.LiveNodes()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return qfaddress.Pick(qfaddress.Query{Region: from, Nodes: nodes, Random: n.platform.Random})
+}
+
+// LiveNodes returns all nodes to which callers may be sent.
+func (n *Node) LiveNodes() []qf.Node {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var nodes []qf.Node
@@ -24,9 +32,6 @@
 			nodes = append(nodes, node)
 		}
 	}
-	sort.SliceStable(nodes, func(i, j int) bool {
-		return nodes[i].Region == from && nodes[j].Region != from
-	})
 	return nodes
 }
 
--- a/internal/qf/coordination/qfmember/membership.go
+++ b/internal/qf/coordination/qfmember/membership.go
@@ -29,6 +29,8 @@
 	node qf.Node
 	// newsAt is when the heartbeat last rose.
 	newsAt time.Time
+	// probedAt is when a dead node was last tried.
+	probedAt time.Time
 }
 
 type departure struct {
@@ -108,12 +110,23 @@
 		news = departure{incarnation: d.Incarnation, leaveAt: now.Add(assumedNotice), isAssumed: true}
 	}
 	m.departures[d.VM] = news
-	if p, ok := m.peers[qf.NodeID(d.VM)]; ok && p.node.Incarnation <= d.Incarnation {
-		p.node.State = qf.NodeLeaving
-	}
 	return true
 }
 
+// isUnderNotice reports whether a node's VM is known to leave. Incarnations of
+// nodes are the times of their starts in milliseconds and can't be compared with
+// the cloud's; a node that started after the VM's last reclaim is of a later
+// incarnation.
+func (m *Membership) isUnderNotice(node *qf.Node) bool {
+	d, ok := m.departures[qf.VMID(node.ID)]
+	return ok && d.leaveAt.UnixMilli() > int64(node.Incarnation)
+}
+
+// IsSelfLeaving reports whether news that a VM leaves is about this node.
+func (m *Membership) IsSelfLeaving(now time.Time, d qf.Departure) bool {
+	return qf.NodeID(d.VM) == m.self.ID && now.Add(d.In).UnixMilli() > int64(m.self.Incarnation)
+}
+
 // Departures returns the news of leaving for peers.
 func (m *Membership) Departures(now time.Time) []qf.Departure {
 	departures := make([]qf.Departure, 0, len(m.departures))
@@ -146,7 +159,7 @@
 	switch {
 	case age >= m.timing.DeadAfter:
 		return qf.NodeDead
-	case p.node.State == qf.NodeLeaving:
+	case p.node.State == qf.NodeLeaving || m.isUnderNotice(&p.node):
 		return qf.NodeLeaving
 	case age >= m.timing.SuspectAfter:
 		return qf.NodeSuspect
@@ -169,6 +182,33 @@
 	return nodes
 }
 
+// forgetAfter is how long a node is dead until it is forgotten, unless the VM list
+// still names it.
+const forgetAfter = 10 * time.Minute
+
+// Probe returns the dead node that wasn't tried for the longest time, so that nodes
+// which lost each other for a while find each other again.
+func (m *Membership) Probe(now time.Time) (qf.Node, bool) {
+	var next *member
+	for id, p := range m.peers {
+		if m.stateOf(now, p) != qf.NodeDead {
+			continue
+		}
+		if now.Sub(p.newsAt) > forgetAfter {
+			delete(m.peers, id)
+			continue
+		}
+		if next == nil || p.probedAt.Before(next.probedAt) || p.probedAt.Equal(next.probedAt) && id < next.node.ID {
+			next = p
+		}
+	}
+	if next == nil {
+		return qf.Node{}, false
+	}
+	next.probedAt = now
+	return next.node, true
+}
+
 // Nodes returns the node itself and its peers.
 func (m *Membership) Nodes(now time.Time) []qf.Node {
 	return append([]qf.Node{m.self}, m.Peers(now)...)
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -32,7 +32,7 @@
 
 type commandFunc func(ts *testscript.TestScript, args []string) error
 
-// commands returns the language of the scripts. CONTRIBUTING.md lists it.
+// commands returns the language of the scripts. docs/SCENARIO-LANGUAGE.md lists it.
 func commands(t *testing.T) map[string]func(*testscript.TestScript, bool, []string) {
 	s := &script{t: t, verdicts: map[string]qfcatalogue.Verdict{}}
 	table := map[string]commandFunc{
@@ -96,7 +96,7 @@
 		return verdict.Err
 	}
 	return s.eventually("all nodes to be ready", func(n *node.Node) bool {
-		return n.IsReady() && len(n.Endpoints()) > 0 && len(n.Addresses("")) == len(d.nodes)
+		return n.IsReady() && len(n.Endpoints()) > 0 && len(n.LiveNodes()) == len(d.nodes)
 	})
 }
 
--- a/internal/standin/standnet/network.go
+++ b/internal/standin/standnet/network.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 
 	"quetzalfront/internal/qf"
 )
@@ -80,14 +81,14 @@
 	l := n.listeners[target]
 	n.mu.Unlock()
 	if l == nil {
-		return nil, dialError(errors.New("connection refused"))
+		return nil, dialError(syscall.ECONNREFUSED)
 	}
 	p := n.newPair(source, target)
 	select {
 	case l.backlog <- p.server:
 		return p.client, nil
 	case <-l.closed:
-		return nil, dialError(errors.New("connection refused"))
+		return nil, dialError(syscall.ECONNREFUSED)
 	case <-ctx.Done():
 		return nil, dialError(ctx.Err())
 	}
