--- a/cmd/quetzalfront/script_test.go
+++ b/cmd/quetzalfront/script_test.go
@@ -131,10 +131,10 @@
 	for _, a := range args[2:] {
 		seeds = append(seeds, netip.MustParseAddrPort(a))
 	}
-	client := qfclient.New(qfclient.Options{Seeds: seeds, Organisation: "parks", SilentAfter: 3 * time.Second})
 	c := ts.Value(chatsKey{}).(*chats)
 	for i := range count {
 		c.senders.Go(func() {
+			client := qfclient.New(qfclient.Options{Seeds: seeds, Organisation: "parks", SilentAfter: 3 * time.Second})
 			onToken, ended := c.watch()
 			ended(chatOnce(client, i, tokens, onToken))
 		})
--- a/internal/demo/stage.go
+++ b/internal/demo/stage.go
@@ -117,7 +117,7 @@
 func (s *stage) waitReady(ctx context.Context) error {
 	return s.waitFor(ctx, "all nodes to be ready", func() bool {
 		for _, n := range s.nodes {
-			if !n.IsReady() || len(n.Endpoints()) < s.endpoints || len(n.Addresses("")) < len(s.nodes) {
+			if !n.IsReady() || len(n.Endpoints()) < s.endpoints || len(n.LiveNodes()) < len(s.nodes) {
 				return false
 			}
 		}
--- a/internal/node/suspect_test.go
+++ b/internal/node/suspect_test.go
@@ -94,7 +94,7 @@
 	}
 	for _, n := range f.nodes {
 		eventually(t, func() bool {
-			return n.IsReady() && len(n.Endpoints()) == testEngines && len(n.Addresses("")) == 2
+			return n.IsReady() && len(n.Endpoints()) == testEngines && len(n.LiveNodes()) == 2
 		})
 	}
 	return f
--- a/internal/qf/protocol/qfrequest/attempt.go
+++ b/internal/qf/protocol/qfrequest/attempt.go
@@ -11,12 +11,12 @@
 )
 
 // generate runs one attempt at a model engine and posts its pieces.
-func (x *run) generate(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID, text []string, hop qf.Hop) {
+func (x *run) generate(ctx context.Context, endpoint qf.Endpoint, attempt qf.AttemptID, text []string, kvHandle string, hop qf.Hop) {
 	r := x.record.Request
 	stream, err := x.config.Engine.Generate(ctx, endpoint, qf.GenerateRequest{
 		Request: r.ID, Attempt: attempt, Entry: r.Entry, Organisation: r.Organisation,
 		Messages: r.Messages, MaxTokens: r.MaxTokens, Priority: r.Class.Priority(),
-		ResumeText: strings.Join(text, ""), ResumeTokens: len(text), Deadline: r.Deadline,
+		ResumeText: strings.Join(text, ""), ResumeTokens: len(text), KVHandle: kvHandle, Deadline: r.Deadline,
 		Hop: hop,
 	})
 	if err != nil {
--- a/internal/qf/protocol/qfrequest/onceonly_world_test.go
+++ b/internal/qf/protocol/qfrequest/onceonly_world_test.go
@@ -202,6 +202,9 @@
 	return qf.LoadReport{}, nil
 }
 
+// IsLeaving implements qfrequest.Choosing.
+func (*world) IsLeaving(qf.EndpointID) bool { return false }
+
 // Choose implements qfrequest.Choosing.
 func (w *world) Choose(time.Time, *qf.Request, int, []qf.EndpointID) (qf.RouteChoice, error) {
 	return qf.RouteChoice{Endpoint: qf.Endpoint{ID: "e"}}, nil
--- a/internal/qf/protocol/qfrequest/silence_test.go
+++ b/internal/qf/protocol/qfrequest/silence_test.go
@@ -51,6 +51,9 @@
 	return s
 }
 
+// IsLeaving implements qfrequest.Choosing.
+func (*site) IsLeaving(qf.EndpointID) bool { return false }
+
 // Choose implements qfrequest.Choosing.
 func (s *site) Choose(_ time.Time, r *qf.Request, _ int, avoid []qf.EndpointID) (qf.RouteChoice, error) {
 	if r.Kind == qf.KindPlainService {
--- a/internal/qf/request.go
+++ b/internal/qf/request.go
@@ -93,6 +93,10 @@
 	Answer *ServiceAnswer
 	// Attempts counts the attempts so far.
 	Attempts int
+	// Endpoint and Attempt name the attempt in progress. The endpoint still has the
+	// KV cache of the attempt, so that the next owner goes on there if it can.
+	Endpoint EndpointID
+	Attempt  AttemptID
 	// MayHaveRun is false only if it is proven that no attempt started, so that
 	// the next owner may still refuse the request as not run.
 	MayHaveRun bool
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -70,6 +70,9 @@
 	SuspectRefused  = Event{208, warning, "a request suspected of crashing endpoints is refused", []string{FieldRequest, FieldEntry}, "Find its caller; look at the endpoints' logs."}
 	ShadowAdopted   = Event{220, info, "request adopted from its shadow", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
 	ShadowFailed    = Event{221, warning, "a peer takes no shadows", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
+	NodeAborted     = Event{225, warning, "node ended at a second signal", []string{FieldNode}, "Answers in progress were cut; unset Node.SecondSignalAborts if that isn't wanted."}
+	StreamsMoving   = Event{223, info, "answers leave an endpoint", []string{FieldEndpoint, FieldCount}, "Nothing."}
+	ExportFailed    = Event{224, warning, "KV cache could not be moved", []string{FieldRequest, FieldEndpoint, FieldError}, "Nothing; the answer is resumed from its text."}
 	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
@@ -112,6 +115,9 @@
 		SuspectRefused,
 		ShadowAdopted,
 		ShadowFailed,
+		NodeAborted,
+		StreamsMoving,
+		ExportFailed,
 		OwnershipLost,
 		CatalogueInUse,
 		CatalogueFailed,
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -7,6 +7,7 @@
 )
 
 const (
+	gibibyte = 1 << 30
 	mebibyte = 1 << 20
 	kibibyte = 1 << 10
 )
@@ -63,6 +64,11 @@
 			PlanEvery:  qfdocument.Duration(5 * time.Second),
 			StartTakes: qfdocument.Duration(4 * time.Minute),
 		},
+		Move: MoveSettings{
+			KVBytesPerToken:  128 * kibibyte,
+			KVBytesPerSecond: gibibyte,
+			Margin:           qfdocument.Duration(500 * time.Millisecond),
+		},
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
 			CatalogueReadsPerSecond: 64,
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -101,7 +101,7 @@
 		return verdict.Err
 	}
 	return s.eventually("all nodes to be ready", func(n *node.Node) bool {
-		return n.IsReady() && len(n.Endpoints()) > 0 && len(n.Addresses("")) == len(d.nodes)
+		return n.IsReady() && len(n.Endpoints()) > 0 && len(n.LiveNodes()) == len(d.nodes)
 	})
 }
 
--- a/internal/scenario/expect_test.go
+++ b/internal/scenario/expect_test.go
@@ -148,7 +148,7 @@
 	if err != nil {
 		return err
 	}
-	return s.eventually(args[0]+" live nodes", func(n *node.Node) bool { return len(n.Addresses("")) == want })
+	return s.eventually(args[0]+" live nodes", func(n *node.Node) bool { return len(n.LiveNodes()) == want })
 }
 
 func (s *script) expectNoWorkAfter(args []string) error {
