qfroute: predict time to first token and cost

Cause: nodes picked endpoints by their own requests in progress alone, blind to queues, caches, links, prices, peers and failing endpoints. Change: Predictive weighs queue (late reports corrected by what was sent since), prefill of uncached tokens, links, traffic and price; draws among near-best endpoints; ejects failing and slow endpoints within a bounded share. qf.Router gains Predict, Observed, SetPrices, Sent and HealthChanges; runner passes the predicted prefill tokens. Starting and gone VMs are no candidates.

--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -28,6 +28,7 @@
 		query.Version = ""
 		choice, err = n.router.Choose(query)
 	}
+	choice.Reason.Figures = choice.Prediction.Figures()
 	choice.Reason.Rule = reason.Rule + ", " + choice.Reason.Rule
 	return choice, err
 }
@@ -37,6 +38,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.versions.Observe(observation)
+	n.router.Observed(observation)
 }
 
 // lockedRouter guards the node's router for the runner, which uses it from many
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -81,7 +81,9 @@
 			n.seed(now, vm)
 			continue
 		}
-		endpoints = append(endpoints, endpointOf(vm))
+		if vm.State == qf.VMLive || vm.State == qf.VMLeaving {
+			endpoints = append(endpoints, endpointOf(vm))
+		}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,7 @@
 		catalogue: qfcatalogue.NewCurrent(),
 		store:     qfcatalogue.NewStore(platform.Table),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
-		router:    qfroute.NewLeastOutstanding(),
+		router:    qfroute.NewPredictive(settings.Route.Config(), platform.Random, platform.Timer.Now()),
 		limiter:   qflimit.NewConcurrency(),
 		budget:    qfretry.NewBudget(),
 		versions:  qfrollout.NewTargetOnly(),
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -16,6 +16,7 @@
 		Departures:   n.membership.Departures(now),
 		RolloutStops: n.versions.Stops(),
 		LimitUses:    n.limiter.Uses(now),
+		SentLoads:    n.sentLoads(now),
 	}
 }
 
--- /dev/null
+++ b/internal/node/routing.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfevent"
+)
+
+// sentLoads tells peers what this node has in progress. It is called with the
+// lock held.
+func (n *Node) sentLoads(now time.Time) []qf.SentLoad {
+	loads := n.router.Sent(now)
+	for i := range loads {
+		loads[i].Node = qf.NodeID(n.settings.Node.ID)
+	}
+	return loads
+}
+
+// pollPrices reads the prices of VMs.
+func (n *Node) pollPrices(ctx context.Context) {
+	prices, err := n.platform.Cloud.Prices(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			qfevent.PlatformFailed.Log(&n.platform.Logger, err)
+		}
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.router.SetPrices(prices)
+}
+
+// cacheFollower is a router that follows cache events.
+type cacheFollower interface {
+	// CacheSequence returns the number of the last event of an endpoint.
+	CacheSequence(endpoint qf.EndpointID) uint64
+}
+
+// pollCaches asks the engines for the changes of their prefix caches.
+func (n *Node) pollCaches(ctx context.Context) {
+	follower, ok := n.router.(cacheFollower)
+	if !ok {
+		return
+	}
+	n.mu.Lock()
+	endpoints := n.endpoints
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Peer.Timeout.Value())
+	defer cancel()
+	var polls sync.WaitGroup
+	for _, e := range endpoints {
+		if e.Kind == qf.KindModelEngine {
+			polls.Go(func() { n.pollCache(ctx, e, follower) })
+		}
+	}
+	polls.Wait()
+}
+
+func (n *Node) pollCache(ctx context.Context, endpoint qf.Endpoint, follower cacheFollower) {
+	n.mu.Lock()
+	after := follower.CacheSequence(endpoint.ID)
+	n.mu.Unlock()
+	events, err := n.platform.Engine.CacheEvents(ctx, endpoint, after)
+	if err != nil {
+		return // The index ages, and the next poll goes on from here.
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, event := range events {
+		n.router.CacheChanged(event)
+	}
+}
+
+// logHealth logs the endpoints that were taken out of use or came back.
+func (n *Node) logHealth(context.Context) {
+	n.mu.Lock()
+	changes := n.router.HealthChanges()
+	n.mu.Unlock()
+	for _, c := range changes {
+		switch c.State {
+		case qf.HealthEjected:
+			qfevent.EndpointEjected.Log(&n.platform.Logger, c.Endpoint, c.Cause)
+		case qf.HealthTrial:
+			qfevent.EndpointTrial.Log(&n.platform.Logger, c.Endpoint)
+		default:
+			qfevent.EndpointReturned.Log(&n.platform.Logger, c.Endpoint)
+		}
+	}
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -116,6 +116,9 @@
 	n.every(feed.VMListEvery.Value(), n.pollVMList)
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
+	n.every(feed.LoadEvery.Value(), n.pollCaches)
+	n.every(feed.PricesEvery.Value(), n.pollPrices)
+	n.every(feed.LoadEvery.Value(), n.logHealth)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
 	n.every(time.Second, n.expire)
 }
--- a/internal/qf/coordination/qfroute/least.go
+++ b/internal/qf/coordination/qfroute/least.go
@@ -3,7 +3,6 @@
 package qfroute
 
 import (
-	"slices"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -12,51 +11,29 @@
 // LeastOutstanding picks the endpoint with the fewest attempts of this node in
 // progress. It is a baseline.
 type LeastOutstanding struct {
-	endpoints []qf.Endpoint
-	running   map[qf.EndpointID]int
-	departing map[qf.VMID]qf.Incarnation
+	baseline
+	running map[qf.EndpointID]int
 }
 
 // NewLeastOutstanding returns a router without endpoints.
 func NewLeastOutstanding() *LeastOutstanding {
-	return &LeastOutstanding{
-		running:   map[qf.EndpointID]int{},
-		departing: map[qf.VMID]qf.Incarnation{},
-	}
+	return &LeastOutstanding{baseline: newBaseline(), running: map[qf.EndpointID]int{}}
 }
 
-// SetEndpoints implements qf.Router.
-func (l *LeastOutstanding) SetEndpoints(endpoints []qf.Endpoint) { l.endpoints = endpoints }
-
 // Choose implements qf.Router.
 func (l *LeastOutstanding) Choose(query qf.RouteQuery) (qf.RouteChoice, error) {
 	best := -1
-	for i := range l.endpoints {
-		if !l.isCandidate(&query, &l.endpoints[i]) {
-			continue
-		}
+	for _, i := range l.candidates(&query) {
 		if best < 0 || l.running[l.endpoints[i].ID] < l.running[l.endpoints[best].ID] {
 			best = i
 		}
 	}
-	if best < 0 {
-		return qf.RouteChoice{}, qf.NewError(qf.CodeNoEndpoint, qf.StepRoute, "", "no endpoint serves the entry at present")
-	}
-	e := l.endpoints[best]
-	return qf.RouteChoice{Endpoint: e, Reason: qf.Reason{
-		Rule:    "LeastOutstanding",
-		Figures: []qf.Figure{{Name: "Running", Value: float64(l.running[e.ID])}},
-	}}, nil
+	return l.choice(&query, best, "LeastOutstanding")
 }
 
-func (l *LeastOutstanding) isCandidate(query *qf.RouteQuery, e *qf.Endpoint) bool {
-	if e.Entry != query.Request.Entry || slices.Contains(query.Excluded, e.ID) {
-		return false
-	}
-	if query.Version != "" && e.Version != query.Version {
-		return false
-	}
-	return l.departing[e.VM] < e.Incarnation
+// Predict implements qf.Router.
+func (l *LeastOutstanding) Predict(query qf.RouteQuery) (qf.RouteChoice, error) {
+	return l.Choose(query)
 }
 
 // Started implements qf.Router.
@@ -64,9 +41,6 @@
 	l.running[endpoint]++
 }
 
-// FirstToken implements qf.Router.
-func (l *LeastOutstanding) FirstToken(time.Time, qf.EndpointID, time.Duration) {}
-
 // Ended implements qf.Router.
 func (l *LeastOutstanding) Ended(_ time.Time, endpoint qf.EndpointID, _ int, _ bool) {
 	l.running[endpoint]--
@@ -74,17 +48,3 @@
 		delete(l.running, endpoint)
 	}
 }
-
-// Reported implements qf.Router.
-func (l *LeastOutstanding) Reported(time.Time, qf.LoadReport) {}
-
-// Departing implements qf.Router.
-func (l *LeastOutstanding) Departing(vm qf.VMID, incarnation qf.Incarnation) {
-	l.departing[vm] = max(l.departing[vm], incarnation)
-}
-
-// PeerSent implements qf.Router.
-func (l *LeastOutstanding) PeerSent(qf.SentLoad) {}
-
-// CacheChanged implements qf.Router.
-func (l *LeastOutstanding) CacheChanged(qf.CacheEvent) {}
--- /dev/null
+++ b/internal/qf/coordination/qfroute/predictive_test.go
@@ -0,0 +1,282 @@
+package qfroute
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func endpointsOf(count int) []qf.Endpoint {
+	endpoints := make([]qf.Endpoint, 0, count)
+	for i := range count {
+		id := fmt.Sprintf("e%04d", i)
+		endpoints = append(endpoints, qf.Endpoint{
+			ID: qf.EndpointID(id), VM: qf.VMID(id), Incarnation: 1, Kind: qf.KindModelEngine, Entry: "assistant", Version: "v1",
+			Region: qf.Region(fmt.Sprint(i % 5)), AvailabilityZone: qf.AvailabilityZone(fmt.Sprint(i % 17)),
+			Class: qf.ClassReclaimable,
+		})
+	}
+	return endpoints
+}
+
+// sameZone puts all endpoints next to the node.
+func sameZone(endpoints []qf.Endpoint) []qf.Endpoint {
+	for i := range endpoints {
+		endpoints[i].Region, endpoints[i].AvailabilityZone = "r", "z"
+	}
+	return endpoints
+}
+
+func newRouter(seed uint64, endpoints []qf.Endpoint) *Predictive {
+	p := NewPredictive(DefaultConfig(), rand.New(rand.NewPCG(seed, 1)), start)
+	p.SetEndpoints(endpoints)
+	return p
+}
+
+func queryAt(at time.Time, tokens int) qf.RouteQuery {
+	return qf.RouteQuery{
+		Now: at, Request: &qf.Request{Entry: "assistant", Class: qf.ClassInteractive, MaxTokens: 100},
+		FromZone: "z", FromRegion: "r", PromptTokens: tokens, Version: "v1",
+	}
+}
+
+func mustChoose(t *testing.T, p *Predictive, query qf.RouteQuery) qf.RouteChoice {
+	t.Helper()
+	choice, err := p.Choose(query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return choice
+}
+
+// counts chooses many times without starting anything.
+func counts(t *testing.T, p *Predictive, query qf.RouteQuery, times int) map[qf.EndpointID]int {
+	t.Helper()
+	list := map[qf.EndpointID]int{}
+	for range times {
+		list[mustChoose(t, p, query).Endpoint.ID]++
+	}
+	return list
+}
+
+func withReport(p *Predictive, id qf.EndpointID, madeAt, at time.Time, queued, tokens int) {
+	p.Reported(at, qf.LoadReport{
+		Endpoint: id, Sequence: uint64(madeAt.Sub(start)) + 1, At: madeAt, Queued: queued, QueuedTokens: tokens,
+	})
+}
+
+func TestChoiceFollowsThePrediction(t *testing.T) {
+	prefixes := []uint64{11, 12, 13, 14, 15, 16, 17, 18, 19, 20}
+	tests := []struct {
+		name    string
+		arrange func(p *Predictive, list []qf.Endpoint)
+		change  func(q *qf.RouteQuery)
+		want    qf.EndpointID
+	}{
+		{"queue ahead", func(p *Predictive, _ []qf.Endpoint) { withReport(p, "e0000", start, start, 5, 9000) }, nil, "e0001"},
+		{"own load since a late report", func(p *Predictive, _ []qf.Endpoint) {
+			for range 4 {
+				p.Started(start.Add(time.Second), "e0000", 2000)
+			}
+			withReport(p, "e0000", start, start.Add(2*time.Second), 0, 0)
+			withReport(p, "e0001", start, start.Add(2*time.Second), 2, 3000)
+		}, nil, "e0001"},
+		{"load that a late report still shows but has ended", func(p *Predictive, _ []qf.Endpoint) {
+			for i := range 3 {
+				p.Started(start.Add(time.Duration(i)*200*time.Millisecond), "e0000", 3000)
+			}
+			for range 3 {
+				p.Ended(start.Add(2*time.Second), "e0000", 3000, true)
+			}
+			withReport(p, "e0000", start.Add(time.Second), start.Add(3*time.Second), 3, 9000)
+			withReport(p, "e0001", start.Add(time.Second), start.Add(3*time.Second), 2, 2000)
+		}, nil, "e0000"},
+		{"load of peers", func(p *Predictive, _ []qf.Endpoint) {
+			p.PeerSent(qf.SentLoad{Node: "n2", Endpoint: "e0000", Running: 4, Tokens: 9000, Sequence: 1})
+		}, nil, "e0001"},
+		{"crossed news of a peer", func(p *Predictive, _ []qf.Endpoint) {
+			p.PeerSent(qf.SentLoad{Node: "n2", Endpoint: "e0000", Running: 4, Tokens: 9000, Sequence: 2})
+			p.PeerSent(qf.SentLoad{Node: "n2", Endpoint: "e0000", Sequence: 1})
+		}, nil, "e0001"},
+		{"cached prefix", func(p *Predictive, _ []qf.Endpoint) {
+			for i, prefix := range prefixes {
+				p.CacheChanged(qf.CacheEvent{Endpoint: "e0001", Sequence: uint64(i + 1), Kind: qf.CacheStored, Prefix: prefix})
+			}
+		}, func(q *qf.RouteQuery) { q.Prefixes = prefixes }, "e0001"},
+		{"load bounds affinity", func(p *Predictive, _ []qf.Endpoint) {
+			for i, prefix := range prefixes {
+				p.CacheChanged(qf.CacheEvent{Endpoint: "e0000", Sequence: uint64(i + 1), Kind: qf.CacheStored, Prefix: prefix})
+			}
+			withReport(p, "e0000", start, start, 5, 9000)
+		}, func(q *qf.RouteQuery) { q.Prefixes = prefixes }, "e0001"},
+		{"cleared cache", func(p *Predictive, _ []qf.Endpoint) {
+			for i, prefix := range prefixes {
+				p.CacheChanged(qf.CacheEvent{Endpoint: "e0000", Sequence: uint64(i + 1), Kind: qf.CacheStored, Prefix: prefix})
+			}
+			p.CacheChanged(qf.CacheEvent{Endpoint: "e0000", Sequence: 11, Kind: qf.CacheCleared})
+			withReport(p, "e0000", start, start, 0, 200)
+		}, func(q *qf.RouteQuery) { q.Prefixes = prefixes }, "e0001"},
+		{"link between regions", func(p *Predictive, list []qf.Endpoint) {
+			list[0].Region, list[0].AvailabilityZone = "far", "far-z"
+			p.SetEndpoints(append([]qf.Endpoint(nil), list...))
+		}, nil, "e0001"},
+		{"price", func(p *Predictive, list []qf.Endpoint) {
+			list[0].Class = qf.ClassOnDemand
+			p.SetEndpoints(append([]qf.Endpoint(nil), list...))
+			p.SetPrices([]qf.Price{
+				{AvailabilityZone: "z", Class: qf.ClassOnDemand, Role: qf.RoleModelEngine, PerHour: 4000},
+				{AvailabilityZone: "z", Class: qf.ClassReclaimable, Role: qf.RoleModelEngine, PerHour: 1000},
+			})
+		}, nil, "e0001"},
+		{"excluded", nil, func(q *qf.RouteQuery) { q.Excluded = []qf.EndpointID{"e0000"} }, "e0001"},
+		{"departing although listed as live", func(p *Predictive, list []qf.Endpoint) {
+			p.Departing("e0000", 1)
+			p.SetEndpoints(append([]qf.Endpoint(nil), list[1], list[0]))
+			p.SetEndpoints(append([]qf.Endpoint(nil), list...))
+			p.Departing("e0000", 0) // Older news takes nothing back.
+		}, nil, "e0001"},
+		{"the next incarnation of a VM that left", func(p *Predictive, list []qf.Endpoint) {
+			p.Departing("e0000", 1)
+			list[0].Incarnation = 2
+			p.SetEndpoints(append([]qf.Endpoint(nil), list...))
+			withReport(p, "e0001", start, start, 5, 9000)
+		}, nil, "e0000"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			list := sameZone(endpointsOf(2))
+			p := newRouter(1, append([]qf.Endpoint(nil), list...))
+			if tt.arrange != nil {
+				tt.arrange(p, list)
+			}
+			q := queryAt(start.Add(3*time.Second), 1000)
+			if tt.change != nil {
+				tt.change(&q)
+			}
+			choice, err := p.Predict(q)
+			if err != nil || choice.Endpoint.ID != tt.want {
+				t.Fatalf("chose %q (%v), want %q; %+v", choice.Endpoint.ID, err, tt.want, choice.Prediction)
+			}
+		})
+	}
+}
+
+// TestNodesDontHerd gives many nodes the same late reports. The deliberate fault
+// is a router that takes the best of the reports: all its nodes pick one.
+func TestNodesDontHerd(t *testing.T) {
+	const nodes, replicas, allowed = 64, 20, 0.5
+	share := func(choose func(node int) qf.EndpointID) float64 {
+		most, picks := 0, map[qf.EndpointID]int{}
+		for n := range nodes {
+			id := choose(n)
+			picks[id]++
+			most = max(most, picks[id])
+		}
+		return float64(most) / nodes
+	}
+	routers := make([]*Predictive, nodes)
+	for n := range routers {
+		p := newRouter(uint64(n), sameZone(endpointsOf(replicas)))
+		for i, e := range p.listed {
+			queued := 1
+			if i == 7 {
+				queued = 0
+			}
+			withReport(p, e.ID, start, start.Add(time.Second), queued, queued*300)
+		}
+		for peer := range nodes - 1 {
+			p.PeerSent(qf.SentLoad{Node: qf.NodeID(fmt.Sprint(peer)), Endpoint: "e0000", Sequence: 1})
+		}
+		for range 60 {
+			p.Choose(queryAt(start.Add(time.Second), 1000))
+		}
+		routers[n] = p
+	}
+	q := queryAt(start.Add(time.Second), 1000)
+	if got := share(func(n int) qf.EndpointID { return mustChoose(t, routers[n], q).Endpoint.ID }); got > allowed {
+		t.Errorf("%.2f of the nodes picked the same endpoint", got)
+	}
+	best := func(int) qf.EndpointID { return "e0007" }
+	if share(best) <= allowed {
+		t.Error("the check doesn't notice a herd")
+	}
+}
+
+func TestHotPrefixSpreads(t *testing.T) {
+	p := newRouter(1, sameZone(endpointsOf(6)))
+	q := queryAt(start, 2048)
+	for i := range 32 {
+		q.Prefixes = append(q.Prefixes, uint64(i+1))
+	}
+	used := map[qf.EndpointID]bool{}
+	for range 200 {
+		choice := mustChoose(t, p, q)
+		used[choice.Endpoint.ID] = true
+		p.Started(q.Now, choice.Endpoint.ID, choice.Prediction.PrefillTokens)
+	}
+	if len(used) < 3 {
+		t.Errorf("the hot prefix is on %d of 6 endpoints only", len(used))
+	}
+}
+
+func TestGapInCacheEventsEndsTrust(t *testing.T) {
+	p := newRouter(1, sameZone(endpointsOf(2)))
+	store := func(sequence, prefix uint64) {
+		p.CacheChanged(qf.CacheEvent{Endpoint: "e0000", Sequence: sequence, Kind: qf.CacheStored, Prefix: prefix})
+	}
+	cached := func(prefix uint64) int {
+		m := p.index.Lookup(p.now, []uint64{prefix})
+		p.mark(&m)
+		return 64 - int(p.uncached(p.endpoints["e0000"], &factors{tokens: 64}))
+	}
+	store(1, 100)
+	p.tick(start.Add(time.Minute))
+	store(2, 101)
+	if cached(100) == 0 || cached(101) == 0 {
+		t.Fatal("events without a gap were not believed")
+	}
+	p.tick(start.Add(2 * time.Minute))
+	store(9, 102)
+	if cached(101) != 0 {
+		t.Error("a prefix from before the gap is still believed in")
+	}
+	if cached(102) == 0 {
+		t.Error("a prefix from after the gap isn't believed in")
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []int{9, 100, 2800} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			p := newRouter(1, endpointsOf(size))
+			for i, e := range p.listed {
+				withReport(p, e.ID, start, start, i%3, i%3*500)
+			}
+			q := queryAt(start, 2000)
+			q.FromZone, q.FromRegion = "0", "0"
+			for i := range 31 {
+				q.Prefixes = append(q.Prefixes, uint64(i+1)*0x9E3779B97F4A7C15)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := p.Choose(q); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func TestChooseAllocatesNothing(t *testing.T) {
+	p := newRouter(1, endpointsOf(2800))
+	q := queryAt(start, 2000)
+	q.Prefixes = []uint64{1, 2, 3}
+	if n := testing.AllocsPerRun(100, func() { _, _ = p.Choose(q) }); n > 0 {
+		t.Errorf("%v allocations per choice", n)
+	}
+}
--- a/internal/qf/decision.go
+++ b/internal/qf/decision.go
@@ -39,9 +39,78 @@
 	Endpoint Endpoint
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
+	// Prediction holds the figures behind the choice. Its Figures method builds
+	// the reason's figures, so that the choice itself allocates nothing.
+	Prediction Prediction
 	Reason     Reason
 }
 
+// Prediction is what a router expects of a request at an endpoint.
+type Prediction struct {
+	// Queue, Prefill and Link add up to the time to the first token.
+	Queue, Prefill, Link time.Duration
+	// BetweenToken is the time from one token to the next.
+	BetweenToken time.Duration
+	// PrefillTokens are the tokens that the endpoint is expected to compute.
+	PrefillTokens int
+	// Cost is in thousandths of the currency unit.
+	Cost float64
+	// Candidates is the number of endpoints that were compared.
+	Candidates int
+}
+
+// Completion returns the time to the last of so many tokens.
+func (p *Prediction) Completion(tokens int) time.Duration {
+	return p.Queue + p.Prefill + p.Link + time.Duration(tokens)*p.BetweenToken
+}
+
+// Figures lists the prediction for a reason.
+func (p *Prediction) Figures() []Figure {
+	return []Figure{
+		{Name: "QueueSeconds", Value: p.Queue.Seconds()},
+		{Name: "PrefillSeconds", Value: p.Prefill.Seconds()},
+		{Name: "LinkSeconds", Value: p.Link.Seconds()},
+		{Name: "PrefillTokens", Value: float64(p.PrefillTokens)},
+		{Name: "Cost", Value: p.Cost},
+		{Name: "Candidates", Value: float64(p.Candidates)},
+	}
+}
+
+// HealthState says whether an endpoint gets work.
+type HealthState string
+
+// The states of an endpoint's health, as one node sees it.
+const (
+	HealthGood HealthState = "Good"
+	// HealthEjected endpoints get no work unless nothing else is left.
+	HealthEjected HealthState = "Ejected"
+	// HealthTrial endpoints get one attempt at a time.
+	HealthTrial HealthState = "Trial"
+)
+
+// HealthCause says why an endpoint was ejected.
+type HealthCause string
+
+// The causes of ejection.
+const (
+	// CauseDown means that peers fail there too.
+	CauseDown HealthCause = "Down"
+	// CauseUnreachable means that peers get answers from there.
+	CauseUnreachable HealthCause = "Unreachable"
+	// CauseFailing means that nothing is known from peers.
+	CauseFailing HealthCause = "Failing"
+	CauseSlow    HealthCause = "Slow"
+)
+
+// HealthChange is news of an endpoint's health.
+type HealthChange struct {
+	At       time.Time
+	Endpoint EndpointID
+	State    HealthState
+	// Cause is set exactly if State is HealthEjected.
+	Cause HealthCause
+}
+
 // Router picks an endpoint and learns from what becomes of attempts. It does
 // no I/O and reads no clock.
 type Router interface {
@@ -49,6 +118,8 @@
 	SetEndpoints(endpoints []Endpoint)
 	// Choose picks an endpoint, or returns an *Error with CodeNoEndpoint.
 	Choose(query RouteQuery) (RouteChoice, error)
+	// Predict answers like Choose, but remembers nothing.
+	Predict(query RouteQuery) (RouteChoice, error)
 	// Started, FirstToken and Ended report the life of an attempt.
 	Started(at time.Time, endpoint EndpointID, tokens int)
 	FirstToken(at time.Time, endpoint EndpointID, took time.Duration)
@@ -61,6 +132,14 @@
 	PeerSent(load SentLoad)
 	// CacheChanged takes a cache event.
 	CacheChanged(event CacheEvent)
+	// Observed takes the times of an attempt that has ended.
+	Observed(observation Observation)
+	// SetPrices replaces the prices of VMs.
+	SetPrices(prices []Price)
+	// Sent returns what this node has in progress at endpoints, for peers.
+	Sent(now time.Time) []SentLoad
+	// HealthChanges returns the news of endpoints' health since the last call.
+	HealthChanges() []HealthChange
 }
 
 // AdmitQuery is what a limiter is asked.
@@ -69,8 +148,11 @@
 	Request *Request
 	// Tokens estimates the tokens of prompt and answer.
 	Tokens int
-	// Predicted is the predicted time to completion at the chosen endpoint.
+	// Predicted is the predicted time to completion at the chosen endpoint, and
+	// Queue the part of it that is spent before the endpoint starts. Both are
+	// zero if nothing is known.
 	Predicted time.Duration
+	Queue     time.Duration
 	// InProgress is the node's number of requests in progress.
 	InProgress int
 }
@@ -128,6 +210,7 @@
 // Observation reports one finished attempt to rollout judgement.
 type Observation struct {
 	At           time.Time
+	Endpoint     EndpointID
 	Entry        EntryName
 	Version      Version
 	Organisation Organisation
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -59,6 +59,9 @@
 	Limit string
 	// Demand and Used are in the limit's units per second.
 	Demand, Used float64
+	// Share is the part of the limit that the node has taken. No other node may
+	// use it.
+	Share float64
 	// Sequence rises with each report of a node.
 	Sequence uint64
 }
@@ -68,8 +71,14 @@
 	Node     NodeID
 	Endpoint EndpointID
 	Running  int
+	// Tokens are the prompt tokens that the endpoint has yet to compute for the
+	// node.
 	Tokens   int
 	Sequence uint64
+	// Answered says that the node got an answer from the endpoint of late,
+	// Failing that its own attempts there fail.
+	Answered bool
+	Failing  bool
 }
 
 // Suspicion is news that a request fingerprint was in progress at an endpoint
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -10,7 +10,6 @@
 	"github.com/google/uuid"
 
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/state/qfprefix"
 )
 
 // RetryBudget says whether a retry is allowed at present.
@@ -204,7 +203,7 @@
 		At: now, Step: qf.StepRoute, Endpoint: choice.Endpoint.ID, Reason: choice.Reason, Note: string(cause),
 	})
 	x.record.apply(Event{Kind: EventStarted, At: now, Attempt: x.attempt, Endpoint: choice.Endpoint.ID})
-	x.config.Router.Started(now, choice.Endpoint.ID, x.promptTokens())
+	x.config.Router.Started(now, choice.Endpoint.ID, x.prefillTokens())
 	x.watchSilence()
 	ctx, cancel := context.WithDeadline(x.ctx, x.record.Request.Deadline)
 	x.cancel = cancel
@@ -222,7 +221,8 @@
 	return r.text[:len(r.text):len(r.text)]
 }
 
-func (x *run) promptTokens() int { return qfprefix.Tokens(x.record.Request.Messages) }
+// prefillTokens is what the router expected the endpoint to compute.
+func (x *run) prefillTokens() int { return x.choice.Prediction.PrefillTokens }
 
 // endAttempt cancels the attempt in progress and reports how it went.
 func (x *run) endAttempt(ok bool) {
@@ -234,14 +234,14 @@
 	x.silent.Stop()
 	x.silent = nil
 	now := x.config.Timer.Now()
-	x.config.Router.Ended(now, x.choice.Endpoint.ID, x.promptTokens(), ok)
+	x.config.Router.Ended(now, x.choice.Endpoint.ID, x.prefillTokens(), ok)
 	x.config.Observer.AttemptEnded(now, x.observation(now, ok))
 }
 
 func (x *run) observation(now time.Time, ok bool) qf.Observation {
 	r := x.record.Request
 	o := qf.Observation{
-		At: now, Entry: r.Entry, Version: x.choice.Endpoint.Version, Organisation: r.Organisation,
+		At: now, Endpoint: x.choice.Endpoint.ID, Entry: r.Entry, Version: x.choice.Endpoint.Version, Organisation: r.Organisation,
 		Region: x.choice.Endpoint.Region, Class: r.Class, Failed: !ok, Complete: ok, Tokens: x.tokens,
 	}
 	if !x.firstAt.IsZero() {
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -44,21 +44,24 @@
 // The events, by number. Hundreds stand for parts: 1 node, 2 request, 3
 // catalogue, 4 peers, 5 platform, 6 rollouts, 7 fleet, 8 security.
 var (
-	NodeStarted     = Event{101, info, "node started", []string{FieldNode, FieldAddress}, "Nothing."}
-	NodeLeaving     = Event{102, info, "node is leaving", []string{FieldNode, FieldReason}, "Nothing; callers move on their own."}
-	NodeDrained     = Event{103, info, "node drained", []string{FieldNode, FieldCount}, "Nothing; Count requests were handed over."}
-	NodeStopped     = Event{104, info, "node stopped", []string{FieldNode}, "Nothing."}
-	ServerFailed    = Event{105, failure, "a listener failed", []string{FieldAddress, FieldError}, "Check the address in the settings; the node stops."}
-	RequestEnded    = Event{201, zerolog.DebugLevel, "request ended", []string{FieldRequest, FieldEntry, FieldOutcome}, "Nothing."}
-	RequestRefused  = Event{202, zerolog.DebugLevel, "request refused as not run", []string{FieldEntry, FieldReason}, "Look at limits and load if there are many."}
-	RequestUnknown  = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
-	RequestTaken    = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
-	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
-	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
-	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
-	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
-	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
-	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
+	NodeStarted      = Event{101, info, "node started", []string{FieldNode, FieldAddress}, "Nothing."}
+	NodeLeaving      = Event{102, info, "node is leaving", []string{FieldNode, FieldReason}, "Nothing; callers move on their own."}
+	NodeDrained      = Event{103, info, "node drained", []string{FieldNode, FieldCount}, "Nothing; Count requests were handed over."}
+	NodeStopped      = Event{104, info, "node stopped", []string{FieldNode}, "Nothing."}
+	ServerFailed     = Event{105, failure, "a listener failed", []string{FieldAddress, FieldError}, "Check the address in the settings; the node stops."}
+	RequestEnded     = Event{201, zerolog.DebugLevel, "request ended", []string{FieldRequest, FieldEntry, FieldOutcome}, "Nothing."}
+	RequestRefused   = Event{202, zerolog.DebugLevel, "request refused as not run", []string{FieldEntry, FieldReason}, "Look at limits and load if there are many."}
+	RequestUnknown   = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
+	RequestTaken     = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
+	HandOverFailed   = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
+	EndpointEjected  = Event{240, warning, "an endpoint gets no work", []string{FieldEndpoint, FieldReason}, "See operators/overload.md; it is tried again on its own."}
+	EndpointTrial    = Event{241, info, "an endpoint is tried again", []string{FieldEndpoint}, "Nothing."}
+	EndpointReturned = Event{242, info, "an endpoint gets work again", []string{FieldEndpoint}, "Nothing."}
+	CatalogueInUse   = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
+	CatalogueFailed  = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
+	PeerFailed       = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
+	DepartureKnown   = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
+	PlatformFailed   = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
 )
 
 // All lists every event.
@@ -66,6 +69,7 @@
 	return []Event{
 		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed,
 		RequestEnded, RequestRefused, RequestUnknown, RequestTaken, HandOverFailed,
+		EndpointEjected, EndpointTrial, EndpointReturned,
 		CatalogueInUse, CatalogueFailed, PeerFailed, DepartureKnown, PlatformFailed,
 	}
 }
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -43,6 +43,14 @@
 			VMListEvery:    qfdocument.Duration(time.Second),
 			NoticesEvery:   qfdocument.Duration(500 * time.Millisecond),
 			LoadEvery:      qfdocument.Duration(500 * time.Millisecond),
+			PricesEvery:    qfdocument.Duration(30 * time.Second),
+		},
+		Route: RouteSettings{
+			ZoneDelay:     qfdocument.Duration(1500 * time.Microsecond),
+			RegionDelay:   qfdocument.Duration(30 * time.Millisecond),
+			TrafficPrice:  80,
+			CacheFor:      qfdocument.Duration(5 * time.Minute),
+			CachePrefixes: 32768,
 		},
 	}
 }
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -21,6 +21,7 @@
 	Request  RequestSettings
 	Peer     PeerSettings
 	Feed     FeedSettings
+	Route    RouteSettings
 	Security SecuritySettings
 }
 
@@ -102,7 +103,9 @@
 	CatalogueEvery qfdocument.Duration `validate:"gt=0"`
 	VMListEvery    qfdocument.Duration `validate:"gt=0"`
 	NoticesEvery   qfdocument.Duration `validate:"gt=0"`
-	LoadEvery      qfdocument.Duration `validate:"gt=0"`
+	// LoadEvery is the interval for load reports and cache events of endpoints.
+	LoadEvery   qfdocument.Duration `validate:"gt=0"`
+	PricesEvery qfdocument.Duration `validate:"gt=0"`
 }
 
 // SecuritySettings say who may call the operators' and peers' ports.
