qflimit: admit by predicted completion and by shares that follow demand

Cause: each node held the whole limit for itself, so that n nodes let n times the limit through, and nothing bounded queues at endpoints. Change: Shared holds a part of each limit per node; parts fall at once and rise only into what nobody has taken; silence freezes and then evens them. Admission refuses what would miss its deadline or wait too long, batch first, then organisations above their weight, and tells when to come back. Wired into the node with SetNodes from the VM list and membership.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -9,7 +9,6 @@
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfevent"
-	"quetzalfront/internal/qf/state/qfprefix"
 )
 
 // Accept takes a request or refuses it. The request is accepted at the moment at
@@ -66,11 +65,15 @@
 
 // admit asks the limiter.
 func (n *Node) admit(request *qf.Request) error {
+	now := n.now()
+	route := n.routeQuery(now, request, 0, nil)
 	n.mu.Lock()
-	admission := n.limiter.Admit(qf.AdmitQuery{
-		Now: n.now(), Request: request, InProgress: n.records.InProgress(),
-		Tokens: qfprefix.Tokens(request.Messages) + request.MaxTokens,
-	})
+	query := qf.AdmitQuery{
+		Now: now, Request: request, InProgress: n.records.InProgress(),
+		Tokens: route.PromptTokens + request.MaxTokens,
+	}
+	n.predict(&query, route)
+	admission := n.limiter.Admit(query)
 	if admission.Admitted {
 		n.budget.Accepted(request)
 	}
--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -10,12 +10,7 @@
 // Choose picks a version and an endpoint for a request. It implements
 // qfrequest.Choosing.
 func (n *Node) Choose(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) (qf.RouteChoice, error) {
-	query := qf.RouteQuery{
-		Now: now, Request: request,
-		FromZone: n.settings.Node.Zone(), FromRegion: qf.Region(n.settings.Node.Region),
-		PromptTokens: qfprefix.Tokens(request.Messages), ResumeTokens: resumeTokens,
-		Prefixes: qfprefix.Hashes(request.Messages), Excluded: avoid,
-	}
+	query := n.routeQuery(now, request, resumeTokens, avoid)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	version, reason := n.versions.Choose(qf.VersionQuery{
@@ -33,6 +28,26 @@
 	return choice, err
 }
 
+func (n *Node) routeQuery(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) qf.RouteQuery {
+	return qf.RouteQuery{
+		Now: now, Request: request,
+		FromZone: n.settings.Node.Zone(), FromRegion: qf.Region(n.settings.Node.Region),
+		PromptTokens: qfprefix.Tokens(request.Messages), ResumeTokens: resumeTokens,
+		Prefixes: qfprefix.Hashes(request.Messages), Excluded: avoid,
+	}
+}
+
+// predict tells the limiter when the request would be complete. Without an
+// endpoint nothing is known. It is called with the lock held.
+func (n *Node) predict(query *qf.AdmitQuery, route qf.RouteQuery) {
+	choice, err := n.router.Predict(route)
+	if err != nil {
+		return
+	}
+	query.Queue = choice.Prediction.Queue
+	query.Predicted = choice.Prediction.Completion(query.Request.MaxTokens)
+}
+
 // AttemptEnded implements qfrequest.Observer.
 func (n *Node) AttemptEnded(_ time.Time, observation qf.Observation) {
 	n.mu.Lock()
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -72,11 +72,15 @@
 	}
 	now := n.now()
 	var endpoints []qf.Endpoint
+	var nodes []qf.NodeID
 	for i := range vms {
 		vm := &vms[i]
 		if vm.State == qf.VMLeaving {
 			n.learnDeparture(now, qf.Departure{VM: vm.ID, Incarnation: vm.Incarnation, In: vm.LeaveAt.Sub(now)})
 		}
+		if vm.Role == qf.RoleEntryNode && vm.State != qf.VMGone && vm.State != qf.VMStarting {
+			nodes = append(nodes, qf.NodeID(vm.ID))
+		}
 		if vm.Role == qf.RoleEntryNode {
 			n.seed(now, vm)
 			continue
@@ -88,6 +92,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.endpoints = endpoints
+	n.listedNodes = nodes
 	n.listAsOf = asOf
 	n.router.SetEndpoints(endpoints)
 }
@@ -201,6 +206,7 @@
 	n.mu.Lock()
 	n.membership.Beat(n.catalogue.Revision(), n.records.InProgress())
 	peers := n.membership.Peers(now)
+	n.shareLimits(now, peers)
 	digest := n.digest(now)
 	n.mu.Unlock()
 	var exchanges sync.WaitGroup
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,8 @@
 	versions   *qfrollout.TargetOnly
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
+	// listedNodes are the entry nodes that the VM list doesn't say are gone.
+	listedNodes []qf.NodeID
 
 	phase atomic.Value
 	// leaveAt is when the node's VM is taken, if that is known.
@@ -96,7 +98,7 @@
 		store:     qfcatalogue.NewStore(platform.Table),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
 		router:    qfroute.NewPredictive(settings.Route.Config(), platform.Random, platform.Timer.Now()),
-		limiter:   qflimit.NewConcurrency(),
+		limiter:   qflimit.NewShared(settings.GuardConfig()),
 		budget:    qfretry.NewBudget(),
 		versions:  qfrollout.NewTargetOnly(),
 		ctx:       ctx,
--- /dev/null
+++ b/internal/qf/coordination/qflimit/shared.go
@@ -0,0 +1,245 @@
+package qflimit
+
+import (
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// Shared admits by predicted completion, and by the node's shares of the
+// catalogue's limits, which nodes move between them as demand does.
+type Shared struct {
+	guard  guard
+	limits []limit
+	self   qf.NodeID
+	// live has at least one element once SetNodes was called.
+	live      []liveNode
+	sequence  uint64
+	movedAt   time.Time
+	forgetsAt time.Time
+}
+
+// limit is a limit with this node's shares of it.
+type limit struct {
+	qf.Limit
+	shares []*share
+}
+
+// liveNode is a node that isn't known to be gone.
+type liveNode struct {
+	id    qf.NodeID
+	since time.Time
+	// wasHeard says that the node has told its uses, even if it had none.
+	wasHeard bool
+}
+
+// NewShared returns a limiter without limits.
+func NewShared(config GuardConfig) *Shared { return &Shared{guard: newGuard(config)} }
+
+// SetLimits implements qf.Limiter. A limit that only changes its bound keeps what
+// is in use.
+func (s *Shared) SetLimits(limits []qf.Limit) {
+	known := map[string]*share{}
+	for i := range s.limits {
+		for _, sh := range s.limits[i].shares {
+			known[sh.name] = sh
+		}
+	}
+	s.limits = s.limits[:0]
+	for i := range limits {
+		s.limits = append(s.limits, limit{Limit: limits[i], shares: sharesOf(&limits[i], known)})
+	}
+	s.guard.setWeights(limits)
+	s.movedAt = time.Time{}
+}
+
+func sharesOf(l *qf.Limit, known map[string]*share) []*share {
+	var shares []*share
+	for _, d := range []struct {
+		kind  dimension
+		total float64
+	}{{concurrency, float64(l.Concurrency)}, {requests, l.RequestsPerSecond}, {tokens, l.TokensPerSecond}} {
+		if d.total <= 0 {
+			continue
+		}
+		sh := newShare(l.Name, d.kind, d.total)
+		if old := known[sh.name]; old != nil {
+			old.part *= d.total / old.total
+			old.total = d.total
+			sh = old
+		}
+		shares = append(shares, sh)
+	}
+	return shares
+}
+
+// units is what a request takes from a dimension.
+func units(sh *share, tokenCount int) float64 {
+	if sh.kind == tokens {
+		return float64(tokenCount)
+	}
+	return 1
+}
+
+// Admit implements qf.Limiter.
+func (s *Shared) Admit(query qf.AdmitQuery) qf.Admission {
+	s.rebalance(query.Now)
+	if admission := s.withinLimits(&query); !admission.Admitted {
+		return admission
+	}
+	if admission := s.guard.check(&query); !admission.Admitted {
+		return admission
+	}
+	s.each(query.Request, func(sh *share) { sh.take(units(sh, query.Tokens)) })
+	s.guard.tenant(query.Request).running++
+	return qf.Admission{Admitted: true, Reason: qf.Reason{Rule: "WithinLimits"}}
+}
+
+// withinLimits asks every share and notes the demand at each.
+func (s *Shared) withinLimits(query *qf.AdmitQuery) qf.Admission {
+	answer := qf.Admission{Admitted: true}
+	s.each(query.Request, func(sh *share) {
+		n := units(sh, query.Tokens)
+		sh.want(query.Now, n)
+		open, wait := sh.isOpen(query.Now, n)
+		if open {
+			return
+		}
+		sh.refused++
+		answer = qf.Admission{
+			Code: qf.CodeLimited, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter),
+			Reason: qf.Reason{Rule: "Limit " + sh.name, Figures: []qf.Figure{
+				{Name: "Share", Value: sh.part}, {Name: "Used", Value: sh.used}, {Name: "Total", Value: sh.total},
+			}},
+		}
+	})
+	return answer
+}
+
+func (s *Shared) each(r *qf.Request, do func(sh *share)) {
+	for i := range s.limits {
+		if !Applies(&s.limits[i].Limit, r) {
+			continue
+		}
+		for _, sh := range s.limits[i].shares {
+			do(sh)
+		}
+	}
+}
+
+// Released implements qf.Limiter. Tokens that were estimated for the answer but
+// not used go back.
+func (s *Shared) Released(now time.Time, request *qf.Request, used int) {
+	s.each(request, func(sh *share) {
+		switch sh.kind {
+		case concurrency:
+			sh.give(1)
+		case tokens:
+			sh.fill(now, 0)
+			sh.give(float64(max(request.MaxTokens-used, 0)))
+		}
+	})
+	t := s.guard.tenant(request)
+	t.running = max(t.running-1, 0)
+}
+
+// rebalanceEvery is the least time between two moves of shares.
+const rebalanceEvery = 200 * time.Millisecond
+
+func (s *Shared) rebalance(now time.Time) {
+	if len(s.live) == 0 {
+		s.live = []liveNode{{id: s.self, since: now}}
+	}
+	if now.Sub(s.movedAt) < rebalanceEvery && now.After(s.movedAt) {
+		return
+	}
+	s.movedAt = now
+	for i := range s.limits {
+		for _, sh := range s.limits[i].shares {
+			sh.rebalance(now, s.self, s.live)
+		}
+	}
+	if now.After(s.forgetsAt) {
+		s.guard.forget(now)
+		s.forgetsAt = now.Add(activeFor)
+	}
+}
+
+// Uses implements qf.Limiter.
+func (s *Shared) Uses(now time.Time) []qf.LimitUse {
+	s.rebalance(now)
+	s.sequence++
+	// The first element names no limit: it tells that the node knows no others.
+	uses := []qf.LimitUse{{Node: s.self, Sequence: s.sequence}}
+	for i := range s.limits {
+		for _, sh := range s.limits[i].shares {
+			sh.decay(now)
+			uses = append(uses, sh.use(s.self, s.sequence))
+		}
+	}
+	return uses
+}
+
+// PeerUses implements qf.Limiter.
+func (s *Shared) PeerUses(now time.Time, uses []qf.LimitUse) {
+	for u := range uses {
+		if uses[u].Node == s.self {
+			continue
+		}
+		s.hear(uses[u].Node)
+		for i := range s.limits {
+			for _, sh := range s.limits[i].shares {
+				if sh.name == uses[u].Limit {
+					sh.heard(now, &uses[u])
+				}
+			}
+		}
+	}
+}
+
+func (s *Shared) hear(node qf.NodeID) {
+	for i := range s.live {
+		if s.live[i].id == node {
+			s.live[i].wasHeard = true
+		}
+	}
+}
+
+// SetNodes implements qf.Limiter. Live are the nodes that aren't known to be
+// gone: one that is only silent keeps its part.
+func (s *Shared) SetNodes(now time.Time, self qf.NodeID, live []qf.NodeID) {
+	s.self = self
+	known := s.live
+	s.live = make([]liveNode, 0, len(live)+1)
+	s.live = append(s.live, liveNode{id: self, since: now})
+	for _, id := range live {
+		if id == self {
+			continue
+		}
+		node := liveNode{id: id, since: now}
+		for _, k := range known {
+			if k.id == id {
+				node = k
+			}
+		}
+		s.live = append(s.live, node)
+	}
+	for i := range s.limits {
+		for _, sh := range s.limits[i].shares {
+			sh.keepOnly(s.live)
+		}
+	}
+}
+
+// keepOnly forgets the peers that are gone.
+func (s *share) keepOnly(live []liveNode) {
+	for id := range s.peers {
+		isLive := false
+		for _, node := range live {
+			isLive = isLive || node.id == id
+		}
+		if !isLive {
+			delete(s.peers, id)
+		}
+	}
+}
--- a/internal/qf/coordination/qfroute/draw.go
+++ b/internal/qf/coordination/qfroute/draw.go
@@ -18,7 +18,7 @@
 	// and the way.
 	blindTime = 300 * time.Millisecond
 	// levelRounds bounds the rounds in which the water level is found.
-	levelRounds = 8
+	levelRounds = 4
 )
 
 // unseenWork is the prefill time, in seconds, that peers may have sent to one
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -45,6 +45,10 @@
 			LoadEvery:      qfdocument.Duration(500 * time.Millisecond),
 			PricesEvery:    qfdocument.Duration(30 * time.Second),
 		},
+		Overload: OverloadSettings{
+			InteractiveQueue: qfdocument.Duration(1500 * time.Millisecond),
+			BatchQueue:       qfdocument.Duration(500 * time.Millisecond),
+		},
 		Route: RouteSettings{
 			ZoneDelay:     qfdocument.Duration(1500 * time.Microsecond),
 			RegionDelay:   qfdocument.Duration(30 * time.Millisecond),
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -22,6 +22,7 @@
 	Peer     PeerSettings
 	Feed     FeedSettings
 	Route    RouteSettings
+	Overload OverloadSettings
 	Security SecuritySettings
 }
 
