--- a/cmd/quetzalfront/standin.go
+++ b/cmd/quetzalfront/standin.go
@@ -7,6 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qfdocument"
 	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/standin/standworld"
@@ -29,16 +30,20 @@
 	if faults := qfdocument.Decode(data, fleet); len(faults) > 0 {
 		return printFaults(path, faults)
 	}
-	world := standworld.New(qftimer.NewWall())
+	world := standworld.New(qftimer.NewWall(), qf.TCP())
 	defer world.Close()
 	table, cloud, err := world.Serve(fleet.TableAddress, fleet.CloudAddress)
 	if err != nil {
 		return fail(err)
 	}
+	objects, weights, err := world.ServeStores(fleet.ObjectsAddress, fleet.WeightsAddress)
+	if err != nil {
+		return fail(err)
+	}
 	if err := world.Populate(ctx, fleet); err != nil {
 		return fail(err)
 	}
-	fmt.Printf("table %s\ncloud %s\n", table, cloud)
+	fmt.Printf("table %s\ncloud %s\nobjects %s\nweights %s\n", table, cloud, objects, weights)
 	<-ctx.Done()
 	return exitOK
 }
--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -9,6 +9,7 @@
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfevent"
+	"quetzalfront/internal/qf/transport/qftelemetry"
 )
 
 // Accept takes a request or refuses it. The request is accepted at the moment at
@@ -44,9 +45,28 @@
 		err.Ran = qf.RanNo
 		return nil, err
 	}
+	if isOutdated(record, request) {
+		return nil, nil
+	}
 	return record, nil
 }
 
+// isOutdated reports whether a record can't go on from what the caller has: it
+// holds another text, or it points to the node that the caller has just lost. The
+// caller's text decides, so that every repeat makes progress.
+func isOutdated(record *qfrequest.Record, request *qf.Request) bool {
+	progress := record.Whole()
+	if progress.Moved != nil {
+		return request.PreviousNode.IsValid() && progress.Moved.Node.CallerAddress == request.PreviousNode
+	}
+	for i := range min(len(progress.Text), len(request.ResumeText)) {
+		if progress.Text[i] != request.ResumeText[i] {
+			return true
+		}
+	}
+	return false
+}
+
 func isSameRequest(a, b *qf.Request) bool {
 	return a.Organisation == b.Organisation && a.Entry == b.Entry && a.Key == b.Key &&
 		a.Method == b.Method && a.Path == b.Path && bytes.Equal(a.Body, b.Body) &&
@@ -75,7 +95,7 @@
 	n.predict(&query, route)
 	admission := n.limiter.Admit(query)
 	if admission.Admitted {
-		n.budget.Accepted(request)
+		n.budget.Accepted(n.now(), request)
 	}
 	n.mu.Unlock()
 	if admission.Admitted {
@@ -92,29 +112,75 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.limiter.Released(n.now(), request, tokens)
+	n.suspectOver(request.ID)
 }
 
 // record accepts an admitted request and runs it.
 func (n *Node) record(ctx context.Context, request *qf.Request) (*qfrequest.Record, error) {
 	record := qfrequest.NewRecord(request, n.settings.Request.MaxAttempts)
+	if old := n.records.Get(request.ID); old != nil {
+		record.Raise(old.Generation() + 1)
+		old.Supersede(n.now(), n.Self(), record.Generation())
+	}
 	if !request.OnceOnly() {
 		return record, n.start(record)
 	}
-	intent, err := n.platform.Ledger.Begin(ctx, request, qf.NodeID(n.settings.Node.ID))
+	return n.recordOnceOnly(ctx, record)
+}
+
+// recordOnceOnly plans the first attempt, records the intent to run it and only
+// then accepts the request.
+func (n *Node) recordOnceOnly(ctx context.Context, record *qfrequest.Record) (*qfrequest.Record, error) {
+	request := record.Request
+	choice, err := n.Choose(n.now(), request, 0, nil)
+	if err != nil {
+		return nil, n.refuse(request, qf.CodeOf(err), err.Error())
+	}
+	n.beginning.Store(request.ID, true)
+	defer n.beginning.Delete(request.ID)
+	intent, err := n.keys.Open(ctx, record, choice)
 	if err != nil {
 		return nil, err
 	}
 	if intent.State != qf.IntentFresh {
 		return n.earlier(record, intent)
 	}
-	record.SetIntent(intent)
 	if err := n.start(record); err != nil {
-		_ = n.platform.Ledger.Finish(ctx, request, intent, qf.OutcomeNotRun, nil) // The intent stays if this fails.
+		_ = n.platform.Ledger.Finish(ctx, request, intent, qf.OutcomeNotRun, nil) // The ledger remembers a failure.
 		return nil, err
 	}
 	return record, nil
 }
 
+// isInProgress reports whether the owner of an intent lives and works on it.
+func (n *Node) isInProgress(intent qf.Intent) bool {
+	if string(intent.Owner) == n.settings.Node.ID {
+		_, isBeginning := n.beginning.Load(intent.Request)
+		return isBeginning || n.records.Get(intent.Request) != nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, peer := range n.membership.Peers(n.now()) {
+		if peer.ID == intent.Owner {
+			return peer.State == qf.NodeLive || peer.State == qf.NodeLeaving
+		}
+	}
+	return false
+}
+
+// isCurrent reports whether an endpoint is listed in the same incarnation.
+func (n *Node) isCurrent(endpoint qf.Endpoint) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		e := &n.endpoints[i]
+		if e.ID == endpoint.ID && e.Incarnation == endpoint.Incarnation && e.Address == endpoint.Address {
+			return true
+		}
+	}
+	return false
+}
+
 // earlier answers a once-only request whose key was used before.
 func (n *Node) earlier(record *qfrequest.Record, intent qf.Intent) (*qfrequest.Record, error) {
 	switch intent.State {
@@ -130,6 +196,7 @@
 	case qf.IntentUnknown:
 		err := qf.NewError(qf.CodeBroken, qf.StepIntent, string(intent.Owner), "the request may have run; its outcome is unknown")
 		err.Ran = qf.RanUnknown
+		err.RetryAfter = refusedRetryAfter
 		return nil, err
 	default:
 		if running := n.records.Get(intent.Request); running != nil {
@@ -148,19 +215,30 @@
 	if err := n.records.Add(record); err != nil {
 		return err
 	}
-	n.run(record)
+	n.run(record, true)
+	if record.Request.PreviousNode.IsValid() || len(record.Whole().Text) > 0 {
+		n.stopPrevious(record)
+	}
 	return nil
 }
 
-func (n *Node) run(record *qfrequest.Record) {
+// run runs a record. isCounted says whether its end is reported to the limiter.
+func (n *Node) run(record *qfrequest.Record, isCounted bool) {
 	n.running.Add(1)
 	go func() {
 		defer n.running.Done()
-		n.runner.Run(n.ctx, record)
+		n.runner.Run(qftelemetry.ContextWith(n.ctx, record.Request.TraceParent), record)
 		n.records.Ended()
-		progress := record.Progress(0)
-		n.release(record.Request, len(progress.Text))
+		progress := record.Whole()
+		if isCounted {
+			n.release(record.Request, len(progress.Text))
+		}
+		n.telemetry.RequestEnded(record.Request, progress.Outcome, record.Recomputed())
 		n.logEnd(record, &progress)
+		if progress.Outcome == qf.OutcomeAnswered {
+			n.acquit(record.Request)
+		}
+		n.runner.Conclude(n.ctx, record)
 	}()
 }
 
@@ -172,13 +250,3 @@
 	}
 	qfevent.RequestEnded.Log(&n.platform.Logger, r.ID, r.Entry, progress.Outcome)
 }
-
-// Find returns a record that the node has, or an error with CodeNotFound or
-// CodeMoved.
-func (n *Node) Find(_ context.Context, id qf.RequestID) (*qfrequest.Record, error) {
-	record := n.records.Get(id)
-	if record == nil {
-		return nil, qf.NewError(qf.CodeNotFound, qf.StepResume, n.settings.Node.ID, "the request isn't known here")
-	}
-	return record, nil
-}
--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -11,19 +11,38 @@
 // qfrequest.Choosing.
 func (n *Node) Choose(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) (qf.RouteChoice, error) {
 	query := n.routeQuery(now, request, resumeTokens, avoid)
+	isSuspect, err := n.screen(now, request)
+	if err != nil {
+		return qf.RouteChoice{}, err
+	}
+	choice, err := n.route(&query, isSuspect)
+	if err == nil && isSuspect {
+		err = n.claim(request)
+	}
+	return choice, err
+}
+
+// route asks for a version and then for an endpoint.
+func (n *Node) route(query *qf.RouteQuery, isSuspect bool) (qf.RouteChoice, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	request := query.Request
+	n.suspectOver(request.ID)
 	version, reason := n.versions.Choose(qf.VersionQuery{
-		Now: now, Entry: request.Entry, Organisation: request.Organisation, Region: query.FromRegion,
+		Now: query.Now, Entry: request.Entry, Organisation: request.Organisation, Region: query.FromRegion,
 		Class: request.Class, OnceOnly: request.OnceOnly(), Draw: n.platform.Random.Float64(),
 	})
 	query.Version = version
-	choice, err := n.router.Choose(query)
+	avoid := query.Excluded
+	query.Excluded = append(n.unusedOf(request.Entry, version), avoid...)
+	choice, err := n.choose(query, isSuspect)
 	if err != nil && version != "" {
-		query.Version = ""
-		choice, err = n.router.Choose(query)
+		query.Version, query.Excluded = "", avoid
+		choice, err = n.choose(query, isSuspect)
+		choice.Forced = true
 	}
 	choice.Reason.Figures = choice.Prediction.Figures()
+	choice.Load = n.loads[choice.Endpoint.ID]
 	choice.Reason.Rule = reason.Rule + ", " + choice.Reason.Rule
 	return choice, err
 }
@@ -50,10 +69,20 @@
 
 // AttemptEnded implements qfrequest.Observer.
 func (n *Node) AttemptEnded(_ time.Time, observation qf.Observation) {
+	n.telemetry.AttemptEnded(&observation)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		if e := &n.endpoints[i]; e.ID == observation.Endpoint && n.membership.IsDeparting(e.VM, e.Incarnation) {
+			observation.Cut = true
+		}
+	}
+	// A route is the caller's side; the runner tells the endpoint's region.
+	observation.EndpointRegion, observation.Region = observation.Region, qf.Region(n.settings.Node.Region)
 	n.versions.Observe(observation)
 	n.router.Observed(observation)
+	n.budget.Observe(&observation)
+	n.suspectOver(observation.Request)
 }
 
 // lockedRouter guards the node's router for the runner, which uses it from many
@@ -89,9 +118,10 @@
 	node *Node
 }
 
-// Allow implements qfrequest.RetryBudget.
-func (l *lockedBudget) Allow(now time.Time, request *qf.Request) bool {
+// Retry implements qfrequest.RetryBudget.
+func (l *lockedBudget) Retry(query qf.RetryQuery) qf.RetryVerdict {
 	l.node.mu.Lock()
 	defer l.node.mu.Unlock()
-	return l.node.budget.Allow(now, request)
+	query.Draw = l.node.platform.Random.Float64()
+	return l.node.budget.Retry(query)
 }
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -8,7 +8,6 @@
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/protocol/qfrequest"
-	"quetzalfront/internal/qf/state/qfcatalogue"
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
@@ -31,36 +30,6 @@
 	}()
 }
 
-// pollCatalogue reads the newest revision from the table.
-func (n *Node) pollCatalogue(ctx context.Context) {
-	snapshot, _, err := n.store.Head(ctx)
-	if err != nil {
-		if ctx.Err() == nil {
-			qfevent.CatalogueFailed.Log(&n.platform.Logger, err)
-		}
-		return
-	}
-	n.offerCatalogue(snapshot)
-}
-
-// offerCatalogue puts a snapshot in force if it is newer.
-func (n *Node) offerCatalogue(snapshot qfcatalogue.Snapshot) {
-	if !n.catalogue.Offer(snapshot) {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	current := n.catalogue.Get()
-	var limits []qf.Limit
-	for i := range current.Document.Entries {
-		e := &current.Document.Entries[i]
-		limits = append(limits, e.QFLimits()...)
-		n.versions.SetTarget(e.Name, e.Target)
-	}
-	n.limiter.SetLimits(limits)
-	qfevent.CatalogueInUse.Log(&n.platform.Logger, current.Revision, current.Change.Operator)
-}
-
 // pollVMList reads the lagging list of VMs.
 func (n *Node) pollVMList(ctx context.Context) {
 	vms, asOf, err := n.platform.VMList.List(ctx)
@@ -70,6 +39,9 @@
 		}
 		return
 	}
+	if !n.isNewerListing(asOf) {
+		return
+	}
 	now := n.now()
 	var endpoints []qf.Endpoint
 	var nodes []qf.NodeID
@@ -91,12 +63,21 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.learnVanished(now, endpoints)
 	n.endpoints = endpoints
 	n.listedNodes = nodes
 	n.listAsOf = asOf
 	n.router.SetEndpoints(endpoints)
 }
 
+// isNewerListing reports whether a listing isn't older than the one in use: a
+// list whose lag grows must not bring a former state back.
+func (n *Node) isNewerListing(asOf time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !asOf.Before(n.listAsOf)
+}
+
 func endpointOf(vm *qf.VM) qf.Endpoint {
 	kind := qf.KindModelEngine
 	if vm.Role == qf.RolePlainService {
@@ -140,6 +121,7 @@
 	isNews := n.membership.LearnDeparture(now, d)
 	if isNews {
 		n.router.Departing(d.VM, d.Incarnation)
+		n.suspects.Excused(qf.EndpointID(d.VM))
 	}
 	n.mu.Unlock()
 	if !isNews {
@@ -184,11 +166,13 @@
 	}
 	report, err := load(ctx, endpoint)
 	if err != nil {
+		n.learnDeath(endpoint, err)
 		return // Silence shows in the router through the attempts.
 	}
 	now := n.now()
 	n.mu.Lock()
 	n.router.Reported(now, report)
+	n.loads[endpoint.ID] = report.Running + report.Queued
 	n.mu.Unlock()
 	if report.Leaving {
 		n.learnDeparture(now, qf.Departure{VM: endpoint.VM, Incarnation: endpoint.Incarnation})
@@ -197,7 +181,11 @@
 
 // expire forgets what ended long ago.
 func (n *Node) expire(context.Context) {
-	n.records.Expire(n.now().Add(-n.settings.Request.RetainFor.Value()))
+	now := n.now()
+	n.records.Expire(now.Add(-n.settings.Request.RetainFor.Value()))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.shadows.Expire(now)
 }
 
 // exchange tells each peer the news and takes theirs.
@@ -211,7 +199,9 @@
 	n.mu.Unlock()
 	var exchanges sync.WaitGroup
 	for _, peer := range peers {
-		exchanges.Go(func() { n.exchangeWith(ctx, peer, digest) })
+		told := digest
+		told.RolloutEvidence = n.evidenceFor(peer.ID)
+		exchanges.Go(func() { n.exchangeWith(ctx, peer, told) })
 	}
 	exchanges.Wait()
 }
@@ -225,20 +215,4 @@
 		return
 	}
 	n.learn(answer)
-	if answer.From.CatalogueRevision > n.catalogue.Revision() {
-		n.fetchCatalogue(ctx, peer)
-	}
-}
-
-func (n *Node) fetchCatalogue(ctx context.Context, peer qf.Node) {
-	encoded, _, err := n.platform.Peer.Catalogue(ctx, peer.PeerAddress, n.catalogue.Revision())
-	if err != nil || len(encoded) == 0 {
-		return // The next exchange tries again.
-	}
-	snapshot, err := qfcatalogue.Decode(encoded)
-	if err != nil {
-		qfevent.CatalogueFailed.Log(&n.platform.Logger, err)
-		return
-	}
-	n.offerCatalogue(snapshot)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qflimit"
@@ -19,24 +20,39 @@
 	"quetzalfront/internal/qf/coordination/qfretry"
 	"quetzalfront/internal/qf/coordination/qfrollout"
 	"quetzalfront/internal/qf/coordination/qfroute"
+	"quetzalfront/internal/qf/coordination/qfsuspect"
+	"quetzalfront/internal/qf/protocol/qfhandover"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/qf/state/qftrial"
+	"quetzalfront/internal/qf/transport/qftelemetry"
+	"quetzalfront/internal/qf/transport/qftls"
 	"quetzalfront/internal/qfsettings"
 )
 
-// Platform holds the services that a node stands on. No field may be nil.
+// Platform holds the services that a node stands on. No field may be nil unless
+// it says so.
 type Platform struct {
 	Timer   qf.Timer
+	Network qf.Network
 	Table   qf.Table
+	Objects qf.ObjectStore
 	VMList  qf.VMList
 	Cloud   qf.Cloud
 	Engine  qf.ModelEngine
 	Service qf.PlainService
+	Prober  qf.Prober
 	Peer    qf.Peer
 	Ledger  qf.Ledger
 	Logger  zerolog.Logger
 	// Random draws for decisions. It is guarded by the node's lock.
 	Random *rand.Rand
+	// Spans takes the spans in place of the exporter that the settings name; it
+	// may be nil.
+	Spans sdktrace.SpanExporter
+	// Identity is what the node shows and asks for on the peers' and operators'
+	// ports; nil means that certificates are off.
+	Identity *qftls.Identity
 }
 
 // Phase is where a node stands in its life.
@@ -61,18 +77,45 @@
 	store     *qfcatalogue.Store
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
+	telemetry *qftelemetry.Telemetry
+	// fetching is true while a peer is asked for its catalogue.
+	fetching atomic.Bool
+	// stale is true while the news of the catalogue is too old for risky actions.
+	stale atomic.Bool
+	keys  *qfrequest.Keys
+	// beginning holds the once-only requests whose intent is being recorded.
+	beginning sync.Map
+	// swept is the key up to which the ledger was swept. Only the sweep uses it.
+	swept string
 
 	// mu guards the decisions, which aren't safe for concurrent use.
-	mu         sync.Mutex
-	router     qf.Router
-	limiter    qf.Limiter
-	budget     *qfretry.Budget
+	mu       sync.Mutex
+	router   qf.Router
+	limiter  qf.Limiter
+	budget   *qfretry.Budget
+	suspects *qfsuspect.Suspects
+	// suspectRuns holds where the suspects in progress run.
+	suspectRuns map[qf.RequestID]qf.EndpointID
+	trials      *qftrial.Trials
+	// deadUntil holds the endpoints that refused a connection.
+	deadUntil  map[qf.EndpointID]time.Time
 	membership *qfmember.Membership
-	versions   *qfrollout.TargetOnly
+	versions   *qfrollout.Chooser
+	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
 	// listedNodes are the entry nodes that the VM list doesn't say are gone.
 	listedNodes []qf.NodeID
+	// loads holds the last reported number of running requests.
+	loads map[qf.EndpointID]int
+	// evidence is what peers have told of the rollouts that this node controls.
+	evidence map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence
+
+	// incarnation is set before the node serves.
+	incarnation qf.Incarnation
+	leases      *leases
+	rollouts    *rollouts
+	shadows     *qfhandover.Shadows
 
 	phase atomic.Value
 	// leaveAt is when the node's VM is taken, if that is known.
@@ -91,25 +134,56 @@
 // by Start.
 func New(settings *qfsettings.Settings, platform Platform) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
+	telemetry := newTelemetry(settings, &platform)
+	platform = instrument(platform, telemetry)
 	n := &Node{
+		telemetry: telemetry,
 		settings:  settings,
 		platform:  platform,
 		catalogue: qfcatalogue.NewCurrent(),
-		store:     qfcatalogue.NewStore(platform.Table),
+		store:     qfcatalogue.NewStore(platform.Table, platform.Timer),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
 		router:    qfroute.NewPredictive(settings.Route.Config(), platform.Random, platform.Timer.Now()),
 		limiter:   qflimit.NewShared(settings.GuardConfig()),
 		budget:    qfretry.NewBudget(),
-		versions:  qfrollout.NewTargetOnly(),
-		ctx:       ctx,
-		cancel:    cancel,
+		loads:     map[qf.EndpointID]int{},
+		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
+		suspects: qfsuspect.New(qfsuspect.Config{
+			MaxDeaths:   settings.Request.MaxSuspectAttempts + 1,
+			ExpireAfter: settings.Request.SuspectsFor.Value(),
+		}),
+		suspectRuns: map[qf.RequestID]qf.EndpointID{},
+		deadUntil:   map[qf.EndpointID]time.Time{},
+		trials: qftrial.New(platform.Timer, platform.Table, qftrial.Options{
+			MaxAttempts: settings.Request.MaxSuspectAttempts,
+			ExpireAfter: settings.Request.SuspectsFor.Value(),
+		}),
+		shadows: qfhandover.NewShadows(settings.Request.MaxInProgress),
+		ctx:     ctx,
+		cancel:  cancel,
 	}
+	n.follower = qfcatalogue.NewFollower(n.catalogue, qfcatalogue.Pace{
+		Every:          settings.Feed.CatalogueEvery.Value(),
+		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
+		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
+	}, platform.Random)
+	n.incarnation = qf.Incarnation(n.now().UnixMilli())
+	n.versions = qfrollout.NewChooser(qf.Node{ID: qf.NodeID(settings.Node.ID), Incarnation: n.incarnation}, platform.Random)
+	n.leases = newLeases(n, rand.New(rand.NewPCG(platform.Random.Uint64(), platform.Random.Uint64())))
+	n.rollouts = newRollouts(n)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
 		Router: &lockedRouter{node: n}, Choosing: n, Ledger: platform.Ledger,
 		Budget: &lockedBudget{node: n}, Observer: n,
 		Self: qf.NodeID(settings.Node.ID), SilentAfter: settings.Request.SilentAfter.Value(),
+		Prober: platform.Prober, LeaveWithin: settings.Request.LeaveWithin.Value(),
+		IsCurrent: n.isCurrent,
+	})
+	n.keys = qfrequest.NewKeys(qfrequest.KeysConfig{
+		Timer: platform.Timer, Ledger: platform.Ledger, Service: platform.Service,
+		Self: qf.NodeID(settings.Node.ID), IsInProgress: n.isInProgress, IsCurrent: n.isCurrent,
+		StatusTimeout: settings.Request.SilentAfter.Value(),
 	})
 	return n
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -8,13 +8,12 @@
 	"net/netip"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qfmember"
 	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/transport/qfhttp"
 	"quetzalfront/internal/qf/transport/qfrpc"
+	"quetzalfront/internal/qf/transport/qftls"
 )
 
 const readHeaderTimeout = 10 * time.Second
@@ -22,6 +21,9 @@
 // Start listens and serves until Stop. It returns once the node's ports are
 // open.
 func (n *Node) Start() error {
+	if err := n.loadIdentity(); err != nil {
+		return err
+	}
 	callers, err := n.listen(n.settings.Node.CallerAddress)
 	if err != nil {
 		return err
@@ -36,18 +38,20 @@
 	}
 	n.settings.Node.OperatorAddress = addressOf(operators)
 	n.join(addressOf(callers), addressOf(peers))
-	bounded := netutil.LimitListener(callers, n.settings.Request.MaxConnections)
-	n.serveHTTP(bounded, qfhttp.NewCallers(n, n.callerBounds()))
-	n.serveHTTP(operators, qfhttp.NewOperators(n))
-	n.servePeers(peers)
+	bounded := qfhttp.BoundCallers(n.platform.Timer, callers, n.settings.Request.MaxConnections)
+	n.serveHTTP(bounded, n.callersHandler())
+	n.serveHTTP(n.protect(operators, "operators", qftls.RoleOperator), n.operatorsHandler())
+	n.servePeers(n.protect(peers, "peers", qftls.RoleNode))
 	n.startFeeds()
+	if err := n.telemetry.ObserveState(n.observedState); err != nil {
+		return err
+	}
 	qfevent.NodeStarted.Log(&n.platform.Logger, n.settings.Node.ID, addressOf(callers))
 	return nil
 }
 
 func (n *Node) listen(address netip.AddrPort) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(n.ctx, "tcp", address.String())
+	listener, err := n.platform.Network.Listen(n.ctx, address)
 	if err != nil {
 		qfevent.ServerFailed.Log(&n.platform.Logger, address, err)
 		return nil, qf.NewError(qf.CodeUnavailable, qf.StepSettings, address.String(), err.Error())
@@ -66,7 +70,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.membership = qfmember.New(qf.Node{
-		ID: qf.NodeID(s.ID), Incarnation: qf.Incarnation(n.now().UnixMilli()),
+		ID: qf.NodeID(s.ID), Incarnation: n.incarnation,
 		Region: qf.Region(s.Region), AvailabilityZone: s.Zone(),
 		CallerAddress: callers, PeerAddress: peers, State: qf.NodeLive,
 	}, qfmember.Timing{
@@ -84,7 +88,7 @@
 	r := &n.settings.Request
 	return qfhttp.Bounds{
 		MaxBodyBytes: r.MaxBodyBytes, MaxTokens: r.MaxTokens,
-		DefaultTimeout: r.DefaultTimeout.Value(), MaxTimeout: r.MaxTimeout.Value(),
+		MaxReaders: r.MaxReaders, DefaultTimeout: r.DefaultTimeout.Value(), MaxTimeout: r.MaxTimeout.Value(),
 		KeepAddressesFor: r.KeepAddressesFor.Value(),
 	}
 }
@@ -104,7 +108,7 @@
 
 func (n *Node) servePeers(listener net.Listener) {
 	n.workers.Go(func() {
-		if err := qfrpc.Serve(listener, n); err != nil {
+		if err := qfrpc.Serve(listener, n.telemetry.PeerHandler(n)); err != nil {
 			qfevent.ServerFailed.Log(&n.platform.Logger, listener.Addr().String(), err)
 		}
 	})
@@ -112,7 +116,8 @@
 
 func (n *Node) startFeeds() {
 	feed := &n.settings.Feed
-	n.every(feed.CatalogueEvery.Value(), n.pollCatalogue)
+	n.workers.Add(1)
+	go n.followCatalogue()
 	n.every(feed.VMListEvery.Value(), n.pollVMList)
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
@@ -120,7 +125,11 @@
 	n.every(feed.PricesEvery.Value(), n.pollPrices)
 	n.every(feed.LoadEvery.Value(), n.logHealth)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
+	n.every(leaseStep, n.stepLeases)
+	n.every(rolloutStep, n.rollouts.step)
 	n.every(time.Second, n.expire)
+	n.followIdentity()
+	n.every(sweepEvery, n.sweepLedger)
 }
 
 // Kill ends the node at once, as a lost VM does.
@@ -134,6 +143,7 @@
 	}
 	n.workers.Wait()
 	n.running.Wait()
+	_ = n.telemetry.Shutdown(context.Background()) // Spans that can't be exported are lost.
 }
 
 // Wait blocks until the node has stopped or the context ends.
--- a/internal/qf/decision.go
+++ b/internal/qf/decision.go
@@ -42,7 +42,11 @@
 	// Prediction holds the figures behind the choice. Its Figures method builds
 	// the reason's figures, so that the choice itself allocates nothing.
 	Prediction Prediction
-	Reason     Reason
+	// Forced means that no endpoint of the version asked for was available.
+	Forced bool
+	// Load is the endpoint's last reported number of requests.
+	Load   int
+	Reason Reason
 }
 
 // Prediction is what a router expects of a request at an endpoint.
@@ -210,7 +214,7 @@
 // Observation reports one finished attempt to rollout judgement.
 type Observation struct {
 	At           time.Time
-	Endpoint     EndpointID
+	Request      RequestID
 	Entry        EntryName
 	Version      Version
 	Organisation Organisation
@@ -220,9 +224,23 @@
 	FirstToken   time.Duration
 	BetweenToken time.Duration
 	Tokens       int
-	Complete     bool
+	// Took is the time from the attempt's start to its end.
+	Took     time.Duration
+	Complete bool
 	// Load is the endpoint's number of running requests at the start.
 	Load int
+	// EndpointRegion is where the endpoint stands.
+	EndpointRegion Region
+	// Endpoint served the attempt, which began at StartedAt.
+	Endpoint  EndpointID
+	StartedAt time.Time
+	OnceOnly  bool
+	// Forced means that the version wasn't drawn: no endpoint of the drawn one
+	// was available.
+	Forced bool
+	// Cut means that the attempt ended for a reason that says nothing about the
+	// version, such as a hand-over or an announced departure.
+	Cut bool
 }
 
 // VersionChooser splits traffic between versions and judges them. It does no
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -31,6 +31,9 @@
 	Heartbeat uint64
 	// CatalogueRevision is the newest revision that the node has in force.
 	CatalogueRevision Revision
+	// CatalogueAge is how long before the message the revision was last known to
+	// be the newest.
+	CatalogueAge time.Duration
 	// Load is the node's number of requests in progress.
 	Load int
 }
@@ -87,6 +90,11 @@
 	Fingerprint uint64
 	// Deaths lists the endpoints that died with the fingerprint in progress.
 	Deaths []EndpointID
+	// Cleared lists those of the deaths of which the request was acquitted by a
+	// later answer. Both lists only grow.
+	Cleared []EndpointID
+	// Age is the time since the latest news of the fingerprint.
+	Age time.Duration
 }
 
 // Digest is what nodes tell each other in one exchange.
@@ -95,9 +103,13 @@
 	Nodes        []Node
 	Departures   []Departure
 	RolloutStops []RolloutStop
-	LimitUses    []LimitUse
-	SentLoads    []SentLoad
-	Suspicions   []Suspicion
+	// RolloutPlans are those that the sender has in force.
+	RolloutPlans []RolloutPlan
+	// RolloutEvidence is sent only to the holder of the rollout's lease.
+	RolloutEvidence []RolloutEvidence
+	LimitUses       []LimitUse
+	SentLoads       []SentLoad
+	Suspicions      []Suspicion
 }
 
 // Peer is the contract between entry nodes.
@@ -106,9 +118,12 @@
 	Exchange(ctx context.Context, address netip.AddrPort, digest Digest) (Digest, error)
 	// HandOver moves requests to the peer. The value lists those it took.
 	HandOver(ctx context.Context, address netip.AddrPort, records []RequestRecord) Result[[]RequestID]
-	// Shadow keeps copies of records at the peer in case the sender dies.
-	Shadow(ctx context.Context, address netip.AddrPort, records []RequestRecord) error
-	// Lookup asks the peer for a record that it owns or shadows.
+	// Shadow keeps copies of records at the peer in case the sender dies, and
+	// returns those that it kept. A peer that owns an earlier generation of a
+	// record stops working on it.
+	Shadow(ctx context.Context, address netip.AddrPort, records []RequestRecord) ([]RequestID, error)
+	// Lookup asks the peer for a record that it owns or shadows. The answer has no
+	// text.
 	Lookup(ctx context.Context, address netip.AddrPort, id RequestID) (RequestRecord, error)
 	// Catalogue fetches the peer's catalogue if it is newer than the revision.
 	Catalogue(ctx context.Context, address netip.AddrPort, newerThan Revision) ([]byte, Revision, error)
--- a/internal/qfsettings/overload.go
+++ b/internal/qfsettings/decision.go
@@ -2,14 +2,15 @@
 
 import (
 	"quetzalfront/internal/qf/coordination/qflimit"
-	"quetzalfront/internal/qf/state/qfdocument"
+	"quetzalfront/internal/qf/coordination/qfroute"
 )
 
-// OverloadSettings bound the predicted time in an endpoint's queue, by class.
-// Critical requests are bound by their deadline alone.
-type OverloadSettings struct {
-	InteractiveQueue qfdocument.Duration `validate:"gt=0"`
-	BatchQueue       qfdocument.Duration `validate:"gt=0"`
+// Config returns the router's configuration.
+func (r *RouteSettings) Config() qfroute.Config {
+	return qfroute.Config{
+		ZoneDelay: r.ZoneDelay.Value(), RegionDelay: r.RegionDelay.Value(), TrafficPrice: r.TrafficPrice,
+		CacheFor: r.CacheFor.Value(), CachePrefixes: r.CachePrefixes,
+	}
 }
 
 // GuardConfig returns the configuration of admission.
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -11,6 +11,12 @@
 	kibibyte = 1 << 10
 )
 
+// The values of TelemetrySettings.TraceExporter.
+const (
+	TraceToLog = "log"
+	TraceOff   = "none"
+)
+
 // Default returns settings with every default set. Node and Platform addresses
 // have none.
 func Default() *Settings {
@@ -23,6 +29,8 @@
 			MaxInProgress:         8192,
 			MaxConnections:        16384,
 			MaxTokens:             4096,
+			MaxAnswerBytes:        4 * mebibyte,
+			MaxReaders:            16,
 			DefaultTimeout:        qfdocument.Duration(60 * time.Second),
 			MaxTimeout:            qfdocument.Duration(10 * time.Minute),
 			RetainFor:             qfdocument.Duration(30 * time.Second),
@@ -30,7 +38,10 @@
 			SilentAfter:           qfdocument.Duration(5 * time.Second),
 			KeepAddressesFor:      qfdocument.Duration(5 * time.Second),
 			IdempotencyRecordsFor: qfdocument.Duration(24 * time.Hour),
+			LeaveWithin:           qfdocument.Duration(10 * time.Second),
+			LedgerCommitEvery:     qfdocument.Duration(20 * time.Millisecond),
 			MaxSuspectAttempts:    2,
+			SuspectsFor:           qfdocument.Duration(10 * time.Minute),
 		},
 		Peer: PeerSettings{
 			ExchangeEvery: qfdocument.Duration(500 * time.Millisecond),
@@ -38,12 +49,24 @@
 			DeadAfter:     qfdocument.Duration(8 * time.Second),
 			Timeout:       qfdocument.Duration(time.Second),
 		},
+		Lease: LeaseSettings{
+			Duration:    qfdocument.Duration(6 * time.Second),
+			RenewEvery:  qfdocument.Duration(2 * time.Second),
+			RankDelay:   qfdocument.Duration(500 * time.Millisecond),
+			ClockMargin: 0.01,
+		},
+		Rollout: RolloutSettings{
+			Within:   qfdocument.Duration(30 * time.Minute),
+			WatchFor: qfdocument.Duration(5 * time.Minute),
+		},
 		Feed: FeedSettings{
-			CatalogueEvery: qfdocument.Duration(time.Second),
-			VMListEvery:    qfdocument.Duration(time.Second),
-			NoticesEvery:   qfdocument.Duration(500 * time.Millisecond),
-			LoadEvery:      qfdocument.Duration(500 * time.Millisecond),
-			PricesEvery:    qfdocument.Duration(30 * time.Second),
+			CatalogueEvery:          qfdocument.Duration(time.Second),
+			CatalogueReadsPerSecond: 64,
+			CatalogueStaleAfter:     qfdocument.Duration(30 * time.Second),
+			VMListEvery:             qfdocument.Duration(time.Second),
+			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
+			LoadEvery:               qfdocument.Duration(500 * time.Millisecond),
+			PricesEvery:             qfdocument.Duration(30 * time.Second),
 		},
 		Overload: OverloadSettings{
 			InteractiveQueue: qfdocument.Duration(1500 * time.Millisecond),
@@ -56,5 +79,7 @@
 			CacheFor:      qfdocument.Duration(5 * time.Minute),
 			CachePrefixes: 32768,
 		},
+		Security:  SecuritySettings{MaxConnections: 2048, ReloadEvery: qfdocument.Duration(10 * time.Second)},
+		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
 	}
 }
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -15,26 +15,33 @@
 // Settings are the settings of one node. Everything but Node and Platform has
 // a default.
 type Settings struct {
-	Node     NodeSettings     `validate:"required"`
-	Platform PlatformSettings `validate:"required"`
-	Log      LogSettings
-	Request  RequestSettings
-	Peer     PeerSettings
-	Feed     FeedSettings
-	Route    RouteSettings
-	Overload OverloadSettings
-	Security SecuritySettings
+	Node      NodeSettings     `validate:"required"`
+	Platform  PlatformSettings `validate:"required"`
+	Log       LogSettings
+	Request   RequestSettings
+	Peer      PeerSettings
+	Feed      FeedSettings
+	Lease     LeaseSettings
+	Rollout   RolloutSettings
+	Route     RouteSettings
+	Overload  OverloadSettings
+	Security  SecuritySettings
+	Telemetry TelemetrySettings
 }
 
 // NodeSettings say where the node stands and listens.
 type NodeSettings struct {
 	// ID is the name of the node's VM.
-	ID               string `validate:"required"`
+	ID string `validate:"required"`
+	// Region and AvailabilityZone say where the VM stands, as the cloud names
+	// them.
 	Region           string `validate:"required"`
 	AvailabilityZone string `validate:"required"`
-	// CallerAddress, PeerAddress and OperatorAddress are an IP and a port each.
-	CallerAddress   netip.AddrPort `validate:"required"`
-	PeerAddress     netip.AddrPort `validate:"required"`
+	// CallerAddress is where callers connect.
+	CallerAddress netip.AddrPort `validate:"required"`
+	// PeerAddress is where other entry nodes connect.
+	PeerAddress netip.AddrPort `validate:"required"`
+	// OperatorAddress is where operators, probes and metric collectors connect.
 	OperatorAddress netip.AddrPort `validate:"required"`
 	// Seeds are peer addresses to ask before the VM list has answered.
 	Seeds []netip.AddrPort
@@ -42,18 +49,23 @@
 
 // PlatformSettings say where the platform's services listen.
 type PlatformSettings struct {
-	Table   netip.AddrPort `validate:"required"`
+	// Table is the transactional table service.
+	Table netip.AddrPort `validate:"required"`
+	// Objects is the object store.
 	Objects netip.AddrPort `validate:"required"`
-	Cloud   netip.AddrPort `validate:"required"`
-	VMList  netip.AddrPort `validate:"required"`
+	// Cloud is the cloud API, with prices, starts and notices.
+	Cloud netip.AddrPort `validate:"required"`
+	// VMList is the list of live and leaving VMs.
+	VMList netip.AddrPort `validate:"required"`
 	// Timeout bounds one call to the platform.
 	Timeout qfdocument.Duration `validate:"gt=0"`
 }
 
 // LogSettings say what is logged.
 type LogSettings struct {
+	// Level is the least severe level that is logged.
 	Level string `validate:"oneof=debug info warn error"`
-	// Format is "json" or "console".
+	// Format is "json" for programs or "console" for people.
 	Format string `validate:"oneof=json console"`
 }
 
@@ -66,8 +78,11 @@
 	MaxInProgress int `validate:"min=1"`
 	// MaxConnections bounds the callers' open connections.
 	MaxConnections int `validate:"min=1"`
-	// MaxTokens bounds the length of an answer.
-	MaxTokens int `validate:"min=1"`
+	// MaxTokens bounds the length of an answer in tokens, MaxAnswerBytes its text.
+	MaxTokens      int `validate:"min=1"`
+	MaxAnswerBytes int `validate:"min=1024"`
+	// MaxReaders bounds the connections that read the answer of one request.
+	MaxReaders int `validate:"min=1"`
 	// DefaultTimeout is used where neither the caller nor the catalogue gives a
 	// deadline; MaxTimeout bounds what a caller may ask for.
 	DefaultTimeout qfdocument.Duration `validate:"gt=0"`
@@ -85,39 +100,123 @@
 	// IdempotencyRecordsFor is how long the outcome of a once-only request is
 	// kept.
 	IdempotencyRecordsFor qfdocument.Duration `validate:"gt=0"`
+	// LeaveWithin is how long after its intent a once-only attempt may leave. A
+	// node that was paused for longer asks the ledger again.
+	LeaveWithin qfdocument.Duration `validate:"gt=0"`
+	// LedgerCommitEvery is the shortest time between two transactions in which a
+	// node records intents and outcomes.
+	LedgerCommitEvery qfdocument.Duration `validate:"gt=0"`
 	// MaxSuspectAttempts bounds the attempts of a request that is suspected of
 	// crashing endpoints, over all nodes and repeats.
 	MaxSuspectAttempts int `validate:"min=1"`
+	// SuspectsFor is how long a suspicion lasts after its latest news.
+	SuspectsFor qfdocument.Duration `validate:"gt=0"`
 }
 
 // PeerSettings govern the exchange between nodes.
 type PeerSettings struct {
+	// ExchangeEvery is the time between two exchanges of news.
 	ExchangeEvery qfdocument.Duration `validate:"gt=0"`
 	// SuspectAfter and DeadAfter count from the last news of a node.
 	SuspectAfter qfdocument.Duration `validate:"gt=0"`
 	DeadAfter    qfdocument.Duration `validate:"gt=0"`
-	Timeout      qfdocument.Duration `validate:"gt=0"`
+	// Timeout bounds one call to a peer.
+	Timeout qfdocument.Duration `validate:"gt=0"`
 }
 
 // FeedSettings say how often the platform is polled.
 type FeedSettings struct {
+	// CatalogueEvery is the least time between two reads of the catalogue's
+	// revision by one node.
 	CatalogueEvery qfdocument.Duration `validate:"gt=0"`
-	VMListEvery    qfdocument.Duration `validate:"gt=0"`
-	NoticesEvery   qfdocument.Duration `validate:"gt=0"`
-	// LoadEvery is the interval for load reports and cache events of endpoints.
-	LoadEvery   qfdocument.Duration `validate:"gt=0"`
+	// VMListEvery is the time between two reads of the VM list.
+	VMListEvery qfdocument.Duration `validate:"gt=0"`
+	// NoticesEvery is the time between two reads of the cloud's notices.
+	NoticesEvery qfdocument.Duration `validate:"gt=0"`
+	// LoadEvery is the time between two reads of an endpoint's load and of its
+	// cache events.
+	LoadEvery qfdocument.Duration `validate:"gt=0"`
+	// PricesEvery is the time between two reads of the cloud's prices.
 	PricesEvery qfdocument.Duration `validate:"gt=0"`
+	// CatalogueReadsPerSecond bounds the reads of the revision by all nodes.
+	CatalogueReadsPerSecond int `validate:"min=1"`
+	// CatalogueStaleAfter is the age of the last news of the catalogue from which
+	// on a node raises no version's share and gives no orders.
+	CatalogueStaleAfter qfdocument.Duration `validate:"gt=0"`
+}
+
+// LeaseSettings govern who may act for all nodes. They must be the same at all
+// nodes.
+type LeaseSettings struct {
+	// Duration is how long one write keeps a lease; RenewEvery is the time
+	// between two renewals.
+	Duration   qfdocument.Duration `validate:"gt=0"`
+	RenewEvery qfdocument.Duration `validate:"gt=0"`
+	// RankDelay keeps a candidate back for each better one.
+	RankDelay qfdocument.Duration `validate:"gt=0"`
+	// ClockMargin is the share by which two nodes' clocks may differ in rate.
+	ClockMargin float64 `validate:"gte=0,lte=0.5"`
+}
+
+// RolloutSettings give the times of rollouts for which the catalogue gives none.
+type RolloutSettings struct {
+	// Within is the time in which traffic moves if an entry has no MoveBy.
+	Within qfdocument.Duration `validate:"gt=0"`
+	// WatchFor is how long the old version is kept if an entry has no WatchFor.
+	WatchFor qfdocument.Duration `validate:"gt=0"`
 }
 
 // SecuritySettings say who may call the operators' and peers' ports.
 type SecuritySettings struct {
 	// Insecure turns certificates off. It must be set on purpose.
 	Insecure bool
-	// CertificateFile, KeyFile and AuthorityFile are PEM files; they are read
-	// again when they change.
+	// CertificateFile, KeyFile and AuthorityFile are PEM files: the node's
+	// certificate, its key, and the authorities by which others are judged.
 	CertificateFile string
 	KeyFile         string
 	AuthorityFile   string
+	// MaxConnections bounds the open connections of the peers' port, and those of
+	// the operators' port.
+	MaxConnections int `validate:"min=1"`
+	// ReloadEvery is the time between two looks at the files for a change.
+	ReloadEvery qfdocument.Duration `validate:"gt=0"`
+}
+
+// TelemetrySettings bound the traces of requests. Metrics are always on.
+type TelemetrySettings struct {
+	// TraceExporter is where spans go: "log" writes each as event 151, "none"
+	// turns traces off.
+	TraceExporter string `validate:"oneof=log none"`
+	// TraceRatio is the share of requests that are traced, of those whose caller
+	// doesn't decide it in its trace context.
+	TraceRatio float64 `validate:"min=0,max=1"`
+	// MaxTracesPerSecond bounds the traced requests, those that callers ask for
+	// included.
+	MaxTracesPerSecond float64 `validate:"gt=0"`
+}
+
+// RouteSettings describe the links and the prices that routing weighs.
+type RouteSettings struct {
+	// ZoneDelay is the one-way delay between availability zones of a region.
+	ZoneDelay qfdocument.Duration `validate:"gte=0"`
+	// RegionDelay is the one-way delay between regions.
+	RegionDelay qfdocument.Duration `validate:"gte=0"`
+	// TrafficPrice is the price of a gibibyte between regions, in thousandths of
+	// the currency unit.
+	TrafficPrice float64 `validate:"gte=0"`
+	// CacheFor is how long a cached prefix is believed in without news of it.
+	CacheFor qfdocument.Duration `validate:"gt=0"`
+	// CachePrefixes is the number of prefixes that the index has room for.
+	CachePrefixes int `validate:"min=1,max=1048576"`
+}
+
+// OverloadSettings bound the predicted time in an endpoint's queue, by class.
+// Critical requests are bound by their deadline alone.
+type OverloadSettings struct {
+	// InteractiveQueue is the bound for interactive requests.
+	InteractiveQueue qfdocument.Duration `validate:"gt=0"`
+	// BatchQueue is the bound for batch requests.
+	BatchQueue qfdocument.Duration `validate:"gt=0"`
 }
 
 // Zone returns the node's availability zone.
@@ -157,26 +256,35 @@
 	settings := Default()
 	faults := qfdocument.Decode(data, settings)
 	if len(faults) == 0 {
-		faults = settings.crossCheck()
+		faults = settings.crossCheck(qfdocument.NewLineIndex(data))
 	}
 	return settings, faults
 }
 
 // crossCheck checks rules that span several keys.
-func (s *Settings) crossCheck() []qfdocument.Fault {
+func (s *Settings) crossCheck(index *qfdocument.LineIndex) []qfdocument.Fault {
 	var faults []qfdocument.Fault
+	add := func(key, expected string) {
+		faults = append(faults, qfdocument.Fault{Line: index.Line(key), Key: key, Expected: expected})
+	}
 	if s.Peer.DeadAfter <= s.Peer.SuspectAfter {
-		faults = append(faults, qfdocument.Fault{Key: "Peer.DeadAfter", Expected: "expected more than Peer.SuspectAfter"})
+		add("Peer.DeadAfter", "expected more than Peer.SuspectAfter")
 	}
 	if s.Request.MaxTimeout < s.Request.DefaultTimeout {
-		faults = append(faults, qfdocument.Fault{Key: "Request.MaxTimeout", Expected: "expected at least Request.DefaultTimeout"})
+		add("Request.MaxTimeout", "expected at least Request.DefaultTimeout")
 	}
-	sec := s.Security
-	if !sec.Insecure && (sec.CertificateFile == "" || sec.KeyFile == "" || sec.AuthorityFile == "") {
+	if s.Request.IdempotencyRecordsFor <= s.Request.MaxTimeout+s.Request.LeaveWithin {
 		faults = append(faults, qfdocument.Fault{
-			Key:      "Security.CertificateFile",
-			Expected: "expected CertificateFile, KeyFile and AuthorityFile, or Insecure = true",
+			Key:      "Request.IdempotencyRecordsFor",
+			Expected: "expected more than Request.MaxTimeout and Request.LeaveWithin together",
 		})
 	}
+	if 2*s.Lease.RenewEvery >= s.Lease.Duration {
+		faults = append(faults, qfdocument.Fault{Key: "Lease.RenewEvery", Expected: "expected less than half of Lease.Duration"})
+	}
+	sec := s.Security
+	if !sec.Insecure && (sec.CertificateFile == "" || sec.KeyFile == "" || sec.AuthorityFile == "") {
+		add("Security.CertificateFile", "expected CertificateFile, KeyFile and AuthorityFile, or Insecure = true")
+	}
 	return faults
 }
