--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,6 +105,8 @@
 	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
+	// listedNodes are the entry nodes that the VM list doesn't say are gone.
+	listedNodes []qf.NodeID
 	// loads holds the last reported number of running requests.
 	loads map[qf.EndpointID]int
 	// evidence is what peers have told of the rollouts that this node controls.
@@ -143,8 +145,8 @@
 		catalogue: qfcatalogue.NewCurrent(),
 		store:     qfcatalogue.NewStore(platform.Table, platform.Timer),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
-		router:    qfroute.NewLeastOutstanding(),
-		limiter:   qflimit.NewConcurrency(),
+		router:    qfroute.NewPredictive(settings.Route.Config(), platform.Random, platform.Timer.Now()),
+		limiter:   qflimit.NewShared(settings.GuardConfig()),
 		budget:    qfretry.NewBudget(),
 		loads:     map[qf.EndpointID]int{},
 		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -8,7 +8,6 @@
 	"github.com/google/uuid"
 
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/state/qfprefix"
 )
 
 // RetryBudget says whether a retry is allowed at present.
@@ -336,7 +335,7 @@
 		At: now, Step: qf.StepRoute, Endpoint: choice.Endpoint.ID, Reason: choice.Reason, Note: string(cause),
 	})
 	x.record.apply(Event{Kind: EventStarted, At: now, Attempt: x.attempt, Endpoint: choice.Endpoint.ID})
-	x.config.Router.Started(now, choice.Endpoint.ID, x.promptTokens())
+	x.config.Router.Started(now, choice.Endpoint.ID, x.prefillTokens())
 	x.progressAt = now
 	ctx, cancel := context.WithCancel(x.ctx)
 	x.cancel = cancel
@@ -355,7 +354,8 @@
 	return r.text[:len(r.text):len(r.text)]
 }
 
-func (x *run) promptTokens() int { return qfprefix.Tokens(x.record.Request.Messages) }
+// prefillTokens is what the router expected the endpoint to compute.
+func (x *run) prefillTokens() int { return x.choice.Prediction.PrefillTokens }
 
 // endAttempt cancels the attempt in progress and reports how it went.
 func (x *run) endAttempt(ok bool) {
@@ -365,7 +365,7 @@
 	x.cancel()
 	x.cancel = nil
 	now := x.config.Timer.Now()
-	x.config.Router.Ended(now, x.choice.Endpoint.ID, x.promptTokens(), ok)
+	x.config.Router.Ended(now, x.choice.Endpoint.ID, x.prefillTokens(), ok || x.cut)
 	x.config.Observer.AttemptEnded(now, x.observation(now, ok))
 }
 
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -76,6 +76,18 @@
 			VMListEvery:             qfdocument.Duration(time.Second),
 			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
 			LoadEvery:               qfdocument.Duration(500 * time.Millisecond),
+			PricesEvery:             qfdocument.Duration(30 * time.Second),
+		},
+		Overload: OverloadSettings{
+			InteractiveQueue: qfdocument.Duration(1500 * time.Millisecond),
+			BatchQueue:       qfdocument.Duration(500 * time.Millisecond),
+		},
+		Route: RouteSettings{
+			ZoneDelay:     qfdocument.Duration(1500 * time.Microsecond),
+			RegionDelay:   qfdocument.Duration(30 * time.Millisecond),
+			TrafficPrice:  80,
+			CacheFor:      qfdocument.Duration(5 * time.Minute),
+			CachePrefixes: 32768,
 		},
 		Security:  SecuritySettings{MaxConnections: 2048, ReloadEvery: qfdocument.Duration(10 * time.Second)},
 		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -25,6 +25,8 @@
 	Rollout   RolloutSettings
 	Fleet     FleetSettings
 	Move      MoveSettings
+	Route     RouteSettings
+	Overload  OverloadSettings
 	Security  SecuritySettings
 	Telemetry TelemetrySettings
 }
@@ -136,8 +138,11 @@
 	VMListEvery qfdocument.Duration `validate:"gt=0"`
 	// NoticesEvery is the time between two reads of the cloud's notices.
 	NoticesEvery qfdocument.Duration `validate:"gt=0"`
-	// LoadEvery is the time between two reads of an endpoint's load.
+	// LoadEvery is the time between two reads of an endpoint's load and of its
+	// cache events.
 	LoadEvery qfdocument.Duration `validate:"gt=0"`
+	// PricesEvery is the time between two reads of the cloud's prices.
+	PricesEvery qfdocument.Duration `validate:"gt=0"`
 	// CatalogueReadsPerSecond bounds the reads of the revision by all nodes.
 	CatalogueReadsPerSecond int `validate:"min=1"`
 	// CatalogueStaleAfter is the age of the last news of the catalogue from which
@@ -214,6 +219,30 @@
 	MaxTracesPerSecond float64 `validate:"gt=0"`
 }
 
+// RouteSettings describe the links and the prices that routing weighs.
+type RouteSettings struct {
+	// ZoneDelay is the one-way delay between availability zones of a region.
+	ZoneDelay qfdocument.Duration `validate:"gte=0"`
+	// RegionDelay is the one-way delay between regions.
+	RegionDelay qfdocument.Duration `validate:"gte=0"`
+	// TrafficPrice is the price of a gibibyte between regions, in thousandths of
+	// the currency unit.
+	TrafficPrice float64 `validate:"gte=0"`
+	// CacheFor is how long a cached prefix is believed in without news of it.
+	CacheFor qfdocument.Duration `validate:"gt=0"`
+	// CachePrefixes is the number of prefixes that the index has room for.
+	CachePrefixes int `validate:"min=1,max=1048576"`
+}
+
+// OverloadSettings bound the predicted time in an endpoint's queue, by class.
+// Critical requests are bound by their deadline alone.
+type OverloadSettings struct {
+	// InteractiveQueue is the bound for interactive requests.
+	InteractiveQueue qfdocument.Duration `validate:"gt=0"`
+	// BatchQueue is the bound for batch requests.
+	BatchQueue qfdocument.Duration `validate:"gt=0"`
+}
+
 // Zone returns the node's availability zone.
 func (n *NodeSettings) Zone() qf.AvailabilityZone { return qf.AvailabilityZone(n.AvailabilityZone) }
 
