--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -21,6 +21,9 @@
 const (
 	maxIdlePerEndpoint = 256
 	idleTimeout        = 30 * time.Second
+	// endpointBufferBytes is small, because every stream holds a connection whose
+	// events are short.
+	endpointBufferBytes = 1 << 10
 )
 
 // Connect returns the platform that the settings name.
@@ -30,6 +33,7 @@
 	cloud := qfcloud.NewClient(p.Cloud, p.VMList, p.Timeout.Value(), network.Dial)
 	endpoints := &http.Client{Transport: qftelemetry.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
+		ReadBufferSize: endpointBufferBytes, WriteBufferSize: endpointBufferBytes,
 	})}
 	identity := newIdentity(&settings.Security, timer)
 	engine := qfendpoint.NewEngine(endpoints)
--- a/internal/qf/transport/qfhttp/answer.go
+++ b/internal/qf/transport/qfhttp/answer.go
@@ -1,6 +1,7 @@
 package qfhttp
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -171,7 +172,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(http.StatusOK)
-	s := &streamWriter{w: w, controller: http.NewResponseController(w), record: record, id: from}
+	s := newStreamWriter(w, record, from)
 	for {
 		if s.pieces(progress.Text) != nil {
 			return
@@ -193,25 +194,37 @@
 	record     *qfrequest.Record
 	// id is the identifier of the last event that the caller has.
 	id qfapi.EventID
+	// chunk is the event of each token, encoded and encoder its text; they are
+	// used again for every token.
+	chunk   qfapi.ChatChunk
+	encoded bytes.Buffer
+	encoder *json.Encoder
+}
+
+func newStreamWriter(w http.ResponseWriter, record *qfrequest.Record, from qfapi.EventID) *streamWriter {
+	s := &streamWriter{w: w, controller: http.NewResponseController(w), record: record, id: from}
+	s.encoder = json.NewEncoder(&s.encoded)
+	s.chunk = qfapi.ChatChunk{
+		ID: string(record.Request.ID), Object: "chat.completion.chunk", Model: string(record.Request.Entry),
+		Choices: []qfapi.ChatChunkChoice{{Delta: qfapi.ChatMessage{Role: "assistant"}}},
+	}
+	return s
 }
 
 func (s *streamWriter) pieces(text []string) error {
 	for _, token := range text {
 		s.id = s.id.Extend(token)
-		if err := s.event("", s.chunk(token, nil)); err != nil {
+		if err := s.piece(token, nil); err != nil {
 			return err
 		}
 	}
 	return s.controller.Flush()
 }
 
-func (s *streamWriter) chunk(token string, finish *string) *qfapi.ChatChunk {
-	return &qfapi.ChatChunk{
-		ID: string(s.record.Request.ID), Object: "chat.completion.chunk", Model: string(s.record.Request.Entry),
-		Choices: []qfapi.ChatChunkChoice{{
-			Delta: qfapi.ChatMessage{Role: "assistant", Content: token}, FinishReason: finish,
-		}},
-	}
+func (s *streamWriter) piece(token string, finish *string) error {
+	s.chunk.Choices[0].Delta.Content = token
+	s.chunk.Choices[0].FinishReason = finish
+	return s.event("", &s.chunk)
 }
 
 // end sends the last event. Only a whole answer ends with the end mark.
@@ -224,7 +237,7 @@
 		err = s.event(qfapi.EventError, qfapi.ErrorBody{Error: detailOf(progress.Err, s.record.Request.ID)})
 	default:
 		finish := finishLength
-		err = errors.Join(s.event("", s.chunk("", &finish)), s.write("", qfapi.EventDone))
+		err = errors.Join(s.piece("", &finish), s.write("", qfapi.EventDone))
 	}
 	if err == nil {
 		_ = s.controller.Flush() // A gone caller resumes elsewhere.
@@ -232,11 +245,11 @@
 }
 
 func (s *streamWriter) event(kind string, body any) error {
-	data, err := json.Marshal(body)
-	if err != nil {
+	s.encoded.Reset()
+	if err := s.encoder.Encode(body); err != nil {
 		return err
 	}
-	return s.write(kind, string(data))
+	return s.write(kind, strings.TrimSuffix(s.encoded.String(), "\n"))
 }
 
 func (s *streamWriter) write(kind, data string) error {
--- a/internal/standin/standworld/world.go
+++ b/internal/standin/standworld/world.go
@@ -49,6 +49,8 @@
 	Varies bool
 	// TokenInterval overrides the time between two tokens.
 	TokenInterval qfdocument.Duration
+	// Slots overrides the number of requests that an engine runs at once.
+	Slots int `validate:"gte=0"`
 }
 
 // Node is an entry node that the VM list names.
@@ -177,6 +179,9 @@
 	b.SlowFactor = g.SlowFactor
 	b.FailEvery = g.FailEvery
 	b.Varies = g.Varies
+	if g.Slots > 0 {
+		b.Slots = g.Slots
+	}
 	if g.TokenInterval > 0 {
 		b.TokenInterval = g.TokenInterval.Value()
 	}
