--- a/internal/qf/state/qfdocument/decode.go
+++ b/internal/qf/state/qfdocument/decode.go
@@ -12,6 +12,10 @@
 	expectedKnownKey = "unknown key; remove it or correct its spelling"
 	// syntaxKey stands for the key of a fault that isn't at one.
 	syntaxKey = "document"
+	// emptyKey shows a key without a name.
+	emptyKey = `""`
+	// maxWrongValues bounds how often a document is decoded again.
+	maxWrongValues = 100
 )
 
 // isSyntaxFault reports whether decoding ended before all keys were read.
@@ -26,7 +30,7 @@
 func decodeAll(data []byte, into any, index *LineIndex) []Fault {
 	lines := bytes.SplitAfter(data, []byte("\n"))
 	var faults []Fault
-	for {
+	for range maxWrongValues {
 		found, wrongValue := decodeOnce(bytes.Join(lines, nil), into, index)
 		faults = append(faults, found...)
 		if !wrongValue {
@@ -38,6 +42,9 @@
 		}
 		blank(lines, start, index.endOf(start, len(lines)))
 	}
+	return append(faults, Fault{
+		Line: faults[len(faults)-1].Line, Key: syntaxKey, Expected: "expected fewer faults; the rest was not read",
+	})
 }
 
 // blank empties the lines from start up to end and keeps their number.
@@ -85,6 +92,9 @@
 		if key == "" || start != row {
 			key = strings.Join(e.Key(), ".")
 		}
+		if key == "" {
+			key = emptyKey
+		}
 		faults = append(faults, Fault{Line: row, Key: key, Expected: expectedKnownKey})
 	}
 	return faults
--- a/internal/qf/state/qfdocument/document_test.go
+++ b/internal/qf/state/qfdocument/document_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,6 +86,16 @@
 	}
 }
 
+// TestDecodeIsBounded keeps a document of many wrong values from being decoded
+// once for each.
+func TestDecodeIsBounded(t *testing.T) {
+	faults := qfdocument.Decode([]byte("Title = 'a'\n"+strings.Repeat("[[Groups]]\nName = 1\n", 300)), &document{})
+	last := faults[len(faults)-1]
+	if len(faults) != 101 || last.Key != "document" || last.Line != 201 {
+		t.Errorf("%d faults, the last %s", len(faults), last)
+	}
+}
+
 func TestDurationSurvivesJSON(t *testing.T) {
 	want := struct{ Wait qfdocument.Duration }{qfdocument.Duration(1500 * time.Millisecond)}
 	data, err := json.Marshal(want)
