--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -16,29 +16,68 @@
 		PromptTokens: qfprefix.Tokens(request.Messages), ResumeTokens: resumeTokens,
 		Prefixes: qfprefix.Hashes(request.Messages), Excluded: avoid,
 	}
+	isSuspect, err := n.screen(now, request)
+	if err != nil {
+		return qf.RouteChoice{}, err
+	}
+	choice, err := n.route(&query, isSuspect)
+	if err == nil && isSuspect {
+		err = n.claim(request)
+	}
+	return choice, err
+}
+
+// route asks for a version and then for an endpoint.
+func (n *Node) route(query *qf.RouteQuery, isSuspect bool) (qf.RouteChoice, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	request := query.Request
+	n.suspectOver(request.ID)
 	version, reason := n.versions.Choose(qf.VersionQuery{
-		Now: now, Entry: request.Entry, Organisation: request.Organisation, Region: query.FromRegion,
+		Now: query.Now, Entry: request.Entry, Organisation: request.Organisation, Region: query.FromRegion,
 		Class: request.Class, OnceOnly: request.OnceOnly(), Draw: n.platform.Random.Float64(),
 	})
 	query.Version = version
-	choice, err := n.router.Choose(query)
+	avoid := query.Excluded
+	query.Excluded = append(n.unusedOf(request.Entry, version), avoid...)
+	choice, err := n.choose(query, isSuspect)
 	if err != nil && version != "" {
-		query.Version = ""
-		choice, err = n.router.Choose(query)
+		query.Version, query.Excluded = "", avoid
+		choice, err = n.choose(query, isSuspect)
+		choice.Forced = true
 	}
+	choice.Load = n.loads[choice.Endpoint.ID]
 	choice.Reason.Rule = reason.Rule + ", " + choice.Reason.Rule
 	return choice, err
 }
 
+// IsLeaving implements qfrequest.Choosing.
+func (n *Node) IsLeaving(endpoint qf.EndpointID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		if e := &n.endpoints[i]; e.ID == endpoint {
+			return n.membership.IsDeparting(e.VM, e.Incarnation)
+		}
+	}
+	return false
+}
+
 // AttemptEnded implements qfrequest.Observer.
 func (n *Node) AttemptEnded(_ time.Time, observation qf.Observation) {
 	n.telemetry.AttemptEnded(&observation)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		if e := &n.endpoints[i]; e.ID == observation.Endpoint && n.membership.IsDeparting(e.VM, e.Incarnation) {
+			observation.Cut = true
+		}
+	}
+	// A route is the caller's side; the runner tells the endpoint's region.
+	observation.EndpointRegion, observation.Region = observation.Region, qf.Region(n.settings.Node.Region)
 	n.versions.Observe(observation)
 	n.budget.Observe(&observation)
+	n.suspectOver(observation.Request)
 }
 
 // lockedRouter guards the node's router for the runner, which uses it from many
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,9 +20,11 @@
 	"quetzalfront/internal/qf/coordination/qfretry"
 	"quetzalfront/internal/qf/coordination/qfrollout"
 	"quetzalfront/internal/qf/coordination/qfroute"
+	"quetzalfront/internal/qf/coordination/qfsuspect"
 	"quetzalfront/internal/qf/protocol/qfhandover"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/qf/state/qftrial"
 	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/internal/qf/transport/qftls"
 	"quetzalfront/internal/qfsettings"
@@ -75,6 +77,7 @@
 	store     *qfcatalogue.Store
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
+	mover     *mover
 	telemetry *qftelemetry.Telemetry
 	// fetching is true while a peer is asked for its catalogue.
 	fetching atomic.Bool
@@ -87,16 +90,32 @@
 	swept string
 
 	// mu guards the decisions, which aren't safe for concurrent use.
-	mu         sync.Mutex
-	router     qf.Router
-	limiter    qf.Limiter
-	budget     *qfretry.Budget
+	mu       sync.Mutex
+	router   qf.Router
+	limiter  qf.Limiter
+	budget   *qfretry.Budget
+	suspects *qfsuspect.Suspects
+	// suspectRuns holds where the suspects in progress run.
+	suspectRuns map[qf.RequestID]qf.EndpointID
+	trials      *qftrial.Trials
+	// deadUntil holds the endpoints that refused a connection.
+	deadUntil  map[qf.EndpointID]time.Time
 	membership *qfmember.Membership
-	versions   *qfrollout.TargetOnly
+	versions   *qfrollout.Chooser
 	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
-	shadows    *qfhandover.Shadows
+	// loads holds the last reported number of running requests.
+	loads map[qf.EndpointID]int
+	// evidence is what peers have told of the rollouts that this node controls.
+	evidence map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence
+
+	// incarnation is set before the node serves.
+	incarnation qf.Incarnation
+	leases      *leases
+	rollouts    *rollouts
+	buyer       *buyer
+	shadows     *qfhandover.Shadows
 
 	phase atomic.Value
 	// leaveAt is when the node's VM is taken, if that is known.
@@ -127,16 +146,33 @@
 		router:    qfroute.NewLeastOutstanding(),
 		limiter:   qflimit.NewConcurrency(),
 		budget:    qfretry.NewBudget(),
-		versions:  qfrollout.NewTargetOnly(),
-		shadows:   qfhandover.NewShadows(settings.Request.MaxInProgress),
-		ctx:       ctx,
-		cancel:    cancel,
+		loads:     map[qf.EndpointID]int{},
+		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
+		suspects: qfsuspect.New(qfsuspect.Config{
+			MaxDeaths:   settings.Request.MaxSuspectAttempts + 1,
+			ExpireAfter: settings.Request.SuspectsFor.Value(),
+		}),
+		suspectRuns: map[qf.RequestID]qf.EndpointID{},
+		deadUntil:   map[qf.EndpointID]time.Time{},
+		trials: qftrial.New(platform.Timer, platform.Table, qftrial.Options{
+			MaxAttempts: settings.Request.MaxSuspectAttempts,
+			ExpireAfter: settings.Request.SuspectsFor.Value(),
+		}),
+		shadows: qfhandover.NewShadows(settings.Request.MaxInProgress),
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 	n.follower = qfcatalogue.NewFollower(n.catalogue, qfcatalogue.Pace{
 		Every:          settings.Feed.CatalogueEvery.Value(),
 		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
 		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
 	}, platform.Random)
+	n.incarnation = qf.Incarnation(n.now().UnixMilli())
+	n.versions = qfrollout.NewChooser(qf.Node{ID: qf.NodeID(settings.Node.ID), Incarnation: n.incarnation}, platform.Random)
+	n.leases = newLeases(n, rand.New(rand.NewPCG(platform.Random.Uint64(), platform.Random.Uint64())))
+	n.rollouts = newRollouts(n)
+	n.buyer = newBuyer(n)
+	n.mover = newMover(n)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -70,7 +70,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.membership = qfmember.New(qf.Node{
-		ID: qf.NodeID(s.ID), Incarnation: qf.Incarnation(n.now().UnixMilli()),
+		ID: qf.NodeID(s.ID), Incarnation: n.incarnation,
 		Region: qf.Region(s.Region), AvailabilityZone: s.Zone(),
 		CallerAddress: callers, PeerAddress: peers, State: qf.NodeLive,
 	}, qfmember.Timing{
@@ -95,7 +95,7 @@
 
 func (n *Node) serveHTTP(listener net.Listener, handler http.Handler) {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
+		Handler: n.closing(handler), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: n.settings.Request.MaxHeaderBytes,
 	}
 	n.servers = append(n.servers, server)
@@ -106,6 +106,17 @@
 	})
 }
 
+// closing tells clients to close their connections once the node leaves, so that
+// none of them sends a request over a connection that the drain closes.
+func (n *Node) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.Phase() != PhaseServing {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 func (n *Node) servePeers(listener net.Listener) {
 	n.workers.Go(func() {
 		if err := qfrpc.Serve(listener, n.telemetry.PeerHandler(n)); err != nil {
@@ -122,6 +133,10 @@
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
+	n.every(leaseStep, n.stepLeases)
+	n.every(rolloutStep, n.rollouts.step)
+	n.every(n.settings.Fleet.PlanEvery.Value(), n.buyer.step)
+	n.every(moveEvery, n.mover.step)
 	n.every(time.Second, n.expire)
 	n.followIdentity()
 	n.every(sweepEvery, n.sweepLedger)
--- /dev/null
+++ b/internal/qf/coordination/qfmember/membership_test.go
@@ -0,0 +1,123 @@
+package qfmember
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+var start = time.Date(2026, 12, 3, 8, 0, 0, 0, time.UTC)
+
+func node(id string, startedAt time.Time) qf.Node {
+	return qf.Node{ID: qf.NodeID(id), Incarnation: qf.Incarnation(startedAt.UnixMilli()), State: qf.NodeLive, Heartbeat: 1}
+}
+
+func withHeartbeat(n qf.Node, heartbeat uint64) qf.Node {
+	n.Heartbeat = heartbeat
+	return n
+}
+
+func newMembership() *Membership {
+	return New(node("self", start), Timing{SuspectAfter: 3 * time.Second, DeadAfter: 8 * time.Second})
+}
+
+func stateOf(m *Membership, now time.Time, id qf.NodeID) qf.NodeState {
+	for _, n := range m.Peers(now) {
+		if n.ID == id {
+			return n.State
+		}
+	}
+	return qf.NodeDead
+}
+
+// TestDepartures proves that a node whose VM is under notice leaves at once although
+// it is silent about it, and that news of an earlier incarnation of the VM does
+// nothing to a node that started later.
+func TestDepartures(t *testing.T) {
+	cases := []struct {
+		name      string
+		departure qf.Departure
+		startedAt time.Time
+		want      qf.NodeState
+	}{
+		{name: "under notice", departure: qf.Departure{VM: "a", Incarnation: 1, In: 30 * time.Second}, startedAt: start, want: qf.NodeLeaving},
+		{name: "time unknown", departure: qf.Departure{VM: "a", Incarnation: 1}, startedAt: start, want: qf.NodeLeaving},
+		{name: "another VM", departure: qf.Departure{VM: "b", Incarnation: 9, In: time.Second}, startedAt: start, want: qf.NodeLive},
+		{
+			name: "earlier incarnation", departure: qf.Departure{VM: "a", Incarnation: 1, In: -time.Minute},
+			startedAt: start.Add(-time.Second), want: qf.NodeLive,
+		},
+	}
+	for _, c := range cases {
+		m := newMembership()
+		m.Learn(start, node("a", c.startedAt))
+		if !m.LearnDeparture(start, c.departure) || m.LearnDeparture(start, c.departure) {
+			t.Errorf("%s: news must be news once", c.name)
+		}
+		if got := stateOf(m, start, "a"); got != c.want {
+			t.Errorf("%s: the node is %s, not %s", c.name, got, c.want)
+		}
+		m.Learn(start, withHeartbeat(node("a", c.startedAt), 2))
+		if got := stateOf(m, start, "a"); got != c.want {
+			t.Errorf("%s: a heartbeat makes it %s", c.name, got)
+		}
+	}
+}
+
+func TestSelfLeaves(t *testing.T) {
+	cases := []struct {
+		departure qf.Departure
+		want      bool
+	}{
+		{departure: qf.Departure{VM: "self", Incarnation: 1, In: time.Second}, want: true},
+		{departure: qf.Departure{VM: "self", Incarnation: 1, In: -time.Minute}},
+		{departure: qf.Departure{VM: "a", Incarnation: 1, In: time.Second}},
+	}
+	for _, c := range cases {
+		if got := newMembership().IsSelfLeaving(start.Add(time.Second), c.departure); got != c.want {
+			t.Errorf("%v: got %v", c.departure, got)
+		}
+	}
+}
+
+func TestAssumedTimeIsCorrected(t *testing.T) {
+	m := newMembership()
+	m.LearnDeparture(start, qf.Departure{VM: "e", Incarnation: 1})
+	if at, _ := m.LeaveAt("e", 1); at != start.Add(assumedNotice) {
+		t.Errorf("assumed %s", at)
+	}
+	m.LearnDeparture(start, qf.Departure{VM: "e", Incarnation: 1, In: time.Minute})
+	m.LearnDeparture(start, qf.Departure{VM: "e", Incarnation: 1, In: time.Hour})
+	if at, _ := m.LeaveAt("e", 1); at != start.Add(time.Minute) {
+		t.Errorf("corrected to %s", at)
+	}
+}
+
+// TestProbe proves that dead nodes are tried in turn, come back when they are heard,
+// and are forgotten in the end.
+func TestProbe(t *testing.T) {
+	m := newMembership()
+	m.Learn(start, node("a", start))
+	m.Learn(start, node("b", start))
+	if _, ok := m.Probe(start); ok {
+		t.Error("a live node was probed")
+	}
+	now := start.Add(time.Minute)
+	var tried []qf.NodeID
+	for i := range 4 {
+		n, _ := m.Probe(now.Add(time.Duration(i) * time.Second))
+		tried = append(tried, n.ID)
+	}
+	if !slices.Equal(tried, []qf.NodeID{"a", "b", "a", "b"}) {
+		t.Errorf("tried %v", tried)
+	}
+	m.Learn(now, withHeartbeat(node("a", start), 100))
+	if got := stateOf(m, now, "a"); got != qf.NodeLive {
+		t.Errorf("a node that is heard again is %s", got)
+	}
+	if _, ok := m.Probe(now.Add(time.Hour)); ok || len(m.peers) != 0 {
+		t.Error("dead nodes are never forgotten")
+	}
+}
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -43,7 +43,8 @@
 type Departure struct {
 	VM          VMID
 	Incarnation Incarnation
-	// In is the time until the VM leaves, when the news was sent.
+	// In is the time until the VM leaves, when the news was sent; 0 means that
+	// nobody said when.
 	In time.Duration
 }
 
@@ -81,6 +82,11 @@
 	Fingerprint uint64
 	// Deaths lists the endpoints that died with the fingerprint in progress.
 	Deaths []EndpointID
+	// Cleared lists those of the deaths of which the request was acquitted by a
+	// later answer. Both lists only grow.
+	Cleared []EndpointID
+	// Age is the time since the latest news of the fingerprint.
+	Age time.Duration
 }
 
 // Digest is what nodes tell each other in one exchange.
@@ -89,9 +95,13 @@
 	Nodes        []Node
 	Departures   []Departure
 	RolloutStops []RolloutStop
-	LimitUses    []LimitUse
-	SentLoads    []SentLoad
-	Suspicions   []Suspicion
+	// RolloutPlans are those that the sender has in force.
+	RolloutPlans []RolloutPlan
+	// RolloutEvidence is sent only to the holder of the rollout's lease.
+	RolloutEvidence []RolloutEvidence
+	LimitUses       []LimitUse
+	SentLoads       []SentLoad
+	Suspicions      []Suspicion
 }
 
 // Peer is the contract between entry nodes.
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,11 +21,16 @@
 // Observer learns how attempts went.
 type Observer interface {
 	AttemptEnded(now time.Time, observation qf.Observation)
+	// AttemptBroke is told at once of an attempt that broke, before another one
+	// starts. The error says whether it may have run.
+	AttemptBroke(now time.Time, request *qf.Request, endpoint qf.Endpoint, err error)
 }
 
 // Choosing picks an endpoint for a request; it joins version and route.
 type Choosing interface {
 	Choose(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) (qf.RouteChoice, error)
+	// IsLeaving reports whether an endpoint is under notice.
+	IsLeaving(endpoint qf.EndpointID) bool
 }
 
 // Config holds what a runner works with. No field may be nil.
@@ -69,6 +75,11 @@
 	tokens                     int
 	moves                      int
 	attempt                    qf.AttemptID
+	// cut is true if the attempt in progress ends for a reason that says nothing
+	// about its endpoint's version.
+	cut bool
+	// kvHandle names KV cache for the next attempt, if any was imported.
+	kvHandle string
 	// progressAt is when the attempt last made progress or was checked on.
 	progressAt time.Time
 	// reconnect is set for an attempt after one that went silent.
@@ -102,6 +113,7 @@
 		case <-deadline.C():
 			more = x.handle(Event{Kind: EventDeadline})
 		case <-record.released:
+			x.cut = true
 			return
 		case <-ctx.Done():
 			return // The node is gone; a peer or the ledger knows the rest.
@@ -128,11 +140,17 @@
 // handle applies an event and does what the lifecycle asks for. It returns false
 // when the request has ended or was released.
 func (x *run) handle(e Event) bool {
+	if x.ctx.Err() != nil {
+		return false // What broke because the node ends says nothing about the request.
+	}
 	if e.Kind == EventReplaced {
 		return x.replaced(e)
 	}
 	e.At = x.config.Timer.Now()
 	x.observe(e)
+	if e.Kind == EventBroken && e.Attempt == x.attempt && x.cancel != nil {
+		x.config.Observer.AttemptBroke(e.At, x.record.Request, x.choice.Endpoint, e.Err)
+	}
 	action := x.record.apply(e)
 	switch action.Kind {
 	case ActionStart:
@@ -186,7 +204,11 @@
 // delay that the budget sets.
 func (x *run) start(action Action) bool {
 	now := x.config.Timer.Now()
-	x.endAttempt(action.Cause == StartMove)
+	if (action.Cause == StartRetry || action.Cause == StartReconnect) && x.config.Choosing.IsLeaving(action.Avoid) {
+		action.Cause = StartMove // An announced reclaim isn't a failure; it costs no retry.
+	}
+	x.cut = action.Cause == StartMove
+	x.endAttempt(x.cut)
 	if action.Cause != StartRetry && action.Cause != StartReconnect {
 		return x.launch(action)
 	}
@@ -235,10 +257,19 @@
 	if action.Avoid != "" {
 		x.avoid = append(x.avoid, action.Avoid)
 	}
+	if planned, ok := x.takePlanned(&action); ok {
+		x.kvHandle = planned.KVHandle
+		return x.begin(now, qf.RouteChoice{Endpoint: planned.To, Reason: planned.Reason}, NewAttemptID(), action.Cause)
+	}
 	if planned := x.record.plan; planned != nil && action.Cause == StartFirst {
 		return x.begin(now, planned.Choice, planned.Attempt, action.Cause)
 	}
 	choice, err := x.choose(now, action.Cause)
+	if wait := adviceToWait(err); wait > 0 {
+		x.delayed = action
+		x.retryAt = x.config.Timer.After(wait)
+		return true
+	}
 	if err != nil {
 		return x.handle(Event{Kind: EventNoEndpoint, Err: err})
 	}
@@ -251,6 +282,18 @@
 	return x.begin(now, choice, attempt, action.Cause)
 }
 
+// adviceToWait returns how long a choice is to be put off, or 0.
+func adviceToWait(err error) time.Duration {
+	if qf.CodeOf(err) != qf.CodeOverloaded {
+		return 0
+	}
+	var e *qf.Error
+	if errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
+
 // choose picks an endpoint. After a silent connection it is the same one.
 func (x *run) choose(now time.Time, cause StartCause) (qf.RouteChoice, error) {
 	if cause == StartReconnect {
@@ -260,7 +303,7 @@
 	}
 	offset := x.record.offset()
 	choice, err := x.config.Choosing.Choose(now, x.record.Request, offset, x.avoid)
-	if err != nil && len(x.avoid) > 0 {
+	if qf.CodeOf(err) == qf.CodeNoEndpoint && len(x.avoid) > 0 {
 		x.avoid = nil // Better an endpoint that failed before than none.
 		choice, err = x.config.Choosing.Choose(now, x.record.Request, offset, nil)
 	}
@@ -288,6 +331,7 @@
 	x.startedAt = now
 	x.firstAt, x.lastAt = time.Time{}, now
 	x.tokens = 0
+	x.cut = false
 	x.record.note(Decision{
 		At: now, Step: qf.StepRoute, Endpoint: choice.Endpoint.ID, Reason: choice.Reason, Note: string(cause),
 	})
@@ -298,7 +342,7 @@
 	x.cancel = cancel
 	hop := qf.Hop{TimeLeft: x.record.Request.Deadline.Sub(now), FreshConnection: x.reconnect}
 	if x.record.Request.Kind == qf.KindModelEngine {
-		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText(), hop)
+		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText(), x.takeKVHandle(), hop)
 	} else {
 		go x.call(ctx, choice.Endpoint, x.attempt, hop, x.record.plan)
 	}
@@ -328,9 +372,13 @@
 func (x *run) observation(now time.Time, ok bool) qf.Observation {
 	r := x.record.Request
 	o := qf.Observation{
-		At: now, Entry: r.Entry, Version: x.choice.Endpoint.Version, Organisation: r.Organisation,
+		At: now, Request: r.ID, Entry: r.Entry, Version: x.choice.Endpoint.Version, Organisation: r.Organisation,
 		Region: x.choice.Endpoint.Region, Class: r.Class, Failed: !ok, Complete: ok, Tokens: x.tokens,
-		Took: now.Sub(x.startedAt),
+		Took: now.Sub(x.startedAt), Load: x.choice.Load, Endpoint: x.choice.Endpoint.ID, StartedAt: x.startedAt,
+		OnceOnly: r.OnceOnly(), Forced: x.choice.Forced, Cut: x.cut,
+	}
+	if r.Kind == qf.KindPlainService {
+		o.FirstToken = now.Sub(x.startedAt)
 	}
 	if !x.firstAt.IsZero() {
 		o.FirstToken = x.firstAt.Sub(x.startedAt)
--- a/internal/qf/protocol/qfrequest/silence_test.go
+++ b/internal/qf/protocol/qfrequest/silence_test.go
@@ -51,6 +51,9 @@
 	return s
 }
 
+// IsLeaving implements qfrequest.Choosing.
+func (*site) IsLeaving(qf.EndpointID) bool { return false }
+
 // Choose implements qfrequest.Choosing.
 func (s *site) Choose(_ time.Time, r *qf.Request, _ int, avoid []qf.EndpointID) (qf.RouteChoice, error) {
 	if r.Kind == qf.KindPlainService {
@@ -70,6 +73,9 @@
 // AttemptEnded implements qfrequest.Observer.
 func (s *site) AttemptEnded(time.Time, qf.Observation) {}
 
+// AttemptBroke implements qfrequest.Observer.
+func (s *site) AttemptBroke(time.Time, *qf.Request, qf.Endpoint, error) {}
+
 // TestSilentStream silences the connection of a stream after some tokens. The
 // answer is whole, and goes on at the same engine if that lives.
 func TestSilentStream(t *testing.T) {
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -18,28 +18,31 @@
 
 // The names of fields.
 const (
-	FieldNode     = "Node"
-	FieldRequest  = "Request"
-	FieldEntry    = "Entry"
-	FieldVersion  = "Version"
-	FieldEndpoint = "Endpoint"
-	FieldVM       = "VM"
-	FieldRevision = "Revision"
-	FieldPeer     = "Peer"
-	FieldCount    = "Count"
-	FieldOutcome  = "Outcome"
-	FieldReason   = "Reason"
-	FieldError    = "Error"
-	FieldAddress  = "Address"
-	FieldOperator = "Operator"
-	FieldTime     = "Time"
-	FieldName     = "Name"
-	FieldTrace    = "Trace"
-	FieldSpan     = "Span"
-	FieldParent   = "Parent"
-	FieldTook     = "Took"
-	FieldDetails  = "Details"
-	FieldAge      = "Age"
+	FieldNode             = "Node"
+	FieldRequest          = "Request"
+	FieldEntry            = "Entry"
+	FieldVersion          = "Version"
+	FieldEndpoint         = "Endpoint"
+	FieldVM               = "VM"
+	FieldRevision         = "Revision"
+	FieldPeer             = "Peer"
+	FieldCount            = "Count"
+	FieldOutcome          = "Outcome"
+	FieldReason           = "Reason"
+	FieldError            = "Error"
+	FieldAddress          = "Address"
+	FieldOperator         = "Operator"
+	FieldTime             = "Time"
+	FieldAvailabilityZone = "AvailabilityZone"
+	FieldName             = "Name"
+	FieldTrace            = "Trace"
+	FieldSpan             = "Span"
+	FieldParent           = "Parent"
+	FieldTook             = "Took"
+	FieldDetails          = "Details"
+	FieldAge              = "Age"
+	FieldDuty             = "Duty"
+	FieldFencing          = "Fencing"
 )
 
 const (
@@ -63,8 +66,13 @@
 	RequestTaken    = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
 	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
 	LedgerSwept     = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
+	SuspectTried    = Event{207, warning, "a request suspected of crashing endpoints is tried apart", []string{FieldRequest, FieldEntry}, "Run report explain with the request."}
+	SuspectRefused  = Event{208, warning, "a request suspected of crashing endpoints is refused", []string{FieldRequest, FieldEntry}, "Find its caller; look at the endpoints' logs."}
 	ShadowAdopted   = Event{220, info, "request adopted from its shadow", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
 	ShadowFailed    = Event{221, warning, "a peer takes no shadows", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
+	NodeAborted     = Event{225, warning, "node ended at a second signal", []string{FieldNode}, "Answers in progress were cut; unset Node.SecondSignalAborts if that isn't wanted."}
+	StreamsMoving   = Event{223, info, "answers leave an endpoint", []string{FieldEndpoint, FieldCount}, "Nothing."}
+	ExportFailed    = Event{224, warning, "KV cache could not be moved", []string{FieldRequest, FieldEndpoint, FieldError}, "Nothing; the answer is resumed from its text."}
 	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
@@ -72,11 +80,20 @@
 	CatalogueFresh  = Event{311, info, "news of the catalogue again", []string{FieldRevision}, "Nothing."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
+	LeaseTaken      = Event{601, info, "lease taken", []string{FieldDuty, FieldFencing}, "Nothing."}
+	LeaseLost       = Event{602, warning, "lease lost", []string{FieldDuty, FieldReason}, "Nothing; another node takes over. Check the table service if it recurs."}
+	RolloutChanged  = Event{610, info, "rollout changed its phase", []string{FieldEntry, FieldVersion, FieldOutcome, FieldReason}, "Run report rollouts."}
+	RolloutStopped  = Event{611, warning, "a version is stopped", []string{FieldEntry, FieldVersion, FieldReason}, "Run report rollouts; mend the version."}
+	RolloutLate     = Event{612, warning, "a rollout will be late", []string{FieldEntry, FieldVersion, FieldReason}, "Move the deadline, or see operators/rollouts.md."}
+	RolloutFailed   = Event{613, warning, "a rollout's plan could not be kept", []string{FieldEntry, FieldError}, "Check the table service; shares hold meanwhile."}
 	PortUnprotected = Event{801, warning, "certificates are off", []string{FieldAddress, FieldName}, "Set the certificate files in [Security] unless this is a trial."}
 	PortRefused     = Event{802, warning, "a connection without a valid certificate was refused", []string{FieldAddress, FieldName, FieldError}, "Look for whoever connects from Address; see operators/certificates.md."}
 	IdentityLoaded  = Event{803, info, "certificates were loaded", []string{FieldName}, "Nothing."}
 	IdentityFailed  = Event{804, failure, "certificates could not be loaded", []string{FieldError}, "Mend the files; those that were loaded before stay in use."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
+	VMStarted       = Event{701, info, "VM started", []string{FieldVM, FieldEntry, FieldVersion, FieldReason}, "Nothing."}
+	VMDrained       = Event{702, info, "VM given up", []string{FieldVM, FieldReason}, "Nothing; it is stopped once it is idle."}
+	StartFailed     = Event{703, warning, "start of a VM failed", []string{FieldAvailabilityZone, FieldOutcome, FieldError}, "Nothing at once; other zones are used. See operators/reclaim.md if it lasts."}
 )
 
 // All lists every event.
@@ -94,8 +111,13 @@
 		RequestTaken,
 		HandOverFailed,
 		LedgerSwept,
+		SuspectTried,
+		SuspectRefused,
 		ShadowAdopted,
 		ShadowFailed,
+		NodeAborted,
+		StreamsMoving,
+		ExportFailed,
 		OwnershipLost,
 		CatalogueInUse,
 		CatalogueFailed,
@@ -103,11 +125,20 @@
 		CatalogueFresh,
 		PeerFailed,
 		DepartureKnown,
+		LeaseTaken,
+		LeaseLost,
+		RolloutChanged,
+		RolloutStopped,
+		RolloutLate,
+		RolloutFailed,
 		PortUnprotected,
 		PortRefused,
 		IdentityLoaded,
 		IdentityFailed,
 		PlatformFailed,
+		VMStarted,
+		VMDrained,
+		StartFailed,
 	}
 }
 
--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -191,7 +191,7 @@
 func (c *Client) Exchange(ctx context.Context, address netip.AddrPort, digest qf.Digest) (qf.Digest, error) {
 	var out ExchangeOut
 	if _, err := c.call(ctx, address, "Exchange", ExchangeIn{Digest: digest}, &out); err != nil {
-		return qf.Digest{}, err
+		return qf.Digest{}, err // A late answer may still be written to out.
 	}
 	return out.Digest, nil
 }
@@ -235,7 +235,7 @@
 func (c *Client) Catalogue(ctx context.Context, address netip.AddrPort, newerThan qf.Revision) ([]byte, qf.Revision, error) {
 	var out CatalogueOut
 	if _, err := c.call(ctx, address, "Catalogue", CatalogueIn{NewerThan: newerThan}, &out); err != nil {
-		return nil, 0, err
+		return nil, 0, err // A late answer may still be written to out.
 	}
 	return out.Snapshot, out.Revision, nil
 }
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -7,6 +7,7 @@
 )
 
 const (
+	gibibyte = 1 << 30
 	mebibyte = 1 << 20
 	kibibyte = 1 << 10
 )
@@ -41,6 +42,7 @@
 			LeaveWithin:           qfdocument.Duration(10 * time.Second),
 			LedgerCommitEvery:     qfdocument.Duration(20 * time.Millisecond),
 			MaxSuspectAttempts:    2,
+			SuspectsFor:           qfdocument.Duration(10 * time.Minute),
 		},
 		Peer: PeerSettings{
 			ExchangeEvery: qfdocument.Duration(500 * time.Millisecond),
@@ -48,6 +50,25 @@
 			DeadAfter:     qfdocument.Duration(8 * time.Second),
 			Timeout:       qfdocument.Duration(time.Second),
 		},
+		Lease: LeaseSettings{
+			Duration:    qfdocument.Duration(6 * time.Second),
+			RenewEvery:  qfdocument.Duration(2 * time.Second),
+			RankDelay:   qfdocument.Duration(500 * time.Millisecond),
+			ClockMargin: 0.01,
+		},
+		Rollout: RolloutSettings{
+			Within:   qfdocument.Duration(30 * time.Minute),
+			WatchFor: qfdocument.Duration(5 * time.Minute),
+		},
+		Fleet: FleetSettings{
+			PlanEvery:  qfdocument.Duration(5 * time.Second),
+			StartTakes: qfdocument.Duration(4 * time.Minute),
+		},
+		Move: MoveSettings{
+			KVBytesPerToken:  128 * kibibyte,
+			KVBytesPerSecond: gibibyte,
+			Margin:           qfdocument.Duration(500 * time.Millisecond),
+		},
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
 			CatalogueReadsPerSecond: 64,
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -21,6 +21,10 @@
 	Request   RequestSettings
 	Peer      PeerSettings
 	Feed      FeedSettings
+	Lease     LeaseSettings
+	Rollout   RolloutSettings
+	Fleet     FleetSettings
+	Move      MoveSettings
 	Security  SecuritySettings
 	Telemetry TelemetrySettings
 }
@@ -41,6 +45,9 @@
 	OperatorAddress netip.AddrPort `validate:"required"`
 	// Seeds are peer addresses to ask before the VM list has answered.
 	Seeds []netip.AddrPort
+	// SecondSignalAborts makes a second SIGTERM or SIGINT end the node at once,
+	// answers in progress included. Without it only the first one counts.
+	SecondSignalAborts bool
 }
 
 // PlatformSettings say where the platform's services listen.
@@ -105,6 +112,8 @@
 	// MaxSuspectAttempts bounds the attempts of a request that is suspected of
 	// crashing endpoints, over all nodes and repeats.
 	MaxSuspectAttempts int `validate:"min=1"`
+	// SuspectsFor is how long a suspicion lasts after its latest news.
+	SuspectsFor qfdocument.Duration `validate:"gt=0"`
 }
 
 // PeerSettings govern the exchange between nodes.
@@ -136,6 +145,46 @@
 	CatalogueStaleAfter qfdocument.Duration `validate:"gt=0"`
 }
 
+// LeaseSettings govern who may act for all nodes. They must be the same at all
+// nodes.
+type LeaseSettings struct {
+	// Duration is how long one write keeps a lease; RenewEvery is the time
+	// between two renewals.
+	Duration   qfdocument.Duration `validate:"gt=0"`
+	RenewEvery qfdocument.Duration `validate:"gt=0"`
+	// RankDelay keeps a candidate back for each better one.
+	RankDelay qfdocument.Duration `validate:"gt=0"`
+	// ClockMargin is the share by which two nodes' clocks may differ in rate.
+	ClockMargin float64 `validate:"gte=0,lte=0.5"`
+}
+
+// FleetSettings govern the purchase of VMs. They must be the same at all nodes.
+type FleetSettings struct {
+	// PlanEvery is the time between two plans.
+	PlanEvery qfdocument.Duration `validate:"gt=0"`
+	// StartTakes is the time from the order of a VM to its first request.
+	StartTakes qfdocument.Duration `validate:"gt=0"`
+}
+
+// RolloutSettings give the times of rollouts for which the catalogue gives none.
+type RolloutSettings struct {
+	// Within is the time in which traffic moves if an entry has no MoveBy.
+	Within qfdocument.Duration `validate:"gt=0"`
+	// WatchFor is how long the old version is kept if an entry has no WatchFor.
+	WatchFor qfdocument.Duration `validate:"gt=0"`
+}
+
+// MoveSettings govern how answers leave model engines that will be reclaimed.
+type MoveSettings struct {
+	// KVBytesPerToken is the size of one token's KV cache.
+	KVBytesPerToken uint64 `validate:"min=1"`
+	// KVBytesPerSecond is the rate at which an engine is expected to export KV
+	// cache until exports have been seen; 0 turns exports off.
+	KVBytesPerSecond uint64
+	// Margin is kept free before an engine is taken.
+	Margin qfdocument.Duration `validate:"gt=0"`
+}
+
 // SecuritySettings say who may call the operators' and peers' ports.
 type SecuritySettings struct {
 	// Insecure turns certificates off. It must be set on purpose.
@@ -225,6 +274,9 @@
 			Expected: "expected more than Request.MaxTimeout and Request.LeaveWithin together",
 		})
 	}
+	if 2*s.Lease.RenewEvery >= s.Lease.Duration {
+		faults = append(faults, qfdocument.Fault{Key: "Lease.RenewEvery", Expected: "expected less than half of Lease.Duration"})
+	}
 	sec := s.Security
 	if !sec.Insecure && (sec.CertificateFile == "" || sec.KeyFile == "" || sec.AuthorityFile == "") {
 		add("Security.CertificateFile", "expected CertificateFile, KeyFile and AuthorityFile, or Insecure = true")
