node, demo: report rollouts and show a good and a bad version

Cause: no report said where a rollout stands, report explain knew requests only, and the demo moved no version. Change: report rollouts prints each rollout's sentence, phase, holder, age and routes; report explain takes a request, an entry or a VM; the demo moves the assistant to a good version and then to a bad one, with callers who check every answer. Rollout.LeastWithin bounds how fast a near deadline may make a rollout.

--- a/cmd/quetzalfront/report.go
+++ b/cmd/quetzalfront/report.go
@@ -15,9 +15,8 @@
 	parent.Description = "print what the system did and why"
 	flaggy.AttachSubcommand(parent, 1)
 	commands := []*command{
-		reportNodes(), reportFleet(),
+		reportNodes(), reportFleet(), reportRollouts(), reportExplain(),
 		reportRequest("request", "print what became of a request"),
-		reportRequest("explain", "print the decisions about a request"),
 	}
 	for _, c := range commands {
 		parent.AttachSubcommand(c.sub, 1)
@@ -81,15 +80,19 @@
 		if flags.json {
 			return printJSON(report)
 		}
-		fmt.Printf("request %s of %s at %s: %s, %d tokens, %d recomputed\n",
-			report.ID, report.Organisation, report.Entry, outcomeText(&report), report.Tokens, report.Recomputed)
-		return printTable("AT\tSTEP\tENDPOINT\tRULE\tNOTE", len(report.Decisions), func(i int) string {
-			d := &report.Decisions[i]
-			return fmt.Sprintf("%s\t%s\t%s\t%s\t%s", d.At.Format(time.RFC3339Nano), d.Step, d.Endpoint, d.Rule, d.Note)
-		})
+		return printRequest(&report)
 	}}
 }
 
+func printRequest(report *qfapi.RequestReport) int {
+	fmt.Printf("request %s of %s at %s: %s, %d tokens, %d recomputed\n",
+		report.ID, report.Organisation, report.Entry, outcomeText(report), report.Tokens, report.Recomputed)
+	return printTable("AT\tSTEP\tENDPOINT\tRULE\tNOTE", len(report.Decisions), func(i int) string {
+		d := &report.Decisions[i]
+		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s", d.At.Format(time.RFC3339Nano), d.Step, d.Endpoint, d.Rule, d.Note)
+	})
+}
+
 func outcomeText(report *qfapi.RequestReport) string {
 	switch {
 	case report.MovedTo != "":
--- a/internal/bench/benchrollout/policy.go
+++ b/internal/bench/benchrollout/policy.go
@@ -51,7 +51,7 @@
 		n.SetPlan(start, w.nodes, &before)
 	}
 	s.start = start
-	s.controller = qfrollout.NewController(before, qfrollout.Pace{Within: w.within, WatchFor: watchFor})
+	s.controller = qfrollout.NewController(before, qfrollout.Pace{Within: w.within, WatchFor: watchFor, Least: time.Minute})
 	return s
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -21,6 +21,8 @@
 	// Large is the organisation that sends the requests.
 	Large qf.Organisation
 	Zones []qf.AvailabilityZone
+	// MovesVersions says whether the demo moves the assistant to new versions.
+	MovesVersions bool
 }
 
 // Deployments returns the two users' deployments.
@@ -28,7 +30,8 @@
 	return []Deployment{
 		{
 			Name: "lahore", Register: "register", FilePath: "/permits", Large: "gulberg-wards",
-			Zones: []qf.AvailabilityZone{"lahore-north-a", "lahore-south-a", "lahore-west-a"},
+			Zones:         []qf.AvailabilityZone{"lahore-north-a", "lahore-south-a", "lahore-west-a"},
+			MovesVersions: true,
 		},
 		{
 			Name: "lanka", Register: "registry", FilePath: "/payments", Large: "guilds",
@@ -60,5 +63,11 @@
 	if err := s.streamThroughReclaim(ctx, out); err != nil {
 		return err
 	}
-	return s.fileOnce(ctx, out)
+	if err := s.fileOnce(ctx, out); err != nil {
+		return err
+	}
+	if !d.MovesVersions {
+		return nil
+	}
+	return s.moveVersions(ctx, out)
 }
--- a/internal/demo/stage.go
+++ b/internal/demo/stage.go
@@ -87,6 +87,7 @@
 	settings.Feed.NoticesEvery = qfdocument.Duration(feedEvery)
 	settings.Feed.VMListEvery = qfdocument.Duration(feedEvery)
 	settings.Peer.ExchangeEvery = qfdocument.Duration(feedEvery)
+	settings.Rollout.LeastWithin = qfdocument.Duration(time.Second)
 	n := node.New(settings, node.Connect(settings, s.timer, qf.TCP(), zerolog.Nop(), uint64(i+1)))
 	if err := n.Start(); err != nil {
 		return err
@@ -147,6 +148,17 @@
 	return nil
 }
 
+// live returns the nodes that still serve.
+func (s *stage) live() []*node.Node {
+	var nodes []*node.Node
+	for _, n := range s.nodes {
+		if n.Phase() == node.PhaseServing {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
 func (s *stage) seeds() []netip.AddrPort {
 	var seeds []netip.AddrPort
 	for _, n := range s.nodes {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,8 @@
 	listAsOf   time.Time
 	// loads holds the last reported number of running requests.
 	loads map[qf.EndpointID]int
+	// planAt is when this node last got a newer plan of an entry.
+	planAt map[qf.EntryName]time.Time
 	// evidence is what peers have told of the rollouts that this node controls.
 	evidence map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence
 
@@ -145,6 +147,7 @@
 		limiter:   qflimit.NewConcurrency(),
 		budget:    qfretry.NewBudget(),
 		loads:     map[qf.EndpointID]int{},
+		planAt:    map[qf.EntryName]time.Time{},
 		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
 		suspects: qfsuspect.New(qfsuspect.Config{
 			MaxDeaths:   settings.Request.MaxSuspectAttempts + 1,
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -66,8 +66,12 @@
 		return n.reportNodes(), nil
 	case "fleet":
 		return n.reportFleet(), nil
-	case "request", "explain":
+	case "rollouts":
+		return n.reportRollouts(), nil
+	case "request":
 		return n.reportRequest(qf.RequestID(subject))
+	case "explain":
+		return n.explain(subject)
 	default:
 		return nil, qf.NewError(qf.CodeNotFound, qf.StepReport, "", "no such report: "+name)
 	}
@@ -98,16 +102,7 @@
 	defer n.mu.Unlock()
 	report := qfapi.FleetReport{AsOf: n.listAsOf}
 	for i := range n.endpoints {
-		e := &n.endpoints[i]
-		state := qf.VMLive
-		if n.membership.IsDeparting(e.VM, e.Incarnation) {
-			state = qf.VMLeaving
-		}
-		report.Endpoints = append(report.Endpoints, qfapi.EndpointReport{
-			VM: string(e.VM), Entry: string(e.Entry), Version: string(e.Version), State: string(state),
-			Region: string(e.Region), AvailabilityZone: string(e.AvailabilityZone), Class: string(e.Class),
-			Address: e.Address,
-		})
+		report.Endpoints = append(report.Endpoints, n.reportEndpoint(&n.endpoints[i]))
 	}
 	return report
 }
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -148,6 +148,7 @@
 	if !n.versions.SetPlan(now, len(n.membership.Peers(now))+1, plan) {
 		return
 	}
+	n.planAt[plan.Entry] = now
 	if before == nil || before.Phase != plan.Phase || before.Generation != plan.Generation {
 		qfevent.RolloutChanged.Log(&n.platform.Logger, plan.Entry, plan.To, plan.Phase, plan.Reason)
 	}
@@ -228,7 +229,7 @@
 		r.node.offerPlan(&plan)
 	}
 	s := &r.node.settings.Rollout
-	pace := qfrollout.Pace{Within: s.Within.Value(), WatchFor: s.WatchFor.Value()}
+	pace := qfrollout.Pace{Within: s.Within.Value(), WatchFor: s.WatchFor.Value(), Least: s.LeastWithin.Value()}
 	return &rollout{controller: qfrollout.NewController(plan, pace), version: row.Version, fencing: fencing}, nil
 }
 
--- a/internal/qf/coordination/qfrollout/controller.go
+++ b/internal/qf/coordination/qfrollout/controller.go
@@ -22,7 +22,7 @@
 	// Traffic is measured for a part of the rollout's time before the first share
 	// is worked out.
 	measurePart                  = 0.04
-	leastMeasure, longestMeasure = 5 * time.Second, 30 * time.Second
+	leastMeasure, longestMeasure = 2 * time.Second, 30 * time.Second
 	// silentAfter is the time without attempts after which a route doesn't hold
 	// others up.
 	silentAfter = 30 * time.Second
--- a/internal/qf/coordination/qfrollout/schedule.go
+++ b/internal/qf/coordination/qfrollout/schedule.go
@@ -44,9 +44,6 @@
 	leastDwell     = 5 * time.Second
 	// hurryReserve is the part of a rollout's time that is kept free at its end.
 	hurryReserve = 0.05
-	// leastWithin is the time that a rollout takes even if its deadline is
-	// nearer, or past.
-	leastWithin = 60 * time.Second
 )
 
 // firstShare works out the first stage's share from the time for a stage and
--- a/internal/qf/coordination/qfrollout/wish.go
+++ b/internal/qf/coordination/qfrollout/wish.go
@@ -11,6 +11,9 @@
 type Pace struct {
 	Within   time.Duration
 	WatchFor time.Duration
+	// Least is the time that a rollout takes even if its deadline is nearer, or
+	// past.
+	Least time.Duration
 }
 
 // fallBack returns the version that traffic goes back to.
@@ -110,11 +113,11 @@
 		return
 	}
 	left := wish.MoveBy.Sub(now)
-	plan.Within = max(left+plan.Elapsed, leastWithin)
+	plan.Within = max(left+plan.Elapsed, pace.Least)
 	switch {
 	case left <= 0:
 		plan.Late = fmt.Sprintf("the deadline %s was past when revision %d asked for it", wish.MoveBy.UTC().Format(time.RFC3339), wish.Revision)
-	case left < leastWithin:
-		plan.Late = fmt.Sprintf("the deadline was only %s away; moving takes at least %s", left.Round(time.Second), leastWithin)
+	case left < pace.Least:
+		plan.Late = fmt.Sprintf("the deadline was only %s away; moving takes at least %s", left.Round(time.Second), pace.Least)
 	}
 }
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -56,8 +56,9 @@
 			ClockMargin: 0.01,
 		},
 		Rollout: RolloutSettings{
-			Within:   qfdocument.Duration(30 * time.Minute),
-			WatchFor: qfdocument.Duration(5 * time.Minute),
+			Within:      qfdocument.Duration(30 * time.Minute),
+			WatchFor:    qfdocument.Duration(5 * time.Minute),
+			LeastWithin: qfdocument.Duration(time.Minute),
 		},
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -159,6 +159,8 @@
 	Within qfdocument.Duration `validate:"gt=0"`
 	// WatchFor is how long the old version is kept if an entry has no WatchFor.
 	WatchFor qfdocument.Duration `validate:"gt=0"`
+	// LeastWithin is the time that moving takes even if MoveBy is nearer, or past.
+	LeastWithin qfdocument.Duration `validate:"gt=0"`
 }
 
 // SecuritySettings say who may call the operators' and peers' ports.
