merge main into requests

Conflict: the start of attempts had moved to start.go; main's rules there (a retry away from an endpoint under notice is a move, planned moves) are carried over.

--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -10,12 +10,7 @@
 // Choose picks a version and an endpoint for a request. It implements
 // qfrequest.Choosing.
 func (n *Node) Choose(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) (qf.RouteChoice, error) {
-	query := qf.RouteQuery{
-		Now: now, Request: request,
-		FromZone: n.settings.Node.Zone(), FromRegion: qf.Region(n.settings.Node.Region),
-		PromptTokens: qfprefix.Tokens(request.Messages), ResumeTokens: resumeTokens,
-		Prefixes: qfprefix.Hashes(request.Messages), Excluded: avoid,
-	}
+	query := n.routeQuery(now, request, resumeTokens, avoid)
 	isSuspect, err := n.screen(now, request)
 	if err != nil {
 		return qf.RouteChoice{}, err
@@ -46,11 +41,44 @@
 		choice, err = n.choose(query, isSuspect)
 		choice.Forced = true
 	}
+	choice.Reason.Figures = choice.Prediction.Figures()
 	choice.Load = n.loads[choice.Endpoint.ID]
 	choice.Reason.Rule = reason.Rule + ", " + choice.Reason.Rule
 	return choice, err
 }
 
+// IsLeaving implements qfrequest.Choosing.
+func (n *Node) IsLeaving(endpoint qf.EndpointID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		if e := &n.endpoints[i]; e.ID == endpoint {
+			return n.membership.IsDeparting(e.VM, e.Incarnation)
+		}
+	}
+	return false
+}
+
+func (n *Node) routeQuery(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) qf.RouteQuery {
+	return qf.RouteQuery{
+		Now: now, Request: request,
+		FromZone: n.settings.Node.Zone(), FromRegion: qf.Region(n.settings.Node.Region),
+		PromptTokens: qfprefix.Tokens(request.Messages), ResumeTokens: resumeTokens,
+		Prefixes: qfprefix.Hashes(request.Messages), Excluded: avoid,
+	}
+}
+
+// predict tells the limiter when the request would be complete. Without an
+// endpoint nothing is known. It is called with the lock held.
+func (n *Node) predict(query *qf.AdmitQuery, route qf.RouteQuery) {
+	choice, err := n.router.Predict(route)
+	if err != nil {
+		return
+	}
+	query.Queue = choice.Prediction.Queue
+	query.Predicted = choice.Prediction.Completion(query.Request.MaxTokens)
+}
+
 // AttemptEnded implements qfrequest.Observer.
 func (n *Node) AttemptEnded(_ time.Time, observation qf.Observation) {
 	n.telemetry.AttemptEnded(&observation)
@@ -64,6 +92,7 @@
 	// A route is the caller's side; the runner tells the endpoint's region.
 	observation.EndpointRegion, observation.Region = observation.Region, qf.Region(n.settings.Node.Region)
 	n.versions.Observe(observation)
+	n.router.Observed(observation)
 	n.budget.Observe(&observation)
 	n.suspectOver(observation.Request)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	store     *qfcatalogue.Store
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
+	mover     *mover
 	telemetry *qftelemetry.Telemetry
 	// fetching is true while a peer is asked for its catalogue.
 	fetching atomic.Bool
@@ -107,8 +108,12 @@
 	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
+	// listedNodes are the entry nodes that the VM list doesn't say are gone.
+	listedNodes []qf.NodeID
 	// loads holds the last reported number of running requests.
 	loads map[qf.EndpointID]int
+	// planAt is when this node last got a newer plan of an entry.
+	planAt map[qf.EntryName]time.Time
 	// evidence is what peers have told of the rollouts that this node controls.
 	evidence map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence
 
@@ -116,6 +121,7 @@
 	incarnation qf.Incarnation
 	leases      *leases
 	rollouts    *rollouts
+	buyer       *buyer
 	shadows     *qfhandover.Shadows
 
 	phase atomic.Value
@@ -144,10 +150,11 @@
 		catalogue: qfcatalogue.NewCurrent(),
 		store:     qfcatalogue.NewStore(platform.Table, platform.Timer),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
-		router:    qfroute.NewLeastOutstanding(),
-		limiter:   qflimit.NewConcurrency(),
+		router:    qfroute.NewPredictive(settings.Route.Config(), platform.Random, platform.Timer.Now()),
+		limiter:   qflimit.NewShared(settings.GuardConfig()),
 		budget:    qfretry.NewBudget(),
 		loads:     map[qf.EndpointID]int{},
+		planAt:    map[qf.EntryName]time.Time{},
 		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
 		suspects: qfsuspect.New(qfsuspect.Config{
 			MaxDeaths:   settings.Request.MaxSuspectAttempts + 1,
@@ -172,6 +179,8 @@
 	n.versions = qfrollout.NewChooser(qf.Node{ID: qf.NodeID(settings.Node.ID), Incarnation: n.incarnation}, platform.Random)
 	n.leases = newLeases(n, rand.New(rand.NewPCG(platform.Random.Uint64(), platform.Random.Uint64())))
 	n.rollouts = newRollouts(n)
+	n.buyer = newBuyer(n)
+	n.mover = newMover(n)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfaddress"
 	"quetzalfront/internal/qf/state/qfcatalogue"
 	"quetzalfront/pkg/qfapi"
 )
@@ -13,9 +13,17 @@
 // Now implements qfhttp.Service.
 func (n *Node) Now() time.Time { return n.now() }
 
-// Addresses implements qfhttp.Service: live nodes, those of the caller's region
-// first.
+// Addresses implements qfhttp.Service. A node whose VM is under notice is left out
+// at once, even if it hasn't said that it leaves.
 func (n *Node) Addresses(from qf.Region) []qf.Node {
+	nodes := n.LiveNodes()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return qfaddress.Pick(qfaddress.Query{Region: from, Nodes: nodes, Random: n.platform.Random})
+}
+
+// LiveNodes returns all nodes to which callers may be sent.
+func (n *Node) LiveNodes() []qf.Node {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var nodes []qf.Node
@@ -24,9 +32,6 @@
 			nodes = append(nodes, node)
 		}
 	}
-	sort.SliceStable(nodes, func(i, j int) bool {
-		return nodes[i].Region == from && nodes[j].Region != from
-	})
 	return nodes
 }
 
@@ -66,8 +71,12 @@
 		return n.reportNodes(), nil
 	case "fleet":
 		return n.reportFleet(), nil
-	case "request", "explain":
+	case "rollouts":
+		return n.reportRollouts(), nil
+	case "request":
 		return n.reportRequest(qf.RequestID(subject))
+	case "explain":
+		return n.explain(subject)
 	default:
 		return nil, qf.NewError(qf.CodeNotFound, qf.StepReport, "", "no such report: "+name)
 	}
@@ -98,16 +107,7 @@
 	defer n.mu.Unlock()
 	report := qfapi.FleetReport{AsOf: n.listAsOf}
 	for i := range n.endpoints {
-		e := &n.endpoints[i]
-		state := qf.VMLive
-		if n.membership.IsDeparting(e.VM, e.Incarnation) {
-			state = qf.VMLeaving
-		}
-		report.Endpoints = append(report.Endpoints, qfapi.EndpointReport{
-			VM: string(e.VM), Entry: string(e.Entry), Version: string(e.Version), State: string(state),
-			Region: string(e.Region), AvailabilityZone: string(e.AvailabilityZone), Class: string(e.Class),
-			Address: e.Address,
-		})
+		report.Endpoints = append(report.Endpoints, n.reportEndpoint(&n.endpoints[i]))
 	}
 	return report
 }
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -18,6 +18,7 @@
 		RolloutStops: n.versions.Stops(),
 		RolloutPlans: n.versions.Plans(),
 		LimitUses:    n.limiter.Uses(now),
+		SentLoads:    n.sentLoads(now),
 		Suspicions:   n.suspects.Suspicions(now),
 	}
 }
--- a/internal/qf/coordination/qfmember/membership.go
+++ b/internal/qf/coordination/qfmember/membership.go
@@ -29,13 +29,21 @@
 	node qf.Node
 	// newsAt is when the heartbeat last rose.
 	newsAt time.Time
+	// probedAt is when a dead node was last tried.
+	probedAt time.Time
 }
 
 type departure struct {
 	incarnation qf.Incarnation
 	leaveAt     time.Time
+	// isAssumed is true if nobody said when the VM is taken.
+	isAssumed bool
 }
 
+// assumedNotice is the time until a VM is taken of which only the endpoint said
+// that it leaves.
+const assumedNotice = 2 * time.Second
+
 // New returns a view that knows only the node itself.
 func New(self qf.Node, timing Timing) *Membership {
 	return &Membership{
@@ -88,22 +96,46 @@
 }
 
 // LearnDeparture takes news that a VM leaves. It reports whether that was news.
+// The time of a departure that was only assumed is corrected when it is told.
 func (m *Membership) LearnDeparture(now time.Time, d qf.Departure) bool {
-	if known, ok := m.departures[d.VM]; ok && known.incarnation >= d.Incarnation {
+	known, ok := m.departures[d.VM]
+	if ok && known.incarnation >= d.Incarnation {
+		if known.isAssumed && d.In != 0 && known.incarnation == d.Incarnation {
+			m.departures[d.VM] = departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In)}
+		}
 		return false
 	}
-	m.departures[d.VM] = departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In)}
-	if p, ok := m.peers[qf.NodeID(d.VM)]; ok && p.node.Incarnation <= d.Incarnation {
-		p.node.State = qf.NodeLeaving
+	news := departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In)}
+	if d.In == 0 {
+		news = departure{incarnation: d.Incarnation, leaveAt: now.Add(assumedNotice), isAssumed: true}
 	}
+	m.departures[d.VM] = news
 	return true
 }
 
+// isUnderNotice reports whether a node's VM is known to leave. Incarnations of
+// nodes are the times of their starts in milliseconds and can't be compared with
+// the cloud's; a node that started after the VM's last reclaim is of a later
+// incarnation.
+func (m *Membership) isUnderNotice(node *qf.Node) bool {
+	d, ok := m.departures[qf.VMID(node.ID)]
+	return ok && d.leaveAt.UnixMilli() > int64(node.Incarnation)
+}
+
+// IsSelfLeaving reports whether news that a VM leaves is about this node.
+func (m *Membership) IsSelfLeaving(now time.Time, d qf.Departure) bool {
+	return qf.NodeID(d.VM) == m.self.ID && now.Add(d.In).UnixMilli() > int64(m.self.Incarnation)
+}
+
 // Departures returns the news of leaving for peers.
 func (m *Membership) Departures(now time.Time) []qf.Departure {
 	departures := make([]qf.Departure, 0, len(m.departures))
 	for vm, d := range m.departures {
-		departures = append(departures, qf.Departure{VM: vm, Incarnation: d.incarnation, In: d.leaveAt.Sub(now)})
+		in := d.leaveAt.Sub(now)
+		if d.isAssumed {
+			in = 0
+		}
+		departures = append(departures, qf.Departure{VM: vm, Incarnation: d.incarnation, In: in})
 	}
 	sort.Slice(departures, func(i, j int) bool { return departures[i].VM < departures[j].VM })
 	return departures
@@ -115,13 +147,19 @@
 	return ok && d.incarnation >= incarnation
 }
 
+// LeaveAt returns when a VM's incarnation is taken, if it is known to leave.
+func (m *Membership) LeaveAt(vm qf.VMID, incarnation qf.Incarnation) (time.Time, bool) {
+	d, ok := m.departures[vm]
+	return d.leaveAt, ok && d.incarnation >= incarnation
+}
+
 // stateOf derives a peer's state from the age of its news.
 func (m *Membership) stateOf(now time.Time, p *member) qf.NodeState {
 	age := now.Sub(p.newsAt)
 	switch {
 	case age >= m.timing.DeadAfter:
 		return qf.NodeDead
-	case p.node.State == qf.NodeLeaving:
+	case p.node.State == qf.NodeLeaving || m.isUnderNotice(&p.node):
 		return qf.NodeLeaving
 	case age >= m.timing.SuspectAfter:
 		return qf.NodeSuspect
@@ -144,6 +182,33 @@
 	return nodes
 }
 
+// forgetAfter is how long a node is dead until it is forgotten, unless the VM list
+// still names it.
+const forgetAfter = 10 * time.Minute
+
+// Probe returns the dead node that wasn't tried for the longest time, so that nodes
+// which lost each other for a while find each other again.
+func (m *Membership) Probe(now time.Time) (qf.Node, bool) {
+	var next *member
+	for id, p := range m.peers {
+		if m.stateOf(now, p) != qf.NodeDead {
+			continue
+		}
+		if now.Sub(p.newsAt) > forgetAfter {
+			delete(m.peers, id)
+			continue
+		}
+		if next == nil || p.probedAt.Before(next.probedAt) || p.probedAt.Equal(next.probedAt) && id < next.node.ID {
+			next = p
+		}
+	}
+	if next == nil {
+		return qf.Node{}, false
+	}
+	next.probedAt = now
+	return next.node, true
+}
+
 // Nodes returns the node itself and its peers.
 func (m *Membership) Nodes(now time.Time) []qf.Node {
 	return append([]qf.Node{m.self}, m.Peers(now)...)
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -43,7 +43,8 @@
 type Departure struct {
 	VM          VMID
 	Incarnation Incarnation
-	// In is the time until the VM leaves, when the news was sent.
+	// In is the time until the VM leaves, when the news was sent; 0 means that
+	// nobody said when.
 	In time.Duration
 }
 
@@ -62,6 +63,9 @@
 	Limit string
 	// Demand and Used are in the limit's units per second.
 	Demand, Used float64
+	// Share is the part of the limit that the node has taken. No other node may
+	// use it.
+	Share float64
 	// Sequence rises with each report of a node.
 	Sequence uint64
 }
@@ -71,8 +75,14 @@
 	Node     NodeID
 	Endpoint EndpointID
 	Running  int
+	// Tokens are the prompt tokens that the endpoint has yet to compute for the
+	// node.
 	Tokens   int
 	Sequence uint64
+	// Answered says that the node got an answer from the endpoint of late,
+	// Failing that its own attempts there fail.
+	Answered bool
+	Failing  bool
 }
 
 // Suspicion is news that a request fingerprint was in progress at an endpoint
--- a/internal/qf/protocol/qfrequest/start.go
+++ b/internal/qf/protocol/qfrequest/start.go
@@ -13,6 +13,9 @@
 // delay that the budget sets.
 func (x *run) start(action Action) bool {
 	now := x.config.Timer.Now()
+	if (action.Cause == StartRetry || action.Cause == StartReconnect) && x.config.Choosing.IsLeaving(action.Avoid) {
+		action.Cause = StartMove // An announced reclaim isn't a failure; it costs no retry.
+	}
 	x.cut = action.Cause == StartMove
 	x.endAttempt(x.cut)
 	if action.Cause != StartRetry && action.Cause != StartReconnect {
@@ -63,6 +66,10 @@
 	if action.Avoid != "" {
 		x.avoid = append(x.avoid, action.Avoid)
 	}
+	if planned, ok := x.takePlanned(&action); ok {
+		x.kvHandle = planned.KVHandle
+		return x.begin(now, qf.RouteChoice{Endpoint: planned.To, Reason: planned.Reason}, NewAttemptID(), action.Cause)
+	}
 	if planned := x.record.plan; planned != nil && action.Cause == StartFirst {
 		return x.begin(now, planned.Choice, planned.Attempt, action.Cause)
 	}
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -7,6 +7,7 @@
 )
 
 const (
+	gibibyte = 1 << 30
 	mebibyte = 1 << 20
 	kibibyte = 1 << 10
 )
@@ -56,8 +57,18 @@
 			ClockMargin: 0.01,
 		},
 		Rollout: RolloutSettings{
-			Within:   qfdocument.Duration(30 * time.Minute),
-			WatchFor: qfdocument.Duration(5 * time.Minute),
+			Within:      qfdocument.Duration(30 * time.Minute),
+			WatchFor:    qfdocument.Duration(5 * time.Minute),
+			LeastWithin: qfdocument.Duration(time.Minute),
+		},
+		Fleet: FleetSettings{
+			PlanEvery:  qfdocument.Duration(5 * time.Second),
+			StartTakes: qfdocument.Duration(4 * time.Minute),
+		},
+		Move: MoveSettings{
+			KVBytesPerToken:  128 * kibibyte,
+			KVBytesPerSecond: gibibyte,
+			Margin:           qfdocument.Duration(500 * time.Millisecond),
 		},
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
@@ -66,6 +77,18 @@
 			VMListEvery:             qfdocument.Duration(time.Second),
 			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
 			LoadEvery:               qfdocument.Duration(500 * time.Millisecond),
+			PricesEvery:             qfdocument.Duration(30 * time.Second),
+		},
+		Overload: OverloadSettings{
+			InteractiveQueue: qfdocument.Duration(1500 * time.Millisecond),
+			BatchQueue:       qfdocument.Duration(500 * time.Millisecond),
+		},
+		Route: RouteSettings{
+			ZoneDelay:     qfdocument.Duration(1500 * time.Microsecond),
+			RegionDelay:   qfdocument.Duration(30 * time.Millisecond),
+			TrafficPrice:  80,
+			CacheFor:      qfdocument.Duration(5 * time.Minute),
+			CachePrefixes: 32768,
 		},
 		Security:  SecuritySettings{MaxConnections: 2048, ReloadEvery: qfdocument.Duration(10 * time.Second)},
 		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -23,6 +23,10 @@
 	Feed      FeedSettings
 	Lease     LeaseSettings
 	Rollout   RolloutSettings
+	Fleet     FleetSettings
+	Move      MoveSettings
+	Route     RouteSettings
+	Overload  OverloadSettings
 	Security  SecuritySettings
 	Telemetry TelemetrySettings
 }
@@ -43,6 +47,9 @@
 	OperatorAddress netip.AddrPort `validate:"required"`
 	// Seeds are peer addresses to ask before the VM list has answered.
 	Seeds []netip.AddrPort
+	// SecondSignalAborts makes a second SIGTERM or SIGINT end the node at once,
+	// answers in progress included. Without it only the first one counts.
+	SecondSignalAborts bool
 }
 
 // PlatformSettings say where the platform's services listen.
@@ -131,8 +138,11 @@
 	VMListEvery qfdocument.Duration `validate:"gt=0"`
 	// NoticesEvery is the time between two reads of the cloud's notices.
 	NoticesEvery qfdocument.Duration `validate:"gt=0"`
-	// LoadEvery is the time between two reads of an endpoint's load.
+	// LoadEvery is the time between two reads of an endpoint's load and of its
+	// cache events.
 	LoadEvery qfdocument.Duration `validate:"gt=0"`
+	// PricesEvery is the time between two reads of the cloud's prices.
+	PricesEvery qfdocument.Duration `validate:"gt=0"`
 	// CatalogueReadsPerSecond bounds the reads of the revision by all nodes.
 	CatalogueReadsPerSecond int `validate:"min=1"`
 	// CatalogueStaleAfter is the age of the last news of the catalogue from which
@@ -153,12 +163,33 @@
 	ClockMargin float64 `validate:"gte=0,lte=0.5"`
 }
 
+// FleetSettings govern the purchase of VMs. They must be the same at all nodes.
+type FleetSettings struct {
+	// PlanEvery is the time between two plans.
+	PlanEvery qfdocument.Duration `validate:"gt=0"`
+	// StartTakes is the time from the order of a VM to its first request.
+	StartTakes qfdocument.Duration `validate:"gt=0"`
+}
+
 // RolloutSettings give the times of rollouts for which the catalogue gives none.
 type RolloutSettings struct {
 	// Within is the time in which traffic moves if an entry has no MoveBy.
 	Within qfdocument.Duration `validate:"gt=0"`
 	// WatchFor is how long the old version is kept if an entry has no WatchFor.
 	WatchFor qfdocument.Duration `validate:"gt=0"`
+	// LeastWithin is the time that moving takes even if MoveBy is nearer, or past.
+	LeastWithin qfdocument.Duration `validate:"gt=0"`
+}
+
+// MoveSettings govern how answers leave model engines that will be reclaimed.
+type MoveSettings struct {
+	// KVBytesPerToken is the size of one token's KV cache.
+	KVBytesPerToken uint64 `validate:"min=1"`
+	// KVBytesPerSecond is the rate at which an engine is expected to export KV
+	// cache until exports have been seen; 0 turns exports off.
+	KVBytesPerSecond uint64
+	// Margin is kept free before an engine is taken.
+	Margin qfdocument.Duration `validate:"gt=0"`
 }
 
 // SecuritySettings say who may call the operators' and peers' ports.
@@ -190,6 +221,30 @@
 	MaxTracesPerSecond float64 `validate:"gt=0"`
 }
 
+// RouteSettings describe the links and the prices that routing weighs.
+type RouteSettings struct {
+	// ZoneDelay is the one-way delay between availability zones of a region.
+	ZoneDelay qfdocument.Duration `validate:"gte=0"`
+	// RegionDelay is the one-way delay between regions.
+	RegionDelay qfdocument.Duration `validate:"gte=0"`
+	// TrafficPrice is the price of a gibibyte between regions, in thousandths of
+	// the currency unit.
+	TrafficPrice float64 `validate:"gte=0"`
+	// CacheFor is how long a cached prefix is believed in without news of it.
+	CacheFor qfdocument.Duration `validate:"gt=0"`
+	// CachePrefixes is the number of prefixes that the index has room for.
+	CachePrefixes int `validate:"min=1,max=1048576"`
+}
+
+// OverloadSettings bound the predicted time in an endpoint's queue, by class.
+// Critical requests are bound by their deadline alone.
+type OverloadSettings struct {
+	// InteractiveQueue is the bound for interactive requests.
+	InteractiveQueue qfdocument.Duration `validate:"gt=0"`
+	// BatchQueue is the bound for batch requests.
+	BatchQueue qfdocument.Duration `validate:"gt=0"`
+}
+
 // Zone returns the node's availability zone.
 func (n *NodeSettings) Zone() qf.AvailabilityZone { return qf.AvailabilityZone(n.AvailabilityZone) }
 
--- a/pkg/qfclient/client.go
+++ b/pkg/qfclient/client.go
@@ -82,13 +82,18 @@
 	if len(candidates) == 0 {
 		return netip.AddrPort{}, qf.NewError(qf.CodeUnavailable, qf.StepAccept, "", "no node's address is known")
 	}
-	c.turn++
+	first := 0
+	if len(c.nodes) == 0 {
+		c.turn++ // Seeds are in no order; an answer's first address is the best.
+		first = c.turn
+	}
 	for i := range candidates {
-		a := candidates[(c.turn+i)%len(candidates)]
+		a := candidates[(first+i)%len(candidates)]
 		if now.After(c.failed[a]) {
 			return a, nil
 		}
 	}
+	c.turn++
 	return candidates[c.turn%len(candidates)], nil
 }
 
