--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -43,22 +43,29 @@
 	}
 	now := n.now()
 	var endpoints []qf.Endpoint
+	var nodes []qf.NodeID
 	for i := range vms {
 		vm := &vms[i]
 		if vm.State == qf.VMLeaving {
 			n.learnDeparture(now, qf.Departure{VM: vm.ID, Incarnation: vm.Incarnation, In: vm.LeaveAt.Sub(now)})
 		}
+		if vm.Role == qf.RoleEntryNode && vm.State != qf.VMGone && vm.State != qf.VMStarting {
+			nodes = append(nodes, qf.NodeID(vm.ID))
+		}
 		if vm.Role == qf.RoleEntryNode {
 			n.seed(now, vm)
 			continue
 		}
-		endpoints = append(endpoints, endpointOf(vm))
+		if vm.State == qf.VMLive || vm.State == qf.VMLeaving {
+			endpoints = append(endpoints, endpointOf(vm))
+		}
 	}
 	n.mover.keep(endpoints)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.learnVanished(now, endpoints)
 	n.endpoints = endpoints
+	n.listedNodes = nodes
 	n.listAsOf = asOf
 	n.router.SetEndpoints(endpoints)
 }
@@ -179,6 +186,7 @@
 	n.mu.Lock()
 	n.membership.Beat(n.catalogue.Revision(), n.records.InProgress())
 	peers := n.membership.Peers(now)
+	n.shareLimits(now, peers)
 	if lost, ok := n.membership.Probe(now); ok {
 		peers = append(peers, lost)
 	}
--- a/internal/node/suspect.go
+++ b/internal/node/suspect.go
@@ -69,12 +69,10 @@
 	n.mu.Lock()
 	now := n.now()
 	n.deadUntil[endpoint.ID] = now.Add(deadFor)
-	isUnannounced := !n.membership.IsDeparting(endpoint.VM, endpoint.Incarnation)
-	if isUnannounced {
+	isNews := !n.membership.IsDeparting(endpoint.VM, endpoint.Incarnation) &&
 		n.suspects.Died(now, qfsuspect.Death{Endpoint: endpoint.ID, AvailabilityZone: endpoint.AvailabilityZone})
-	}
 	n.mu.Unlock()
-	if isUnannounced {
+	if isNews {
 		go n.exchange(n.ctx) // The caller may repeat the request at a peer before the next regular exchange.
 	}
 }
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -96,6 +96,13 @@
 	StartFailed     = Event{703, warning, "start of a VM failed", []string{FieldAvailabilityZone, FieldOutcome, FieldError}, "Nothing at once; other zones are used. See operators/reclaim.md if it lasts."}
 )
 
+// The events of endpoints' health.
+var (
+	EndpointEjected  = Event{240, warning, "an endpoint gets no work", []string{FieldEndpoint, FieldReason}, "See operators/overload.md; it is tried again on its own."}
+	EndpointTrial    = Event{241, info, "an endpoint is tried again", []string{FieldEndpoint}, "Nothing."}
+	EndpointReturned = Event{242, info, "an endpoint gets work again", []string{FieldEndpoint}, "Nothing."}
+)
+
 // All lists every event.
 func All() []Event {
 	return []Event{
@@ -139,6 +146,9 @@
 		VMStarted,
 		VMDrained,
 		StartFailed,
+		EndpointEjected,
+		EndpointTrial,
+		EndpointReturned,
 	}
 }
 
