qfmember, node: exchange within zones and through relays in large fleets

Change: above Peer.FullExchangeUpTo (12) nodes exchange heartbeats with one member of their zone, relays exchange summaries of zones, lists travel when checksums differ, departures and rollout stops at once. A node logs that it was paused or is cut off (events 410 to 412).

--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -121,6 +121,7 @@
 	if !isNews {
 		return
 	}
+	n.hasUrgentNews.Store(true)
 	qfevent.DepartureKnown.Log(&n.platform.Logger, d.VM, now.Add(d.In))
 	if isSelf {
 		leaveAt := now.Add(d.In)
@@ -176,20 +177,47 @@
 func (n *Node) exchange(ctx context.Context) {
 	now := n.now()
 	n.mu.Lock()
-	n.membership.Beat(n.catalogue.Revision(), n.records.InProgress())
-	peers := n.membership.Peers(now)
-	if lost, ok := n.membership.Probe(now); ok {
-		peers = append(peers, lost)
+	pause := n.membership.Beat(now, n.catalogue.Revision(), n.records.InProgress())
+	peers := n.membership.Targets(now, n.platform.Random, n.hasUrgentNews.Swap(false))
+	digests := make([]qf.Digest, 0, len(peers))
+	for i := range peers {
+		digests = append(digests, n.digest(now, &peers[i], nil))
 	}
-	digest := n.digest(now)
+	isCutOff := n.membership.IsCutOff(now)
 	n.mu.Unlock()
+	n.noteConnection(pause, isCutOff)
 	var exchanges sync.WaitGroup
-	for _, peer := range peers {
-		exchanges.Go(func() { n.exchangeWith(ctx, peer, digest) })
+	for i, peer := range peers {
+		exchanges.Go(func() { n.exchangeWith(ctx, peer, digests[i]) })
 	}
 	exchanges.Wait()
 }
 
+// noteConnection logs that the node was paused, and when it is cut off from its
+// peers or hears them again.
+func (n *Node) noteConnection(pause time.Duration, isCutOff bool) {
+	id := n.settings.Node.ID
+	if pause > 0 {
+		qfevent.NodePaused.Log(&n.platform.Logger, id, pause)
+	}
+	if n.isCutOff.Swap(isCutOff) == isCutOff {
+		return
+	}
+	if isCutOff {
+		qfevent.NodeCutOff.Log(&n.platform.Logger, id)
+	} else {
+		qfevent.NodeReconnected.Log(&n.platform.Logger, id)
+	}
+}
+
+// spreadNews exchanges before its time if there is urgent news, so that it doesn't
+// wait at each node on its way.
+func (n *Node) spreadNews(ctx context.Context) {
+	if n.hasUrgentNews.Load() {
+		n.exchange(ctx)
+	}
+}
+
 func (n *Node) exchangeWith(ctx context.Context, peer qf.Node, digest qf.Digest) {
 	answer, err := n.platform.Peer.Exchange(ctx, peer.PeerAddress, digest)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,10 @@
 	listAsOf   time.Time
 	shadows    *qfhandover.Shadows
 
+	// hasUrgentNews asks for an exchange before its time; isCutOff is true while the
+	// node hears none of its peers.
+	hasUrgentNews, isCutOff atomic.Bool
+
 	phase atomic.Value
 	// leaveAt is when the node's VM is taken, if that is known.
 	leaveAt atomic.Pointer[time.Time]
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -7,31 +7,30 @@
 )
 
 // digest returns the news for peers. It is called with the lock held.
-func (n *Node) digest(now time.Time) qf.Digest {
+func (n *Node) digest(now time.Time, to *qf.Node, wants []qf.AvailabilityZone) qf.Digest {
 	self := n.membership.Self()
 	self.CatalogueRevision = n.catalogue.Revision()
 	self.CatalogueAge = n.follower.Age(now)
-	return qf.Digest{
+	digest := qf.Digest{
 		From:         self,
-		Nodes:        n.membership.Peers(now),
-		Departures:   n.membership.Departures(now),
 		RolloutStops: n.versions.Stops(),
 		LimitUses:    n.limiter.Uses(now),
 		Suspicions:   n.suspects.Suspicions(now),
 	}
+	n.membership.Fill(now, &digest, to, wants)
+	return digest
 }
 
 // learn takes a peer's news.
 func (n *Node) learn(digest qf.Digest) {
 	now := n.now()
 	n.mu.Lock()
-	n.membership.Learn(now, digest.From)
+	n.membership.Take(now, &digest)
 	n.toldRevision(now, digest.From)
-	for _, node := range digest.Nodes {
-		n.membership.Learn(now, node)
-	}
 	for _, stop := range digest.RolloutStops {
-		n.versions.Stop(stop)
+		if n.versions.Stop(stop) {
+			n.hasUrgentNews.Store(true)
+		}
 	}
 	n.limiter.PeerUses(now, digest.LimitUses)
 	n.suspects.Learn(now, digest.Suspicions)
@@ -50,7 +49,7 @@
 	now := n.now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.digest(now)
+	return n.digest(now, &digest.From, digest.Wants)
 }
 
 // CatalogueNewerThan implements qfrpc.Handler.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -16,6 +16,9 @@
 	"quetzalfront/internal/qf/transport/qftls"
 )
 
+// urgentEvery is how often a node looks whether it has urgent news to pass on.
+const urgentEvery = 100 * time.Millisecond
+
 const readHeaderTimeout = 10 * time.Second
 
 // Start listens and serves until Stop. It returns once the node's ports are
@@ -76,6 +79,8 @@
 	}, qfmember.Timing{
 		SuspectAfter: n.settings.Peer.SuspectAfter.Value(),
 		DeadAfter:    n.settings.Peer.DeadAfter.Value(),
+
+		FullExchangeUpTo: n.settings.Peer.FullExchangeUpTo,
 	})
 	for _, seed := range s.Seeds {
 		if seed != peers {
@@ -134,6 +139,7 @@
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
 	n.every(moveEvery, n.mover.step)
+	n.every(urgentEvery, n.spreadNews)
 	n.every(time.Second, n.expire)
 	n.followIdentity()
 	n.every(sweepEvery, n.sweepLedger)
--- /dev/null
+++ b/internal/qf/coordination/qfmember/fleet_test.go
@@ -0,0 +1,263 @@
+package qfmember
+
+import (
+	"encoding/gob"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// simulated is a fleet of memberships whose exchanges arrive at once. Each node
+// exchanges every half second, at a time of its own within it.
+type simulated struct {
+	now     time.Time
+	random  *rand.Rand
+	members []*Membership
+	// stopped nodes neither send nor answer; cut decides which links are cut.
+	stopped map[int]bool
+	cut     func(a, b int) bool
+	index   map[qf.NodeID]int
+	encoder *gob.Encoder
+	counter *countingWriter
+	// isCounting says whether messages are encoded to count their bytes.
+	isCounting bool
+	messages   int
+	sent       []int
+	// urgent holds the nodes that learnt a departure in this step.
+	urgent map[int]bool
+}
+
+const (
+	stepsPerRound = 10
+	step          = 500 * time.Millisecond / stepsPerRound
+)
+
+var timing = Timing{SuspectAfter: 3 * time.Second, DeadAfter: 8 * time.Second, FullExchangeUpTo: 12}
+
+func newSimulated(members, zones int) *simulated {
+	s := &simulated{
+		now: start, random: rand.New(rand.NewPCG(uint64(members), 9)), stopped: map[int]bool{},
+		cut: func(int, int) bool { return false }, index: map[qf.NodeID]int{}, counter: &countingWriter{},
+		sent: make([]int, members), urgent: map[int]bool{},
+	}
+	s.encoder = gob.NewEncoder(s.counter)
+	var all []qf.Node
+	for i := range members {
+		n := node(fmt.Sprintf("lahore-node-%03d", i), start)
+		n.Region, n.AvailabilityZone = qf.Region(fmt.Sprintf("region-%d", i%zones%5)), qf.AvailabilityZone(fmt.Sprintf("zone-%02d", i%zones))
+		n.CallerAddress, n.PeerAddress = netip.MustParseAddrPort("10.1.2.3:7080"), netip.MustParseAddrPort("10.1.2.3:7081")
+		s.index[n.ID] = i
+		all = append(all, n)
+		s.members = append(s.members, New(n, timing))
+	}
+	for _, m := range s.members { // The VM list names all, without what only nodes know.
+		for _, n := range all {
+			m.Seed(start, qf.Node{ID: n.ID, AvailabilityZone: n.AvailabilityZone, Region: n.Region, PeerAddress: n.PeerAddress, CallerAddress: n.CallerAddress, State: qf.NodeLive})
+		}
+	}
+	return s
+}
+
+// run lets time pass.
+func (s *simulated) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(step)
+		urgent := s.urgent
+		s.urgent = map[int]bool{}
+		phase := int(s.now.Sub(start)/step) % stepsPerRound
+		for i, m := range s.members {
+			if s.stopped[i] || i%stepsPerRound != phase && !urgent[i] {
+				continue
+			}
+			m.Beat(s.now, 4100, 440)
+			for _, to := range m.Targets(s.now, s.random, urgent[i]) {
+				s.exchange(i, to)
+			}
+		}
+	}
+}
+
+func (s *simulated) exchange(from int, to qf.Node) {
+	other, ok := s.index[to.ID]
+	if !ok || s.stopped[other] || s.cut(from, other) {
+		return
+	}
+	question := qf.Digest{From: s.members[from].Self()}
+	s.members[from].Fill(s.now, &question, &to, nil)
+	s.deliver(from, other, &question)
+	answer := qf.Digest{From: s.members[other].Self()}
+	sender := s.members[from].Self()
+	s.members[other].Fill(s.now, &answer, &sender, question.Wants)
+	s.deliver(other, from, &answer)
+}
+
+func (s *simulated) deliver(from, to int, digest *qf.Digest) {
+	if s.isCounting {
+		before := s.counter.bytes
+		if err := s.encoder.Encode(digest); err != nil {
+			panic(err)
+		}
+		s.messages++
+		s.sent[from] += s.counter.bytes - before
+	}
+	s.members[to].Take(s.now, digest)
+	for _, d := range digest.Departures {
+		if s.members[to].LearnDeparture(s.now, d) {
+			s.urgent[to] = true
+		}
+	}
+}
+
+// until runs until a condition holds and returns how long that took.
+func (s *simulated) until(limit time.Duration, holds func() bool) time.Duration {
+	begin := s.now
+	for !holds() && s.now.Sub(begin) < limit {
+		s.run(2 * step)
+	}
+	return s.now.Sub(begin)
+}
+
+// seen counts the running members that see another one in a state.
+func (s *simulated) seen(id qf.NodeID, state qf.NodeState) int {
+	count := 0
+	for i, m := range s.members {
+		if p := m.peers[id]; p != nil && !s.stopped[i] && m.stateOf(s.now, p) == state {
+			count++
+		}
+	}
+	return count
+}
+
+// unlive counts the pairs of running members of which one doesn't see the other
+// live.
+func (s *simulated) unlive() int {
+	count := 0
+	for i, m := range s.members {
+		if s.stopped[i] {
+			continue
+		}
+		live := 0
+		for id, p := range m.peers {
+			if p.node.Incarnation > 0 && m.stateOf(s.now, p) == qf.NodeLive && !s.stopped[s.index[id]] {
+				live++
+			}
+		}
+		count += len(s.members) - len(s.stopped) - 1 - live
+	}
+	return count
+}
+
+var large = flag.Bool("large", false, "simulate 640 members as well, which takes a minute")
+
+// TestFleet proves that news spreads in time at three sizes while each node's
+// traffic stays bounded, that a lost node is found out, and that regions which lose
+// each other find each other again.
+func TestFleet(t *testing.T) {
+	sites := []struct{ members, zones int }{{6, 3}, {60, 6}}
+	if *large {
+		sites = append(sites, struct{ members, zones int }{640, 17})
+	}
+	for _, c := range sites {
+		t.Run(fmt.Sprint(c.members), func(t *testing.T) {
+			s := newSimulated(c.members, c.zones)
+			joined := s.until(30*time.Second, func() bool { return s.unlive() == 0 })
+			s.run(10 * time.Second)
+			s.isCounting = true
+			s.deliver(0, 0, &qf.Digest{From: s.members[0].Self()}) // Types are described once for each connection.
+			s.messages, s.counter.bytes, s.sent = 0, 0, make([]int, c.members)
+			falseAlarms := 0
+			const quiet = 10
+			for range quiet {
+				s.run(time.Second)
+				falseAlarms += s.unlive()
+			}
+			most := 0
+			for _, bytes := range s.sent {
+				most = max(most, bytes/quiet)
+			}
+			s.isCounting = false
+			perNode := float64(quiet * c.members)
+			t.Logf("%d members: joined in %s; %.1f messages and %.0f bytes sent per second and node, %d by the busiest; %d false alarms in %d s",
+				c.members, joined, float64(s.messages)/perNode, float64(s.counter.bytes)/perNode, most, falseAlarms, quiet)
+			if joined >= 30*time.Second || falseAlarms > 0 || most > 12000 {
+				t.Error("out of bounds")
+			}
+			checkNews(t, s)
+			checkLoss(t, s)
+		})
+	}
+}
+
+// checkNews lets one node learn a departure.
+func checkNews(t *testing.T, s *simulated) {
+	t.Helper()
+	s.members[0].LearnDeparture(s.now, qf.Departure{VM: "engine-1", Incarnation: 1, In: 30 * time.Second})
+	s.urgent[0] = true
+	took := s.until(10*time.Second, func() bool {
+		for _, m := range s.members {
+			if !m.IsDeparting("engine-1", 1) {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("a departure is known everywhere after %s", took)
+	if took > 2*time.Second {
+		t.Error("news is too slow")
+	}
+}
+
+// checkLoss stops a node, and then cuts a region off for a minute.
+func checkLoss(t *testing.T, s *simulated) {
+	t.Helper()
+	lost := s.members[1].self.ID
+	s.stopped[1] = true
+	took := s.until(30*time.Second, func() bool { return s.seen(lost, qf.NodeLive) == 0 })
+	t.Logf("a lost node is live to nobody after %s", took)
+	if took > 16*time.Second { // Heartbeats of the lost node still travel for some seconds.
+		t.Error("a lost node is found out too late")
+	}
+	isIn := func(i int) bool { return s.members[i].self.Region == "region-0" }
+	s.cut = func(a, b int) bool { return isIn(a) != isIn(b) }
+	s.run(time.Minute)
+	inside := s.members[0]
+	for _, n := range inside.Peers(s.now) {
+		if isIn(s.index[n.ID]) != (n.State == qf.NodeLive) {
+			t.Errorf("%s is %s to a node of the region that was cut off", n.ID, n.State)
+		}
+	}
+	s.cut = func(int, int) bool { return false }
+	healed := s.until(time.Minute, func() bool { return s.unlive() == 0 })
+	t.Logf("regions that were cut for a minute see each other again after %s", healed)
+	if healed > 15*time.Second {
+		t.Error("regions find each other too late")
+	}
+}
+
+// TestPauseAndCut proves that a node sees that it was paused or is cut off, and
+// doesn't give up all others for it.
+func TestPauseAndCut(t *testing.T) {
+	s := newSimulated(60, 6)
+	s.run(20 * time.Second)
+	paused := s.members[3]
+	s.stopped[3] = true
+	s.run(20 * time.Second)
+	delete(s.stopped, 3)
+	if !paused.IsCutOff(s.now) {
+		t.Error("a node that heard nothing doesn't see it")
+	}
+	if got := paused.Beat(s.now, 1, 1); got < 20*time.Second {
+		t.Errorf("the pause is %s", got)
+	}
+	if paused.IsCutOff(s.now) {
+		t.Error("a node that was paused gives up the others")
+	}
+	if took := s.until(30*time.Second, func() bool { return s.unlive() == 0 }); took > 15*time.Second {
+		t.Errorf("it is live again to all after %s", took)
+	}
+}
--- a/internal/qf/coordination/qfmember/membership.go
+++ b/internal/qf/coordination/qfmember/membership.go
@@ -13,6 +13,9 @@
 type Timing struct {
 	SuspectAfter time.Duration
 	DeadAfter    time.Duration
+	// FullExchangeUpTo is the greatest number of nodes that all tell each other
+	// everything.
+	FullExchangeUpTo int
 }
 
 // Membership is one node's view of all nodes. It isn't safe for concurrent use.
@@ -23,10 +26,20 @@
 	// departures only grow: news of leaving is never taken back for one
 	// incarnation.
 	departures map[qf.VMID]departure
+	// byHash finds peers by the hashes in beats and summaries.
+	byHash map[uint64]qf.NodeID
+	zones  map[qf.AvailabilityZone]*zoneView
+	// byZone holds the peers of each zone, ordered by identifier.
+	byZone map[qf.AvailabilityZone][]*member
+	// wantsOwn is true if a beat of a member came that isn't known.
+	wantsOwn bool
+	// beatAt is when the node last raised its heartbeat.
+	beatAt time.Time
 }
 
 type member struct {
 	node qf.Node
+	hash uint64
 	// newsAt is when the heartbeat last rose.
 	newsAt time.Time
 	// probedAt is when a dead node was last tried.
@@ -36,6 +49,7 @@
 type departure struct {
 	incarnation qf.Incarnation
 	leaveAt     time.Time
+	learntAt    time.Time
 	// isAssumed is true if nobody said when the VM is taken.
 	isAssumed bool
 }
@@ -50,14 +64,31 @@
 		timing: timing, self: self,
 		peers:      map[qf.NodeID]*member{},
 		departures: map[qf.VMID]departure{},
+		byHash:     map[uint64]qf.NodeID{},
+		zones:      map[qf.AvailabilityZone]*zoneView{},
+		byZone:     map[qf.AvailabilityZone][]*member{},
 	}
 }
 
-// Beat raises the node's own heartbeat and sets what it tells of itself.
-func (m *Membership) Beat(revision qf.Revision, load int) {
+// Beat raises the node's own heartbeat and sets what it tells of itself. It returns
+// how long the node was paused, if it was: what it then finds old is so because it
+// wasn't listening, and counts as fresh for once.
+func (m *Membership) Beat(now time.Time, revision qf.Revision, load int) time.Duration {
+	pause := time.Duration(0)
+	if gap := now.Sub(m.beatAt); !m.beatAt.IsZero() && gap >= m.timing.SuspectAfter {
+		pause = gap
+		for _, p := range m.peers {
+			p.newsAt = p.newsAt.Add(gap)
+		}
+		for _, z := range m.zones {
+			z.newsAt = z.newsAt.Add(gap)
+		}
+	}
+	m.beatAt = now
 	m.self.Heartbeat++
 	m.self.CatalogueRevision = revision
 	m.self.Load = load
+	return pause
 }
 
 // Leave marks the node itself as leaving. It is never undone.
@@ -74,7 +105,7 @@
 	}
 	known, ok := m.peers[node.ID]
 	if !ok || node.Incarnation > known.node.Incarnation {
-		m.peers[node.ID] = &member{node: node, newsAt: now}
+		m.add(now, node)
 		return
 	}
 	if node.Incarnation < known.node.Incarnation || node.Heartbeat <= known.node.Heartbeat {
@@ -92,7 +123,7 @@
 	if _, ok := m.peers[node.ID]; ok || node.ID == m.self.ID {
 		return
 	}
-	m.peers[node.ID] = &member{node: node, newsAt: now}
+	m.add(now, node)
 }
 
 // LearnDeparture takes news that a VM leaves. It reports whether that was news.
@@ -101,13 +132,14 @@
 	known, ok := m.departures[d.VM]
 	if ok && known.incarnation >= d.Incarnation {
 		if known.isAssumed && d.In != 0 && known.incarnation == d.Incarnation {
-			m.departures[d.VM] = departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In)}
+			m.departures[d.VM] = departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In), learntAt: now}
 		}
 		return false
 	}
-	news := departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In)}
+	news := departure{incarnation: d.Incarnation, leaveAt: now.Add(d.In), learntAt: now}
 	if d.In == 0 {
-		news = departure{incarnation: d.Incarnation, leaveAt: now.Add(assumedNotice), isAssumed: true}
+		news.leaveAt = now.Add(assumedNotice)
+		news.isAssumed = true
 	}
 	m.departures[d.VM] = news
 	return true
@@ -155,13 +187,13 @@
 
 // stateOf derives a peer's state from the age of its news.
 func (m *Membership) stateOf(now time.Time, p *member) qf.NodeState {
-	age := now.Sub(p.newsAt)
+	age, isAway := m.newsAge(now, p)
 	switch {
 	case age >= m.timing.DeadAfter:
 		return qf.NodeDead
 	case p.node.State == qf.NodeLeaving || m.isUnderNotice(&p.node):
 		return qf.NodeLeaving
-	case age >= m.timing.SuspectAfter:
+	case isAway || age >= m.suspectAfter():
 		return qf.NodeSuspect
 	default:
 		return qf.NodeLive
@@ -195,7 +227,7 @@
 			continue
 		}
 		if now.Sub(p.newsAt) > forgetAfter {
-			delete(m.peers, id)
+			m.forget(id)
 			continue
 		}
 		if next == nil || p.probedAt.Before(next.probedAt) || p.probedAt.Equal(next.probedAt) && id < next.node.ID {
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -98,6 +98,12 @@
 	LimitUses    []LimitUse
 	SentLoads    []SentLoad
 	Suspicions   []Suspicion
+	// Beats, Zones, Wants and Lists stand in for Nodes in large fleets. Wants names
+	// the zones of which the sender needs the list of members.
+	Beats []Beat
+	Zones []ZoneSummary
+	Wants []AvailabilityZone
+	Lists []ZoneList
 }
 
 // Peer is the contract between entry nodes.
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -76,6 +76,9 @@
 	CatalogueStale  = Event{310, warning, "no news of the catalogue; no risky actions", []string{FieldRevision, FieldAge}, "See operators/store-outage.md."}
 	CatalogueFresh  = Event{311, info, "news of the catalogue again", []string{FieldRevision}, "Nothing."}
 	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
+	NodePaused      = Event{410, warning, "the node was paused", []string{FieldNode, FieldTime}, "Look at the VM's load if it comes often."}
+	NodeCutOff      = Event{411, warning, "the node hears none of its peers", []string{FieldNode}, "Look at the node's links; callers that reach it are served."}
+	NodeReconnected = Event{412, info, "the node hears its peers again", []string{FieldNode}, "Nothing."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
 	PortUnprotected = Event{801, warning, "certificates are off", []string{FieldAddress, FieldName}, "Set the certificate files in [Security] unless this is a trial."}
 	PortRefused     = Event{802, warning, "a connection without a valid certificate was refused", []string{FieldAddress, FieldName, FieldError}, "Look for whoever connects from Address; see operators/certificates.md."}
@@ -112,6 +115,9 @@
 		CatalogueStale,
 		CatalogueFresh,
 		PeerFailed,
+		NodePaused,
+		NodeCutOff,
+		NodeReconnected,
 		DepartureKnown,
 		PortUnprotected,
 		PortRefused,
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -45,6 +45,8 @@
 			SuspectsFor:           qfdocument.Duration(10 * time.Minute),
 		},
 		Peer: PeerSettings{
+			FullExchangeUpTo: 12,
+
 			ExchangeEvery: qfdocument.Duration(500 * time.Millisecond),
 			SuspectAfter:  qfdocument.Duration(3 * time.Second),
 			DeadAfter:     qfdocument.Duration(8 * time.Second),
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -115,6 +115,9 @@
 
 // PeerSettings govern the exchange between nodes.
 type PeerSettings struct {
+	// FullExchangeUpTo is the greatest number of nodes that all tell each other
+	// everything. Larger fleets exchange within zones and through relays.
+	FullExchangeUpTo int `validate:"min=1"`
 	// ExchangeEvery is the time between two exchanges of news.
 	ExchangeEvery qfdocument.Duration `validate:"gt=0"`
 	// SuspectAfter and DeadAfter count from the last news of a node.
