--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -43,22 +43,29 @@
 	}
 	now := n.now()
 	var endpoints []qf.Endpoint
+	var nodes []qf.NodeID
 	for i := range vms {
 		vm := &vms[i]
 		if vm.State == qf.VMLeaving {
 			n.learnDeparture(now, qf.Departure{VM: vm.ID, Incarnation: vm.Incarnation, In: vm.LeaveAt.Sub(now)})
 		}
+		if vm.Role == qf.RoleEntryNode && vm.State != qf.VMGone && vm.State != qf.VMStarting {
+			nodes = append(nodes, qf.NodeID(vm.ID))
+		}
 		if vm.Role == qf.RoleEntryNode {
 			n.seed(now, vm)
 			continue
 		}
-		endpoints = append(endpoints, endpointOf(vm))
+		if vm.State == qf.VMLive || vm.State == qf.VMLeaving {
+			endpoints = append(endpoints, endpointOf(vm))
+		}
 	}
 	n.mover.keep(endpoints)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.learnVanished(now, endpoints)
 	n.endpoints = endpoints
+	n.listedNodes = nodes
 	n.listAsOf = asOf
 	n.router.SetEndpoints(endpoints)
 }
@@ -157,6 +164,7 @@
 	now := n.now()
 	n.mu.Lock()
 	n.router.Reported(now, report)
+	n.loads[endpoint.ID] = report.Running + report.Queued
 	n.mu.Unlock()
 	n.mover.reported(report)
 	if report.Leaving {
@@ -178,6 +186,7 @@
 	now := n.now()
 	n.mu.Lock()
 	pause := n.membership.Beat(now, n.catalogue.Revision(), n.records.InProgress())
+	n.shareLimits(now, n.membership.Peers(now))
 	peers := n.membership.Targets(now, n.platform.Random, n.hasUrgentNews.Swap(false))
 	digests := make([]qf.Digest, 0, len(peers))
 	for i := range peers {
@@ -188,7 +197,9 @@
 	n.noteConnection(pause, isCutOff)
 	var exchanges sync.WaitGroup
 	for i, peer := range peers {
-		exchanges.Go(func() { n.exchangeWith(ctx, peer, digests[i]) })
+		told := digests[i]
+		told.RolloutEvidence = n.evidenceFor(peer.ID)
+		exchanges.Go(func() { n.exchangeWith(ctx, peer, told) })
 	}
 	exchanges.Wait()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"quetzalfront/internal/qf/protocol/qfhandover"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/qf/state/qfledger"
 	"quetzalfront/internal/qf/state/qftrial"
 	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/internal/qf/transport/qftls"
@@ -44,7 +45,9 @@
 	Prober  qf.Prober
 	Peer    qf.Peer
 	Ledger  qf.Ledger
-	Logger  zerolog.Logger
+	// LedgerPace is the pace of Ledger.
+	LedgerPace *qfledger.Pace
+	Logger     zerolog.Logger
 	// Random draws for decisions. It is guarded by the node's lock.
 	Random *rand.Rand
 	// Spans takes the spans in place of the exporter that the settings name; it
@@ -101,11 +104,25 @@
 	// deadUntil holds the endpoints that refused a connection.
 	deadUntil  map[qf.EndpointID]time.Time
 	membership *qfmember.Membership
-	versions   *qfrollout.TargetOnly
+	versions   *qfrollout.Chooser
 	follower   *qfcatalogue.Follower
 	endpoints  []qf.Endpoint
 	listAsOf   time.Time
-	shadows    *qfhandover.Shadows
+	// listedNodes are the entry nodes that the VM list doesn't say are gone.
+	listedNodes []qf.NodeID
+	// loads holds the last reported number of running requests.
+	loads map[qf.EndpointID]int
+	// planAt is when this node last got a newer plan of an entry.
+	planAt map[qf.EntryName]time.Time
+	// evidence is what peers have told of the rollouts that this node controls.
+	evidence map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence
+
+	// incarnation is set before the node serves.
+	incarnation qf.Incarnation
+	leases      *leases
+	rollouts    *rollouts
+	buyer       *buyer
+	shadows     *qfhandover.Shadows
 
 	// hasUrgentNews asks for an exchange before its time; isCutOff is true while the
 	// node hears none of its peers.
@@ -137,9 +154,12 @@
 		catalogue: qfcatalogue.NewCurrent(),
 		store:     qfcatalogue.NewStore(platform.Table, platform.Timer),
 		records:   qfrequest.NewStore(settings.Request.MaxInProgress),
-		router:    qfroute.NewLeastOutstanding(),
-		limiter:   qflimit.NewConcurrency(),
+		router:    qfroute.NewPredictive(settings.Route.Config(), platform.Random, platform.Timer.Now()),
+		limiter:   qflimit.NewShared(settings.GuardConfig()),
 		budget:    qfretry.NewBudget(),
+		loads:     map[qf.EndpointID]int{},
+		planAt:    map[qf.EntryName]time.Time{},
+		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
 		suspects: qfsuspect.New(qfsuspect.Config{
 			MaxDeaths:   settings.Request.MaxSuspectAttempts + 1,
 			ExpireAfter: settings.Request.SuspectsFor.Value(),
@@ -150,16 +170,20 @@
 			MaxAttempts: settings.Request.MaxSuspectAttempts,
 			ExpireAfter: settings.Request.SuspectsFor.Value(),
 		}),
-		versions: qfrollout.NewTargetOnly(),
-		shadows:  qfhandover.NewShadows(settings.Request.MaxInProgress),
-		ctx:      ctx,
-		cancel:   cancel,
+		shadows: qfhandover.NewShadows(settings.Request.MaxInProgress),
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 	n.follower = qfcatalogue.NewFollower(n.catalogue, qfcatalogue.Pace{
 		Every:          settings.Feed.CatalogueEvery.Value(),
 		ReadsPerSecond: settings.Feed.CatalogueReadsPerSecond,
 		StaleAfter:     settings.Feed.CatalogueStaleAfter.Value(),
 	}, platform.Random)
+	n.incarnation = qf.Incarnation(n.now().UnixMilli())
+	n.versions = qfrollout.NewChooser(qf.Node{ID: qf.NodeID(settings.Node.ID), Incarnation: n.incarnation}, platform.Random)
+	n.leases = newLeases(n, rand.New(rand.NewPCG(platform.Random.Uint64(), platform.Random.Uint64())))
+	n.rollouts = newRollouts(n)
+	n.buyer = newBuyer(n)
 	n.mover = newMover(n)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -14,7 +14,9 @@
 	digest := qf.Digest{
 		From:         self,
 		RolloutStops: n.versions.Stops(),
+		RolloutPlans: n.versions.Plans(),
 		LimitUses:    n.limiter.Uses(now),
+		SentLoads:    n.sentLoads(now),
 		Suspicions:   n.suspects.Suspicions(now),
 	}
 	n.membership.Fill(now, &digest, to, wants)
@@ -27,11 +29,7 @@
 	n.mu.Lock()
 	n.membership.Take(now, &digest)
 	n.toldRevision(now, digest.From)
-	for _, stop := range digest.RolloutStops {
-		if n.versions.Stop(stop) {
-			n.hasUrgentNews.Store(true)
-		}
-	}
+	n.learnRollouts(now, &digest)
 	n.limiter.PeerUses(now, digest.LimitUses)
 	n.suspects.Learn(now, digest.Suspicions)
 	for _, sent := range digest.SentLoads {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -73,7 +73,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.membership = qfmember.New(qf.Node{
-		ID: qf.NodeID(s.ID), Incarnation: qf.Incarnation(n.now().UnixMilli()),
+		ID: qf.NodeID(s.ID), Incarnation: n.incarnation,
 		Region: qf.Region(s.Region), AvailabilityZone: s.Zone(),
 		CallerAddress: callers, PeerAddress: peers, State: qf.NodeLive,
 	}, qfmember.Timing{
@@ -137,7 +137,13 @@
 	n.every(feed.VMListEvery.Value(), n.pollVMList)
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
+	n.every(feed.LoadEvery.Value(), n.pollCaches)
+	n.every(feed.PricesEvery.Value(), n.pollPrices)
+	n.every(feed.LoadEvery.Value(), n.logHealth)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
+	n.every(leaseStep, n.stepLeases)
+	n.every(rolloutStep, n.rollouts.step)
+	n.every(n.settings.Fleet.PlanEvery.Value(), n.buyer.step)
 	n.every(moveEvery, n.mover.step)
 	n.every(urgentEvery, n.spreadNews)
 	n.every(time.Second, n.expire)
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -8,7 +8,6 @@
 	"github.com/google/uuid"
 
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/state/qfprefix"
 )
 
 // RetryBudget says whether a retry is allowed at present.
@@ -75,6 +74,9 @@
 	tokens                     int
 	moves                      int
 	attempt                    qf.AttemptID
+	// cut is true if the attempt in progress ends for a reason that says nothing
+	// about its endpoint's version.
+	cut bool
 	// kvHandle names KV cache for the next attempt, if any was imported.
 	kvHandle string
 	// progressAt is when the attempt last made progress or was checked on.
@@ -110,6 +112,7 @@
 		case <-deadline.C():
 			more = x.handle(Event{Kind: EventDeadline})
 		case <-record.released:
+			x.cut = true
 			return
 		case <-ctx.Done():
 			return // The node is gone; a peer or the ledger knows the rest.
@@ -203,7 +206,8 @@
 	if (action.Cause == StartRetry || action.Cause == StartReconnect) && x.config.Choosing.IsLeaving(action.Avoid) {
 		action.Cause = StartMove // An announced reclaim isn't a failure; it costs no retry.
 	}
-	x.endAttempt(action.Cause == StartMove)
+	x.cut = action.Cause == StartMove
+	x.endAttempt(x.cut)
 	if action.Cause != StartRetry && action.Cause != StartReconnect {
 		return x.launch(action)
 	}
@@ -326,11 +330,12 @@
 	x.startedAt = now
 	x.firstAt, x.lastAt = time.Time{}, now
 	x.tokens = 0
+	x.cut = false
 	x.record.note(Decision{
 		At: now, Step: qf.StepRoute, Endpoint: choice.Endpoint.ID, Reason: choice.Reason, Note: string(cause),
 	})
 	x.record.apply(Event{Kind: EventStarted, At: now, Attempt: x.attempt, Endpoint: choice.Endpoint.ID})
-	x.config.Router.Started(now, choice.Endpoint.ID, x.promptTokens())
+	x.config.Router.Started(now, choice.Endpoint.ID, x.prefillTokens())
 	x.progressAt = now
 	ctx, cancel := context.WithCancel(x.ctx)
 	x.cancel = cancel
@@ -349,7 +354,8 @@
 	return r.text[:len(r.text):len(r.text)]
 }
 
-func (x *run) promptTokens() int { return qfprefix.Tokens(x.record.Request.Messages) }
+// prefillTokens is what the router expected the endpoint to compute.
+func (x *run) prefillTokens() int { return x.choice.Prediction.PrefillTokens }
 
 // endAttempt cancels the attempt in progress and reports how it went.
 func (x *run) endAttempt(ok bool) {
@@ -359,7 +365,7 @@
 	x.cancel()
 	x.cancel = nil
 	now := x.config.Timer.Now()
-	x.config.Router.Ended(now, x.choice.Endpoint.ID, x.promptTokens(), ok)
+	x.config.Router.Ended(now, x.choice.Endpoint.ID, x.prefillTokens(), ok || x.cut)
 	x.config.Observer.AttemptEnded(now, x.observation(now, ok))
 }
 
@@ -368,7 +374,11 @@
 	o := qf.Observation{
 		At: now, Request: r.ID, Entry: r.Entry, Version: x.choice.Endpoint.Version, Organisation: r.Organisation,
 		Region: x.choice.Endpoint.Region, Class: r.Class, Failed: !ok, Complete: ok, Tokens: x.tokens,
-		Took: now.Sub(x.startedAt),
+		Took: now.Sub(x.startedAt), Load: x.choice.Load, Endpoint: x.choice.Endpoint.ID, StartedAt: x.startedAt,
+		OnceOnly: r.OnceOnly(), Forced: x.choice.Forced, Cut: x.cut,
+	}
+	if r.Kind == qf.KindPlainService {
+		o.FirstToken = now.Sub(x.startedAt)
 	}
 	if !x.firstAt.IsZero() {
 		o.FirstToken = x.firstAt.Sub(x.startedAt)
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -18,28 +18,31 @@
 
 // The names of fields.
 const (
-	FieldNode     = "Node"
-	FieldRequest  = "Request"
-	FieldEntry    = "Entry"
-	FieldVersion  = "Version"
-	FieldEndpoint = "Endpoint"
-	FieldVM       = "VM"
-	FieldRevision = "Revision"
-	FieldPeer     = "Peer"
-	FieldCount    = "Count"
-	FieldOutcome  = "Outcome"
-	FieldReason   = "Reason"
-	FieldError    = "Error"
-	FieldAddress  = "Address"
-	FieldOperator = "Operator"
-	FieldTime     = "Time"
-	FieldName     = "Name"
-	FieldTrace    = "Trace"
-	FieldSpan     = "Span"
-	FieldParent   = "Parent"
-	FieldTook     = "Took"
-	FieldDetails  = "Details"
-	FieldAge      = "Age"
+	FieldNode             = "Node"
+	FieldRequest          = "Request"
+	FieldEntry            = "Entry"
+	FieldVersion          = "Version"
+	FieldEndpoint         = "Endpoint"
+	FieldVM               = "VM"
+	FieldRevision         = "Revision"
+	FieldPeer             = "Peer"
+	FieldCount            = "Count"
+	FieldOutcome          = "Outcome"
+	FieldReason           = "Reason"
+	FieldError            = "Error"
+	FieldAddress          = "Address"
+	FieldOperator         = "Operator"
+	FieldTime             = "Time"
+	FieldAvailabilityZone = "AvailabilityZone"
+	FieldName             = "Name"
+	FieldTrace            = "Trace"
+	FieldSpan             = "Span"
+	FieldParent           = "Parent"
+	FieldTook             = "Took"
+	FieldDetails          = "Details"
+	FieldAge              = "Age"
+	FieldDuty             = "Duty"
+	FieldFencing          = "Fencing"
 )
 
 const (
@@ -80,11 +83,27 @@
 	NodeCutOff      = Event{411, warning, "the node hears none of its peers", []string{FieldNode}, "Look at the node's links; callers that reach it are served."}
 	NodeReconnected = Event{412, info, "the node hears its peers again", []string{FieldNode}, "Nothing."}
 	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
+	LeaseTaken      = Event{601, info, "lease taken", []string{FieldDuty, FieldFencing}, "Nothing."}
+	LeaseLost       = Event{602, warning, "lease lost", []string{FieldDuty, FieldReason}, "Nothing; another node takes over. Check the table service if it recurs."}
+	RolloutChanged  = Event{610, info, "rollout changed its phase", []string{FieldEntry, FieldVersion, FieldOutcome, FieldReason}, "Run report rollouts."}
+	RolloutStopped  = Event{611, warning, "a version is stopped", []string{FieldEntry, FieldVersion, FieldReason}, "Run report rollouts; mend the version."}
+	RolloutLate     = Event{612, warning, "a rollout will be late", []string{FieldEntry, FieldVersion, FieldReason}, "Move the deadline, or see operators/rollouts.md."}
+	RolloutFailed   = Event{613, warning, "a rollout's plan could not be kept", []string{FieldEntry, FieldError}, "Check the table service; shares hold meanwhile."}
 	PortUnprotected = Event{801, warning, "certificates are off", []string{FieldAddress, FieldName}, "Set the certificate files in [Security] unless this is a trial."}
 	PortRefused     = Event{802, warning, "a connection without a valid certificate was refused", []string{FieldAddress, FieldName, FieldError}, "Look for whoever connects from Address; see operators/certificates.md."}
 	IdentityLoaded  = Event{803, info, "certificates were loaded", []string{FieldName}, "Nothing."}
 	IdentityFailed  = Event{804, failure, "certificates could not be loaded", []string{FieldError}, "Mend the files; those that were loaded before stay in use."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
+	VMStarted       = Event{701, info, "VM started", []string{FieldVM, FieldEntry, FieldVersion, FieldReason}, "Nothing."}
+	VMDrained       = Event{702, info, "VM given up", []string{FieldVM, FieldReason}, "Nothing; it is stopped once it is idle."}
+	StartFailed     = Event{703, warning, "start of a VM failed", []string{FieldAvailabilityZone, FieldOutcome, FieldError}, "Nothing at once; other zones are used. See operators/reclaim.md if it lasts."}
+)
+
+// The events of endpoints' health.
+var (
+	EndpointEjected  = Event{240, warning, "an endpoint gets no work", []string{FieldEndpoint, FieldReason}, "See operators/overload.md; it is tried again on its own."}
+	EndpointTrial    = Event{241, info, "an endpoint is tried again", []string{FieldEndpoint}, "Nothing."}
+	EndpointReturned = Event{242, info, "an endpoint gets work again", []string{FieldEndpoint}, "Nothing."}
 )
 
 // All lists every event.
@@ -106,10 +125,10 @@
 		SuspectRefused,
 		ShadowAdopted,
 		ShadowFailed,
-		OwnershipLost,
 		NodeAborted,
 		StreamsMoving,
 		ExportFailed,
+		OwnershipLost,
 		CatalogueInUse,
 		CatalogueFailed,
 		CatalogueStale,
@@ -119,11 +138,23 @@
 		NodeCutOff,
 		NodeReconnected,
 		DepartureKnown,
+		LeaseTaken,
+		LeaseLost,
+		RolloutChanged,
+		RolloutStopped,
+		RolloutLate,
+		RolloutFailed,
 		PortUnprotected,
 		PortRefused,
 		IdentityLoaded,
 		IdentityFailed,
 		PlatformFailed,
+		VMStarted,
+		VMDrained,
+		StartFailed,
+		EndpointEjected,
+		EndpointTrial,
+		EndpointReturned,
 	}
 }
 
--- a/internal/scenario/expect_test.go
+++ b/internal/scenario/expect_test.go
@@ -24,21 +24,25 @@
 //	expect never-below N           no node has an older revision now
 //	expect within D                no more time than D passed since mark
 //	expect no-work-after D         no engine was sent work longer than D after it heard that it leaves
+//	expect engines N               at least N engines are left
+//	expect engines-become N        N engines live at some time soon, and still 2 min later
 //	expect live N                  every node sees N live nodes at some time soon
 func (s *script) expect(_ *testscript.TestScript, args []string) error {
 	checks := map[string]func(args []string) error{
-		"executions":    s.expectExecutions,
-		"never-more":    s.expectNeverMore,
-		"truthful":      s.expectTruthful,
-		"call":          s.expectCall,
-		"refused":       s.expectRefused,
-		"edit":          s.expectEdit,
-		"one-edit":      s.expectOneEdit,
-		"revision":      s.expectRevision,
-		"never-below":   s.expectNeverBelow,
-		"within":        s.expectWithin,
-		"live":          s.expectLive,
-		"no-work-after": s.expectNoWorkAfter,
+		"executions":     s.expectExecutions,
+		"never-more":     s.expectNeverMore,
+		"truthful":       s.expectTruthful,
+		"engines":        s.expectEngines,
+		"engines-become": s.expectEnginesBecome,
+		"call":           s.expectCall,
+		"refused":        s.expectRefused,
+		"edit":           s.expectEdit,
+		"one-edit":       s.expectOneEdit,
+		"revision":       s.expectRevision,
+		"never-below":    s.expectNeverBelow,
+		"within":         s.expectWithin,
+		"live":           s.expectLive,
+		"no-work-after":  s.expectNoWorkAfter,
 	}
 	check, ok := checks[args[0]]
 	if !ok {
@@ -178,3 +182,32 @@
 	}
 	return nil
 }
+
+func (s *script) expectEngines(args []string) error {
+	least, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	if left := len(s.vmsOf("assistant", least)); left < least {
+		return fmt.Errorf("only %d engines are left", left)
+	}
+	return nil
+}
+
+const allEngines = 1000
+
+func (s *script) expectEnginesBecome(args []string) error {
+	want, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	count := func() int { return len(s.vmsOf("assistant", allEngines)) }
+	if _, err := s.d.eventually(args[0]+" engines", func() bool { return count() == want }); err != nil {
+		return fmt.Errorf("%w: there are %d", err, count())
+	}
+	s.d.pause(2 * time.Minute)
+	if got := count(); got != want {
+		return fmt.Errorf("there were %s engines, and 2 min later %d", args[0], got)
+	}
+	return nil
+}
