--- a/internal/qf/protocol/qfrequest/move.go
+++ b/internal/qf/protocol/qfrequest/move.go
@@ -86,13 +86,14 @@
 
 // takePlanned returns the planned destination of a move once. A plan for a move
 // that didn't come about is dropped.
-func (x *run) takePlanned(action *Action) (*Planned, bool) {
+func (x *run) takePlanned(action *Action) (qf.RouteChoice, bool) {
 	x.record.mu.Lock()
 	defer x.record.mu.Unlock()
 	planned := x.record.planned
 	x.record.planned = nil
 	if planned == nil || action.Cause == StartRetry || planned.From != action.Avoid {
-		return nil, false
+		return qf.RouteChoice{}, false
 	}
-	return planned, planned.To.ID != ""
+	x.kvHandle = planned.KVHandle
+	return qf.RouteChoice{Endpoint: planned.To, Reason: planned.Reason}, planned.To.ID != ""
 }
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -256,9 +256,8 @@
 	if action.Avoid != "" {
 		x.avoid = append(x.avoid, action.Avoid)
 	}
-	if planned, ok := x.takePlanned(&action); ok {
-		x.kvHandle = planned.KVHandle
-		return x.begin(now, qf.RouteChoice{Endpoint: planned.To, Reason: planned.Reason}, NewAttemptID(), action.Cause)
+	if choice, ok := x.takePlanned(&action); ok {
+		return x.begin(now, choice, NewAttemptID(), action.Cause)
 	}
 	if planned := x.record.plan; planned != nil && action.Cause == StartFirst {
 		return x.begin(now, planned.Choice, planned.Attempt, action.Cause)
