--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,6 +124,10 @@
 	buyer       *buyer
 	shadows     *qfhandover.Shadows
 
+	// hasUrgentNews asks for an exchange before its time; isCutOff is true while the
+	// node hears none of its peers.
+	hasUrgentNews, isCutOff atomic.Bool
+
 	phase atomic.Value
 	// leaveAt is when the node's VM is taken, if that is known.
 	leaveAt atomic.Pointer[time.Time]
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -162,6 +162,7 @@
 func (n *Node) learnRollouts(now time.Time, digest *qf.Digest) {
 	for _, stop := range digest.RolloutStops {
 		if n.versions.Stop(stop) {
+			n.hasUrgentNews.Store(true)
 			qfevent.RolloutStopped.Log(&n.platform.Logger, stop.Entry, stop.Version, stop.Reason)
 		}
 	}
