--- a/internal/node/decide.go
+++ b/internal/node/decide.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/state/qfprefix"
 )
 
 // Choose picks a version and an endpoint for a request. It implements
@@ -47,24 +46,16 @@
 	return choice, err
 }
 
-func (n *Node) routeQuery(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) qf.RouteQuery {
-	return qf.RouteQuery{
-		Now: now, Request: request,
-		FromZone: n.settings.Node.Zone(), FromRegion: qf.Region(n.settings.Node.Region),
-		PromptTokens: qfprefix.Tokens(request.Messages), ResumeTokens: resumeTokens,
-		Prefixes: qfprefix.Hashes(request.Messages), Excluded: avoid,
-	}
-}
-
-// predict tells the limiter when the request would be complete. Without an
-// endpoint nothing is known. It is called with the lock held.
-func (n *Node) predict(query *qf.AdmitQuery, route qf.RouteQuery) {
-	choice, err := n.router.Predict(route)
-	if err != nil {
-		return
+// IsLeaving implements qfrequest.Choosing.
+func (n *Node) IsLeaving(endpoint qf.EndpointID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range n.endpoints {
+		if e := &n.endpoints[i]; e.ID == endpoint {
+			return n.membership.IsDeparting(e.VM, e.Incarnation)
+		}
 	}
-	query.Queue = choice.Prediction.Queue
-	query.Predicted = choice.Prediction.Completion(query.Request.MaxTokens)
+	return false
 }
 
 // AttemptEnded implements qfrequest.Observer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,7 @@
 	store     *qfcatalogue.Store
 	records   *qfrequest.Store
 	runner    *qfrequest.Runner
+	mover     *mover
 	telemetry *qftelemetry.Telemetry
 	// fetching is true while a peer is asked for its catalogue.
 	fetching atomic.Bool
@@ -173,6 +174,7 @@
 	n.leases = newLeases(n, rand.New(rand.NewPCG(platform.Random.Uint64(), platform.Random.Uint64())))
 	n.rollouts = newRollouts(n)
 	n.buyer = newBuyer(n)
+	n.mover = newMover(n)
 	n.phase.Store(PhaseServing)
 	n.runner = qfrequest.NewRunner(qfrequest.Config{
 		Timer: platform.Timer, Engine: platform.Engine, Service: platform.Service,
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -28,6 +28,8 @@
 // Choosing picks an endpoint for a request; it joins version and route.
 type Choosing interface {
 	Choose(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) (qf.RouteChoice, error)
+	// IsLeaving reports whether an endpoint is under notice.
+	IsLeaving(endpoint qf.EndpointID) bool
 }
 
 // Config holds what a runner works with. No field may be nil.
@@ -75,6 +77,8 @@
 	// cut is true if the attempt in progress ends for a reason that says nothing
 	// about its endpoint's version.
 	cut bool
+	// kvHandle names KV cache for the next attempt, if any was imported.
+	kvHandle string
 	// progressAt is when the attempt last made progress or was checked on.
 	progressAt time.Time
 	// reconnect is set for an attempt after one that went silent.
@@ -135,6 +139,9 @@
 // handle applies an event and does what the lifecycle asks for. It returns false
 // when the request has ended or was released.
 func (x *run) handle(e Event) bool {
+	if x.ctx.Err() != nil {
+		return false // What broke because the node ends says nothing about the request.
+	}
 	if e.Kind == EventReplaced {
 		return x.replaced(e)
 	}
@@ -196,6 +203,9 @@
 // delay that the budget sets.
 func (x *run) start(action Action) bool {
 	now := x.config.Timer.Now()
+	if (action.Cause == StartRetry || action.Cause == StartReconnect) && x.config.Choosing.IsLeaving(action.Avoid) {
+		action.Cause = StartMove // An announced reclaim isn't a failure; it costs no retry.
+	}
 	x.cut = action.Cause == StartMove
 	x.endAttempt(x.cut)
 	if action.Cause != StartRetry && action.Cause != StartReconnect {
@@ -246,6 +256,10 @@
 	if action.Avoid != "" {
 		x.avoid = append(x.avoid, action.Avoid)
 	}
+	if planned, ok := x.takePlanned(&action); ok {
+		x.kvHandle = planned.KVHandle
+		return x.begin(now, qf.RouteChoice{Endpoint: planned.To, Reason: planned.Reason}, NewAttemptID(), action.Cause)
+	}
 	if planned := x.record.plan; planned != nil && action.Cause == StartFirst {
 		return x.begin(now, planned.Choice, planned.Attempt, action.Cause)
 	}
@@ -327,7 +341,7 @@
 	x.cancel = cancel
 	hop := qf.Hop{TimeLeft: x.record.Request.Deadline.Sub(now), FreshConnection: x.reconnect}
 	if x.record.Request.Kind == qf.KindModelEngine {
-		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText(), hop)
+		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText(), x.takeKVHandle(), hop)
 	} else {
 		go x.call(ctx, choice.Endpoint, x.attempt, hop, x.record.plan)
 	}
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -26,6 +26,7 @@
 	Fleet     FleetSettings
 	Route     RouteSettings
 	Overload  OverloadSettings
+	Move      MoveSettings
 	Security  SecuritySettings
 	Telemetry TelemetrySettings
 }
@@ -46,6 +47,9 @@
 	OperatorAddress netip.AddrPort `validate:"required"`
 	// Seeds are peer addresses to ask before the VM list has answered.
 	Seeds []netip.AddrPort
+	// SecondSignalAborts makes a second SIGTERM or SIGINT end the node at once,
+	// answers in progress included. Without it only the first one counts.
+	SecondSignalAborts bool
 }
 
 // PlatformSettings say where the platform's services listen.
@@ -175,6 +179,17 @@
 	WatchFor qfdocument.Duration `validate:"gt=0"`
 }
 
+// MoveSettings govern how answers leave model engines that will be reclaimed.
+type MoveSettings struct {
+	// KVBytesPerToken is the size of one token's KV cache.
+	KVBytesPerToken uint64 `validate:"min=1"`
+	// KVBytesPerSecond is the rate at which an engine is expected to export KV
+	// cache until exports have been seen; 0 turns exports off.
+	KVBytesPerSecond uint64
+	// Margin is kept free before an engine is taken.
+	Margin qfdocument.Duration `validate:"gt=0"`
+}
+
 // SecuritySettings say who may call the operators' and peers' ports.
 type SecuritySettings struct {
 	// Insecure turns certificates off. It must be set on purpose.
--- a/internal/scenario/send_test.go
+++ b/internal/scenario/send_test.go
@@ -65,9 +65,9 @@
 // stream sends chats in the background and compares each answer with the
 // reference.
 func (d *deployment) stream(count, tokens int, organisation, prompt string) {
-	client := d.client(organisation)
 	s := &d.sendings
 	for i := range count {
+		client := d.client(organisation)
 		s.group.Go(func() {
 			err := chatOnce(client, fmt.Sprintf("%s %d", prompt, i), tokens, &s.tokens)
 			s.mu.Lock()
