bench: measure routing and admission against their baselines

Cause: nothing showed what routing and admission are worth. Change: quetzalfront measure routing and measure limits print a table each, on virtual time, from a seed.

--- a/cmd/quetzalfront/main.go
+++ b/cmd/quetzalfront/main.go
@@ -57,6 +57,7 @@
 	// Inner subcommands come first: a parent is marked as used as well.
 	commands := append(catalogueCommands(), reportCommands()...)
 	commands = append(commands, settingsCommands()...)
+	commands = append(commands, measureCommands()...)
 	return append(commands, top...)
 }
 
--- a/internal/bench/benchroute/table_test.go
+++ b/internal/bench/benchroute/table_test.go
@@ -1,13 +1,37 @@
 package benchroute
 
 import (
-	"os"
 	"testing"
 )
 
-func TestRoutingTable(t *testing.T) {
-	table := Run(1)
-	if err := table.Print(os.Stdout); err != nil {
-		t.Fatal(err)
+// TestSteadyAgainstBaselines holds the router to being faster and cheaper than
+// every baseline under steady load, and to the recomputed tokens.
+func TestSteadyAgainstBaselines(t *testing.T) {
+	const recomputed = 0.6
+	for _, d := range Deployments() {
+		rows := RunScenario(Scenarios(d)[0], 1)
+		ours := rows[len(rows)-1]
+		for _, r := range rows[:len(rows)-1] {
+			if ours.FirstToken >= r.FirstToken {
+				t.Errorf("%s: first token %s, %s has %s", d.Name, ours.FirstToken, r.Policy, r.FirstToken)
+			}
+			if ours.CostPerThousand >= r.CostPerThousand {
+				t.Errorf("%s: cost %.3f, %s has %.3f", d.Name, ours.CostPerThousand, r.Policy, r.CostPerThousand)
+			}
+			if r.Policy == policyTwoChoices && ours.Computed > recomputed*r.Computed {
+				t.Errorf("%s: computed %.0fk tokens, two choices %.0fk", d.Name, ours.Computed, r.Computed)
+			}
+		}
+	}
+}
+
+// TestRunsRepeat plays one scenario twice with the same seed.
+func TestRunsRepeat(t *testing.T) {
+	s := Scenarios(Deployments()[0])[1]
+	a, b := RunScenario(s, 7), RunScenario(s, 7)
+	for i := range a {
+		if a[i] != b[i] {
+			t.Errorf("%+v and %+v", a[i], b[i])
+		}
 	}
 }
