--- a/internal/qf/coordination/qflimit/guard.go
+++ b/internal/qf/coordination/qflimit/guard.go
@@ -1,6 +1,7 @@
 package qflimit
 
 import (
+	"math"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -47,6 +48,9 @@
 type guard struct {
 	config  GuardConfig
 	entries map[qf.EntryName]map[qf.Organisation]*tenant
+	// refusals and admissions are moving counts as of countedAt.
+	refusals, admissions float64
+	countedAt            time.Time
 }
 
 // tenant is an organisation at an entry.
@@ -62,6 +66,33 @@
 
 // check returns a refusal, or an admission.
 func (g *guard) check(q *qf.AdmitQuery) qf.Admission {
+	g.decay(q.Now)
+	admission := g.judge(q)
+	if admission.Admitted {
+		g.admissions++
+		return admission
+	}
+	g.refusals++
+	// Those who were refused of late come back too; together they need this long.
+	crowd := time.Duration(g.refusals / max(g.admissions, 1) * float64(countWindow))
+	admission.RetryAfter = min(max(admission.RetryAfter, crowd), maxRetryAfter)
+	return admission
+}
+
+// countWindow is the time over which refusals and admissions are counted.
+const countWindow = time.Second
+
+func (g *guard) decay(now time.Time) {
+	if g.countedAt.IsZero() {
+		g.countedAt = now
+	}
+	keep := math.Exp(-now.Sub(g.countedAt).Seconds() / countWindow.Seconds())
+	g.refusals *= keep
+	g.admissions *= keep
+	g.countedAt = now
+}
+
+func (g *guard) judge(q *qf.AdmitQuery) qf.Admission {
 	t := g.tenant(q.Request)
 	t.seenAt = q.Now
 	left := q.Request.Deadline.Sub(q.Now)
