--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"quetzalfront/internal/qf/protocol/qfhandover"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
+	"quetzalfront/internal/qf/state/qfledger"
 	"quetzalfront/internal/qf/state/qftrial"
 	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/internal/qf/transport/qftls"
@@ -44,7 +45,9 @@
 	Prober  qf.Prober
 	Peer    qf.Peer
 	Ledger  qf.Ledger
-	Logger  zerolog.Logger
+	// LedgerPace is the pace of Ledger.
+	LedgerPace *qfledger.Pace
+	Logger     zerolog.Logger
 	// Random draws for decisions. It is guarded by the node's lock.
 	Random *rand.Rand
 	// Spans takes the spans in place of the exporter that the settings name; it
@@ -109,6 +112,8 @@
 	listedNodes []qf.NodeID
 	// loads holds the last reported number of running requests.
 	loads map[qf.EndpointID]int
+	// planAt is when this node last got a newer plan of an entry.
+	planAt map[qf.EntryName]time.Time
 	// evidence is what peers have told of the rollouts that this node controls.
 	evidence map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence
 
@@ -149,6 +154,7 @@
 		limiter:   qflimit.NewShared(settings.GuardConfig()),
 		budget:    qfretry.NewBudget(),
 		loads:     map[qf.EndpointID]int{},
+		planAt:    map[qf.EntryName]time.Time{},
 		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
 		suspects: qfsuspect.New(qfsuspect.Config{
 			MaxDeaths:   settings.Request.MaxSuspectAttempts + 1,
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -126,9 +126,6 @@
 		StreamsMoving,
 		ExportFailed,
 		OwnershipLost,
-		EndpointEjected,
-		EndpointTrial,
-		EndpointReturned,
 		CatalogueInUse,
 		CatalogueFailed,
 		CatalogueStale,
@@ -149,6 +146,9 @@
 		VMStarted,
 		VMDrained,
 		StartFailed,
+		EndpointEjected,
+		EndpointTrial,
+		EndpointReturned,
 	}
 }
 
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -24,9 +24,9 @@
 	Lease     LeaseSettings
 	Rollout   RolloutSettings
 	Fleet     FleetSettings
+	Move      MoveSettings
 	Route     RouteSettings
 	Overload  OverloadSettings
-	Move      MoveSettings
 	Security  SecuritySettings
 	Telemetry TelemetrySettings
 }
@@ -108,9 +108,9 @@
 	// LeaveWithin is how long after its intent a once-only attempt may leave. A
 	// node that was paused for longer asks the ledger again.
 	LeaveWithin qfdocument.Duration `validate:"gt=0"`
-	// LedgerCommitEvery is the shortest time between two transactions in which a
-	// node records intents and outcomes.
-	LedgerCommitEvery qfdocument.Duration `validate:"gt=0"`
+	// LedgerCommitsPerSecond is the number of transactions in which all nodes
+	// together may record intents and outcomes.
+	LedgerCommitsPerSecond int `validate:"min=1"`
 	// MaxSuspectAttempts bounds the attempts of a request that is suspected of
 	// crashing endpoints, over all nodes and repeats.
 	MaxSuspectAttempts int `validate:"min=1"`
@@ -177,6 +177,8 @@
 	Within qfdocument.Duration `validate:"gt=0"`
 	// WatchFor is how long the old version is kept if an entry has no WatchFor.
 	WatchFor qfdocument.Duration `validate:"gt=0"`
+	// LeastWithin is the time that moving takes even if MoveBy is nearer, or past.
+	LeastWithin qfdocument.Duration `validate:"gt=0"`
 }
 
 // MoveSettings govern how answers leave model engines that will be reclaimed.
