qfrollout, scenario: move by stages though no plan is known yet

Cause: a target that changed before the entry's first plan was written counted as the entry's first version and got all traffic at once (scenario rollout_good_then_bad: "v2 serves everything: it is the entry's first version"). Change: while no plan is known, the first listed version that isn't the target counts as good, for the controller as for nodes. Scenarios: good then bad with the holder killed, the store down, bad in the watch; the scenario language gains replicas, target, callers, kill-holder and expect rollout.

--- a/internal/qf/coordination/qfrollout/chooser.go
+++ b/internal/qf/coordination/qfrollout/chooser.go
@@ -144,7 +144,7 @@
 func (c *Chooser) Choose(query qf.VersionQuery) (qf.Version, qf.Reason) {
 	e := c.entry(query.Entry)
 	if e.plan == nil {
-		return e.withoutPlan(), qf.Reason{Rule: "NoPlan"}
+		return e.wish.settled(), qf.Reason{Rule: "NoPlan"}
 	}
 	if e.plan.From == e.plan.To {
 		return e.plan.To, qf.Reason{Rule: "OneVersion"}
@@ -170,17 +170,6 @@
 	return e.plan.From, reason
 }
 
-// withoutPlan avoids the target where another version is listed: a target gets
-// traffic only under a plan.
-func (e *entryState) withoutPlan() qf.Version {
-	for _, v := range e.wish.Versions {
-		if v != e.wish.Target {
-			return v
-		}
-	}
-	return e.wish.Target
-}
-
 // spreadReserve keeps the load of the endpoints that are used below that of the
 // old version's, because a few endpoints can't even out bursts as many can.
 const spreadReserve = 1.25
--- a/internal/qf/coordination/qfrollout/wish.go
+++ b/internal/qf/coordination/qfrollout/wish.go
@@ -43,6 +43,18 @@
 	wishTimes    wishChange = "Times"
 )
 
+// settled returns the version that counts as good while no plan is known: the
+// first one listed that isn't the target, so that a target that changes before
+// the first plan is written still moves by stages.
+func (w *Wish) settled() qf.Version {
+	for _, v := range w.Versions {
+		if v != w.Target {
+			return v
+		}
+	}
+	return w.Target
+}
+
 // wished compares a wish with the plan. A wish of an older catalogue revision than
 // the plan's changes nothing: this node hasn't the newer one yet.
 func wished(plan *qf.RolloutPlan, wish *Wish) wishChange {
@@ -87,8 +99,13 @@
 	}
 	switch change {
 	case wishFirst:
-		fresh.From = wish.Target
+		fresh.From = wish.settled()
 		fresh.Reason = "it is the entry's first version"
+		if fresh.From != fresh.To {
+			fresh.Phase, fresh.RestShare = qf.RolloutRamping, 0
+			fresh.Reason = fmt.Sprintf("%s was listed before it and no plan was known", fresh.From)
+			setTimes(now, fresh, wish, pace)
+		}
 	case wishRollBack:
 		fresh.Reason = fmt.Sprintf("revision %d set the target back to %s while %s was %s", wish.Revision, wish.Target, plan.To, plan.Phase)
 	case wishStart:
--- a/internal/qf/coordination/qfrollout/wish_test.go
+++ b/internal/qf/coordination/qfrollout/wish_test.go
@@ -31,6 +31,7 @@
 		late string
 	}{
 		{"first version", qf.RolloutPlan{}, Wish{Target: "v1", Revision: 1}, "v1>v1:1:Done", ""},
+		{"first plan, but another version is listed", qf.RolloutPlan{}, Wish{Target: "v2", Versions: []qf.Version{"v1", "v2"}, Revision: 2, MoveBy: soon}, "v1>v2:1:Ramping", ""},
 		{"nothing new", settled, Wish{Target: "v1", Revision: 6}, "", ""},
 		{"new version", settled, Wish{Target: "v2", Revision: 6, MoveBy: soon}, "v1>v2:5:Ramping", ""},
 		{"new version, deadline past", settled, Wish{Target: "v2", Revision: 6, MoveBy: testStart.Add(-time.Hour)}, "v1>v2:5:Ramping", "was past"},
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -28,6 +28,8 @@
 	// verdicts holds what became of the edits, by name.
 	verdicts map[string]qfcatalogue.Verdict
 	since    time.Time
+	// stopCallers ends the callers that ask until they are stopped.
+	stopCallers func()
 }
 
 type commandFunc func(ts *testscript.TestScript, args []string) error
@@ -53,6 +55,11 @@
 		"engine":  s.engine,
 		"service": s.service,
 		"expect":  s.expect,
+
+		"replicas":    s.replicas,
+		"target":      s.target,
+		"callers":     s.callers,
+		"kill-holder": s.killHolder,
 	}
 	out := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, f := range table {
--- a/internal/scenario/expect_test.go
+++ b/internal/scenario/expect_test.go
@@ -37,6 +37,8 @@
 		"revision":      s.expectRevision,
 		"never-below":   s.expectNeverBelow,
 		"within":        s.expectWithin,
+		"rollout":       s.expectRollout,
+		"holds":         s.expectHolds,
 		"live":          s.expectLive,
 		"no-work-after": s.expectNoWorkAfter,
 	}
