--- a/internal/demo/acts.go
+++ b/internal/demo/acts.go
@@ -31,14 +31,13 @@
 // streamThroughReclaim reclaims a zone, its node included, while answers stream,
 // and compares each answer with the reference.
 func (s *stage) streamThroughReclaim(ctx context.Context, out io.Writer) error {
-	client := s.client()
 	var tokens atomic.Int64
 	var resumed atomic.Int64
 	failures := make([]error, streams)
 	var senders sync.WaitGroup
 	for i := range streams {
 		senders.Go(func() {
-			answer, err := client.Chat(ctx, chatRequest(i), func(string) { tokens.Add(1) })
+			answer, err := s.client().Chat(ctx, chatRequest(i), func(string) { tokens.Add(1) })
 			resumed.Add(int64(answer.Resumed))
 			failures[i] = errors.Join(err, compare(i, answer.Text))
 		})
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
@@ -44,21 +43,29 @@
 	}
 	now := n.now()
 	var endpoints []qf.Endpoint
+	var nodes []qf.NodeID
 	for i := range vms {
 		vm := &vms[i]
 		if vm.State == qf.VMLeaving {
 			n.learnDeparture(now, qf.Departure{VM: vm.ID, Incarnation: vm.Incarnation, In: vm.LeaveAt.Sub(now)})
 		}
+		if vm.Role == qf.RoleEntryNode && vm.State != qf.VMGone && vm.State != qf.VMStarting {
+			nodes = append(nodes, qf.NodeID(vm.ID))
+		}
 		if vm.Role == qf.RoleEntryNode {
 			n.seed(now, vm)
 			continue
 		}
-		endpoints = append(endpoints, endpointOf(vm))
+		if vm.State == qf.VMLive || vm.State == qf.VMLeaving {
+			endpoints = append(endpoints, endpointOf(vm))
+		}
 	}
+	n.mover.keep(endpoints)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.learnVanished(now, endpoints)
 	n.endpoints = endpoints
+	n.listedNodes = nodes
 	n.listAsOf = asOf
 	n.router.SetEndpoints(endpoints)
 }
@@ -107,11 +114,12 @@
 	}
 }
 
-// learnDeparture takes news that a VM leaves: no new work goes there, and what
-// runs there moves.
+// learnDeparture takes news that a VM leaves: no new work goes there. What runs
+// there moves at the mover's next step, when the whole wave of news is known.
 func (n *Node) learnDeparture(now time.Time, d qf.Departure) {
 	n.mu.Lock()
 	isNews := n.membership.LearnDeparture(now, d)
+	isSelf := n.membership.IsSelfLeaving(now, d)
 	if isNews {
 		n.router.Departing(d.VM, d.Incarnation)
 		n.suspects.Excused(qf.EndpointID(d.VM))
@@ -121,20 +129,10 @@
 		return
 	}
 	qfevent.DepartureKnown.Log(&n.platform.Logger, d.VM, now.Add(d.In))
-	if qf.NodeID(d.VM) == qf.NodeID(n.settings.Node.ID) {
+	if isSelf {
 		leaveAt := now.Add(d.In)
 		n.leaveAt.Store(&leaveAt)
 		go n.Stop("reclaim")
-		return
-	}
-	n.moveFrom(now, qf.EndpointID(d.VM))
-}
-
-func (n *Node) moveFrom(now time.Time, endpoint qf.EndpointID) {
-	for _, record := range n.records.Open() {
-		if record.Endpoint() == endpoint {
-			record.Post(qfrequest.Event{Kind: qfrequest.EventLeaving, At: now, Endpoint: endpoint})
-		}
 	}
 }
 
@@ -167,6 +165,7 @@
 	n.router.Reported(now, report)
 	n.loads[endpoint.ID] = report.Running + report.Queued
 	n.mu.Unlock()
+	n.mover.reported(report)
 	if report.Leaving {
 		n.learnDeparture(now, qf.Departure{VM: endpoint.VM, Incarnation: endpoint.Incarnation})
 	}
@@ -187,6 +186,10 @@
 	n.mu.Lock()
 	n.membership.Beat(n.catalogue.Revision(), n.records.InProgress())
 	peers := n.membership.Peers(now)
+	n.shareLimits(now, peers)
+	if lost, ok := n.membership.Probe(now); ok {
+		peers = append(peers, lost)
+	}
 	digest := n.digest(now)
 	n.mu.Unlock()
 	var exchanges sync.WaitGroup
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -95,7 +95,7 @@
 
 func (n *Node) serveHTTP(listener net.Listener, handler http.Handler) {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
+		Handler: n.closing(handler), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: n.settings.Request.MaxHeaderBytes,
 	}
 	n.servers = append(n.servers, server)
@@ -106,6 +106,17 @@
 	})
 }
 
+// closing tells clients to close their connections once the node leaves, so that
+// none of them sends a request over a connection that the drain closes.
+func (n *Node) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.Phase() != PhaseServing {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 func (n *Node) servePeers(listener net.Listener) {
 	n.workers.Go(func() {
 		if err := qfrpc.Serve(listener, n.telemetry.PeerHandler(n)); err != nil {
@@ -121,9 +132,14 @@
 	n.every(feed.VMListEvery.Value(), n.pollVMList)
 	n.every(feed.NoticesEvery.Value(), n.pollNotices)
 	n.every(feed.LoadEvery.Value(), n.pollLoads)
+	n.every(feed.LoadEvery.Value(), n.pollCaches)
+	n.every(feed.PricesEvery.Value(), n.pollPrices)
+	n.every(feed.LoadEvery.Value(), n.logHealth)
 	n.every(n.settings.Peer.ExchangeEvery.Value(), n.exchange)
 	n.every(leaseStep, n.stepLeases)
 	n.every(rolloutStep, n.rollouts.step)
+	n.every(n.settings.Fleet.PlanEvery.Value(), n.buyer.step)
+	n.every(moveEvery, n.mover.step)
 	n.every(time.Second, n.expire)
 	n.followIdentity()
 	n.every(sweepEvery, n.sweepLedger)
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -8,7 +8,6 @@
 	"github.com/google/uuid"
 
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/state/qfprefix"
 )
 
 // RetryBudget says whether a retry is allowed at present.
@@ -29,6 +28,8 @@
 // Choosing picks an endpoint for a request; it joins version and route.
 type Choosing interface {
 	Choose(now time.Time, request *qf.Request, resumeTokens int, avoid []qf.EndpointID) (qf.RouteChoice, error)
+	// IsLeaving reports whether an endpoint is under notice.
+	IsLeaving(endpoint qf.EndpointID) bool
 }
 
 // Config holds what a runner works with. No field may be nil.
@@ -76,6 +77,8 @@
 	// cut is true if the attempt in progress ends for a reason that says nothing
 	// about its endpoint's version.
 	cut bool
+	// kvHandle names KV cache for the next attempt, if any was imported.
+	kvHandle string
 	// progressAt is when the attempt last made progress or was checked on.
 	progressAt time.Time
 	// reconnect is set for an attempt after one that went silent.
@@ -136,6 +139,9 @@
 // handle applies an event and does what the lifecycle asks for. It returns false
 // when the request has ended or was released.
 func (x *run) handle(e Event) bool {
+	if x.ctx.Err() != nil {
+		return false // What broke because the node ends says nothing about the request.
+	}
 	if e.Kind == EventReplaced {
 		return x.replaced(e)
 	}
@@ -197,6 +203,9 @@
 // delay that the budget sets.
 func (x *run) start(action Action) bool {
 	now := x.config.Timer.Now()
+	if (action.Cause == StartRetry || action.Cause == StartReconnect) && x.config.Choosing.IsLeaving(action.Avoid) {
+		action.Cause = StartMove // An announced reclaim isn't a failure; it costs no retry.
+	}
 	x.cut = action.Cause == StartMove
 	x.endAttempt(x.cut)
 	if action.Cause != StartRetry && action.Cause != StartReconnect {
@@ -247,6 +256,10 @@
 	if action.Avoid != "" {
 		x.avoid = append(x.avoid, action.Avoid)
 	}
+	if planned, ok := x.takePlanned(&action); ok {
+		x.kvHandle = planned.KVHandle
+		return x.begin(now, qf.RouteChoice{Endpoint: planned.To, Reason: planned.Reason}, NewAttemptID(), action.Cause)
+	}
 	if planned := x.record.plan; planned != nil && action.Cause == StartFirst {
 		return x.begin(now, planned.Choice, planned.Attempt, action.Cause)
 	}
@@ -322,13 +335,13 @@
 		At: now, Step: qf.StepRoute, Endpoint: choice.Endpoint.ID, Reason: choice.Reason, Note: string(cause),
 	})
 	x.record.apply(Event{Kind: EventStarted, At: now, Attempt: x.attempt, Endpoint: choice.Endpoint.ID})
-	x.config.Router.Started(now, choice.Endpoint.ID, x.promptTokens())
+	x.config.Router.Started(now, choice.Endpoint.ID, x.prefillTokens())
 	x.progressAt = now
 	ctx, cancel := context.WithCancel(x.ctx)
 	x.cancel = cancel
 	hop := qf.Hop{TimeLeft: x.record.Request.Deadline.Sub(now), FreshConnection: x.reconnect}
 	if x.record.Request.Kind == qf.KindModelEngine {
-		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText(), hop)
+		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText(), x.takeKVHandle(), hop)
 	} else {
 		go x.call(ctx, choice.Endpoint, x.attempt, hop, x.record.plan)
 	}
@@ -341,7 +354,8 @@
 	return r.text[:len(r.text):len(r.text)]
 }
 
-func (x *run) promptTokens() int { return qfprefix.Tokens(x.record.Request.Messages) }
+// prefillTokens is what the router expected the endpoint to compute.
+func (x *run) prefillTokens() int { return x.choice.Prediction.PrefillTokens }
 
 // endAttempt cancels the attempt in progress and reports how it went.
 func (x *run) endAttempt(ok bool) {
@@ -351,7 +365,7 @@
 	x.cancel()
 	x.cancel = nil
 	now := x.config.Timer.Now()
-	x.config.Router.Ended(now, x.choice.Endpoint.ID, x.promptTokens(), ok)
+	x.config.Router.Ended(now, x.choice.Endpoint.ID, x.prefillTokens(), ok || x.cut)
 	x.config.Observer.AttemptEnded(now, x.observation(now, ok))
 }
 
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -18,30 +18,31 @@
 
 // The names of fields.
 const (
-	FieldNode     = "Node"
-	FieldRequest  = "Request"
-	FieldEntry    = "Entry"
-	FieldVersion  = "Version"
-	FieldEndpoint = "Endpoint"
-	FieldVM       = "VM"
-	FieldRevision = "Revision"
-	FieldPeer     = "Peer"
-	FieldCount    = "Count"
-	FieldOutcome  = "Outcome"
-	FieldReason   = "Reason"
-	FieldError    = "Error"
-	FieldAddress  = "Address"
-	FieldOperator = "Operator"
-	FieldTime     = "Time"
-	FieldName     = "Name"
-	FieldTrace    = "Trace"
-	FieldSpan     = "Span"
-	FieldParent   = "Parent"
-	FieldTook     = "Took"
-	FieldDetails  = "Details"
-	FieldAge      = "Age"
-	FieldDuty     = "Duty"
-	FieldFencing  = "Fencing"
+	FieldNode             = "Node"
+	FieldRequest          = "Request"
+	FieldEntry            = "Entry"
+	FieldVersion          = "Version"
+	FieldEndpoint         = "Endpoint"
+	FieldVM               = "VM"
+	FieldRevision         = "Revision"
+	FieldPeer             = "Peer"
+	FieldCount            = "Count"
+	FieldOutcome          = "Outcome"
+	FieldReason           = "Reason"
+	FieldError            = "Error"
+	FieldAddress          = "Address"
+	FieldOperator         = "Operator"
+	FieldTime             = "Time"
+	FieldAvailabilityZone = "AvailabilityZone"
+	FieldName             = "Name"
+	FieldTrace            = "Trace"
+	FieldSpan             = "Span"
+	FieldParent           = "Parent"
+	FieldTook             = "Took"
+	FieldDetails          = "Details"
+	FieldAge              = "Age"
+	FieldDuty             = "Duty"
+	FieldFencing          = "Fencing"
 )
 
 const (
@@ -69,6 +70,9 @@
 	SuspectRefused  = Event{208, warning, "a request suspected of crashing endpoints is refused", []string{FieldRequest, FieldEntry}, "Find its caller; look at the endpoints' logs."}
 	ShadowAdopted   = Event{220, info, "request adopted from its shadow", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
 	ShadowFailed    = Event{221, warning, "a peer takes no shadows", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
+	NodeAborted     = Event{225, warning, "node ended at a second signal", []string{FieldNode}, "Answers in progress were cut; unset Node.SecondSignalAborts if that isn't wanted."}
+	StreamsMoving   = Event{223, info, "answers leave an endpoint", []string{FieldEndpoint, FieldCount}, "Nothing."}
+	ExportFailed    = Event{224, warning, "KV cache could not be moved", []string{FieldRequest, FieldEndpoint, FieldError}, "Nothing; the answer is resumed from its text."}
 	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
 	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
 	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
@@ -87,6 +91,16 @@
 	IdentityLoaded  = Event{803, info, "certificates were loaded", []string{FieldName}, "Nothing."}
 	IdentityFailed  = Event{804, failure, "certificates could not be loaded", []string{FieldError}, "Mend the files; those that were loaded before stay in use."}
 	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
+	VMStarted       = Event{701, info, "VM started", []string{FieldVM, FieldEntry, FieldVersion, FieldReason}, "Nothing."}
+	VMDrained       = Event{702, info, "VM given up", []string{FieldVM, FieldReason}, "Nothing; it is stopped once it is idle."}
+	StartFailed     = Event{703, warning, "start of a VM failed", []string{FieldAvailabilityZone, FieldOutcome, FieldError}, "Nothing at once; other zones are used. See operators/reclaim.md if it lasts."}
+)
+
+// The events of endpoints' health.
+var (
+	EndpointEjected  = Event{240, warning, "an endpoint gets no work", []string{FieldEndpoint, FieldReason}, "See operators/overload.md; it is tried again on its own."}
+	EndpointTrial    = Event{241, info, "an endpoint is tried again", []string{FieldEndpoint}, "Nothing."}
+	EndpointReturned = Event{242, info, "an endpoint gets work again", []string{FieldEndpoint}, "Nothing."}
 )
 
 // All lists every event.
@@ -108,6 +122,9 @@
 		SuspectRefused,
 		ShadowAdopted,
 		ShadowFailed,
+		NodeAborted,
+		StreamsMoving,
+		ExportFailed,
 		OwnershipLost,
 		CatalogueInUse,
 		CatalogueFailed,
@@ -126,6 +143,12 @@
 		IdentityLoaded,
 		IdentityFailed,
 		PlatformFailed,
+		VMStarted,
+		VMDrained,
+		StartFailed,
+		EndpointEjected,
+		EndpointTrial,
+		EndpointReturned,
 	}
 }
 
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -7,6 +7,7 @@
 )
 
 const (
+	gibibyte = 1 << 30
 	mebibyte = 1 << 20
 	kibibyte = 1 << 10
 )
@@ -24,24 +25,24 @@
 		Platform: PlatformSettings{Timeout: qfdocument.Duration(2 * time.Second)},
 		Log:      LogSettings{Level: "info", Format: "json"},
 		Request: RequestSettings{
-			MaxBodyBytes:          mebibyte,
-			MaxHeaderBytes:        32 * kibibyte,
-			MaxInProgress:         8192,
-			MaxConnections:        16384,
-			MaxTokens:             4096,
-			MaxAnswerBytes:        4 * mebibyte,
-			MaxReaders:            16,
-			DefaultTimeout:        qfdocument.Duration(60 * time.Second),
-			MaxTimeout:            qfdocument.Duration(10 * time.Minute),
-			RetainFor:             qfdocument.Duration(30 * time.Second),
-			MaxAttempts:           4,
-			SilentAfter:           qfdocument.Duration(5 * time.Second),
-			KeepAddressesFor:      qfdocument.Duration(5 * time.Second),
-			IdempotencyRecordsFor: qfdocument.Duration(24 * time.Hour),
-			LeaveWithin:           qfdocument.Duration(10 * time.Second),
-			LedgerCommitEvery:     qfdocument.Duration(20 * time.Millisecond),
-			MaxSuspectAttempts:    2,
-			SuspectsFor:           qfdocument.Duration(10 * time.Minute),
+			MaxBodyBytes:           mebibyte,
+			MaxHeaderBytes:         32 * kibibyte,
+			MaxInProgress:          8192,
+			MaxConnections:         16384,
+			MaxTokens:              4096,
+			MaxAnswerBytes:         4 * mebibyte,
+			MaxReaders:             16,
+			DefaultTimeout:         qfdocument.Duration(60 * time.Second),
+			MaxTimeout:             qfdocument.Duration(10 * time.Minute),
+			RetainFor:              qfdocument.Duration(30 * time.Second),
+			MaxAttempts:            4,
+			SilentAfter:            qfdocument.Duration(5 * time.Second),
+			KeepAddressesFor:       qfdocument.Duration(5 * time.Second),
+			IdempotencyRecordsFor:  qfdocument.Duration(24 * time.Hour),
+			LeaveWithin:            qfdocument.Duration(10 * time.Second),
+			LedgerCommitsPerSecond: 350,
+			MaxSuspectAttempts:     2,
+			SuspectsFor:            qfdocument.Duration(10 * time.Minute),
 		},
 		Peer: PeerSettings{
 			ExchangeEvery: qfdocument.Duration(500 * time.Millisecond),
@@ -60,6 +61,15 @@
 			WatchFor:    qfdocument.Duration(5 * time.Minute),
 			LeastWithin: qfdocument.Duration(time.Minute),
 		},
+		Fleet: FleetSettings{
+			PlanEvery:  qfdocument.Duration(5 * time.Second),
+			StartTakes: qfdocument.Duration(4 * time.Minute),
+		},
+		Move: MoveSettings{
+			KVBytesPerToken:  128 * kibibyte,
+			KVBytesPerSecond: gibibyte,
+			Margin:           qfdocument.Duration(500 * time.Millisecond),
+		},
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
 			CatalogueReadsPerSecond: 64,
@@ -67,6 +77,18 @@
 			VMListEvery:             qfdocument.Duration(time.Second),
 			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
 			LoadEvery:               qfdocument.Duration(500 * time.Millisecond),
+			PricesEvery:             qfdocument.Duration(30 * time.Second),
+		},
+		Overload: OverloadSettings{
+			InteractiveQueue: qfdocument.Duration(1500 * time.Millisecond),
+			BatchQueue:       qfdocument.Duration(500 * time.Millisecond),
+		},
+		Route: RouteSettings{
+			ZoneDelay:     qfdocument.Duration(1500 * time.Microsecond),
+			RegionDelay:   qfdocument.Duration(30 * time.Millisecond),
+			TrafficPrice:  80,
+			CacheFor:      qfdocument.Duration(5 * time.Minute),
+			CachePrefixes: 32768,
 		},
 		Security:  SecuritySettings{MaxConnections: 2048, ReloadEvery: qfdocument.Duration(10 * time.Second)},
 		Telemetry: TelemetrySettings{TraceExporter: TraceToLog, TraceRatio: 0.01, MaxTracesPerSecond: 10},
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -1,10 +1,12 @@
 package scenario
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +56,9 @@
 		"mark":    s.mark,
 		"engine":  s.engine,
 		"service": s.service,
+		"poison":  s.poison,
+		"prices":  s.prices,
+		"cloud":   s.cloud,
 		"expect":  s.expect,
 
 		"replicas":    s.replicas,
@@ -103,7 +108,7 @@
 		return verdict.Err
 	}
 	return s.eventually("all nodes to be ready", func(n *node.Node) bool {
-		return n.IsReady() && len(n.Endpoints()) > 0 && len(n.Addresses("")) == len(d.nodes)
+		return n.IsReady() && len(n.Endpoints()) > 0 && len(n.LiveNodes()) == len(d.nodes)
 	})
 }
 
@@ -339,6 +344,67 @@
 	return nil
 }
 
+// repeatPause is a caller's pause before it repeats a request: longer than the way
+// of a message between two regions, which the network in memory doesn't model.
+const repeatPause = 100 * time.Millisecond
+
+// poison TIMES sends a request that kills every engine which runs it, as often as
+// a caller repeats it. None may be answered; the last must be refused as suspect.
+func (s *script) poison(_ *testscript.TestScript, args []string) error {
+	times, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	client := s.d.client("guilds")
+	for range times {
+		var tokens atomic.Int64
+		s.d.pause(repeatPause)
+		err = chatOnce(client, "the "+standengine.CrashMark+" prompt", 20, &tokens)
+		if err == nil {
+			return errors.New("a request that kills its engine was answered")
+		}
+	}
+	if code := qf.CodeOf(err); code != qf.CodeSuspect {
+		return fmt.Errorf("the last one ended with %s: %w", code, err)
+	}
+	return nil
+}
+
+// prices ON-DEMAND RECLAIMABLE sets the prices of engines, in thousandths, in all
+// zones; without them no VM is bought.
+func (s *script) prices(_ *testscript.TestScript, args []string) error {
+	var prices []qf.Price
+	for i, class := range []qf.VMClass{qf.ClassOnDemand, qf.ClassReclaimable} {
+		perHour, err := strconv.ParseUint(args[i], 10, 64)
+		if err != nil {
+			return err
+		}
+		for _, zone := range s.d.zones {
+			prices = append(prices, qf.Price{AvailabilityZone: zone, Class: class, Role: qf.RoleModelEngine, PerHour: perHour})
+		}
+	}
+	s.d.world.Cloud.SetPrices(prices)
+	return nil
+}
+
+// cloud well | refuse ZONE | lose N sets the cloud API's fault: starts in a zone are
+// refused, or N starts and stops lose their answers.
+func (s *script) cloud(_ *testscript.TestScript, args []string) error {
+	var f standcloud.Faults
+	var err error
+	switch args[0] {
+	case "well":
+	case "refuse":
+		f.RefuseStarts = []qf.AvailabilityZone{qf.AvailabilityZone(args[1])}
+	case "lose":
+		f.LoseAnswers, err = strconv.Atoi(args[1])
+	default:
+		err = fmt.Errorf("no such fault: %s", args[0])
+	}
+	s.d.world.Cloud.SetFaults(f)
+	return err
+}
+
 // call NAME KEY PATH BODY [NODE...] sends a plain call in the background.
 func (s *script) call(_ *testscript.TestScript, args []string) error {
 	s.d.call(args[0], args[1], args[2], args[3], args[4:]...)
--- a/internal/standin/standengine/engine.go
+++ b/internal/standin/standengine/engine.go
@@ -34,8 +34,14 @@
 	WrongText bool
 	// Varies makes each attempt draw its tokens anew, as an engine that samples.
 	Varies bool
+	// KVBytesPerSecond bounds exports of KV cache; 0 means that they take no time.
+	KVBytesPerSecond uint64
+	// FailExports and FailImports refuse exports and imports.
+	FailExports, FailImports bool
 	// CutEvery ends every so-many-th answer without its end mark.
 	CutEvery int
+	// GapEvery leaves out a token in the middle of every so-many-th answer.
+	GapEvery int
 	// CrossEvery echoes another attempt's identifier on every so-many-th answer.
 	CrossEvery int
 	// SilentAfter makes streams go silent after so many tokens; 0 means never.
--- a/internal/standin/standengine/http.go
+++ b/internal/standin/standengine/http.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -106,6 +107,9 @@
 		if a.behaviour.WrongText {
 			token = "wrong "
 		}
+		if a.leavesOut(offset) {
+			continue
+		}
 		if writeChunk(w, chunkOf(echo, a, offset, token, nil)) != nil {
 			return
 		}
@@ -116,6 +120,11 @@
 	_ = writeData(w, qfapi.EventDone)
 }
 
+// leavesOut reports whether the token in the middle of the answer goes missing.
+func (a *attempt) leavesOut(offset int) bool {
+	return isEvery(a.number, a.behaviour.GapEvery) && offset == (a.request.ResumeTokens+a.request.MaxTokens)/2
+}
+
 // misbehaves ends or blocks the stream where the behaviour says so.
 func (e *Engine) misbehaves(ctx context.Context, a *attempt, offset int) bool {
 	half := a.request.ResumeTokens + (a.request.MaxTokens-a.request.ResumeTokens)/2
@@ -218,11 +227,22 @@
 	handle := r.URL.Query().Get("attempt")
 	e.mu.Lock()
 	tokens, ok := e.kv[handle]
+	behaviour := e.behaviour
 	e.mu.Unlock()
+	if behaviour.FailExports {
+		http.Error(w, "the export failed", http.StatusInternalServerError)
+		return
+	}
 	if !ok {
 		http.Error(w, "attempt: not known", http.StatusNotFound)
 		return
 	}
+	if rate := behaviour.KVBytesPerSecond; rate > 0 {
+		seconds := float64(tokens) * kvBytesPerToken / float64(rate)
+		if e.pause(r.Context(), time.Duration(seconds*float64(time.Second))) != nil {
+			return
+		}
+	}
 	writeJSON(w, qf.KVExport{Handle: handle, Tokens: tokens, Bytes: uint64(tokens) * kvBytesPerToken})
 }
 
@@ -234,8 +254,15 @@
 		return
 	}
 	e.mu.Lock()
-	e.kv[export.Handle] = export.Tokens
+	refused := e.behaviour.FailImports
+	if !refused {
+		e.kv[export.Handle] = export.Tokens
+	}
 	e.mu.Unlock()
+	if refused {
+		http.Error(w, "the import failed", http.StatusInternalServerError)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
