--- a/internal/scenario/expect_test.go
+++ b/internal/scenario/expect_test.go
@@ -32,8 +32,6 @@
 		"executions":     s.expectExecutions,
 		"never-more":     s.expectNeverMore,
 		"truthful":       s.expectTruthful,
-		"engines":        s.expectEngines,
-		"engines-become": s.expectEnginesBecome,
 		"call":           s.expectCall,
 		"refused":        s.expectRefused,
 		"edit":           s.expectEdit,
@@ -41,8 +39,12 @@
 		"revision":       s.expectRevision,
 		"never-below":    s.expectNeverBelow,
 		"within":         s.expectWithin,
+		"rollout":        s.expectRollout,
+		"holds":          s.expectHolds,
 		"live":           s.expectLive,
 		"no-work-after":  s.expectNoWorkAfter,
+		"engines":        s.expectEngines,
+		"engines-become": s.expectEnginesBecome,
 	}
 	check, ok := checks[args[0]]
 	if !ok {
