qfrequest: don't count the end mark as a token, and keep fewer events for each request

Cause: an answer of 5 tokens gave 6 in the observation, and a late end mark looked like slow tokens; 64 buffered events took about 40 KB of each open request. Change: the end mark moves only the progress time; 4 events are buffered, and a reader of an attempt waits for room.

--- a/internal/qf/protocol/qfrequest/record.go
+++ b/internal/qf/protocol/qfrequest/record.go
@@ -71,7 +71,9 @@
 // maxDecisions bounds the decisions that a record keeps.
 const maxDecisions = 64
 
-const eventBuffer = 64
+// eventBuffer is small because each of thousands of open requests has one; a
+// reader of an attempt waits for room, which slows its endpoint down.
+const eventBuffer = 4
 
 // NewRecord returns the record of a request that this node owns. The part of the
 // answer that the caller sent back moves from the request into the record.
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -185,8 +185,11 @@
 		x.config.Router.FirstToken(e.At, x.choice.Endpoint.ID, e.At.Sub(x.startedAt))
 		x.countRecomputed(e.Piece.ComputedTokens)
 	}
-	x.lastAt, x.progressAt = e.At, e.At
-	x.tokens++
+	x.progressAt = e.At
+	if !e.Piece.End { // The end mark is no token.
+		x.lastAt = e.At
+		x.tokens++
+	}
 }
 
 func (x *run) countRecomputed(computed int) {
