--- a/cmd/quetzalfront/measure.go
+++ b/cmd/quetzalfront/measure.go
@@ -7,7 +7,9 @@
 
 	"github.com/integrii/flaggy"
 
+	"quetzalfront/internal/bench/benchfleet"
 	"quetzalfront/internal/bench/benchlimit"
+	"quetzalfront/internal/bench/benchrollout"
 	"quetzalfront/internal/bench/benchroute"
 )
 
@@ -25,9 +27,25 @@
 			func(seed uint64) measurement { return benchroute.Run(seed) }),
 		measureCommand(parent, "limits", "print goodput and waits under overload",
 			func(seed uint64) measurement { return benchlimit.Run(seed) }),
+		measureCommand(parent, "fleet", "print price and shortage of every fleet plan over a day",
+			func(seed uint64) measurement { return benchfleet.Run([]uint64{seed}) }),
+		measureCommand(parent, "rollouts", "print exposure and time of every rollout policy; the seed is their number for each kind",
+			func(seed uint64) measurement { return rolloutTable{benchrollout.Run(int(min(seed, maxRollouts)))} }),
 	}
 }
 
+// rolloutTable prints a result of the rollouts' bench.
+type rolloutTable struct{ result benchrollout.Result }
+
+// Print implements measurement.
+func (t rolloutTable) Print(out io.Writer) error {
+	_, err := io.WriteString(out, t.result.Text())
+	return err
+}
+
+// maxRollouts bounds the rollouts of each kind and deployment.
+const maxRollouts = 50
+
 func measureCommand(parent *flaggy.Subcommand, name, description string, measure func(seed uint64) measurement) *command {
 	seed := uint64(1)
 	sub := flaggy.NewSubcommand(name)
--- a/internal/bench/benchfleet/bench.go
+++ b/internal/bench/benchfleet/bench.go
@@ -72,8 +72,8 @@
 )
 
 // Run plays each day with each plan for each seed and returns the sums.
-func Run(seeds []uint64) []Row {
-	var rows []Row
+func Run(seeds []uint64) Table {
+	var rows Table
 	for _, day := range Days() {
 		for _, makePlan := range []func(day *Day) plan{newPlanned, newOnDemand, newCheapest, newFixed} {
 			total := Row{Day: day.Name}
@@ -92,8 +92,11 @@
 	return rows
 }
 
+// Table holds the rows of one run.
+type Table []Row
+
 // Print writes the rows as a table.
-func Print(w io.Writer, rows []Row) error {
+func (rows Table) Print(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "DAY\tPLAN\tCOST/DAY\tSHORT MIN\tUNSAFE MIN\tSTARTS\t")
 	for _, r := range rows {
--- a/internal/bench/benchfleet/bench_test.go
+++ b/internal/bench/benchfleet/bench_test.go
@@ -15,7 +15,7 @@
 	}
 	rows := Run(seeds)
 	if testing.Verbose() {
-		if err := Print(os.Stdout, rows); err != nil {
+		if err := rows.Print(os.Stdout); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -98,6 +98,7 @@
 	for _, interval := range []*qfdocument.Duration{
 		&s.Feed.CatalogueEvery, &s.Feed.VMListEvery, &s.Feed.NoticesEvery, &s.Feed.LoadEvery,
 		&s.Peer.ExchangeEvery, &s.Peer.SuspectAfter, &s.Peer.DeadAfter,
+		&s.Lease.Duration, &s.Lease.RenewEvery, &s.Lease.RankDelay,
 	} {
 		*interval *= qfdocument.Duration(d.stretch)
 	}
