qforder, node: give engines orders that state the end, and put stale ones right

Cause: nothing compared what engines report with what is wanted; a former holder's order could last.

--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -165,6 +165,7 @@
 	n.mu.Lock()
 	n.router.Reported(now, report)
 	n.loads[endpoint.ID] = report.Running + report.Queued
+	n.reports[endpoint.ID] = report
 	n.mu.Unlock()
 	n.mover.reported(report)
 	if report.Leaving {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,8 @@
 	listedNodes []qf.NodeID
 	// loads holds the last reported number of running requests.
 	loads map[qf.EndpointID]int
+	// reports holds the last load reports.
+	reports map[qf.EndpointID]qf.LoadReport
 	// planAt is when this node last got a newer plan of an entry.
 	planAt map[qf.EntryName]time.Time
 	// evidence is what peers have told of the rollouts that this node controls.
@@ -158,6 +160,7 @@
 		limiter:   qflimit.NewShared(settings.GuardConfig()),
 		budget:    qfretry.NewBudget(),
 		loads:     map[qf.EndpointID]int{},
+		reports:   map[qf.EndpointID]qf.LoadReport{},
 		planAt:    map[qf.EntryName]time.Time{},
 		evidence:  map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence{},
 		suspects: qfsuspect.New(qfsuspect.Config{
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -144,6 +144,7 @@
 	n.every(leaseStep, n.stepLeases)
 	n.every(rolloutStep, n.rollouts.step)
 	n.every(n.settings.Fleet.PlanEvery.Value(), n.buyer.step)
+	n.every(n.settings.Feed.LoadEvery.Value(), (&orderer{node: n}).step)
 	n.every(moveEvery, n.mover.step)
 	n.every(urgentEvery, n.spreadNews)
 	n.every(time.Second, n.expire)
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -104,6 +104,7 @@
 	EndpointEjected  = Event{240, warning, "an endpoint gets no work", []string{FieldEndpoint, FieldReason}, "See operators/overload.md; it is tried again on its own."}
 	EndpointTrial    = Event{241, info, "an endpoint is tried again", []string{FieldEndpoint}, "Nothing."}
 	EndpointReturned = Event{242, info, "an endpoint gets work again", []string{FieldEndpoint}, "Nothing."}
+	OrderGiven       = Event{704, info, "order given to an engine", []string{FieldEndpoint, FieldVersion, FieldReason, FieldOutcome}, "Nothing; many for one engine mean that another party gives it orders."}
 )
 
 // All lists every event.
@@ -155,6 +156,7 @@
 		EndpointEjected,
 		EndpointTrial,
 		EndpointReturned,
+		OrderGiven,
 	}
 }
 
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -40,26 +40,27 @@
 func commands(t *testing.T) map[string]func(*testscript.TestScript, bool, []string) {
 	s := &script{t: t, verdicts: map[string]qfcatalogue.Verdict{}}
 	table := map[string]commandFunc{
-		"deploy":  s.deploy,
-		"node":    s.node,
-		"reclaim": s.reclaim,
-		"crash":   s.crash,
-		"store":   s.store,
-		"list":    s.list,
-		"network": s.networkFault,
-		"apply":   s.apply,
-		"stream":  s.stream,
-		"call":    s.call,
-		"advance": s.advance,
-		"tokens":  s.tokens,
-		"answers": s.answers,
-		"mark":    s.mark,
-		"engine":  s.engine,
-		"service": s.service,
-		"poison":  s.poison,
-		"prices":  s.prices,
-		"cloud":   s.cloud,
-		"expect":  s.expect,
+		"deploy":   s.deploy,
+		"node":     s.node,
+		"reclaim":  s.reclaim,
+		"crash":    s.crash,
+		"store":    s.store,
+		"list":     s.list,
+		"network":  s.networkFault,
+		"apply":    s.apply,
+		"stream":   s.stream,
+		"call":     s.call,
+		"advance":  s.advance,
+		"tokens":   s.tokens,
+		"answers":  s.answers,
+		"mark":     s.mark,
+		"engine":   s.engine,
+		"service":  s.service,
+		"poison":   s.poison,
+		"misorder": s.misorder,
+		"prices":   s.prices,
+		"cloud":    s.cloud,
+		"expect":   s.expect,
 
 		"replicas":    s.replicas,
 		"target":      s.target,
@@ -248,7 +249,7 @@
 	return nil
 }
 
-// engine VERSION well | fail N | cut N | cross N | wrong | silent N | slow X sets
+// engine VERSION well | fail N | cut N | cross N | wrong | obedient | silent N | slow X sets
 // how the engines of a version misbehave; N counts attempts, for silent tokens.
 func (s *script) engine(_ *testscript.TestScript, args []string) error {
 	version := qf.Version(args[0])
@@ -268,6 +269,8 @@
 		b.CrossEvery = int(number)
 	case "wrong":
 		b.WrongText = true
+	case "obedient":
+		b.IgnoresFencing = true
 	case "silent":
 		b.SilentAfter = int(number)
 	case "slow":
@@ -405,6 +408,13 @@
 	return err
 }
 
+// misorder VERSION OTHER gives a version's engines a former holder's order for
+// another version; those that check fencing numbers refuse it.
+func (s *script) misorder(_ *testscript.TestScript, args []string) error {
+	s.d.world.Misorder(qf.Version(args[0]), qf.Version(args[1]))
+	return nil
+}
+
 // call NAME KEY PATH BODY [NODE...] sends a plain call in the background.
 func (s *script) call(_ *testscript.TestScript, args []string) error {
 	s.d.call(args[0], args[1], args[2], args[3], args[4:]...)
--- a/internal/scenario/expect_test.go
+++ b/internal/scenario/expect_test.go
@@ -26,12 +26,16 @@
 //	expect no-work-after D         no engine was sent work longer than D after it heard that it leaves
 //	expect engines N               at least N engines are left
 //	expect engines-become N        N engines live at some time soon, and still 2 min later
+//	expect reports VERSION N       N engines report the version at some time soon
+//	expect reports-now VERSION N   N engines report the version now
 //	expect live N                  every node sees N live nodes at some time soon
 func (s *script) expect(_ *testscript.TestScript, args []string) error {
 	checks := map[string]func(args []string) error{
 		"executions":     s.expectExecutions,
 		"never-more":     s.expectNeverMore,
 		"truthful":       s.expectTruthful,
+		"reports":        s.expectReports,
+		"reports-now":    s.expectReportsNow,
 		"call":           s.expectCall,
 		"refused":        s.expectRefused,
 		"edit":           s.expectEdit,
@@ -213,3 +217,16 @@
 	}
 	return nil
 }
+
+func (s *script) expectReports(args []string) error {
+	_, err := s.d.eventually(joined(args), func() bool { return s.expectReportsNow(args) == nil })
+	return err
+}
+
+func (s *script) expectReportsNow(args []string) error {
+	want, err := strconv.Atoi(args[1])
+	if got := s.d.world.Reported(qf.Version(args[0])); err == nil && got != want {
+		err = fmt.Errorf("%d engines report %s, not %d", got, args[0], want)
+	}
+	return err
+}
--- a/internal/standin/standworld/world.go
+++ b/internal/standin/standworld/world.go
@@ -113,6 +113,31 @@
 // Behaviour returns how the engines of a version behave.
 func (w *World) Behaviour(version qf.Version) standengine.Behaviour { return w.behaviourOf(version) }
 
+// Misorder gives the engines of a version an order of a former holder: another
+// version under the lowest fencing number.
+func (w *World) Misorder(version, other qf.Version) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.engines {
+		if e.Version() == version {
+			_, _ = e.Order(qf.Order{Entry: "assistant", Version: other, Role: qf.EngineMixed}) // A refusal is what some of them are for.
+		}
+	}
+}
+
+// Reported returns how many engines report the version.
+func (w *World) Reported(version qf.Version) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, e := range w.engines {
+		if e.Load().Version == version {
+			n++
+		}
+	}
+	return n
+}
+
 // LatestArrival returns the longest time after the news of its leaving at which
 // any engine was still sent work.
 func (w *World) LatestArrival() time.Duration {
