--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -19,6 +19,7 @@
 	for _, file := range files {
 		name := strings.TrimSuffix(filepath.Base(file), ".txtar")
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				testscript.RunT(&inline{t}, testscript.Params{Files: []string{file}, Cmds: commands(t)})
 			})
