--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -33,9 +33,7 @@
 func (n *Node) pollVMList(ctx context.Context) {
 	vms, asOf, err := n.platform.VMList.List(ctx)
 	if err != nil {
-		if ctx.Err() == nil {
-			qfevent.PlatformFailed.Log(&n.platform.Logger, err)
-		}
+		n.platformFailed(ctx, err)
 		return
 	}
 	if !n.isNewerListing(asOf) {
@@ -99,13 +97,18 @@
 	})
 }
 
+// platformFailed logs that the platform couldn't be reached, unless the node stops.
+func (n *Node) platformFailed(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		qfevent.PlatformFailed.Log(&n.platform.Logger, err)
+	}
+}
+
 // pollNotices reads the cloud's notices of reclaims.
 func (n *Node) pollNotices(ctx context.Context) {
 	notices, err := n.platform.Cloud.Notices(ctx)
 	if err != nil {
-		if ctx.Err() == nil {
-			qfevent.PlatformFailed.Log(&n.platform.Logger, err)
-		}
+		n.platformFailed(ctx, err)
 		return
 	}
 	now := n.now()
--- a/internal/node/routing.go
+++ b/internal/node/routing.go
@@ -23,9 +23,7 @@
 func (n *Node) pollPrices(ctx context.Context) {
 	prices, err := n.platform.Cloud.Prices(ctx)
 	if err != nil {
-		if ctx.Err() == nil {
-			qfevent.PlatformFailed.Log(&n.platform.Logger, err)
-		}
+		n.platformFailed(ctx, err)
 		return
 	}
 	n.mu.Lock()
