--- a/pkg/qfclient/call.go
+++ b/pkg/qfclient/call.go
@@ -41,12 +41,15 @@
 func (c *Client) Do(ctx context.Context, call Call) (CallAnswer, error) {
 	id := uuid.NewString()
 	wait := firstPause
+	mayHaveRun := false
 	for {
 		answer, err := c.doOnce(ctx, &call, id)
-		if err == nil || !isWorthAsking(err) {
-			return answer, err
+		if err == nil {
+			return answer, nil
 		}
-		if c.pause(ctx, wait) != nil {
+		err = truthful(err, mayHaveRun)
+		mayHaveRun = qf.RanOf(err) != qf.RanNo
+		if !isWorthAsking(err) || c.pause(ctx, max(wait, advice(err))) != nil {
 			return answer, err
 		}
 		wait = min(2*wait, longestWait)
--- a/pkg/qfclient/chat.go
+++ b/pkg/qfclient/chat.go
@@ -49,6 +49,8 @@
 	onToken func(token string)
 	// previous is the node that was lost, if one was.
 	previous netip.AddrPort
+	// accepted is true once a node has begun to answer.
+	accepted bool
 	// target is where the request is known to go on, if that is known.
 	target netip.AddrPort
 }
@@ -71,7 +73,11 @@
 	for {
 		before := len(x.tokens)
 		err := x.once(ctx)
-		if err == nil || isFinal(err) {
+		if err == nil {
+			return nil
+		}
+		err = truthful(err, x.accepted)
+		if x.isFinal(err) {
 			return err
 		}
 		if ctx.Err() != nil {
@@ -82,20 +88,23 @@
 			wait = firstPause
 			continue
 		}
-		if err := x.client.pause(ctx, wait); err != nil {
-			return err
+		if x.client.pause(ctx, max(wait, advice(err))) != nil {
+			return errors.Join(ctx.Err(), err)
 		}
 		wait = min(2*wait, longestWait)
 	}
 }
 
 // isFinal reports whether an error ends the request: a node said so, and asking
-// another one wouldn't help.
-func isFinal(err error) bool {
+// another one wouldn't help. A request that was accepted once goes on after the
+// advised time, though a node has no room for it at present.
+func (x *chat) isFinal(err error) bool {
 	switch qf.CodeOf(err) {
-	case qf.CodeInvalid, qf.CodeUnknownEntry, qf.CodeTooLarge, qf.CodeLimited, qf.CodeOverloaded,
-		qf.CodeDeadline, qf.CodeSuspect, qf.CodeKeyReused, qf.CodeForbidden, qf.CodeNoEndpoint:
+	case qf.CodeInvalid, qf.CodeUnknownEntry, qf.CodeTooLarge, qf.CodeDeadline, qf.CodeSuspect,
+		qf.CodeKeyReused, qf.CodeForbidden:
 		return true
+	case qf.CodeLimited, qf.CodeOverloaded, qf.CodeNoEndpoint:
+		return !x.accepted
 	default:
 		return false
 	}
@@ -127,6 +136,7 @@
 		}
 		return failure
 	}
+	x.accepted = true
 	err = x.read(response.Body, cancel)
 	if err != nil && !errors.Is(err, errMoved) {
 		x.lose(a)
