--- a/cmd/quetzalfront/demo.go
+++ b/cmd/quetzalfront/demo.go
@@ -12,8 +12,10 @@
 func demoCommand() *command {
 	sub := flaggy.NewSubcommand("demo")
 	sub.Description = "run both deployments in this process, reclaim a zone, and check every answer"
+	var deployment string
+	sub.String(&deployment, "d", "deployment", "Lahore or Lanka; both if not given")
 	return &command{sub: sub, run: func(ctx context.Context) int {
-		if err := demo.Run(ctx, os.Stdout); err != nil {
+		if err := demo.Run(ctx, os.Stdout, deployment); err != nil {
 			return fail(err)
 		}
 		return exitOK
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -3,9 +3,14 @@
 package demo
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
+	"sync"
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qftimer"
@@ -40,14 +45,35 @@
 	}
 }
 
-// Run shows each deployment in turn. It returns an error if a promise was
-// broken.
-func Run(ctx context.Context, out io.Writer) error {
-	for _, d := range Deployments() {
-		if err := show(ctx, out, &d); err != nil {
-			return fmt.Errorf("%s: %w", d.Name, err)
+// Run shows the deployment of the name, or all of them side by side for an empty
+// one. It returns an error if a promise was broken.
+func Run(ctx context.Context, out io.Writer, name string) error {
+	deployments := slices.DeleteFunc(Deployments(), func(d Deployment) bool {
+		return name != "" && !strings.EqualFold(name, d.Name)
+	})
+	if len(deployments) == 0 {
+		return qf.NewError(qf.CodeInvalid, qf.StepDecode, "", "deployment: expected Lahore or Lanka, not "+name)
+	}
+	// Each deployment writes for itself, so that lines of two don't mix.
+	texts := make([]bytes.Buffer, len(deployments))
+	failures := make([]error, len(deployments))
+	var shows sync.WaitGroup
+	for i := range deployments {
+		shows.Go(func() {
+			if err := show(ctx, &texts[i], &deployments[i]); err != nil {
+				failures[i] = fmt.Errorf("%s: %w", deployments[i].Name, err)
+			}
+		})
+	}
+	shows.Wait()
+	for i := range texts {
+		if _, err := texts[i].WriteTo(out); err != nil {
+			return err
 		}
 	}
+	if err := errors.Join(failures...); err != nil {
+		return err
+	}
 	fmt.Fprintln(out, "all promises held")
 	return nil
 }
