qfmember, node: share the platform's reads between all nodes

Cause: each node read the VM list and the notices each 500 ms to 1 s: at 640 nodes all of the platform's two thousand reads a second (docs/CAPACITY.md). Change: all nodes together stay within Feed.PlatformReadsPerSecond for each of list, notices and prices; up to 100 nodes nothing changes.

--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfmember"
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
@@ -29,6 +30,29 @@
 	}()
 }
 
+// everyShared runs a step that reads from the platform at once and then again and
+// again. With many nodes each reads less often, at times that chance spreads; the
+// news of departures reaches the others with the next exchange.
+func (n *Node) everyShared(interval time.Duration, step func(ctx context.Context)) {
+	n.workers.Go(func() {
+		for n.ctx.Err() == nil {
+			step(n.ctx)
+			n.pause(n.sharedWait(interval))
+		}
+	})
+}
+
+func (n *Node) sharedWait(interval time.Duration) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	live := len(n.membership.Peers(n.now())) + 1
+	shared := qfmember.SharedInterval(interval, live, n.settings.Feed.PlatformReadsPerSecond)
+	if shared == interval {
+		return interval
+	}
+	return shared/2 + time.Duration(n.platform.Random.Int64N(int64(shared)))
+}
+
 // pollVMList reads the lagging list of VMs.
 func (n *Node) pollVMList(ctx context.Context) {
 	vms, asOf, err := n.platform.VMList.List(ctx)
--- a/internal/qfsettings/default.go
+++ b/internal/qfsettings/default.go
@@ -75,6 +75,7 @@
 		Feed: FeedSettings{
 			CatalogueEvery:          qfdocument.Duration(time.Second),
 			CatalogueReadsPerSecond: 64,
+			PlatformReadsPerSecond:  200,
 			CatalogueStaleAfter:     qfdocument.Duration(30 * time.Second),
 			VMListEvery:             qfdocument.Duration(time.Second),
 			NoticesEvery:            qfdocument.Duration(500 * time.Millisecond),
--- a/internal/qfsettings/settings.go
+++ b/internal/qfsettings/settings.go
@@ -146,6 +146,9 @@
 	LoadEvery qfdocument.Duration `validate:"gt=0"`
 	// PricesEvery is the time between two reads of the cloud's prices.
 	PricesEvery qfdocument.Duration `validate:"gt=0"`
+	// PlatformReadsPerSecond bounds the reads of the VM list by all nodes, and
+	// likewise those of the notices and of the prices.
+	PlatformReadsPerSecond int `validate:"min=1"`
 	// CatalogueReadsPerSecond bounds the reads of the revision by all nodes.
 	CatalogueReadsPerSecond int `validate:"min=1"`
 	// CatalogueStaleAfter is the age of the last news of the catalogue from which
