--- a/internal/node/lease.go
+++ b/internal/node/lease.go
@@ -28,6 +28,9 @@
 	random *rand.Rand
 	// held holds the fencing number under which each duty was last seen held.
 	held map[string]qf.FencingNumber
+	// released is true once the node has given its leases up for good; it makes no
+	// calls for them from then on.
+	released bool
 	// calls counts the calls of the table under way.
 	calls sync.WaitGroup
 }
@@ -53,6 +56,9 @@
 	self := qf.NodeID(l.node.settings.Node.ID)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.released {
+		return
+	}
 	for _, lease := range l.byDuty {
 		lease.SetRank(qflease.NotCandidate)
 	}
@@ -140,10 +146,14 @@
 	lease.WriteDone(l.node.now(), action, result.Certainty, isConflict)
 }
 
-// release gives all leases up, so that others needn't wait for them to lapse.
+// release gives all leases up for good, so that others needn't wait for them to
+// lapse.
 func (l *leases) release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseLimit)
 	defer cancel()
+	l.mu.Lock()
+	l.released = true
+	l.mu.Unlock()
 	l.calls.Wait()
 	l.mu.Lock()
 	for duty, lease := range l.byDuty {
