--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -224,12 +225,34 @@
 	n.mu.Unlock()
 	n.noteConnection(pause, isCutOff)
 	var exchanges sync.WaitGroup
+	var heard atomic.Int64
 	for i, peer := range peers {
 		told := digests[i]
 		told.RolloutEvidence = n.evidenceFor(peer.ID)
-		exchanges.Go(func() { n.exchangeWith(ctx, peer, told) })
+		exchanges.Go(func() {
+			if n.exchangeWith(ctx, peer, told) {
+				heard.Add(1)
+			}
+		})
 	}
 	exchanges.Wait()
+	if int(heard.Load()) == len(peers) {
+		n.wholeExchanges.Add(1)
+	}
+}
+
+const (
+	// joinExchanges is the number of exchanges with all partners after which a new
+	// node's parts of the limits have come to what the others leave to it.
+	joinExchanges = 3
+	// joinWithin is how long a new node waits for partners that don't answer.
+	joinWithin = 3 * time.Second
+)
+
+// hasJoined reports whether the node knows enough of its peers to be sent callers.
+func (n *Node) hasJoined() bool {
+	started := time.UnixMilli(int64(n.incarnation))
+	return n.wholeExchanges.Load() >= joinExchanges || n.now().Sub(started) >= joinWithin
 }
 
 // noteConnection logs that the node was paused, and when it is cut off from its
@@ -257,13 +280,15 @@
 	}
 }
 
-func (n *Node) exchangeWith(ctx context.Context, peer qf.Node, digest qf.Digest) {
+// exchangeWith reports whether the peer answered.
+func (n *Node) exchangeWith(ctx context.Context, peer qf.Node, digest qf.Digest) bool {
 	answer, err := n.platform.Peer.Exchange(ctx, peer.PeerAddress, digest)
 	if err != nil {
 		if !errors.Is(err, context.Canceled) {
 			qfevent.PeerFailed.Log(&n.platform.Logger, peer.ID, err)
 		}
-		return
+		return false
 	}
 	n.learn(answer)
+	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,6 +119,8 @@
 	// evidence is what peers have told of the rollouts that this node controls.
 	evidence map[qf.EntryName]map[qf.NodeID]qf.RolloutEvidence
 
+	// wholeExchanges counts the exchanges in which every partner answered.
+	wholeExchanges atomic.Int64
 	// incarnation is set before the node serves.
 	incarnation qf.Incarnation
 	leases      *leases
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -61,7 +61,7 @@
 
 // IsReady implements qfhttp.Operations.
 func (n *Node) IsReady() bool {
-	return n.Phase() == PhaseServing && n.catalogue.Revision() > 0
+	return n.Phase() == PhaseServing && n.catalogue.Revision() > 0 && n.hasJoined()
 }
 
 // Report implements qfhttp.Operations.
