--- a/internal/qf/coordination/qflimit/share.go
+++ b/internal/qf/coordination/qflimit/share.go
@@ -126,7 +126,7 @@
 // if not.
 func (s *share) isOpen(now time.Time, units float64) (bool, time.Duration) {
 	if !s.isRate() {
-		return s.used+1 <= s.part, minRetryAfter
+		return s.used+1 <= max(s.part, s.floor()), minRetryAfter
 	}
 	s.fill(now, units)
 	if s.level >= units {
@@ -136,6 +136,11 @@
 	return false, time.Duration(wait * float64(time.Second))
 }
 
+// floor is what a node may use for concurrency although its part hasn't risen yet:
+// its even portion of floorShare, which keeps all nodes together within 5 % above
+// the limit.
+func (s *share) floor() float64 { return s.total * floorShare / float64(len(s.peers)+1) }
+
 func (s *share) take(units float64) {
 	if s.isRate() {
 		s.level -= units
