node: count only exchanges with partners as joining

Cause: answers_crossed_or_cut was refused Limited at a node that said it was ready: exchanges before the VM list was read had no partners and counted as whole. Change: an exchange counts only if it had partners; four are needed, or 3 s.

--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -236,7 +236,7 @@
 		})
 	}
 	exchanges.Wait()
-	if int(heard.Load()) == len(peers) {
+	if len(peers) > 0 && int(heard.Load()) == len(peers) { // A node that knows nobody yet hasn't joined.
 		n.wholeExchanges.Add(1)
 	}
 }
@@ -244,7 +244,7 @@
 const (
 	// joinExchanges is the number of exchanges with all partners after which a new
 	// node's parts of the limits have come to what the others leave to it.
-	joinExchanges = 3
+	joinExchanges = 4
 	// joinWithin is how long a new node waits for partners that don't answer.
 	joinWithin = 3 * time.Second
 )
