--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,154 @@
+// Package entry runs an entry node of a deployment: it follows the platform's store,
+// talks to its peers, forwards callers' requests and does the duties that one node
+// does for all. It wires the layers and decides nothing itself.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qflimit"
+	"quetzalfront/internal/qf/coordination/qfmember"
+	"quetzalfront/internal/qf/coordination/qfretry"
+	"quetzalfront/internal/qf/coordination/qfroute"
+	"quetzalfront/internal/qf/protocol/qfforward"
+	"quetzalfront/internal/qf/state/qfconfig"
+	"quetzalfront/internal/qf/state/qfevent"
+	"quetzalfront/internal/qf/state/qfregistry"
+	"quetzalfront/internal/qf/state/qfusage"
+	"quetzalfront/internal/qf/transport/qfexchange"
+)
+
+// Platform is everything outside the node.
+type Platform struct {
+	Timer    qf.Timer
+	Network  qf.Network
+	Feed     qf.RowFeed
+	Table    qf.Table
+	Duties   qf.Duties
+	Rollouts qf.RolloutReporter
+	Codec    qf.RowCodec
+	Protocol qf.CallerProtocol
+	Peer     qf.Peer
+	// ReadyHandler and DirectoryHandler answer the platform's and callers' questions.
+	ReadyHandler     func(isReady func() bool) http.Handler
+	DirectoryHandler func(addresses func(qf.Region, qf.AvailabilityZone) ([]netip.AddrPort, time.Duration)) http.Handler
+	Logger           zerolog.Logger
+	Random           *rand.Rand
+}
+
+// The times of membership. Callers keep addresses for seconds, so that a silent node
+// should leave the answers soon.
+const (
+	suspectAfter     = 1500 * time.Millisecond
+	deadAfter        = 6 * time.Second
+	fullExchangeUpTo = 16
+)
+
+// usageKeepFor is how long counts of usage are kept after their window.
+const usageKeepFor = 40 * time.Second
+
+// Entry is a running entry node.
+type Entry struct {
+	deployment qf.Deployment
+	platform   Platform
+	startedAt  time.Time
+
+	configuration qfconfig.Current
+	placer        *placer
+	governor      *governor
+	clock         *clock
+	exchanger     *qfexchange.Exchanger
+	forwarder     *qfforward.Forwarder
+	duties        *duties
+
+	// mu guards the membership and the registry.
+	mu         sync.Mutex
+	membership *qfmember.Membership
+	registry   *qfregistry.Registry
+	random     *rand.Rand
+	// hasEndpoints is set once the list of endpoints was read.
+	hasEndpoints atomic.Bool
+
+	inProgress atomic.Int64
+	leaving    atomic.Bool
+	// background counts the node's own loops.
+	background sync.WaitGroup
+	// stopLoops ends the followers, the exchanges and the duties.
+	stopLoops context.CancelFunc
+	servers   servers
+}
+
+// New returns an entry node that hasn't started.
+func New(deployment qf.Deployment, platform Platform) *Entry {
+	now := platform.Timer.Now()
+	deployment.Self.Incarnation = qf.Incarnation(now.UnixMilli())
+	deployment.Self.State = qf.NodeLive
+	e := &Entry{deployment: deployment, platform: platform, startedAt: now, random: platform.Random}
+	e.clock = newClock(now)
+	e.registry = qfregistry.New()
+	e.membership = qfmember.New(deployment.Self, qfmember.Timing{
+		SuspectAfter: suspectAfter, DeadAfter: deadAfter, FullExchangeUpTo: fullExchangeUpTo,
+	})
+	e.placer = &placer{self: deployment.Self, random: e.fork(), versions: newVersions()}
+	e.placer.router = qfroute.NewPredictive(routeConfig(), e.fork(), now)
+	e.governor = &governor{
+		quotas: qflimit.NewQuotas(), clock: e.clock,
+		repeats: qfretry.NewRepeats(qfretry.RepeatBounds{
+			Share: deployment.Bounds.RetryShare, Slack: deployment.Bounds.RetrySlack, Window: deployment.Bounds.RetryWindow,
+		}),
+		usage: qfusage.New(deployment.Self, max(deployment.Bounds.UsageWindow, time.Second), usageKeepFor),
+	}
+	e.exchanger = qfexchange.New(platform.Timer, platform.Network.Dial, platform.Protocol)
+	e.forwarder = qfforward.New(qfforward.Ports{
+		Timer: platform.Timer, Protocol: platform.Protocol, Exchanger: e.exchanger, Placer: e.placer, Governor: e.governor,
+		Configuration: &e.configuration, Observe: e.observe, IsLeaving: e.leaving.Load,
+	})
+	e.duties = newDuties(e)
+	return e
+}
+
+// fork returns a generator of its own for a part that has its own lock.
+func (e *Entry) fork() *rand.Rand {
+	return rand.New(rand.NewPCG(e.random.Uint64(), e.random.Uint64()))
+}
+
+// Bytes between regions cost about as much as a good answer is worth; the price is
+// that of a gibibyte in thousandths of the unit in which routers count.
+const trafficPrice = 20000
+
+func routeConfig() qfroute.Config {
+	config := qfroute.DefaultConfig()
+	config.TrafficPrice = trafficPrice
+	return config
+}
+
+func (e *Entry) now() time.Time { return e.platform.Timer.Now() }
+
+// Start opens the listeners and begins to follow the store.
+func (e *Entry) Start(ctx context.Context) error {
+	if err := e.listen(ctx); err != nil {
+		return err
+	}
+	loops, stop := context.WithCancel(context.Background())
+	e.stopLoops = stop
+	e.follow(loops)
+	e.background.Go(func() { e.exchangeLoop(loops) })
+	e.background.Go(func() { e.registerLoop(loops) })
+	e.background.Go(func() { e.duties.loop(loops) })
+	qfevent.NodeStarted.Log(&e.platform.Logger, e.deployment.Self.ID, e.deployment.Self.CallerAddress)
+	return nil
+}
+
+// isReady reports whether the node takes callers.
+func (e *Entry) isReady() bool {
+	return !e.leaving.Load() && e.configuration.Get() != nil && e.hasEndpoints.Load()
+}
--- /dev/null
+++ b/internal/entry/feeds.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfevent"
+	"quetzalfront/internal/qf/state/qffollow"
+)
+
+// The paces of the feeds. A connection that has gone silent is found when the wait
+// is over.
+var (
+	operatorPace  = qffollow.Pace{Wait: LongestWait, Rest: 200 * time.Millisecond, LeastRetry: 100 * time.Millisecond, MostRetry: time.Second}
+	endpointsPace = qffollow.Pace{Wait: LongestWait, Rest: 400 * time.Millisecond, LeastRetry: 100 * time.Millisecond, MostRetry: time.Second}
+	nodesPace     = qffollow.Pace{Wait: LongestWait, Rest: time.Second, LeastRetry: 200 * time.Millisecond, MostRetry: 2 * time.Second}
+)
+
+// LongestWait is how long the store may hold a call for changes.
+const LongestWait = 4 * time.Second
+
+// follow begins to follow the feeds.
+func (e *Entry) follow(ctx context.Context) {
+	feeds := []struct {
+		name    qf.FeedName
+		pace    qffollow.Pace
+		handler feedRows
+	}{
+		{qf.FeedOperator, operatorPace, &operatorRows{e}},
+		{qf.FeedEndpoints, endpointsPace, &endpointRows{e}},
+		{qf.FeedNodes, nodesPace, &nodeRows{e}},
+	}
+	for _, feed := range feeds {
+		handler := &feedHandler{entry: e, name: feed.name, feedRows: feed.handler}
+		e.background.Go(func() {
+			qffollow.Follow(ctx, e.platform.Timer, e.platform.Feed, feed.name, feed.pace, handler)
+		})
+	}
+}
+
+// feedRows takes the rows of one feed.
+type feedRows interface {
+	Replace(rows []qf.FeedRow, version uint64)
+	Change(rows []qf.FeedRow)
+}
+
+// feedHandler adds to the rows' handler what all feeds have in common.
+type feedHandler struct {
+	feedRows
+	entry *Entry
+	name  qf.FeedName
+	// lostAt is when the feed failed; it is zero while it answers.
+	lostAt time.Time
+}
+
+// Failed implements qffollow.Handler.
+func (h *feedHandler) Failed(err error) {
+	e := h.entry
+	now := e.now()
+	e.mu.Lock()
+	e.registry.StoreFailed(now)
+	e.mu.Unlock()
+	if h.lostAt.IsZero() {
+		h.lostAt = now
+		qfevent.FeedLost.Log(&e.platform.Logger, h.name, err)
+	}
+}
+
+// Answered implements qffollow.Handler.
+func (h *feedHandler) Answered() {
+	e := h.entry
+	now := e.now()
+	if h.name == qf.FeedEndpoints {
+		e.mu.Lock()
+		e.registry.StoreAnswered(now)
+		e.mu.Unlock()
+		e.settle(now)
+	}
+	if !h.lostAt.IsZero() {
+		qfevent.FeedRegained.Log(&e.platform.Logger, h.name, now.Sub(h.lostAt).String())
+		h.lostAt = time.Time{}
+	}
+}
+
+// unreadable logs a row that is left out.
+func (e *Entry) unreadable(feed qf.FeedName, row *qf.FeedRow, err error) {
+	qfevent.RowUnreadable.Log(&e.platform.Logger, feed, row.Key, row.Version, err)
+}
+
+// operatorRows takes the configuration and the orders of rollouts.
+type operatorRows struct{ entry *Entry }
+
+// Replace implements feedRows.
+func (h *operatorRows) Replace(rows []qf.FeedRow, _ uint64) { h.Change(rows) }
+
+// Change implements feedRows.
+func (h *operatorRows) Change(rows []qf.FeedRow) {
+	for i := range rows {
+		if h.entry.platform.Codec.IsConfigurationKey(rows[i].Key) && !rows[i].Removed {
+			h.entry.applyConfiguration(rows[i].Value, "")
+		}
+	}
+}
+
+// applyConfiguration checks and applies a configuration, wherever it came from.
+func (e *Entry) applyConfiguration(encoded []byte, from qf.NodeID) {
+	configuration, err := e.platform.Codec.Configuration(encoded)
+	if err != nil {
+		qfevent.CatalogueFailed.Log(&e.platform.Logger, err)
+		return
+	}
+	if !e.configuration.Apply(configuration, encoded) {
+		return
+	}
+	e.governor.mu.Lock()
+	e.governor.quotas.SetOrganisations(e.now(), configuration.Organisations)
+	e.governor.mu.Unlock()
+	qfevent.ConfigInForce.Log(&e.platform.Logger, configuration.Revision, from, len(configuration.Routes))
+}
+
+// endpointRows takes the registered endpoints.
+type endpointRows struct{ entry *Entry }
+
+// Replace implements feedRows.
+func (h *endpointRows) Replace(rows []qf.FeedRow, version uint64) {
+	e := h.entry
+	shown := make(map[qf.EndpointID]bool, len(rows))
+	for i := range rows {
+		shown[qf.EndpointID(rows[i].Key)] = true
+	}
+	e.mu.Lock()
+	e.registry.KeepOnly(e.now(), shown, version)
+	e.mu.Unlock()
+	h.Change(rows)
+	e.hasEndpoints.Store(true)
+}
+
+// Change implements feedRows.
+func (h *endpointRows) Change(rows []qf.FeedRow) {
+	now := h.entry.now()
+	for i := range rows {
+		h.take(now, &rows[i])
+	}
+	h.entry.settle(now)
+}
+
+func (h *endpointRows) take(now time.Time, row *qf.FeedRow) {
+	e := h.entry
+	id := qf.EndpointID(row.Key)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if row.Removed {
+		e.registry.Remove(now, id, row.Version)
+		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "its entry was removed")
+		return
+	}
+	listed, err := e.platform.Codec.Endpoint(row)
+	if err != nil {
+		e.unreadable(qf.FeedEndpoints, row, err)
+		e.registry.Remove(now, id, row.Version)
+		return
+	}
+	wasLeaving := e.isLeavingEndpoint(id)
+	if e.registry.Set(now, &listed, row.Version) {
+		qfevent.EndpointListed.Log(&e.platform.Logger, id, listed.Entry, listed.Version, listed.AvailabilityZone, listed.Address)
+	}
+	if listed.Leaving && !wasLeaving {
+		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "it says that it drains")
+	}
+}
+
+// isLeavingEndpoint is called with the lock held.
+func (e *Entry) isLeavingEndpoint(id qf.EndpointID) bool {
+	known := e.registry.Get(id)
+	return known != nil && known.Leaving
+}
+
+// settle gives the router the endpoints that may get work, if they changed.
+func (e *Entry) settle(now time.Time) {
+	e.mu.Lock()
+	isChanged := e.registry.Settle(now)
+	usable := e.registry.Usable()
+	e.mu.Unlock()
+	if isChanged {
+		e.placer.setEndpoints(usable)
+	}
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,243 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfevent"
+)
+
+const (
+	// exchangeEvery is the time between two exchanges with all peers.
+	exchangeEvery = 400 * time.Millisecond
+	// registerRetry is the time between two tries to write the node's row.
+	registerRetry = 500 * time.Millisecond
+	// nodeKeyPrefix begins the keys of nodes' rows.
+	nodeKeyPrefix = "nodes/"
+	// usageTold is how long after its end a window is told to peers.
+	usageTold = 3 * time.Second
+)
+
+// nodeRows takes the rows by which nodes find each other.
+type nodeRows struct{ entry *Entry }
+
+// Replace implements feedRows.
+func (h *nodeRows) Replace(rows []qf.FeedRow, _ uint64) { h.Change(rows) }
+
+// Change implements feedRows.
+func (h *nodeRows) Change(rows []qf.FeedRow) {
+	e := h.entry
+	for i := range rows {
+		if rows[i].Removed {
+			continue // A node that is gone falls silent.
+		}
+		var node qf.Node
+		if err := json.Unmarshal(rows[i].Value, &node); err != nil {
+			e.unreadable(qf.FeedNodes, &rows[i], err)
+			continue
+		}
+		e.mu.Lock()
+		if node.ID != e.deployment.Self.ID && node.State != qf.NodeLeaving {
+			e.membership.Seed(e.now(), node)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// registerLoop writes the node's row until that is done.
+func (e *Entry) registerLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if e.register(ctx).Certainty == qf.Done {
+			return
+		}
+		e.sleep(ctx, registerRetry)
+	}
+}
+
+func (e *Entry) register(ctx context.Context) qf.Result[qf.Committed] {
+	self := e.self()
+	value, err := json.Marshal(self)
+	if err != nil {
+		return qf.NotDoneFor[qf.Committed](err)
+	}
+	key := nodeKeyPrefix + string(self.ID)
+	return e.platform.Table.Commit(ctx, qf.Transaction{
+		ID: qf.TransactionID(key), Writes: []qf.Write{{Key: key, Value: value}},
+	})
+}
+
+func (e *Entry) self() qf.Node {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.membership.Self()
+}
+
+func (e *Entry) sleep(ctx context.Context, delay time.Duration) {
+	subscription := e.platform.Timer.After(delay)
+	defer subscription.Stop()
+	select {
+	case <-ctx.Done():
+	case <-subscription.C():
+	}
+}
+
+// exchangeLoop tells peers what they need to know and learns the same.
+func (e *Entry) exchangeLoop(ctx context.Context) {
+	e.askSeeds(ctx)
+	ticks := e.platform.Timer.Every(exchangeEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+			e.exchange(ctx)
+		}
+	}
+}
+
+// askSeeds exchanges with the nodes of the settings, which need no store to be found.
+func (e *Entry) askSeeds(ctx context.Context) {
+	for _, address := range e.deployment.Seeds {
+		if address != e.deployment.Self.PeerAddress {
+			e.background.Go(func() { e.exchangeWith(ctx, nil, address) })
+		}
+	}
+}
+
+func (e *Entry) exchange(ctx context.Context) {
+	now := e.now()
+	e.mu.Lock()
+	e.membership.Beat(now, e.configuration.Revision(), int(e.inProgress.Load()))
+	targets := e.membership.Targets(now, e.random, false)
+	if probe, ok := e.membership.Probe(now); ok {
+		targets = append(targets, probe)
+	}
+	peers := e.membership.Peers(now)
+	e.mu.Unlock()
+	e.setPeers(peers)
+	if len(peers) == 0 {
+		e.askSeeds(ctx)
+	}
+	for i := range targets {
+		target := targets[i]
+		// Of two nodes the one with the lower name begins: one exchange tells both.
+		if len(peers) < fullExchangeUpTo && target.ID < e.deployment.Self.ID && target.State == qf.NodeLive {
+			continue
+		}
+		e.background.Go(func() { e.exchangeWith(ctx, &target, target.PeerAddress) })
+	}
+}
+
+// setPeers tells the parts that share something with peers how many there are.
+func (e *Entry) setPeers(peers []qf.Node) {
+	ids := make([]qf.NodeID, 0, len(peers))
+	for i := range peers {
+		if peers[i].Heartbeat > 0 {
+			ids = append(ids, peers[i].ID)
+		}
+	}
+	e.governor.mu.Lock()
+	defer e.governor.mu.Unlock()
+	e.governor.quotas.SetNodes(ids)
+	e.governor.repeats.SetNodes(len(ids) + 1)
+}
+
+func (e *Entry) exchangeWith(ctx context.Context, to *qf.Node, address netip.AddrPort) {
+	answer, err := e.platform.Peer.Exchange(ctx, address, e.digest(to, nil))
+	if err != nil {
+		qfevent.PeerFailed.Log(&e.platform.Logger, address, err)
+		return
+	}
+	e.learn(ctx, &answer)
+}
+
+// digest returns the news for a peer.
+func (e *Entry) digest(to *qf.Node, wants []qf.AvailabilityZone) qf.Digest {
+	now := e.now()
+	d := qf.Digest{SentAt: e.clock.own(now)}
+	e.mu.Lock()
+	d.From = e.membership.Self()
+	d.From.CatalogueRevision = e.configuration.Revision()
+	e.membership.Fill(now, &d, to, wants)
+	e.mu.Unlock()
+	e.placer.mu.Lock()
+	d.SentLoads = e.placer.router.Sent(now)
+	e.placer.mu.Unlock()
+	for i := range d.SentLoads {
+		d.SentLoads[i].Node = d.From.ID
+	}
+	e.governor.mu.Lock()
+	d.QuotaUses = e.governor.quotas.Uses()
+	d.UsageCounts = e.governor.usage.Own(e.clock.agreed(now).Add(-usageTold))
+	e.governor.mu.Unlock()
+	for i := range d.UsageCounts {
+		d.UsageCounts[i].Node, d.UsageCounts[i].Incarnation = "", 0
+	}
+	return d
+}
+
+// learn takes a peer's news.
+func (e *Entry) learn(ctx context.Context, d *qf.Digest) {
+	now := e.now()
+	e.mu.Lock()
+	e.membership.Take(now, d)
+	e.mu.Unlock()
+	e.clock.heard(now, d.From.ID, d.SentAt)
+	e.placer.mu.Lock()
+	for _, sent := range d.SentLoads {
+		e.placer.router.PeerSent(sent)
+	}
+	e.placer.mu.Unlock()
+	for i := range d.UsageCounts {
+		d.UsageCounts[i].Node, d.UsageCounts[i].Incarnation = d.From.ID, d.From.Incarnation
+	}
+	e.governor.mu.Lock()
+	e.governor.quotas.Heard(now, d.From.ID, d.From.Incarnation, d.QuotaUses)
+	e.governor.usage.Heard(d.UsageCounts)
+	e.governor.mu.Unlock()
+	if d.From.CatalogueRevision > e.configuration.Revision() {
+		e.background.Go(func() { e.fetchConfiguration(ctx, d.From) })
+	}
+}
+
+// fetchConfiguration gets a newer configuration from a peer.
+func (e *Entry) fetchConfiguration(ctx context.Context, from qf.Node) {
+	encoded, revision, err := e.platform.Peer.Catalogue(ctx, from.PeerAddress, e.configuration.Revision())
+	if err != nil {
+		qfevent.PeerFailed.Log(&e.platform.Logger, from.PeerAddress, err)
+		return
+	}
+	if revision > e.configuration.Revision() {
+		e.applyConfiguration(encoded, from.ID)
+	}
+}
+
+// Exchange implements qfrpc.Handler.
+func (e *Entry) Exchange(digest qf.Digest) qf.Digest {
+	e.learn(context.Background(), &digest)
+	return e.digest(&digest.From, digest.Wants)
+}
+
+// CatalogueNewerThan implements qfrpc.Handler with the configuration.
+func (e *Entry) CatalogueNewerThan(revision qf.Revision) ([]byte, qf.Revision) {
+	table := e.configuration.Get()
+	if table == nil || table.Configuration.Revision <= revision {
+		return nil, revision
+	}
+	return table.Encoded, table.Configuration.Revision
+}
+
+// TakeOver implements qfrpc.Handler. Forwarded requests end where they began.
+func (e *Entry) TakeOver([]qf.RequestRecord) []qf.RequestID { return nil }
+
+// KeepShadows implements qfrpc.Handler.
+func (e *Entry) KeepShadows([]qf.RequestRecord) []qf.RequestID { return nil }
+
+// Lookup implements qfrpc.Handler.
+func (e *Entry) Lookup(id qf.RequestID) (qf.RequestRecord, error) {
+	return qf.RequestRecord{}, qf.NewError(qf.CodeNotFound, qf.StepResume, string(id), "forwarded requests have no record")
+}
--- /dev/null
+++ b/internal/entry/placer.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfprefix"
+)
+
+// placer implements qf.Placer over a router. It guards the router, which isn't safe
+// for concurrent use.
+type placer struct {
+	self qf.Node
+
+	mu       sync.Mutex
+	router   qf.Router
+	random   *rand.Rand
+	versions *versions
+}
+
+// Place implements qf.Placer.
+func (p *placer) Place(query *qf.PlaceQuery) (qf.Placement, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entry := query.Entry
+	if entry == "" {
+		entry = p.draw(query.Route.Entries)
+	}
+	request := &qf.Request{Entry: entry, Class: qf.ClassInteractive, Organisation: query.Organisation, Deadline: query.Deadline}
+	question := qf.RouteQuery{
+		Now: query.Now, Request: request, FromZone: p.self.AvailabilityZone, FromRegion: p.self.Region,
+		ResumeTokens: query.ResumeTokens, Excluded: query.Excluded, Version: p.versions.choose(entry, p.random),
+	}
+	if query.Prompt != nil {
+		question.PromptTokens = query.Prompt.Tokens
+		question.Prefixes = prefixesOf(query.Prompt)
+		request.MaxTokens = query.Prompt.MaxAnswer
+	}
+	choice, err := p.router.Choose(question)
+	if err != nil {
+		return qf.Placement{}, err
+	}
+	placement := qf.Placement{
+		Endpoint: choice.Endpoint, StartedAt: query.Now, Tokens: max(choice.Prediction.PrefillTokens, 1),
+		FirstToken: choice.FirstToken, Reason: choice.Reason,
+	}
+	p.router.Started(query.Now, placement.Endpoint.ID, placement.Tokens)
+	return placement, nil
+}
+
+// draw picks one of a route's entries by weight.
+func (p *placer) draw(entries []qf.WeightedEntry) qf.EntryName {
+	total := 0.0
+	for i := range entries {
+		total += entries[i].Weight
+	}
+	drawn := p.random.Float64() * total
+	for i := range entries {
+		drawn -= entries[i].Weight
+		if drawn < 0 {
+			return entries[i].Entry
+		}
+	}
+	return entries[len(entries)-1].Entry
+}
+
+// Began implements qf.Placer.
+func (p *placer) Began(at time.Time, placement *qf.Placement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.FirstToken(at, placement.Endpoint.ID, at.Sub(placement.StartedAt))
+}
+
+// Ended implements qf.Placer.
+func (p *placer) Ended(at time.Time, placement *qf.Placement, end qf.AttemptEnd) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Ended(at, placement.Endpoint.ID, placement.Tokens, end == qf.AttemptAnswered || end == qf.AttemptCancelled)
+	p.versions.ended(placement, end)
+}
+
+// Told implements qf.Placer.
+func (p *placer) Told(at time.Time, endpoint qf.EndpointID, load qf.AnswerLoad) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Reported(at, qf.LoadReport{Endpoint: endpoint, At: at, Running: load.Running, Queued: load.Waiting})
+}
+
+// setEndpoints replaces the endpoints that may get work.
+func (p *placer) setEndpoints(endpoints []qf.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.SetEndpoints(endpoints)
+}
+
+// prefixesOf turns the parts of a prompt into the hashes of its blocks. The last part
+// counts too: a session's next request begins with it.
+func prefixesOf(prompt *qf.Prompt) []uint64 {
+	var prefixes []uint64
+	var chain [3]uint64
+	tokens := 0
+	for _, part := range prompt.Parts {
+		chain[0], chain[1] = chain[2], part.ID
+		tokens += part.Tokens
+		for block := uint64(len(prefixes)); int(block+1)*qfprefix.BlockTokens <= tokens; block++ {
+			prefixes = append(prefixes, hash(chain[0], chain[1], block))
+		}
+		chain[2] = hash(chain[0], chain[1], 0)
+	}
+	return prefixes
+}
+
+func hash(numbers ...uint64) uint64 {
+	const bytesOfNumber = 8
+	buffer := make([]byte, 0, bytesOfNumber*len(numbers))
+	for _, n := range numbers {
+		for shift := 0; shift < 64; shift += 8 {
+			buffer = append(buffer, byte(n>>shift))
+		}
+	}
+	return xxhash.Sum64(buffer)
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/protocol/qfforward"
+	"quetzalfront/internal/qf/state/qfevent"
+	"quetzalfront/internal/qf/transport/qfrpc"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is longer than callers keep idle connections, so that their
+	// requests don't cross its close.
+	idleTimeout = 75 * time.Second
+	// maxHeaderBytes is above what any configuration allows so far.
+	maxHeaderBytes = 64 << 10
+	// leaveFor is how long a node that stops still takes connections, until callers
+	// have new addresses.
+	leaveFor = 2500 * time.Millisecond
+	// stopMargin is the time before the end of the grace at which what is left is cut.
+	stopMargin = 400 * time.Millisecond
+	// addressesFor is how long callers keep the addresses that they are told.
+	addressesFor = 2 * time.Second
+)
+
+// servers are the node's listeners.
+type servers struct {
+	callers *http.Server
+	others  []*http.Server
+	peers   net.Listener
+	// running counts the serving goroutines.
+	running sync.WaitGroup
+}
+
+func (e *Entry) listen(ctx context.Context) error {
+	d := &e.deployment
+	forward := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.inProgress.Add(1)
+		defer e.inProgress.Add(-1)
+		e.forwarder.ServeHTTP(w, r)
+	})
+	e.servers.callers = newServer(forward)
+	if err := e.serve(ctx, e.servers.callers, d.Self.CallerAddress); err != nil {
+		return err
+	}
+	others := []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{d.ReadyAddress, e.platform.ReadyHandler(e.isReady)},
+		{d.DirectoryAddress, e.platform.DirectoryHandler(e.addresses)},
+	}
+	for _, other := range others {
+		server := newServer(other.handler)
+		e.servers.others = append(e.servers.others, server)
+		if err := e.serve(ctx, server, other.address); err != nil {
+			return err
+		}
+	}
+	return e.listenPeers(ctx)
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func (e *Entry) serve(ctx context.Context, server *http.Server, address netip.AddrPort) error {
+	listener, err := e.platform.Network.Listen(ctx, address)
+	if err != nil {
+		return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepSettings, Peer: address.String(), Reason: "the address can't be listened on", Cause: err}
+	}
+	e.servers.running.Go(func() {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			qfevent.ServerFailed.Log(&e.platform.Logger, address, err)
+		}
+	})
+	return nil
+}
+
+func (e *Entry) listenPeers(ctx context.Context) error {
+	address := e.deployment.Self.PeerAddress
+	listener, err := e.platform.Network.Listen(ctx, address)
+	if err != nil {
+		return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepSettings, Peer: address.String(), Reason: "the address can't be listened on", Cause: err}
+	}
+	e.servers.peers = listener
+	e.servers.running.Go(func() {
+		if err := qfrpc.Serve(listener, e); err != nil {
+			qfevent.ServerFailed.Log(&e.platform.Logger, address, err)
+		}
+	})
+	return nil
+}
+
+// addresses answers which nodes a caller should use: those of its zone, else of its
+// region, else all. Bytes between regions cost, and callers draw among the addresses.
+func (e *Entry) addresses(region qf.Region, zone qf.AvailabilityZone) ([]netip.AddrPort, time.Duration) {
+	now := e.now()
+	e.mu.Lock()
+	nodes := e.membership.Nodes(now)
+	e.mu.Unlock()
+	var inZone, inRegion, all []netip.AddrPort
+	for i := range nodes {
+		n := &nodes[i]
+		isSelf := n.ID == e.deployment.Self.ID
+		if isSelf && !e.isReady() || !isSelf && (n.State != qf.NodeLive || n.CatalogueRevision == 0) {
+			continue
+		}
+		all = append(all, n.CallerAddress)
+		if n.Region == region {
+			inRegion = append(inRegion, n.CallerAddress)
+		}
+		if n.AvailabilityZone == zone {
+			inZone = append(inZone, n.CallerAddress)
+		}
+	}
+	keepFor := addressesFor
+	if bound := e.deployment.Bounds.AddressesFor; bound > 0 {
+		keepFor = min(keepFor, bound)
+	}
+	for _, list := range [][]netip.AddrPort{inZone, inRegion} {
+		if len(list) > 0 {
+			return list, keepFor
+		}
+	}
+	return all, keepFor
+}
+
+// Stop leaves: callers are told to go elsewhere, and what is in progress is finished.
+func (e *Entry) Stop(ctx context.Context) {
+	stopAt := e.now()
+	qfevent.NodeLeaving.Log(&e.platform.Logger, e.deployment.Self.ID, "signal")
+	e.leaving.Store(true)
+	e.mu.Lock()
+	e.membership.Leave()
+	e.mu.Unlock()
+	e.background.Go(func() { e.register(ctx) })
+	e.exchange(ctx)
+	e.duties.release(ctx)
+	e.sleep(ctx, leaveFor)
+	left := e.deployment.Bounds.StopGrace - stopMargin - e.now().Sub(stopAt)
+	drain, cancel := context.WithTimeout(ctx, max(left, 0))
+	defer cancel()
+	if err := e.servers.callers.Shutdown(drain); err != nil {
+		_ = e.servers.callers.Close() // The grace is over.
+	}
+	e.stopLoops()
+	for _, server := range e.servers.others {
+		_ = server.Close() // Nothing is in progress that must be finished.
+	}
+	_ = e.servers.peers.Close()
+	qfevent.NodeStopped.Log(&e.platform.Logger, e.deployment.Self.ID)
+}
+
+// observe logs the end of a request.
+func (e *Entry) observe(o *qfforward.Outcome) {
+	attempts := summarise(o.Attempts)
+	if o.Err == nil && o.Status < http.StatusInternalServerError {
+		qfevent.ForwardEnded.Log(&e.platform.Logger, o.Request, o.Route, o.Organisation, o.Revision, o.Status, attempts, o.First.String(), o.Took.String())
+		return
+	}
+	qfevent.ForwardFailed.Log(&e.platform.Logger, o.Request, o.Route, o.Organisation, o.Revision, o.Status, attempts, o.First.String(), o.Took.String(), o.Err)
+}
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -98,6 +98,23 @@
 	Age time.Duration
 }
 
+// QuotaUse is what the callers of one node have used of an organisation's quota
+// since the node's incarnation started.
+type QuotaUse struct {
+	Organisation Organisation
+	Units        float64
+}
+
+// UsageCount is how many requests of an organisation began in a window at one run
+// of a node's process. Node and Incarnation are empty for the sender.
+type UsageCount struct {
+	Node         NodeID
+	Incarnation  Incarnation
+	Window       int64
+	Organisation Organisation
+	Count        int
+}
+
 // Digest is what nodes tell each other in one exchange.
 type Digest struct {
 	From         Node
@@ -111,6 +128,13 @@
 	LimitUses       []LimitUse
 	SentLoads       []SentLoad
 	Suspicions      []Suspicion
+	// QuotaUses are what the sender's own callers have used of quotas.
+	QuotaUses []QuotaUse
+	// UsageCounts are the requests that began at the sender, of the last windows.
+	UsageCounts []UsageCount
+	// SentAt is the sender's time of day when the digest left, as its process started
+	// with it: later steps of the machine's clock aren't in it.
+	SentAt time.Time
 	// Beats, Zones, Wants and Lists stand in for Nodes in large fleets. Wants names
 	// the zones of which the sender needs the list of members.
 	Beats []Beat
--- /dev/null
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -0,0 +1,322 @@
+package qfforward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+const (
+	// bufferBytes is the size up to which an answer is read whole before it is
+	// passed on, so that a broken one can be replaced.
+	bufferBytes = 256 << 10
+	// waitShare is the part of the objective after which a request that may be
+	// repeated is tried elsewhere, and waitLeast the least such time.
+	waitShare = 0.6
+	waitLeast = 100 * time.Millisecond
+	// waitPredicted is how many times its predicted time an endpoint may take.
+	waitPredicted = 3
+)
+
+// run makes attempts until the request has its final answer.
+func (c *call) run() {
+	ctx, cancel := c.context()
+	defer cancel()
+	p := &progress{route: c.route}
+	c.outcome.Kind = c.route.Kind
+	s := &relay{call: c}
+	var tried []qf.EndpointID
+	var entry qf.EntryName
+	for {
+		a, err := c.attempt(ctx, p, s, tried, entry)
+		if err != nil {
+			c.finish(p, s, nil, c.withoutPlace(p, err))
+			return
+		}
+		tried = append(tried, a.placement.Endpoint.ID)
+		entry = a.placement.Endpoint.Entry
+		step := c.next(p, a)
+		c.report(a, step)
+		if step != nextRepeat && step != nextResume {
+			c.finish(p, s, a, step)
+			return
+		}
+	}
+}
+
+// next counts the attempt and decides what follows.
+func (c *call) next(p *progress, a *attempt) next {
+	now := c.forwarder.ports.Timer.Now()
+	p.end, p.timeLeft = a.end, c.deadline.Sub(now)
+	if a.end == qf.AttemptNotRun {
+		p.notRun++
+	} else {
+		p.runs++
+	}
+	step := decide(p)
+	isRepeat := step == nextRepeat || step == nextResume
+	if isRepeat && !c.forwarder.ports.Governor.MayRepeat(now, a.placement.Endpoint.Entry) {
+		if a.end == qf.AttemptFailed {
+			return nextPass
+		}
+		return p.giveUp()
+	}
+	return step
+}
+
+// withoutPlace decides when there is no endpoint for an attempt.
+func (c *call) withoutPlace(p *progress, err error) next {
+	c.outcome.Err = err
+	return p.giveUp()
+}
+
+// attempt is one attempt at an endpoint.
+type attempt struct {
+	placement qf.Placement
+	startedAt time.Time
+	end       qf.AttemptEnd
+	answer    *qf.ExchangeAnswer
+	// content is the whole body of an answer that isn't relayed piece by piece.
+	content []byte
+	err     error
+}
+
+func (c *call) attempt(ctx context.Context, p *progress, s *relay, tried []qf.EndpointID, entry qf.EntryName) (*attempt, error) {
+	ports := &c.forwarder.ports
+	now := ports.Timer.Now()
+	placement, err := ports.Placer.Place(&qf.PlaceQuery{
+		Now: now, Route: c.route, Organisation: c.organisation(), Prompt: c.request.Prompt,
+		Deadline: c.deadline, Excluded: tried, ResumeTokens: s.tokens, Entry: entry,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(tried) == 0 {
+		ports.Governor.Arrived(now, placement.Endpoint.Entry)
+	}
+	a := &attempt{placement: placement, startedAt: now}
+	c.send(ctx, p, s, a)
+	at := ports.Timer.Now()
+	ports.Placer.Ended(at, &a.placement, a.end)
+	return a, nil
+}
+
+// send exchanges the request and takes the answer in.
+func (c *call) send(ctx context.Context, p *progress, s *relay, a *attempt) {
+	ports := &c.forwarder.ports
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := c.watch(a, p, cancel)
+	answer, err := ports.Exchanger.Exchange(ctx, &qf.ExchangeRequest{
+		ID: c.request.ID, Endpoint: a.placement.Endpoint, Method: c.incoming.Method, Target: c.incoming.RequestURI,
+		Host: c.incoming.Host, Body: c.body,
+		Header: ports.Protocol.Outgoing(c.incoming.Header, &qf.Dispatch{
+			Endpoint: a.placement.Endpoint.ID, Organisation: c.organisation(), Urgency: c.urgency(),
+			TimeLeft: c.deadline.Sub(ports.Timer.Now()), ResumeAfter: s.lastEvent,
+		}),
+	})
+	if err != nil {
+		watch()
+		a.broke(ctx, err)
+		return
+	}
+	defer answer.Body.Close() //nolint:errcheck // Closing has no outcome.
+	a.answer, a.end = answer, endOf(answer)
+	if load := answer.Traits.Load; load != nil {
+		ports.Placer.Told(ports.Timer.Now(), a.placement.Endpoint.ID, *load)
+	}
+	if a.end == qf.AttemptAnswered && c.route.Kind == qf.RouteStream && answer.Status == http.StatusOK {
+		err = s.take(a, watch)
+	} else {
+		err = c.read(a, watch)
+	}
+	if err != nil {
+		a.broke(ctx, err)
+	}
+	p.delivered = s.begun
+}
+
+// broke settles the end of an attempt without a whole answer.
+func (a *attempt) broke(ctx context.Context, err error) {
+	a.err = err
+	switch cause := context.Cause(ctx); {
+	case a.answer == nil && qf.RanOf(err) == qf.RanNo && (cause == nil || errors.Is(cause, errTooSlow)):
+		a.end = qf.AttemptNotRun
+	case cause == nil || errors.Is(cause, errTooSlow):
+		a.end = qf.AttemptBroken
+	default:
+		a.end = qf.AttemptCancelled
+	}
+}
+
+// errTooSlow ends an attempt that is tried elsewhere.
+var errTooSlow = errors.New("the endpoint took too long to begin its answer")
+
+// watch ends an attempt that may be repeated if its answer doesn't begin. The
+// function that it returns ends the watch.
+func (c *call) watch(a *attempt, p *progress, cancel context.CancelCauseFunc) func() {
+	if !c.route.MayRepeat() || p.runs+1 >= c.route.Attempts || p.delivered {
+		return func() {}
+	}
+	patience := max(time.Duration(float64(c.route.Objective)*waitShare), waitPredicted*a.placement.FirstToken, waitLeast)
+	subscription := c.forwarder.ports.Timer.After(patience)
+	ended := make(chan struct{})
+	go func() {
+		defer subscription.Stop()
+		select {
+		case <-subscription.C():
+			cancel(errTooSlow)
+		case <-ended:
+		}
+	}()
+	isEnded := false
+	return func() {
+		if !isEnded {
+			isEnded = true
+			close(ended)
+		}
+	}
+}
+
+// read takes an answer in whole, unless it is large: that one is passed on as it
+// comes.
+func (c *call) read(a *attempt, watch func()) error {
+	defer watch()
+	var buffer bytes.Buffer
+	_, err := io.CopyN(&buffer, a.answer.Body, bufferBytes)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	c.began(a)
+	a.content = buffer.Bytes()
+	if err == nil && a.end == qf.AttemptAnswered {
+		return c.passLarge(a)
+	}
+	return nil
+}
+
+// began counts the request as one that runs.
+func (c *call) began(a *attempt) {
+	if a.end == qf.AttemptNotRun {
+		return
+	}
+	now := c.forwarder.ports.Timer.Now()
+	c.forwarder.ports.Placer.Began(now, &a.placement)
+	if c.outcome.First == 0 {
+		c.outcome.First = now.Sub(c.arrivedAt)
+		c.forwarder.ports.Governor.Began(now, c.organisation())
+	}
+}
+
+// passLarge delivers an answer that doesn't fit into the buffer.
+func (c *call) passLarge(a *attempt) error {
+	c.writeHeader(a.answer)
+	if _, err := c.writer.Write(a.content); err != nil {
+		return err
+	}
+	a.content = nil
+	_, err := io.Copy(c.writer, a.answer.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler) // What was delivered must not look complete.
+	}
+	return nil
+}
+
+func (c *call) writeHeader(answer *qf.ExchangeAnswer) {
+	header := c.writer.Header()
+	for name, values := range c.forwarder.ports.Protocol.AnswerHeader(answer.Header) {
+		header[name] = values
+	}
+	c.outcome.Status = answer.Status
+	c.writer.WriteHeader(answer.Status)
+}
+
+// report notes an attempt for the log.
+func (c *call) report(a *attempt, step next) {
+	r := AttemptReport{
+		Endpoint: a.placement.Endpoint.ID, Version: a.placement.Endpoint.Version, Rule: a.placement.Reason.Rule,
+		End: a.end, Next: string(step), Err: a.err, Took: c.forwarder.ports.Timer.Now().Sub(a.startedAt),
+	}
+	if a.answer != nil {
+		r.Status = a.answer.Status
+	}
+	c.outcome.Attempts = append(c.outcome.Attempts, r)
+}
+
+// finish delivers the final answer.
+func (c *call) finish(p *progress, s *relay, a *attempt, step next) {
+	if step == nextPass && claimsNotRun(a.answer.Status) {
+		step = nextFail // The endpoint didn't say that it hasn't run the request.
+	}
+	switch step {
+	case nextDone, nextPass:
+		c.deliver(s, a)
+	case nextCut:
+		c.outcome.Err = errors.Join(c.outcome.Err, errCut)
+		panicAfter(c)
+	case nextRefuse:
+		c.refuse(&qf.Error{
+			Code: qf.CodeNoEndpoint, Step: qf.StepRoute, Reason: "no endpoint took the request", Ran: qf.RanNo,
+			RetryAfter: c.comeBack(), Cause: c.outcome.Err,
+		})
+	default:
+		c.refuse(c.failure(a))
+	}
+}
+
+var errCut = errors.New("the answer was cut")
+
+// panicAfter ends the connection of an answer that was begun.
+func panicAfter(c *call) {
+	c.outcome.Took = c.forwarder.ports.Timer.Now().Sub(c.arrivedAt)
+	c.forwarder.ports.Observe(&c.outcome)
+	panic(http.ErrAbortHandler)
+}
+
+// failure is the answer to a request of which nothing is known.
+func (c *call) failure(a *attempt) *qf.Error {
+	err := &qf.Error{Code: qf.CodeBroken, Step: qf.StepAttempt, Reason: "it isn't known whether the request ran", Ran: qf.RanUnknown}
+	if a != nil {
+		err.Peer, err.Cause = string(a.placement.Endpoint.ID), a.err
+	}
+	if !c.forwarder.ports.Timer.Now().Before(c.deadline) {
+		err.Code, err.Reason = qf.CodeDeadline, "no answer came in time"
+	}
+	return err
+}
+
+const (
+	// returnShare is the part of a route's objective after which a caller that was
+	// refused should come back, and returnLeast the least such time.
+	returnShare = 0.25
+	returnLeast = 100 * time.Millisecond
+)
+
+func (c *call) comeBack() time.Duration {
+	var known *qf.Error
+	if errors.As(c.outcome.Err, &known) && known.RetryAfter > 0 {
+		return known.RetryAfter
+	}
+	return max(time.Duration(float64(c.route.Objective)*returnShare), returnLeast)
+}
+
+func (c *call) deliver(s *relay, a *attempt) {
+	if s.begun || a.content == nil && c.outcome.Status != 0 {
+		return // The answer was passed on as it came.
+	}
+	if isWhole(c.incoming.Method, a.answer.Status) {
+		c.writer.Header().Set("Content-Length", strconv.Itoa(len(a.content)))
+	}
+	c.writeHeader(a.answer)
+	_, _ = c.writer.Write(a.content) // The caller has left; there is nobody to tell.
+}
+
+func isWhole(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -0,0 +1,238 @@
+// Package qfforward forwards callers' requests to endpoints as they came: it checks
+// them against the configuration, makes the attempts that the route allows, and
+// delivers one whole answer or says what is known of the request.
+package qfforward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfconfig"
+)
+
+// Ports are what a forwarder works with. All are needed.
+type Ports struct {
+	Timer         qf.Timer
+	Protocol      qf.CallerProtocol
+	Exchanger     qf.Exchanger
+	Placer        qf.Placer
+	Governor      qf.Governor
+	Configuration *qfconfig.Current
+	// Observe takes each request's end.
+	Observe func(*Outcome)
+	// IsLeaving says that callers should open their next connection elsewhere.
+	IsLeaving func() bool
+}
+
+const (
+	// defaultTimeout bounds requests of routes that name no timeout.
+	defaultTimeout = 30 * time.Second
+	// bodyTimeout bounds the reading of a request's body.
+	bodyTimeout = 10 * time.Second
+	// unready is when callers of a node without a configuration should come back.
+	unready = 500 * time.Millisecond
+)
+
+// Forwarder is an http.Handler for callers.
+type Forwarder struct {
+	ports Ports
+}
+
+// New returns a forwarder.
+func New(ports Ports) *Forwarder { return &Forwarder{ports: ports} }
+
+// call is one request of a caller under way.
+type call struct {
+	forwarder *Forwarder
+	writer    http.ResponseWriter
+	incoming  *http.Request
+	request   qf.CallerRequest
+	route     *qf.CallerRoute
+	holder    *qf.OrganisationTraits
+	body      []byte
+	arrivedAt time.Time
+	deadline  time.Time
+	outcome   Outcome
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := f.ports.Timer.Now()
+	c := &call{forwarder: f, writer: w, incoming: r, arrivedAt: now, deadline: now.Add(defaultTimeout)}
+	if f.ports.IsLeaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := c.accept(); err != nil {
+		c.refuse(err)
+	} else {
+		c.run()
+	}
+	c.outcome.Took = f.ports.Timer.Now().Sub(now)
+	f.ports.Observe(&c.outcome)
+}
+
+func refusal(code qf.Code, field, reason string, retryAfter time.Duration) *qf.Error {
+	return &qf.Error{Code: code, Step: qf.StepAccept, Field: field, Reason: reason, Ran: qf.RanNo, RetryAfter: retryAfter}
+}
+
+// accept checks the request against the configuration and reads its body.
+func (c *call) accept() error {
+	table := c.forwarder.ports.Configuration.Get()
+	var err error
+	c.request, err = c.forwarder.ports.Protocol.Request(c.incoming)
+	c.outcome.Request = c.request.ID
+	if table == nil {
+		return refusal(qf.CodeUnavailable, "", "the node has no configuration yet", unready)
+	}
+	c.outcome.Revision = table.Configuration.Revision
+	if err != nil {
+		return err
+	}
+	if c.route = table.Route(c.request.Host, c.request.Path); c.route == nil {
+		return refusal(qf.CodeNotFound, "Path", "no route has this host and path", 0)
+	}
+	c.outcome.Route = c.route.Name
+	if err := c.identify(table); err != nil {
+		return err
+	}
+	c.setDeadline()
+	if err := c.readBody(table.Configuration.Limits.MaxBodyBytes); err != nil {
+		return err
+	}
+	return c.admit()
+}
+
+// identify finds the organisation that holds the caller's key.
+func (c *call) identify(table *qfconfig.Table) error {
+	if !table.HasOrganisations() || c.route.Public && c.request.Key == "" {
+		return nil
+	}
+	c.holder = table.Organisation(c.request.Key)
+	if c.holder == nil && !c.route.Public {
+		return refusal(qf.CodeForbidden, "Key", "no organisation holds this key", 0)
+	}
+	c.outcome.Organisation = c.organisation()
+	return nil
+}
+
+func (c *call) organisation() qf.Organisation {
+	if c.holder == nil {
+		return ""
+	}
+	return c.holder.Organisation
+}
+
+func (c *call) setDeadline() {
+	timeout := c.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if left := c.request.TimeLeft; left > 0 && left < timeout {
+		timeout = left
+	}
+	c.deadline = c.arrivedAt.Add(timeout)
+}
+
+func (c *call) readBody(limit int64) error {
+	if c.incoming.Body == nil || c.incoming.Body == http.NoBody {
+		return nil
+	}
+	control := http.NewResponseController(c.writer)
+	_ = control.SetReadDeadline(c.arrivedAt.Add(bodyTimeout)) // Not all writers have one.
+	source := io.Reader(c.incoming.Body)
+	if limit > 0 {
+		source = http.MaxBytesReader(c.writer, c.incoming.Body, limit)
+	}
+	body, err := readAll(source, c.incoming.ContentLength)
+	_ = control.SetReadDeadline(time.Time{}) // As above.
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refusal(qf.CodeTooLarge, "Body", "the body is larger than the configuration allows", 0)
+	case err != nil:
+		return &qf.Error{Code: qf.CodeInvalid, Step: qf.StepAccept, Field: "Body", Reason: "the body can't be read", Ran: qf.RanNo, Cause: err}
+	}
+	c.body = body
+	return nil
+}
+
+// readAll reads a body whose length is known or not.
+func readAll(source io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(source)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(source, body)
+	return body, err
+}
+
+// admit takes the request from the organisation's quota.
+func (c *call) admit() error {
+	now := c.forwarder.ports.Timer.Now()
+	if c.holder == nil || c.holder.UnitsPerSecond <= 0 {
+		return nil
+	}
+	admitted, retryAfter := c.forwarder.ports.Governor.Admit(now, c.holder, c.units())
+	if !admitted {
+		return refusal(qf.CodeLimited, "Organisation", "the organisation's quota is spent", retryAfter)
+	}
+	return nil
+}
+
+// units is what the request takes from the quota.
+func (c *call) units() float64 {
+	switch {
+	case !c.holder.CountsTokens:
+		return 1
+	case c.request.Prompt == nil:
+		return float64(c.holder.PlainTokens)
+	default:
+		return float64(c.request.Prompt.Tokens + c.request.Prompt.MaxAnswer)
+	}
+}
+
+// urgency is the request's rank at the endpoint.
+func (c *call) urgency() int {
+	const least = 9
+	if !c.route.Generates {
+		return -1
+	}
+	rank := c.route.Priority
+	if c.holder != nil && c.holder.Priority != nil {
+		rank = *c.holder.Priority
+	}
+	return min(max(rank, 0), least)
+}
+
+// statuses are those of the node's own answers.
+var statuses = map[qf.Code]int{
+	qf.CodeInvalid: http.StatusBadRequest, qf.CodeForbidden: http.StatusUnauthorized, qf.CodeNotFound: http.StatusNotFound,
+	qf.CodeTooLarge: http.StatusRequestEntityTooLarge, qf.CodeLimited: http.StatusTooManyRequests,
+	qf.CodeUnavailable: http.StatusServiceUnavailable, qf.CodeNoEndpoint: http.StatusServiceUnavailable,
+	qf.CodeOverloaded: http.StatusServiceUnavailable, qf.CodeSuspect: http.StatusServiceUnavailable,
+	qf.CodeDeadline: http.StatusGatewayTimeout, qf.CodeBroken: http.StatusBadGateway,
+}
+
+// refuse answers with an error of the node's own.
+func (c *call) refuse(err error) {
+	var known *qf.Error
+	if !errors.As(err, &known) {
+		known = &qf.Error{Code: qf.CodeBroken, Step: qf.StepAccept, Cause: err}
+	}
+	status, ok := statuses[known.Code]
+	if !ok {
+		status = http.StatusBadGateway
+	}
+	c.outcome.Status, c.outcome.Err = status, err
+	c.forwarder.ports.Protocol.Refuse(c.writer.Header(), c.request.ID, known.RetryAfter)
+	http.Error(c.writer, known.Reason, status)
+}
+
+// context returns the request's context with its deadline.
+func (c *call) context() (context.Context, context.CancelFunc) {
+	return context.WithDeadline(c.incoming.Context(), c.deadline)
+}
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -43,6 +43,13 @@
 	FieldAge              = "Age"
 	FieldDuty             = "Duty"
 	FieldFencing          = "Fencing"
+	FieldRoute            = "Route"
+	FieldOrganisation     = "Organisation"
+	FieldStatus           = "Status"
+	FieldAttempts         = "Attempts"
+	FieldFirst            = "First"
+	FieldFeed             = "Feed"
+	FieldWindow           = "Window"
 )
 
 const (
@@ -107,6 +114,24 @@
 	OrderGiven       = Event{704, info, "order given to an engine", []string{FieldEndpoint, FieldVersion, FieldReason, FieldOutcome}, "Nothing; many for one engine mean that another party gives it orders."}
 )
 
+// The events of forwarding and of what a node follows in the platform's store.
+var (
+	ForwardEnded     = Event{260, info, "request forwarded", []string{FieldRequest, FieldRoute, FieldOrganisation, FieldRevision, FieldStatus, FieldAttempts, FieldFirst, FieldTook}, "Nothing; Attempts tells each endpoint, why it was chosen, how the attempt ended and what followed."}
+	ForwardFailed    = Event{261, warning, "request refused or failed", []string{FieldRequest, FieldRoute, FieldOrganisation, FieldRevision, FieldStatus, FieldAttempts, FieldFirst, FieldTook, FieldError}, "See OPERATIONS.md for the way from a request to its cause."}
+	LinesLeftOut     = Event{106, warning, "log lines were left out", []string{FieldCount}, "Nothing; the log's reader is too slow or the load is high."}
+	SettingsReloaded = Event{107, info, "settings were read again", []string{FieldOutcome}, "Nothing, unless Outcome names a fault; then the settings in use stay."}
+	FeedLost         = Event{320, warning, "a feed of the platform's store is lost", []string{FieldFeed, FieldError}, "See operators/store-outage.md; what is known stays in use."}
+	FeedRegained     = Event{321, info, "a feed of the platform's store answers again", []string{FieldFeed, FieldAge}, "Nothing."}
+	RowUnreadable    = Event{322, warning, "a row can't be read", []string{FieldFeed, FieldName, FieldVersion, FieldError}, "Look for its writer; the row is left out."}
+	ConfigInForce    = Event{323, info, "configuration in force", []string{FieldRevision, FieldPeer, FieldCount}, "Nothing; Peer is empty if it came from the store."}
+	EndpointListed   = Event{330, info, "an endpoint is listed", []string{FieldEndpoint, FieldEntry, FieldVersion, FieldAvailabilityZone, FieldAddress}, "Nothing."}
+	EndpointLeaving  = Event{331, info, "an endpoint leaves", []string{FieldEndpoint, FieldReason}, "Nothing; it gets no new work."}
+	PeerLost         = Event{420, warning, "a peer is silent", []string{FieldPeer, FieldAge}, "Look at the peer if it lasts."}
+	PeerRegained     = Event{421, info, "a peer is heard", []string{FieldPeer, FieldAddress}, "Nothing."}
+	UsageReported    = Event{520, info, "usage reported", []string{FieldWindow, FieldFencing, FieldOutcome, FieldError}, "Nothing; a window whose Outcome isn't Done is tried again."}
+	EndpointsOrdered = Event{705, info, "a number of endpoints was ordered", []string{FieldEntry, FieldAvailabilityZone, FieldName, FieldCount, FieldReason, FieldFencing, FieldOutcome, FieldError}, "Nothing; Name is the class of the endpoints."}
+)
+
 // All lists every event.
 func All() []Event {
 	return []Event{
@@ -157,6 +182,20 @@
 		EndpointTrial,
 		EndpointReturned,
 		OrderGiven,
+		ForwardEnded,
+		ForwardFailed,
+		LinesLeftOut,
+		SettingsReloaded,
+		FeedLost,
+		FeedRegained,
+		RowUnreadable,
+		ConfigInForce,
+		EndpointListed,
+		EndpointLeaving,
+		PeerLost,
+		PeerRegained,
+		UsageReported,
+		EndpointsOrdered,
 	}
 }
 
--- /dev/null
+++ b/internal/qf/state/qffollow/follower.go
@@ -0,0 +1,109 @@
+// Package qffollow follows feeds of the platform's store: it reads all rows once
+// and then what changes, and starts again when the history is lost.
+package qffollow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"quetzalfront/internal/qf"
+)
+
+// Handler takes the rows of one feed. Its methods are called one at a time.
+type Handler interface {
+	// Replace takes all rows, as of a version.
+	Replace(rows []qf.FeedRow, version uint64)
+	// Change takes rows that changed, in order.
+	Change(rows []qf.FeedRow)
+	// Failed takes the news that the store doesn't answer, Answered that it does.
+	Failed(err error)
+	Answered()
+}
+
+// Pace bounds the calls of a follower.
+type Pace struct {
+	// Wait is how long the store may hold a call until something changes.
+	Wait time.Duration
+	// Rest is the time between an answer and the next call, so that changes in quick
+	// succession come together.
+	Rest time.Duration
+	// LeastRetry and MostRetry bound the delay after a failed call.
+	LeastRetry, MostRetry time.Duration
+}
+
+// Follow calls the handler until the context ends.
+func Follow(ctx context.Context, timer qf.Timer, source qf.RowFeed, feed qf.FeedName, pace Pace, handler Handler) {
+	f := &follower{timer: timer, source: source, feed: feed, pace: pace, handler: handler}
+	f.retry = backoff.NewExponentialBackOff()
+	f.retry.InitialInterval, f.retry.MaxInterval = pace.LeastRetry, pace.MostRetry
+	for ctx.Err() == nil {
+		f.step(ctx)
+	}
+}
+
+type follower struct {
+	timer   qf.Timer
+	source  qf.RowFeed
+	feed    qf.FeedName
+	pace    Pace
+	handler Handler
+	retry   *backoff.ExponentialBackOff
+	// isRead is false until all rows were read; version is then the newest seen.
+	isRead  bool
+	version uint64
+}
+
+func (f *follower) step(ctx context.Context) {
+	err := f.read(ctx)
+	switch {
+	case ctx.Err() != nil:
+	case err == nil:
+		f.retry.Reset()
+		f.handler.Answered()
+		f.sleep(ctx, f.pace.Rest)
+	case errors.Is(err, &qf.Error{Code: qf.CodeStaleRevision}):
+		f.isRead = false
+	default:
+		f.handler.Failed(err)
+		f.sleep(ctx, f.retry.NextBackOff())
+	}
+}
+
+func (f *follower) read(ctx context.Context) error {
+	if !f.isRead {
+		page, err := f.source.Snapshot(ctx, f.feed)
+		if err != nil {
+			return err
+		}
+		if page.Version < f.version {
+			return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepTableRead, Reason: "the answer is older than one before"}
+		}
+		f.handler.Replace(page.Rows, page.Version)
+		f.isRead, f.version = true, page.Version
+		return nil
+	}
+	page, err := f.source.Changes(ctx, f.feed, f.version, f.pace.Wait)
+	if err != nil {
+		return err
+	}
+	if len(page.Rows) > 0 {
+		f.handler.Change(page.Rows)
+	}
+	f.version = page.Version
+	return nil
+}
+
+func (f *follower) sleep(ctx context.Context, delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	subscription := f.timer.After(delay)
+	defer subscription.Stop()
+	select {
+	case <-ctx.Done():
+	case <-subscription.C():
+	}
+}
