--- a/cmd/quetzalfront/entry.go
+++ b/cmd/quetzalfront/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"os/signal"
 	"syscall"
 	"time"
 
@@ -57,11 +58,31 @@
 	if err := e.Start(ctx); err != nil {
 		return fail(err)
 	}
-	<-ctx.Done()
+	reloadOnHangUp(ctx, e, path)
 	e.Stop(context.Background())
 	return exitOK
 }
 
+// reloadOnHangUp reads the settings again at each SIGHUP until the context ends.
+func reloadOnHangUp(ctx context.Context, e *entry.Entry, path string) {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUps:
+			settings, err := platform.LoadSettings(path)
+			if err != nil {
+				e.ReloadFailed(err)
+				continue
+			}
+			e.Reload(&settings.Deployment)
+		}
+	}
+}
+
 // newBoundedLogger returns a logger that never waits for its reader: lines beyond
 // what is kept for it are left out and counted.
 func newBoundedLogger() (zerolog.Logger, func()) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,11 +70,13 @@
 	forwarder     *qfforward.Forwarder
 	duties        *duties
 
-	// mu guards the membership and the registry.
+	// mu guards the membership, the registry and the seeds.
 	mu         sync.Mutex
 	membership *qfmember.Membership
 	registry   *qfregistry.Registry
 	random     *rand.Rand
+	// seeds are peer addresses of a few nodes; they may be stale.
+	seeds []netip.AddrPort
 	// hasEndpoints is set once the list of endpoints was read.
 	hasEndpoints atomic.Bool
 
@@ -92,7 +94,7 @@
 	now := platform.Timer.Now()
 	deployment.Self.Incarnation = qf.Incarnation(now.UnixMilli())
 	deployment.Self.State = qf.NodeLive
-	e := &Entry{deployment: deployment, platform: platform, startedAt: now, random: platform.Random}
+	e := &Entry{deployment: deployment, platform: platform, startedAt: now, random: platform.Random, seeds: deployment.Seeds}
 	e.clock = newClock(now)
 	e.registry = qfregistry.New()
 	e.membership = qfmember.New(deployment.Self, qfmember.Timing{
@@ -152,3 +154,17 @@
 func (e *Entry) isReady() bool {
 	return !e.leaving.Load() && e.configuration.Get() != nil && e.hasEndpoints.Load()
 }
+
+// Reload takes settings that were read again. Only what names other nodes may change
+// while a node runs; its own addresses may not.
+func (e *Entry) Reload(deployment *qf.Deployment) {
+	e.mu.Lock()
+	e.seeds = deployment.Seeds
+	e.mu.Unlock()
+	qfevent.SettingsReloaded.Log(&e.platform.Logger, "seeds in use")
+}
+
+// ReloadFailed notes that the settings can't be read; those in use stay.
+func (e *Entry) ReloadFailed(err error) {
+	qfevent.SettingsReloaded.Log(&e.platform.Logger, err)
+}
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -58,9 +58,11 @@
 func (h *feedHandler) Failed(err error) {
 	e := h.entry
 	now := e.now()
-	e.mu.Lock()
-	e.registry.StoreFailed(now)
-	e.mu.Unlock()
+	if h.name == qf.FeedEndpoints {
+		e.mu.Lock()
+		e.registry.StoreFailed()
+		e.mu.Unlock()
+	}
 	if h.lostAt.IsZero() {
 		h.lostAt = now
 		qfevent.FeedLost.Log(&e.platform.Logger, h.name, err)
@@ -73,7 +75,7 @@
 	now := e.now()
 	if h.name == qf.FeedEndpoints {
 		e.mu.Lock()
-		e.registry.StoreAnswered(now)
+		e.registry.StoreAnswered()
 		e.mu.Unlock()
 		e.settle(now)
 	}
@@ -138,28 +140,35 @@
 
 // Change implements feedRows.
 func (h *endpointRows) Change(rows []qf.FeedRow) {
-	now := h.entry.now()
+	e := h.entry
+	now := e.now()
+	e.mu.Lock()
+	var gone []qf.EndpointID
+	newest := uint64(0)
 	for i := range rows {
-		h.take(now, &rows[i])
+		newest = max(newest, rows[i].Version)
+		if h.isGone(now, &rows[i]) {
+			gone = append(gone, qf.EndpointID(rows[i].Key))
+		}
 	}
-	h.entry.settle(now)
+	e.registry.Remove(now, gone, newest)
+	e.mu.Unlock()
+	e.settle(now)
 }
 
-func (h *endpointRows) take(now time.Time, row *qf.FeedRow) {
+// isGone takes one row and reports whether it names no endpoint to use. It is called
+// with the lock held.
+func (h *endpointRows) isGone(now time.Time, row *qf.FeedRow) bool {
 	e := h.entry
 	id := qf.EndpointID(row.Key)
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	if row.Removed {
-		e.registry.Remove(now, id, row.Version)
 		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "its entry was removed")
-		return
+		return true
 	}
 	listed, err := e.platform.Codec.Endpoint(row)
 	if err != nil {
 		e.unreadable(qf.FeedEndpoints, row, err)
-		e.registry.Remove(now, id, row.Version)
-		return
+		return true
 	}
 	wasLeaving := e.isLeavingEndpoint(id)
 	if e.registry.Set(now, &listed, row.Version) {
@@ -168,6 +177,7 @@
 	if listed.Leaving && !wasLeaving {
 		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "it says that it drains")
 	}
+	return false
 }
 
 // isLeavingEndpoint is called with the lock held.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -101,7 +101,10 @@
 
 // askSeeds exchanges with the nodes of the settings, which need no store to be found.
 func (e *Entry) askSeeds(ctx context.Context) {
-	for _, address := range e.deployment.Seeds {
+	e.mu.Lock()
+	seeds := e.seeds
+	e.mu.Unlock()
+	for _, address := range seeds {
 		if address != e.deployment.Self.PeerAddress {
 			e.background.Go(func() { e.exchangeWith(ctx, nil, address) })
 		}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -46,7 +46,7 @@
 	shadows := newShadower(n)
 	n.workers.Go(func() { shadows.run(n.ctx) })
 	n.exchange(n.ctx)
-	n.leases.release(n.ctx)
+	n.leases.Release(n.ctx)
 	n.serveOn(n.now())
 	n.phase.Store(PhaseDraining)
 	ctx, cancel := n.untilReclaim()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"quetzalfront/internal/qf/coordination/qfroute"
 	"quetzalfront/internal/qf/coordination/qfsuspect"
 	"quetzalfront/internal/qf/protocol/qfhandover"
+	"quetzalfront/internal/qf/protocol/qfholder"
 	"quetzalfront/internal/qf/protocol/qfrequest"
 	"quetzalfront/internal/qf/state/qfcatalogue"
 	"quetzalfront/internal/qf/state/qfledger"
@@ -123,7 +124,7 @@
 	wholeExchanges atomic.Int64
 	// incarnation is set before the node serves.
 	incarnation qf.Incarnation
-	leases      *leases
+	leases      *qfholder.Holder
 	rollouts    *rollouts
 	buyer       *buyer
 	shadows     *qfhandover.Shadows
--- /dev/null
+++ b/internal/qf/coordination/qffleet/zonal.go
@@ -0,0 +1,282 @@
+package qffleet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// ZonalSettings govern the orders of an entry's endpoints by zone.
+type ZonalSettings struct {
+	// OnDemand is the number of endpoints over all zones that no reclaim may take.
+	OnDemand int
+	// Settle is how long after an order its effect should show, besides the time
+	// that an endpoint needs to start; the order is then given again.
+	Settle time.Duration
+	// DryFor is how long a zone that lost its reclaimable endpoints, or refused some,
+	// isn't asked for them.
+	DryFor time.Duration
+	// HoldDown is how long a lower need must last before endpoints are given up.
+	HoldDown time.Duration
+}
+
+// DefaultZonalSettings returns the settings of a node.
+func DefaultZonalSettings() ZonalSettings {
+	return ZonalSettings{OnDemand: 0, Settle: 3 * time.Second, DryFor: 6 * time.Second, HoldDown: 8 * time.Second}
+}
+
+// ZonalView is what is known of an entry.
+type ZonalView struct {
+	Now    time.Time
+	Traits *qf.ScalingTraits
+	// Needed is the number of endpoints at which the objective holds.
+	Needed int
+	// Endpoints are those that are listed, with those that leave.
+	Endpoints []qf.ListedEndpoint
+}
+
+// ZonalPlanner orders numbers of endpoints in each zone: reclaimable ones spread over
+// all zones that have them, and on-demand ones only where those don't suffice. It does
+// no I/O, reads no clock, and isn't safe for concurrent use.
+type ZonalPlanner struct {
+	settings ZonalSettings
+	cells    map[offerKey]*cell
+	// needed is the need in use; lowSince is when a lower one was first seen.
+	needed   int
+	lowSince time.Time
+}
+
+// cell is one class of endpoints in one zone.
+type cell struct {
+	// ordered is the number that was last asked for; it is negative before the first
+	// order. orderedAt is when.
+	ordered   int
+	orderedAt time.Time
+	// isOpen says that it isn't known whether the last order took effect.
+	isOpen bool
+	// dryUntil is until when none are to be had.
+	dryUntil time.Time
+}
+
+// ZonalOrder is an order to give, and why.
+type ZonalOrder struct {
+	Zone    qf.AvailabilityZone
+	Class   qf.VMClass
+	Desired int
+	Reason  string
+}
+
+// NewZonalPlanner returns a planner that knows of no orders.
+func NewZonalPlanner(settings ZonalSettings) *ZonalPlanner {
+	return &ZonalPlanner{settings: settings, cells: map[offerKey]*cell{}}
+}
+
+func (p *ZonalPlanner) cell(zone qf.AvailabilityZone, class qf.VMClass) *cell {
+	key := offerKey{zone: zone, class: class}
+	if p.cells[key] == nil {
+		p.cells[key] = &cell{ordered: -1}
+	}
+	return p.cells[key]
+}
+
+// counts are the endpoints of each class in a zone that stay.
+type counts struct {
+	reclaimable, onDemand int
+	// reclaimed counts the reclaimable ones that leave.
+	reclaimed int
+}
+
+// Next returns the order to give now, if there is one. Endpoints are ordered before
+// others are given up.
+func (p *ZonalPlanner) Next(view *ZonalView) (ZonalOrder, bool) {
+	zones := zonesOf(view.Traits)
+	present := p.count(view)
+	p.settleNeed(view.Now, view.Needed)
+	plan := p.plan(view, zones)
+	p.keepUntilReplaced(plan, present, zones)
+	var best *ZonalOrder
+	for _, zone := range zones {
+		for _, class := range []qf.VMClass{qf.ClassReclaimable, qf.ClassOnDemand} {
+			order := p.orderFor(view, zone, class, plan[zone], present[zone])
+			if order != nil && (best == nil || isMore(order, present) && !isMore(best, present)) {
+				best = order
+			}
+		}
+	}
+	if best == nil {
+		return ZonalOrder{}, false
+	}
+	return *best, true
+}
+
+// isMore reports whether an order adds endpoints.
+func isMore(order *ZonalOrder, present map[qf.AvailabilityZone]*counts) bool {
+	return order.Desired > present[order.Zone].of(order.Class)
+}
+
+func (c *counts) of(class qf.VMClass) int {
+	if class == qf.ClassReclaimable {
+		return c.reclaimable
+	}
+	return c.onDemand
+}
+
+// zonesOf returns the zones of an entry, the cheapest first.
+func zonesOf(traits *qf.ScalingTraits) []qf.AvailabilityZone {
+	zones := make([]qf.AvailabilityZone, 0, len(traits.Prices))
+	for zone := range traits.Prices {
+		zones = append(zones, zone)
+	}
+	slices.SortFunc(zones, func(a, b qf.AvailabilityZone) int {
+		if traits.Prices[a] != traits.Prices[b] {
+			if traits.Prices[a] < traits.Prices[b] {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(string(a), string(b))
+	})
+	return zones
+}
+
+// count counts the endpoints and notes the zones that are being reclaimed.
+func (p *ZonalPlanner) count(view *ZonalView) map[qf.AvailabilityZone]*counts {
+	present := map[qf.AvailabilityZone]*counts{}
+	for zone := range view.Traits.Prices {
+		present[zone] = &counts{}
+	}
+	for i := range view.Endpoints {
+		e := &view.Endpoints[i]
+		c := present[e.AvailabilityZone]
+		switch {
+		case c == nil:
+		case e.Leaving && e.LeavesIn > 0 && e.Class == qf.ClassReclaimable:
+			c.reclaimed++
+		case e.Leaving:
+		case e.Class == qf.ClassReclaimable:
+			c.reclaimable++
+		default:
+			c.onDemand++
+		}
+	}
+	for zone, c := range present {
+		if c.reclaimed > 0 && c.reclaimable == 0 {
+			p.cell(zone, qf.ClassReclaimable).dryUntil = view.Now.Add(p.settings.DryFor)
+		}
+	}
+	return present
+}
+
+// settleNeed follows a higher need at once and a lower one after some time.
+func (p *ZonalPlanner) settleNeed(now time.Time, needed int) {
+	switch {
+	case needed >= p.needed:
+		p.needed, p.lowSince = needed, time.Time{}
+	case p.lowSince.IsZero():
+		p.lowSince = now
+	case now.Sub(p.lowSince) >= p.settings.HoldDown:
+		p.needed, p.lowSince = needed, time.Time{}
+	}
+}
+
+// plan spreads the need over the zones. Zones without reclaimable endpoints get the
+// least number of on-demand ones.
+func (p *ZonalPlanner) plan(view *ZonalView, zones []qf.AvailabilityZone) map[qf.AvailabilityZone]*counts {
+	plan := map[qf.AvailabilityZone]*counts{}
+	left := p.needed
+	for _, zone := range zones {
+		plan[zone] = &counts{}
+		if view.Traits.ReclaimablePrice <= 0 || view.Now.Before(p.cell(zone, qf.ClassReclaimable).dryUntil) {
+			plan[zone].onDemand = max(view.Traits.Min, 0)
+			left -= plan[zone].onDemand
+		}
+	}
+	for i := 0; i < p.settings.OnDemand; i++ {
+		plan[zones[i%len(zones)]].onDemand++
+	}
+	left = p.spread(view, zones, plan, left, func(c *counts) *int { return &c.reclaimable }, func(zone qf.AvailabilityZone) bool {
+		return view.Traits.ReclaimablePrice > 0 && !view.Now.Before(p.cell(zone, qf.ClassReclaimable).dryUntil)
+	})
+	p.spread(view, zones, plan, left, func(c *counts) *int { return &c.onDemand }, func(qf.AvailabilityZone) bool { return true })
+	return plan
+}
+
+// spread adds endpoints one by one where there are fewest, up to each zone's bound, and
+// returns how many found no place.
+func (p *ZonalPlanner) spread(view *ZonalView, zones []qf.AvailabilityZone, plan map[qf.AvailabilityZone]*counts,
+	left int, slot func(*counts) *int, mayUse func(qf.AvailabilityZone) bool,
+) int {
+	for left > 0 {
+		var least *counts
+		for _, zone := range zones {
+			c := plan[zone]
+			if !mayUse(zone) || c.reclaimable+c.onDemand >= view.Traits.Max {
+				continue
+			}
+			if least == nil || c.reclaimable+c.onDemand < least.reclaimable+least.onDemand {
+				least = c
+			}
+		}
+		if least == nil {
+			return left
+		}
+		*slot(least)++
+		left--
+	}
+	return 0
+}
+
+// keepUntilReplaced keeps endpoints that would be given up while those that replace
+// them aren't there yet.
+func (p *ZonalPlanner) keepUntilReplaced(plan, present map[qf.AvailabilityZone]*counts, zones []qf.AvailabilityZone) {
+	missing := 0
+	for _, zone := range zones {
+		missing += max(plan[zone].reclaimable-present[zone].reclaimable, 0) + max(plan[zone].onDemand-present[zone].onDemand, 0)
+	}
+	for _, zone := range zones {
+		for _, pair := range []struct{ planned, there *int }{
+			{&plan[zone].onDemand, &present[zone].onDemand}, {&plan[zone].reclaimable, &present[zone].reclaimable},
+		} {
+			if keep := min(missing, *pair.there-*pair.planned); keep > 0 {
+				*pair.planned += keep
+				missing -= keep
+			}
+		}
+	}
+}
+
+// orderFor returns the order that brings one cell to its plan, or nil if none is due.
+func (p *ZonalPlanner) orderFor(view *ZonalView, zone qf.AvailabilityZone, class qf.VMClass, plan, present *counts) *ZonalOrder {
+	c := p.cell(zone, class)
+	desired, there := plan.of(class), present.of(class)
+	if class == qf.ClassReclaimable && view.Now.Before(c.dryUntil) {
+		return nil
+	}
+	effect := p.settings.Settle
+	if desired > there {
+		effect += view.Traits.StartTakes
+	}
+	isDue := c.ordered != desired && (c.ordered >= 0 || desired != there) ||
+		(c.isOpen || there != desired) && view.Now.Sub(c.orderedAt) >= effect
+	if !isDue || c.ordered == desired && there == desired && !c.isOpen {
+		return nil
+	}
+	return &ZonalOrder{Zone: zone, Class: class, Desired: desired, Reason: fmt.Sprintf(
+		"%d needed; %d of %d planned are there", p.needed, there, desired)}
+}
+
+// Ordered takes what became of an order.
+func (p *ZonalPlanner) Ordered(now time.Time, order *ZonalOrder, certainty qf.Certainty, isRefused bool) {
+	c := p.cell(order.Zone, order.Class)
+	c.orderedAt = now
+	c.isOpen = certainty == qf.Unknown
+	switch {
+	case certainty == qf.Done || certainty == qf.Unknown:
+		c.ordered = order.Desired
+	case isRefused && order.Class == qf.ClassReclaimable:
+		c.dryUntil = now.Add(p.settings.DryFor)
+	}
+}
--- /dev/null
+++ b/internal/qf/protocol/qfholder/holder.go
@@ -0,0 +1,175 @@
+// Package qfholder keeps a node's leases in the table service: it makes the calls
+// that the leases ask for and tells which duties the node may act for.
+package qfholder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qflease"
+	"quetzalfront/internal/qf/state/qfevent"
+)
+
+const (
+	rowLeasePrefix = "lease/"
+	releaseLimit   = 2 * time.Second
+)
+
+// Ports are what a holder works with. All are needed.
+type Ports struct {
+	Timer  qf.Timer
+	Table  qf.Table
+	Logger *zerolog.Logger
+	Timing qflease.Timing
+	Random *rand.Rand
+	// Self names the node's run. It is asked once the node serves.
+	Self func() (qf.NodeID, qf.Incarnation)
+}
+
+// Holder holds the node's part in the leases of all duties.
+type Holder struct {
+	ports Ports
+	// mu guards the leases, which aren't safe for concurrent use.
+	mu     sync.Mutex
+	byDuty map[string]*qflease.Lease
+	// held holds the fencing number under which each duty was last seen held.
+	held map[string]qf.FencingNumber
+	// released is true once the node has given its leases up for good; it makes no
+	// calls for them from then on.
+	released bool
+	// calls counts the calls of the table under way.
+	calls sync.WaitGroup
+}
+
+// New returns a holder without leases.
+func New(ports Ports) *Holder {
+	return &Holder{ports: ports, byDuty: map[string]*qflease.Lease{}, held: map[string]qf.FencingNumber{}}
+}
+
+// Held returns the fencing number under which the node may act for a duty now.
+func (h *Holder) Held(duty string) (qf.FencingNumber, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lease := h.byDuty[duty]
+	if lease == nil {
+		return 0, false
+	}
+	return lease.Held(h.ports.Timer.Now())
+}
+
+// Step ranks the node for the duties that need a holder and makes the calls that
+// their leases ask for.
+func (h *Holder) Step(ctx context.Context, duties []string, live []qf.NodeID) {
+	self, _ := h.ports.Self()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.released {
+		return
+	}
+	for _, lease := range h.byDuty {
+		lease.SetRank(qflease.NotCandidate)
+	}
+	for _, duty := range duties {
+		h.of(duty).SetRank(qflease.Rank(duty, self, live))
+	}
+	for duty, lease := range h.byDuty {
+		h.noteHolder(duty, lease)
+		h.call(ctx, duty, lease)
+	}
+}
+
+// of is called with the lock held.
+func (h *Holder) of(duty string) *qflease.Lease {
+	lease := h.byDuty[duty]
+	if lease == nil {
+		id, incarnation := h.ports.Self()
+		lease = qflease.New(id, incarnation, h.ports.Timing, h.ports.Random)
+		h.byDuty[duty] = lease
+	}
+	return lease
+}
+
+func (h *Holder) noteHolder(duty string, lease *qflease.Lease) {
+	fencing, held := lease.Held(h.ports.Timer.Now())
+	before := h.held[duty]
+	h.held[duty] = fencing
+	switch {
+	case held && fencing != before:
+		qfevent.LeaseTaken.Log(h.ports.Logger, duty, fencing)
+	case !held && before != 0:
+		qfevent.LeaseLost.Log(h.ports.Logger, duty, "it wasn't renewed in time or was released")
+	}
+}
+
+// call makes the call that a lease asks for, in the background. It is called with
+// the lock held.
+func (h *Holder) call(ctx context.Context, duty string, lease *qflease.Lease) {
+	action := lease.Next(h.ports.Timer.Now())
+	if action.Kind == qflease.ActionNone {
+		return
+	}
+	h.calls.Go(func() {
+		if action.Kind == qflease.ActionRead {
+			h.read(ctx, duty, lease)
+			return
+		}
+		h.write(ctx, duty, lease, action)
+	})
+}
+
+func (h *Holder) read(ctx context.Context, duty string, lease *qflease.Lease) {
+	row, err := h.ports.Table.Read(ctx, rowLeasePrefix+duty)
+	isAbsent := errors.Is(err, &qf.Error{Code: qf.CodeNotFound})
+	var record qflease.Record
+	if err == nil {
+		err = json.Unmarshal(row.Value, &record)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil && !isAbsent {
+		lease.ReadFailed()
+		return
+	}
+	lease.ReadDone(h.ports.Timer.Now(), row.Version, record, row.Writer)
+}
+
+func (h *Holder) write(ctx context.Context, duty string, lease *qflease.Lease, action qflease.Action) {
+	value, err := json.Marshal(action.Record)
+	result := qf.NotDoneFor[qf.Committed](err)
+	if err == nil {
+		key := rowLeasePrefix + duty
+		result = h.ports.Table.Commit(ctx, qf.Transaction{
+			ID:         action.Transaction,
+			Conditions: []qf.Condition{{Key: key, Version: action.Version}},
+			Writes:     []qf.Write{{Key: key, Value: value}},
+		})
+	}
+	isConflict := errors.Is(result.Err, &qf.Error{Code: qf.CodeConflict})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lease.WriteDone(h.ports.Timer.Now(), action, result.Certainty, isConflict)
+}
+
+// Release gives all leases up for good, so that others needn't wait for them to lapse.
+func (h *Holder) Release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseLimit)
+	defer cancel()
+	h.mu.Lock()
+	h.released = true
+	h.mu.Unlock()
+	h.calls.Wait()
+	h.mu.Lock()
+	for duty, lease := range h.byDuty {
+		lease.Release()
+		h.call(ctx, duty, lease)
+	}
+	h.mu.Unlock()
+	h.calls.Wait()
+}
--- a/internal/qf/state/qfregistry/registry.go
+++ b/internal/qf/state/qfregistry/registry.go
@@ -13,9 +13,12 @@
 const (
 	// settleFor is how long after the store's return the entries that lapsed
 	// meanwhile may take to come back.
-	settleFor = 2500 * time.Millisecond
-	// disturbedFor is how long after a failed call the store counts as disturbed.
-	disturbedFor = 3 * time.Second
+	settleFor = 2200 * time.Millisecond
+	// massShare is the part of an entry's endpoints whose rows vanish together only if
+	// they lapsed.
+	massShare = 0.5
+	// massLeast is the least number of rows that says something of lapsing.
+	massLeast = 3
 )
 
 // Entry is one endpoint with what the node knows of its place in the list.
@@ -23,8 +26,8 @@
 	qf.ListedEndpoint
 	// Stamp is the version of the row.
 	Stamp uint64
-	// SeenAt is when this version was first seen.
-	SeenAt time.Time
+	// ListedAt is when the endpoint was first seen.
+	ListedAt time.Time
 	// lapsedAt is when the row was missed; it is zero while the row is there.
 	lapsedAt time.Time
 }
@@ -32,9 +35,9 @@
 // Registry is a node's view of all endpoints. It isn't safe for concurrent use.
 type Registry struct {
 	entries map[qf.EndpointID]*Entry
-	// troubledAt is when the store last failed, returnedAt when it answered again.
-	troubledAt, returnedAt time.Time
-	isTroubled             bool
+	// isTroubled is true from a failed call until the next answer was taken. What is
+	// missing in that answer may have lapsed while the store was away.
+	isTroubled bool
 	// changed is set by whatever may change the list.
 	changed bool
 }
@@ -43,16 +46,10 @@
 func New() *Registry { return &Registry{entries: map[qf.EndpointID]*Entry{}} }
 
 // StoreFailed notes that a call to the store got no answer.
-func (r *Registry) StoreFailed(now time.Time) {
-	r.troubledAt, r.isTroubled = now, true
-}
+func (r *Registry) StoreFailed() { r.isTroubled = true }
 
-// StoreAnswered notes that the store answers.
-func (r *Registry) StoreAnswered(now time.Time) {
-	if r.isTroubled {
-		r.isTroubled, r.returnedAt = false, now
-	}
-}
+// StoreAnswered notes that an answer of the store was taken.
+func (r *Registry) StoreAnswered() { r.isTroubled = false }
 
 // Set takes an endpoint's row. It reports whether the endpoint is new.
 func (r *Registry) Set(now time.Time, listed *qf.ListedEndpoint, stamp uint64) bool {
@@ -64,50 +61,72 @@
 	if isNew || known.ListedEndpoint != *listed || !known.lapsedAt.IsZero() {
 		r.changed = true
 	}
-	r.entries[listed.ID] = &Entry{ListedEndpoint: *listed, Stamp: stamp, SeenAt: now}
+	listedAt := now
+	if !isNew {
+		listedAt = known.ListedAt
+	}
+	r.entries[listed.ID] = &Entry{ListedEndpoint: *listed, Stamp: stamp, ListedAt: listedAt}
 	return isNew
 }
 
-// Remove takes the news that a row is gone or can't be read. An entry that may only
-// have lapsed with the store is kept until it has had the time to come back.
-func (r *Registry) Remove(now time.Time, id qf.EndpointID, stamp uint64) {
-	known := r.entries[id]
-	if known == nil || known.Stamp > stamp {
-		return
+// Remove takes the news that rows are gone or can't be read, as one answer of the
+// store shows it. Entries that may only have lapsed with the store are kept until they
+// have had the time to come back.
+func (r *Registry) Remove(now time.Time, ids []qf.EndpointID, stamp uint64) {
+	mayHaveLapsed := r.isTroubled || r.isMass(ids)
+	for _, id := range ids {
+		known := r.entries[id]
+		switch {
+		case known == nil || known.Stamp > stamp:
+		case known.Leaving || !mayHaveLapsed:
+			delete(r.entries, id)
+			r.changed = true
+		case known.lapsedAt.IsZero():
+			known.lapsedAt = now
+		}
 	}
-	if known.Leaving || !r.isDisturbed(now) {
-		delete(r.entries, id)
-		r.changed = true
-		return
+}
+
+// isMass reports whether rows that vanish together are most of an entry's endpoints.
+func (r *Registry) isMass(ids []qf.EndpointID) bool {
+	gone, all := map[qf.EntryName]int{}, map[qf.EntryName]int{}
+	for _, e := range r.entries {
+		if !e.Leaving && e.lapsedAt.IsZero() {
+			all[e.Entry]++
+		}
+	}
+	for _, id := range ids {
+		if e := r.entries[id]; e != nil && !e.Leaving && e.lapsedAt.IsZero() {
+			gone[e.Entry]++
+		}
 	}
-	if known.lapsedAt.IsZero() {
-		known.lapsedAt = now
+	for entry, count := range gone {
+		if count >= massLeast && float64(count) > massShare*float64(all[entry]) {
+			return true
+		}
 	}
+	return false
 }
 
 // KeepOnly removes the entries that a whole reading of the store didn't show.
 func (r *Registry) KeepOnly(now time.Time, shown map[qf.EndpointID]bool, stamp uint64) {
+	var gone []qf.EndpointID
 	for id := range r.entries {
 		if !shown[id] {
-			r.Remove(now, id, stamp)
+			gone = append(gone, id)
 		}
 	}
-}
-
-func (r *Registry) isDisturbed(now time.Time) bool {
-	return r.isTroubled || !r.troubledAt.IsZero() && now.Sub(r.troubledAt) < disturbedFor ||
-		!r.returnedAt.IsZero() && now.Sub(r.returnedAt) < settleFor
+	r.Remove(now, gone, stamp)
 }
 
 // Settle forgets the entries that lapsed and had time to come back. It reports
 // whether the list has changed since the last call.
 func (r *Registry) Settle(now time.Time) bool {
 	for id, e := range r.entries {
-		if e.lapsedAt.IsZero() || r.isTroubled || now.Sub(r.returnedAt) < settleFor {
-			continue
+		if !e.lapsedAt.IsZero() && now.Sub(e.lapsedAt) >= settleFor {
+			delete(r.entries, id)
+			r.changed = true
 		}
-		delete(r.entries, id)
-		r.changed = true
 	}
 	wasChanged := r.changed
 	r.changed = false
