entry: add up quotas and usage through zone relays; keep to own parts when a quota is scarce

Change: members tell their zone's relay, relays tell each other (qfmember.Relays, qf.Tally); below half of a burst each node keeps to its part of the rate (qflimit.Quotas).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,9 @@
 	random     *rand.Rand
 	// seeds are peer addresses of a few nodes; they may be stale.
 	seeds []netip.AddrPort
+	// relays are those of the last exchange; failedAt is when a call to a relay failed.
+	relays   qfmember.Relays
+	failedAt map[qf.NodeID]time.Time
 	// hasEndpoints is set once the list of endpoints was read.
 	hasEndpoints atomic.Bool
 
@@ -94,7 +97,7 @@
 	now := platform.Timer.Now()
 	deployment.Self.Incarnation = qf.Incarnation(now.UnixMilli())
 	deployment.Self.State = qf.NodeLive
-	e := &Entry{deployment: deployment, platform: platform, startedAt: now, random: platform.Random, seeds: deployment.Seeds}
+	e := &Entry{deployment: deployment, platform: platform, startedAt: now, random: platform.Random, seeds: deployment.Seeds, failedAt: map[qf.NodeID]time.Time{}}
 	e.clock = newClock(now)
 	e.registry = qfregistry.New()
 	e.membership = qfmember.New(deployment.Self, qfmember.Timing{
@@ -107,7 +110,7 @@
 		repeats: qfretry.NewRepeats(qfretry.RepeatBounds{
 			Share: deployment.Bounds.RetryShare, Slack: deployment.Bounds.RetrySlack, Window: deployment.Bounds.RetryWindow,
 		}),
-		usage: qfusage.New(deployment.Self, max(deployment.Bounds.UsageWindow, time.Second), usageKeepFor),
+		usage: qfusage.New(max(deployment.Bounds.UsageWindow, time.Second), usageKeepFor),
 	}
 	e.exchanger = qfexchange.New(platform.Timer, platform.Network.Dial, platform.Protocol)
 	e.forwarder = qfforward.New(qfforward.Ports{
--- a/internal/entry/governor.go
+++ b/internal/entry/governor.go
@@ -49,3 +49,22 @@
 	defer g.mu.Unlock()
 	g.usage.Began(g.clock.agreed(now), organisation)
 }
+
+// setNodes tells the parts that share something how many nodes there are.
+func (g *governor) setNodes(nodes int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quotas.SetNodes(nodes)
+	g.repeats.SetNodes(nodes)
+}
+
+// heard takes a peer's tally.
+func (g *governor) heard(now time.Time, from *qf.Node, tally *qf.Tally) {
+	source := qf.TallySource{
+		Node: from.ID, Incarnation: from.Incarnation, Zone: from.AvailabilityZone, Scope: tally.Scope, Covers: tally.Covers,
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quotas.Heard(now, source, tally.Quotas)
+	g.usage.Heard(source, tally.Usage)
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfmember"
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
@@ -17,6 +18,8 @@
 	registerRetry = 500 * time.Millisecond
 	// nodeKeyPrefix begins the keys of nodes' rows.
 	nodeKeyPrefix = "nodes/"
+	// avoidFor is how long a node isn't a relay after a call to it failed.
+	avoidFor = 2 * time.Second
 	// usageTold is how long after its end a window is told to peers.
 	usageTold = 3 * time.Second
 )
@@ -72,7 +75,9 @@
 func (e *Entry) self() qf.Node {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.membership.Self()
+	self := e.membership.Self()
+	self.CatalogueRevision = e.configuration.Revision()
+	return self
 }
 
 func (e *Entry) sleep(ctx context.Context, delay time.Duration) {
@@ -116,37 +121,86 @@
 	e.mu.Lock()
 	e.membership.Beat(now, e.configuration.Revision(), int(e.inProgress.Load()))
 	targets := e.membership.Targets(now, e.random, false)
-	if probe, ok := e.membership.Probe(now); ok {
-		targets = append(targets, probe)
-	}
-	peers := e.membership.Peers(now)
+	isGrouped := e.membership.IsGrouped()
+	relays := e.membership.Relays(now, e.isAvoided(now))
+	e.relays = relays
 	e.mu.Unlock()
-	e.setPeers(peers)
-	if len(peers) == 0 {
+	e.governor.setNodes(relays.Nodes)
+	if relays.Nodes == 1 {
 		e.askSeeds(ctx)
 	}
+	if isGrouped {
+		e.tellRelays(ctx, &relays)
+	}
 	for i := range targets {
 		target := targets[i]
 		// Of two nodes the one with the lower name begins: one exchange tells both.
-		if len(peers) < fullExchangeUpTo && target.ID < e.deployment.Self.ID && target.State == qf.NodeLive {
+		if !isGrouped && target.ID < e.deployment.Self.ID && target.State == qf.NodeLive {
 			continue
 		}
 		e.background.Go(func() { e.exchangeWith(ctx, &target, target.PeerAddress) })
 	}
 }
 
-// setPeers tells the parts that share something with peers how many there are.
-func (e *Entry) setPeers(peers []qf.Node) {
-	ids := make([]qf.NodeID, 0, len(peers))
-	for i := range peers {
-		if peers[i].Heartbeat > 0 {
-			ids = append(ids, peers[i].ID)
+// tellRelays adds up the counts of a large fleet: members tell their zone's relay, and
+// of two relays the one with the lower name begins.
+func (e *Entry) tellRelays(ctx context.Context, relays *qfmember.Relays) {
+	if !relays.IsSelf {
+		own := relays.Own
+		e.background.Go(func() { e.tally(ctx, &own) })
+		return
+	}
+	for _, other := range relays.Others {
+		if e.deployment.Self.ID < other.Node.ID {
+			e.background.Go(func() { e.tally(ctx, &other.Node) })
 		}
 	}
+}
+
+// isAvoided returns which nodes are no relays for now, because a call to them failed. It
+// is called with the lock held, and so is its result.
+func (e *Entry) isAvoided(now time.Time) func(qf.NodeID) bool {
+	return func(id qf.NodeID) bool { return now.Sub(e.failedAt[id]) < avoidFor && !e.failedAt[id].IsZero() }
+}
+
+// tally exchanges only what is added up.
+func (e *Entry) tally(ctx context.Context, to *qf.Node) {
+	d := qf.Digest{From: e.self(), SentAt: e.clock.own(e.now()), Tally: e.tallyFor(to)}
+	answer, err := e.platform.Peer.Exchange(ctx, to.PeerAddress, d)
+	if err != nil {
+		e.mu.Lock()
+		e.failedAt[to.ID] = e.now()
+		e.mu.Unlock()
+		qfevent.PeerFailed.Log(&e.platform.Logger, to.PeerAddress, err)
+		return
+	}
+	e.learn(ctx, &answer)
+}
+
+// tallyFor returns what a peer needs to add up.
+func (e *Entry) tallyFor(to *qf.Node) qf.Tally {
+	e.mu.Lock()
+	relays, isGrouped := e.relays, e.membership.IsGrouped()
+	e.mu.Unlock()
+	tally := qf.Tally{Scope: qf.TallyOwn, Covers: 1}
+	self := &e.deployment.Self
+	if isGrouped && relays.IsSelf {
+		others := 0
+		for i := range relays.Others {
+			others += relays.Others[i].Covers
+		}
+		if to.AvailabilityZone == self.AvailabilityZone {
+			tally.Scope, tally.Covers = qf.TallyRest, relays.Nodes-1
+		} else {
+			tally.Scope, tally.Covers = qf.TallyZone, relays.Nodes-others
+		}
+	}
+	since := e.clock.agreed(e.now()).Add(-usageTold)
 	e.governor.mu.Lock()
 	defer e.governor.mu.Unlock()
-	e.governor.quotas.SetNodes(ids)
-	e.governor.repeats.SetNodes(len(ids) + 1)
+	tally.Quotas = e.governor.quotas.Uses(tally.Scope, to.ID)
+	tally.Usage = e.governor.usage.Tally(since, tally.Scope, to.ID)
+	return tally
 }
 
 func (e *Entry) exchangeWith(ctx context.Context, to *qf.Node, address netip.AddrPort) {
@@ -166,20 +220,20 @@
 	d.From = e.membership.Self()
 	d.From.CatalogueRevision = e.configuration.Revision()
 	e.membership.Fill(now, &d, to, wants)
+	isGrouped := e.membership.IsGrouped()
 	e.mu.Unlock()
+	if !isGrouped && to != nil {
+		d.Tally = e.tallyFor(to)
+	}
+	if isGrouped && (to == nil || to.AvailabilityZone != d.From.AvailabilityZone) {
+		return d // What is in progress is only told within the zone.
+	}
 	e.placer.mu.Lock()
 	d.SentLoads = e.placer.router.Sent(now)
 	e.placer.mu.Unlock()
 	for i := range d.SentLoads {
 		d.SentLoads[i].Node = d.From.ID
 	}
-	e.governor.mu.Lock()
-	d.QuotaUses = e.governor.quotas.Uses()
-	d.UsageCounts = e.governor.usage.Own(e.clock.agreed(now).Add(-usageTold))
-	e.governor.mu.Unlock()
-	for i := range d.UsageCounts {
-		d.UsageCounts[i].Node, d.UsageCounts[i].Incarnation = "", 0
-	}
 	return d
 }
 
@@ -190,18 +244,12 @@
 	e.membership.Take(now, d)
 	e.mu.Unlock()
 	e.clock.heard(now, d.From.ID, d.SentAt)
-	e.placer.mu.Lock()
-	for _, sent := range d.SentLoads {
-		e.placer.router.PeerSent(sent)
+	if len(d.SentLoads) > 0 {
+		e.placer.peerSent(d.SentLoads)
 	}
-	e.placer.mu.Unlock()
-	for i := range d.UsageCounts {
-		d.UsageCounts[i].Node, d.UsageCounts[i].Incarnation = d.From.ID, d.From.Incarnation
+	if d.Tally.Scope != "" {
+		e.governor.heard(now, &d.From, &d.Tally)
 	}
-	e.governor.mu.Lock()
-	e.governor.quotas.Heard(now, d.From.ID, d.From.Incarnation, d.QuotaUses)
-	e.governor.usage.Heard(d.UsageCounts)
-	e.governor.mu.Unlock()
 	if d.From.CatalogueRevision > e.configuration.Revision() {
 		e.background.Go(func() { e.fetchConfiguration(ctx, d.From) })
 	}
@@ -222,9 +270,18 @@
 // Exchange implements qfrpc.Handler.
 func (e *Entry) Exchange(digest qf.Digest) qf.Digest {
 	e.learn(context.Background(), &digest)
+	if digest.Tally.Scope != "" && e.isGrouped() {
+		return qf.Digest{From: e.self(), SentAt: e.clock.own(e.now()), Tally: e.tallyFor(&digest.From)}
+	}
 	return e.digest(&digest.From, digest.Wants)
 }
 
+func (e *Entry) isGrouped() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.membership.IsGrouped()
+}
+
 // CatalogueNewerThan implements qfrpc.Handler with the configuration.
 func (e *Entry) CatalogueNewerThan(revision qf.Revision) ([]byte, qf.Revision) {
 	table := e.configuration.Get()
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -97,6 +97,15 @@
 	p.router.SetEndpoints(endpoints)
 }
 
+// peerSent takes what a peer has in progress.
+func (p *placer) peerSent(loads []qf.SentLoad) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, sent := range loads {
+		p.router.PeerSent(sent)
+	}
+}
+
 // prefixesOf turns the parts of a prompt into the hashes of its blocks. The last part
 // counts too: a session's next request begins with it.
 func prefixesOf(prompt *qf.Prompt) []uint64 {
--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -1,30 +1,41 @@
 package qflimit
 
 import (
+	"math"
 	"time"
 
 	"quetzalfront/internal/qf"
 )
 
 const (
-	// quotaSilentAfter is how long a node's uses may be silent before its even part
-	// of each quota is left to it.
+	// quotaSilentAfter is how long nodes' uses may be silent before their even part of
+	// each quota is left to them.
 	quotaSilentAfter = 1500 * time.Millisecond
 	// firstLevel is the part of its burst that a quota starts with, because the nodes
 	// before a restart may have spent it.
 	firstLevel = 0.5
+	// scarceLevel is the part of a burst below which each node keeps to its own part of
+	// the rate, so that late news doesn't let all of them spend the same units.
+	scarceLevel = 0.5
+	// shareWindow is the time over which the parts of the nodes are averaged.
+	shareWindow = 3 * time.Second
+	// leastShare is the least part of the rate that a node gets, as a share of the even
+	// part.
+	leastShare = 0.3
+	// shareBurst is how long a node's unused part is kept for it.
+	shareBurst = 500 * time.Millisecond
 	// leastReturn and mostReturn bound when a refused caller should come back.
 	leastReturn = 50 * time.Millisecond
 	mostReturn  = 5 * time.Second
 )
 
 // Quotas bounds what each organisation uses at all nodes together. Each node keeps
-// the whole bucket and takes from it what its peers tell that they have used; news
-// that comes late leaves the bucket in debt, which is paid before anything more is
-// admitted. It does no I/O, reads no clock, and isn't safe for concurrent use.
+// the whole bucket and takes from it what others tell that they have used; news that
+// comes late leaves the bucket in debt, which is paid before anything more is admitted.
+// It does no I/O, reads no clock, and isn't safe for concurrent use.
 type Quotas struct {
 	buckets map[qf.Organisation]*quota
-	peers   map[qf.NodeID]*quotaPeer
+	sources map[qf.NodeID]*quotaSource
 	// nodes is the number of nodes that aren't known to be gone, this one included.
 	nodes int
 }
@@ -37,18 +48,24 @@
 	at    time.Time
 	// used is what this node admitted.
 	used float64
+	// own and all are what this node and all nodes used of late, with exponential decay.
+	own, all float64
+	// part is what is left of this node's own part of the rate.
+	part float64
 }
 
-// quotaPeer is what a peer told.
-type quotaPeer struct {
-	incarnation qf.Incarnation
-	heardAt     time.Time
-	used        map[qf.Organisation]float64
+// quotaSource is a node whose tally was heard.
+type quotaSource struct {
+	qf.TallySource
+	heardAt time.Time
+	// told is what the source said last, heard the sum of its rises since it was first
+	// heard.
+	told, heard map[qf.Organisation]float64
 }
 
 // NewQuotas returns quotas without organisations.
 func NewQuotas() *Quotas {
-	return &Quotas{buckets: map[qf.Organisation]*quota{}, peers: map[qf.NodeID]*quotaPeer{}, nodes: 1}
+	return &Quotas{buckets: map[qf.Organisation]*quota{}, sources: map[qf.NodeID]*quotaSource{}, nodes: 1}
 }
 
 // SetOrganisations replaces the quotas. What was used stays.
@@ -64,43 +81,53 @@
 		if b == nil {
 			b = &quota{level: o.Burst * firstLevel, at: now}
 		}
-		b.fill(now, q.part(now))
+		q.fill(now, b)
 		b.rate, b.burst = o.UnitsPerSecond, max(o.Burst, o.UnitsPerSecond)
 		b.level = min(b.level, b.burst)
 		q.buckets[o.Organisation] = b
 	}
 }
 
-// SetNodes sets the peers that aren't known to be gone.
-func (q *Quotas) SetNodes(peers []qf.NodeID) {
-	q.nodes = len(peers) + 1
-	known := q.peers
-	q.peers = make(map[qf.NodeID]*quotaPeer, len(peers))
-	for _, id := range peers {
-		if known[id] != nil {
-			q.peers[id] = known[id]
-		}
-	}
-}
+// SetNodes sets how many nodes there are, this one included.
+func (q *Quotas) SetNodes(nodes int) { q.nodes = max(nodes, 1) }
 
-// part is the share of a quota that this node may fill its bucket with: the parts of
-// peers whose uses aren't heard are theirs.
-func (q *Quotas) part(now time.Time) float64 {
+// heardPart is the share of a quota that this node may fill its bucket with: the parts
+// of nodes whose uses aren't heard are theirs.
+func (q *Quotas) heardPart(now time.Time) float64 {
 	heard := 1
-	for _, p := range q.peers {
-		if now.Sub(p.heardAt) <= quotaSilentAfter {
-			heard++
+	for id, s := range q.sources {
+		silent := now.Sub(s.heardAt)
+		if silent <= quotaSilentAfter {
+			heard += s.Covers
+		} else if silent > 2*quotaSilentAfter+shareWindow {
+			delete(q.sources, id)
 		}
 	}
-	return min(float64(heard)/float64(max(q.nodes, 1)), 1)
+	return min(float64(heard)/float64(q.nodes), 1)
 }
 
-func (b *quota) fill(now time.Time, part float64) {
+func (q *Quotas) fill(now time.Time, b *quota) {
 	elapsed := now.Sub(b.at).Seconds()
 	b.at = now
-	if elapsed > 0 {
-		b.level = min(b.level+elapsed*b.rate*part, b.burst)
+	if elapsed <= 0 {
+		return
 	}
+	rate := b.rate * q.heardPart(now)
+	b.level = min(b.level+elapsed*rate, b.burst)
+	keep := math.Exp(-elapsed / shareWindow.Seconds())
+	b.own *= keep
+	b.all *= keep
+	own := rate * b.share(q.nodes)
+	b.part = min(b.part+elapsed*own, own*shareBurst.Seconds())
+}
+
+// share is this node's part of the uses of late.
+func (b *quota) share(nodes int) float64 {
+	least := leastShare / float64(nodes)
+	if b.all <= 0 {
+		return 1 / float64(nodes)
+	}
+	return max(b.own/b.all, least)
 }
 
 // Admit takes units from an organisation's quota, or returns when there will be
@@ -110,51 +137,81 @@
 	if b == nil {
 		return true, 0
 	}
-	part := q.part(now)
-	b.fill(now, part)
+	q.fill(now, b)
+	rate := b.rate * q.heardPart(now)
 	if needed := min(units, b.burst); b.level < needed {
-		wait := time.Duration((needed - b.level) / (b.rate * part) * float64(time.Second))
-		return false, min(max(wait, leastReturn), mostReturn)
+		return false, returnAfter(needed-b.level, rate)
+	}
+	if b.level < scarceLevel*b.burst && b.part <= 0 {
+		return false, returnAfter(-b.part, rate*b.share(q.nodes))
 	}
 	b.level -= units
+	b.part = max(b.part-units, -b.rate)
 	b.used += units
+	b.own += units
+	b.all += units
 	return true, 0
 }
 
-// Uses returns what this node has admitted, for peers.
-func (q *Quotas) Uses() []qf.QuotaUse {
-	uses := make([]qf.QuotaUse, 0, len(q.buckets))
-	for organisation, b := range q.buckets {
-		if b.used > 0 {
-			uses = append(uses, qf.QuotaUse{Organisation: organisation, Units: b.used})
-		}
-	}
-	return uses
+// returnAfter is the time in which so many units come in.
+func returnAfter(units, rate float64) time.Duration {
+	wait := time.Duration(units / max(rate, 1) * float64(time.Second))
+	return min(max(wait, leastReturn), mostReturn)
 }
 
-// Heard takes what a peer has used since its incarnation started.
-func (q *Quotas) Heard(now time.Time, node qf.NodeID, incarnation qf.Incarnation, uses []qf.QuotaUse) {
-	p := q.peers[node]
-	if p == nil || incarnation > p.incarnation {
-		p = &quotaPeer{incarnation: incarnation, used: map[qf.Organisation]float64{}}
-		q.peers[node] = p
-	}
-	if incarnation < p.incarnation {
-		return
+// Heard takes a tally. What a source had used before it was first heard is in nobody's
+// bucket any more.
+func (q *Quotas) Heard(now time.Time, from qf.TallySource, uses []qf.QuotaUse) {
+	s := q.sources[from.Node]
+	if s == nil || s.Incarnation != from.Incarnation || s.Scope != from.Scope {
+		s = &quotaSource{told: map[qf.Organisation]float64{}, heard: map[qf.Organisation]float64{}}
+		q.sources[from.Node] = s
 	}
-	p.heardAt = now
-	part := q.part(now)
+	isFirst := s.heardAt.IsZero()
+	s.TallySource, s.heardAt = from, now
 	for _, use := range uses {
-		before, isKnown := p.used[use.Organisation]
-		p.used[use.Organisation] = max(use.Units, before)
-		b := q.buckets[use.Organisation]
-		if b == nil {
+		more := use.Units - s.told[use.Organisation]
+		if more <= 0 {
+			continue
+		}
+		s.told[use.Organisation] = use.Units
+		if isFirst {
 			continue
 		}
-		// A peer that is heard for the first time may have used much of it long ago.
-		if more := use.Units - before; more > 0 && (isKnown || more < b.burst) {
-			b.fill(now, part)
+		s.heard[use.Organisation] += more
+		if b := q.buckets[use.Organisation]; b != nil {
+			q.fill(now, b)
 			b.level -= more
+			b.all += more
+		}
+	}
+}
+
+// Uses returns what was used by the nodes that a tally to a node covers.
+func (q *Quotas) Uses(scope qf.TallyScope, to qf.NodeID) []qf.QuotaUse {
+	uses := make([]qf.QuotaUse, 0, len(q.buckets))
+	for organisation, b := range q.buckets {
+		units := b.used
+		for id, s := range q.sources {
+			if isCovered(scope, s.Scope) && id != to {
+				units += s.heard[organisation]
+			}
 		}
+		if units > 0 {
+			uses = append(uses, qf.QuotaUse{Organisation: organisation, Units: units})
+		}
+	}
+	return uses
+}
+
+// isCovered reports whether a tally passes on what was heard with another scope.
+func isCovered(tally, heard qf.TallyScope) bool {
+	switch tally {
+	case qf.TallyZone:
+		return heard == qf.TallyOwn
+	case qf.TallyRest:
+		return heard == qf.TallyOwn || heard == qf.TallyZone
+	default:
+		return false
 	}
 }
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -98,23 +98,52 @@
 	Age time.Duration
 }
 
-// QuotaUse is what the callers of one node have used of an organisation's quota
-// since the node's incarnation started.
+// QuotaUse is what the callers of the nodes that a tally covers have used of an
+// organisation's quota. For one run of the sender it only rises.
 type QuotaUse struct {
 	Organisation Organisation
 	Units        float64
 }
 
-// UsageCount is how many requests of an organisation began in a window at one run
-// of a node's process. Node and Incarnation are empty for the sender.
+// UsageCount is how many requests of an organisation began in a window at the nodes
+// that a tally covers.
 type UsageCount struct {
-	Node         NodeID
-	Incarnation  Incarnation
 	Window       int64
 	Organisation Organisation
 	Count        int
 }
 
+// TallyScope says which nodes a tally covers.
+type TallyScope string
+
+// The scopes of tallies.
+const (
+	// TallyOwn covers the sender.
+	TallyOwn TallyScope = "Own"
+	// TallyZone covers the sender's availability zone.
+	TallyZone TallyScope = "Zone"
+	// TallyRest covers all nodes but the one that it is sent to.
+	TallyRest TallyScope = "Rest"
+)
+
+// Tally is what nodes add up. An empty scope stands for no tally.
+type Tally struct {
+	Scope TallyScope
+	// Covers is the number of nodes that are covered.
+	Covers int
+	Quotas []QuotaUse
+	Usage  []UsageCount
+}
+
+// TallySource says whose tally was heard.
+type TallySource struct {
+	Node        NodeID
+	Incarnation Incarnation
+	Zone        AvailabilityZone
+	Scope       TallyScope
+	Covers      int
+}
+
 // Digest is what nodes tell each other in one exchange.
 type Digest struct {
 	From         Node
@@ -128,10 +157,8 @@
 	LimitUses       []LimitUse
 	SentLoads       []SentLoad
 	Suspicions      []Suspicion
-	// QuotaUses are what the sender's own callers have used of quotas.
-	QuotaUses []QuotaUse
-	// UsageCounts are the requests that began at the sender, of the last windows.
-	UsageCounts []UsageCount
+	// Tally adds up quotas and usage.
+	Tally Tally
 	// SentAt is the sender's time of day when the digest left, as its process started
 	// with it: later steps of the machine's clock aren't in it.
 	SentAt time.Time
--- a/internal/qf/state/qfusage/counts.go
+++ b/internal/qf/state/qfusage/counts.go
@@ -1,9 +1,8 @@
 // Package qfusage counts how many requests of each organisation began to run in each
-// window of time, at this node and at its peers.
+// window of time, at this node and at all others, and decides which windows to report.
 package qfusage
 
 import (
-	"slices"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -11,24 +10,38 @@
 
 // Counts holds the counts of the last windows. It isn't safe for concurrent use.
 type Counts struct {
-	self   qf.Node
 	window time.Duration
 	keep   int64
-	// counts is bounded by the windows that are kept.
-	counts map[key]int
+	// own and heard are bounded by the windows that are kept.
+	own    map[cell]int
+	heard  map[heardCell]int
 	newest int64
 }
 
-type key struct {
-	node         qf.NodeID
-	incarnation  qf.Incarnation
+type cell struct {
 	window       int64
 	organisation qf.Organisation
 }
 
+// heardCell is what one group of nodes has counted. The counts of a group may come
+// from several nodes; the highest is the most complete.
+type heardCell struct {
+	group group
+	cell
+}
+
+// group names the nodes that a tally covers. Node and Incarnation are set for tallies
+// of one node, Zone for those of a zone.
+type group struct {
+	scope       qf.TallyScope
+	node        qf.NodeID
+	incarnation qf.Incarnation
+	zone        qf.AvailabilityZone
+}
+
 // New returns empty counts. Windows are kept for some time after their end.
-func New(self qf.Node, window, keepFor time.Duration) *Counts {
-	return &Counts{self: self, window: window, keep: int64(keepFor/window) + 1, counts: map[key]int{}}
+func New(window, keepFor time.Duration) *Counts {
+	return &Counts{window: window, keep: int64(keepFor/window) + 1, own: map[cell]int{}, heard: map[heardCell]int{}}
 }
 
 // Window returns the number of the window that holds a time.
@@ -40,55 +53,91 @@
 // Began counts a request of this node.
 func (c *Counts) Began(at time.Time, organisation qf.Organisation) {
 	window := c.Window(at)
-	c.counts[key{c.self.ID, c.self.Incarnation, window, organisation}]++
+	c.own[cell{window, organisation}]++
 	c.advance(window)
 }
 
-// Heard takes what a run of a peer has counted. Counts only rise.
-func (c *Counts) Heard(counts []qf.UsageCount) {
-	for i := range counts {
-		u := &counts[i]
-		k := key{u.Node, u.Incarnation, u.Window, u.Organisation}
-		c.counts[k] = max(c.counts[k], u.Count)
-	}
-}
-
 // advance forgets old windows when a new one begins.
 func (c *Counts) advance(window int64) {
 	if window <= c.newest {
 		return
 	}
 	c.newest = window
-	for k := range c.counts {
+	for k := range c.own {
+		if k.window < window-c.keep {
+			delete(c.own, k)
+		}
+	}
+	for k := range c.heard {
 		if k.window < window-c.keep {
-			delete(c.counts, k)
+			delete(c.heard, k)
 		}
 	}
 }
 
-// Own returns this node's counts of the windows that hold or follow a time.
-func (c *Counts) Own(since time.Time) []qf.UsageCount {
+// Heard takes a tally. Counts only rise.
+func (c *Counts) Heard(from qf.TallySource, counts []qf.UsageCount) {
+	g := group{scope: from.Scope}
+	switch from.Scope {
+	case qf.TallyOwn:
+		g.node, g.incarnation = from.Node, from.Incarnation
+	case qf.TallyZone:
+		g.zone = from.Zone
+	}
+	for i := range counts {
+		u := &counts[i]
+		k := heardCell{g, cell{u.Window, u.Organisation}}
+		c.heard[k] = max(c.heard[k], u.Count)
+		c.advance(u.Window)
+	}
+}
+
+// Tally returns the counts, of the windows that hold or follow a time, of the nodes
+// that a tally to a node covers.
+func (c *Counts) Tally(since time.Time, scope qf.TallyScope, to qf.NodeID) []qf.UsageCount {
 	first := c.Window(since)
-	var own []qf.UsageCount
-	for k, count := range c.counts {
-		if k.node != c.self.ID || k.incarnation != c.self.Incarnation || k.window < first {
-			continue
+	sums := map[cell]int{}
+	for k, count := range c.own {
+		if k.window >= first {
+			sums[k] += count
+		}
+	}
+	for k, count := range c.heard {
+		isCovered := scope != qf.TallyOwn && k.group.scope == qf.TallyOwn || scope == qf.TallyRest && k.group.scope == qf.TallyZone
+		if k.window >= first && isCovered && k.group.node != to {
+			sums[k.cell] += count
 		}
-		own = append(own, qf.UsageCount{
-			Node: k.node, Incarnation: k.incarnation, Window: k.window, Organisation: k.organisation, Count: count,
-		})
 	}
-	slices.SortFunc(own, func(a, b qf.UsageCount) int { return int(a.Window - b.Window) })
-	return own
+	tally := make([]qf.UsageCount, 0, len(sums))
+	for k, count := range sums {
+		tally = append(tally, qf.UsageCount{Window: k.window, Organisation: k.organisation, Count: count})
+	}
+	return tally
 }
 
-// Total returns the counts of a window over all nodes that were heard.
+// Total returns the counts of a window over all nodes that were heard, be it one by one
+// or through a relay.
 func (c *Counts) Total(window int64) map[qf.Organisation]int {
-	total := map[qf.Organisation]int{}
-	for k, count := range c.counts {
+	total, others, rest := map[qf.Organisation]int{}, map[qf.Organisation]int{}, map[qf.Organisation]int{}
+	for k, count := range c.own {
 		if k.window == window {
 			total[k.organisation] += count
 		}
 	}
+	for k, count := range c.heard {
+		switch {
+		case k.window != window:
+		case k.group.scope == qf.TallyRest:
+			rest[k.organisation] = max(rest[k.organisation], count)
+		default:
+			others[k.organisation] += count
+		}
+	}
+	for organisation, count := range rest {
+		others[organisation] = max(others[organisation], count)
+	}
+	for organisation, count := range others {
+		total[organisation] += count
+	}
 	return total
 }
