entry, qffleet: read feeds at the zone's relay; pay on-demand endpoints only as far as needed

Change: nodes read the platform's feeds at their zone's relay (qfmirror), at the store if that fails; during a shortage on-demand endpoints fill up to two thirds, or all while first tokens come late; a refused order holds for all zones.

--- a/cmd/quetzalfront/entry.go
+++ b/cmd/quetzalfront/entry.go
@@ -99,12 +99,13 @@
 	timer := qftimer.NewWall()
 	network := watchfulNetwork()
 	store := platform.NewStore(settings.Store, entry.LongestWait, network.Dial)
+	peers := qfrpc.NewClient(timer, peerTimeout, network.Dial, nil)
 	seed := uint64(time.Now().UnixNano()) //nolint:gosec // Any bits will do.
 	return entry.Platform{
 		Timer: timer, Network: network, Feed: store, Table: store, Rollouts: store,
 		Duties: platform.NewCloud(settings.Cloud, network.Dial),
 		Codec:  platform.Codec{Regions: settings.Deployment.Regions}, Protocol: platform.Protocol{},
-		Peer:         qfrpc.NewClient(timer, peerTimeout, network.Dial, nil),
+		Peer: peers, FeedPeer: peers,
 		ReadyHandler: platform.ReadyHandler, DirectoryHandler: platform.DirectoryHandler,
 		Logger: logger, Random: rand.New(rand.NewPCG(seed, uint64(os.Getpid()))), //nolint:gosec // As above.
 	}
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -33,6 +34,9 @@
 	// listSettled is how long the list of endpoints must stay as it is before its
 	// length counts as what the operator began with.
 	listSettled = 1500 * time.Millisecond
+	// enoughShare is the part of an entry's endpoints with which it gets along unless
+	// first tokens come late.
+	enoughShare = 0.67
 	// maxOrders bounds the orders of one step.
 	maxOrders = 4
 )
@@ -208,7 +212,7 @@
 		d.planners[traits.Entry] = planner
 	}
 	order, ok := planner.Next(&qffleet.ZonalView{
-		Now: e.now(), Traits: traits.Scaling, Needed: size, Endpoints: e.endpointsOf(traits.Entry),
+		Now: e.now(), Traits: traits.Scaling, Needed: size, Enough: d.enough(size), Endpoints: e.endpointsOf(traits.Entry),
 	})
 	if !ok {
 		return false
@@ -227,6 +231,15 @@
 	return result.Certainty == qf.Done
 }
 
+// enough is the number of endpoints for which on-demand ones are paid: what the entry
+// would have after the loss of a zone, or all while first tokens come late.
+func (d *duties) enough(size int) int {
+	if d.entry.placer.isPressed(d.entry.now()) {
+		return size
+	}
+	return int(math.Ceil(float64(size) * enoughShare))
+}
+
 // endpointsOf returns the listed endpoints of an entry.
 func (e *Entry) endpointsOf(entry qf.EntryName) []qf.ListedEndpoint {
 	e.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"quetzalfront/internal/qf/protocol/qfforward"
 	"quetzalfront/internal/qf/state/qfconfig"
 	"quetzalfront/internal/qf/state/qfevent"
+	"quetzalfront/internal/qf/state/qfmirror"
 	"quetzalfront/internal/qf/state/qfregistry"
 	"quetzalfront/internal/qf/state/qfusage"
 	"quetzalfront/internal/qf/transport/qfexchange"
@@ -38,6 +39,7 @@
 	Codec    qf.RowCodec
 	Protocol qf.CallerProtocol
 	Peer     qf.Peer
+	FeedPeer qf.FeedPeer
 	// ReadyHandler and DirectoryHandler answer the platform's and callers' questions.
 	ReadyHandler     func(isReady func() bool) http.Handler
 	DirectoryHandler func(addresses func(qf.Region, qf.AvailabilityZone) ([]netip.AddrPort, time.Duration)) http.Handler
@@ -66,6 +68,7 @@
 	placer        *placer
 	governor      *governor
 	clock         *clock
+	mirror        *qfmirror.Mirror
 	exchanger     *qfexchange.Exchanger
 	forwarder     *qfforward.Forwarder
 	duties        *duties
@@ -112,6 +115,7 @@
 		}),
 		usage: qfusage.New(max(deployment.Bounds.UsageWindow, time.Second), usageKeepFor),
 	}
+	e.mirror = qfmirror.New(platform.Timer)
 	e.exchanger = qfexchange.New(platform.Timer, platform.Network.Dial, platform.Protocol)
 	e.forwarder = qfforward.New(qfforward.Ports{
 		Timer: platform.Timer, Protocol: platform.Protocol, Exchanger: e.exchanger, Placer: e.placer, Governor: e.governor,
--- /dev/null
+++ b/internal/entry/feedsource.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfevent"
+)
+
+// peerWait is how long a peer may hold a call for changes. It is short, because a peer
+// that hangs must be found before a change is due.
+const peerWait = time.Second
+
+// feedSource is a qf.RowFeed that reads at the relay of the node's zone, and at the
+// platform's store if the node is the relay or the relay can't tell.
+type feedSource struct{ entry *Entry }
+
+// Snapshot implements qf.RowFeed.
+func (s feedSource) Snapshot(ctx context.Context, feed qf.FeedName) (qf.FeedPage, error) {
+	e := s.entry
+	page, isDone, err := s.atRelay(func(address netip.AddrPort) (qf.FeedPage, error) {
+		return e.platform.FeedPeer.FeedWhole(ctx, address, feed)
+	})
+	if !isDone {
+		page, err = e.platform.Feed.Snapshot(ctx, feed)
+		e.mirror.Asked(feed, err)
+	}
+	if err == nil {
+		e.mirror.TakeWhole(feed, &page)
+	}
+	return page, err
+}
+
+// Changes implements qf.RowFeed.
+func (s feedSource) Changes(ctx context.Context, feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error) {
+	e := s.entry
+	page, isDone, err := s.atRelay(func(address netip.AddrPort) (qf.FeedPage, error) {
+		return e.platform.FeedPeer.FeedSince(ctx, address, feed, after, peerWait)
+	})
+	if !isDone {
+		page, err = e.platform.Feed.Changes(ctx, feed, after, wait)
+		e.mirror.Asked(feed, err)
+	}
+	if err == nil {
+		e.mirror.TakeChanges(feed, after, &page)
+	}
+	return page, err
+}
+
+// atRelay asks the relay, unless that is this node. isDone is false if the store must
+// be asked.
+func (s feedSource) atRelay(ask func(netip.AddrPort) (qf.FeedPage, error)) (page qf.FeedPage, isDone bool, err error) {
+	e := s.entry
+	now := e.now()
+	e.mu.Lock()
+	relays := e.relays
+	mayAsk := relays.Own.ID != "" && !relays.IsSelf && !e.isAvoided(now)(relays.Own.ID)
+	e.mu.Unlock()
+	if !mayAsk {
+		return page, false, nil
+	}
+	page, err = ask(relays.Own.PeerAddress)
+	switch {
+	case err == nil, errors.Is(err, &qf.Error{Code: qf.CodeStaleRevision}):
+		return page, true, err
+	default:
+		e.avoid(relays.Own.ID, err)
+		return page, false, nil
+	}
+}
+
+// avoid leaves a node out as a relay for some time.
+func (e *Entry) avoid(id qf.NodeID, cause error) {
+	now := e.now()
+	e.mu.Lock()
+	e.failedAt[id] = now
+	e.mu.Unlock()
+	qfevent.PeerFailed.Log(&e.platform.Logger, id, cause)
+}
+
+// FeedWhole implements qfrpc.Handler.
+func (e *Entry) FeedWhole(feed qf.FeedName) (qf.FeedPage, error) { return e.mirror.Whole(feed) }
+
+// FeedSince implements qfrpc.Handler.
+func (e *Entry) FeedSince(feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error) {
+	return e.mirror.Since(context.Background(), feed, after, wait)
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -168,10 +168,7 @@
 	d := qf.Digest{From: e.self(), SentAt: e.clock.own(e.now()), Tally: e.tallyFor(to)}
 	answer, err := e.platform.Peer.Exchange(ctx, to.PeerAddress, d)
 	if err != nil {
-		e.mu.Lock()
-		e.failedAt[to.ID] = e.now()
-		e.mu.Unlock()
-		qfevent.PeerFailed.Log(&e.platform.Logger, to.PeerAddress, err)
+		e.avoid(to.ID, err)
 		return
 	}
 	e.learn(ctx, &answer)
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,6 +21,38 @@
 	router   qf.Router
 	random   *rand.Rand
 	versions *versions
+	// pressure is how late first tokens are, as a share of the objective: a mean of
+	// late, as of pressureAt.
+	pressure   float64
+	pressureAt time.Time
+}
+
+const (
+	// pressureWindow is the time over which the pressure is averaged.
+	pressureWindow = 2 * time.Second
+	// pressed is the pressure from which on more endpoints are needed.
+	pressed = 0.4
+)
+
+// notePressure averages how late an attempt's first token was.
+func (p *placer) notePressure(at time.Time, took, objective time.Duration) {
+	if objective <= 0 {
+		return
+	}
+	keep := math.Exp(-at.Sub(p.pressureAt).Seconds() / pressureWindow.Seconds())
+	weight := max(1-keep, 1.0/pressureSamples)
+	p.pressure += (float64(took)/float64(objective) - p.pressure) * weight
+	p.pressureAt = at
+}
+
+// pressureSamples bounds the weight of the past by a number of first tokens.
+const pressureSamples = 16
+
+// isPressed reports whether first tokens come late.
+func (p *placer) isPressed(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pressure > pressed && now.Sub(p.pressureAt) < 2*pressureWindow
 }
 
 // Place implements qf.Placer.
@@ -46,7 +79,7 @@
 	}
 	placement := qf.Placement{
 		Endpoint: choice.Endpoint, StartedAt: query.Now, Tokens: max(choice.Prediction.PrefillTokens, 1),
-		FirstToken: choice.FirstToken, Reason: choice.Reason,
+		FirstToken: choice.FirstToken, Reason: choice.Reason, Objective: query.Route.Objective,
 	}
 	p.router.Started(query.Now, placement.Endpoint.ID, placement.Tokens)
 	return placement, nil
@@ -73,6 +106,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.router.FirstToken(at, placement.Endpoint.ID, at.Sub(placement.StartedAt))
+	if placement.Endpoint.Kind == qf.KindModelEngine {
+		p.notePressure(at, at.Sub(placement.StartedAt), placement.Objective)
+	}
 }
 
 // Ended implements qf.Placer.
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -62,3 +62,18 @@
 	}
 	return encoded, snapshot.Revision
 }
+
+// errNoFeeds says that this kind of node follows no feeds that it could pass on.
+func errNoFeeds(feed qf.FeedName) error {
+	return qf.NewError(qf.CodeUnavailable, qf.StepTableRead, string(feed), "the node follows no feeds")
+}
+
+// FeedWhole implements qfrpc.Handler.
+func (n *Node) FeedWhole(feed qf.FeedName) (qf.FeedPage, error) {
+	return qf.FeedPage{}, errNoFeeds(feed)
+}
+
+// FeedSince implements qfrpc.Handler.
+func (n *Node) FeedSince(feed qf.FeedName, _ uint64, _ time.Duration) (qf.FeedPage, error) {
+	return qf.FeedPage{}, errNoFeeds(feed)
+}
--- a/internal/qf/coordination/qffleet/zonal.go
+++ b/internal/qf/coordination/qffleet/zonal.go
@@ -32,10 +32,14 @@
 type ZonalView struct {
 	Now    time.Time
 	Traits *qf.ScalingTraits
-	// Needed is the number of endpoints at which the objective holds.
-	Needed int
+	// Needed is the number of endpoints at which the objective holds also after the loss
+	// of a zone. Enough is the least number for which on-demand endpoints are paid.
+	Needed, Enough int
 	// Endpoints are those that are listed, with those that leave.
 	Endpoints []qf.ListedEndpoint
+
+	// present holds what is counted of them.
+	present map[qf.AvailabilityZone]*counts
 }
 
 // ZonalPlanner orders numbers of endpoints in each zone: reclaimable ones spread over
@@ -94,6 +98,7 @@
 func (p *ZonalPlanner) Next(view *ZonalView) (ZonalOrder, bool) {
 	zones := zonesOf(view.Traits)
 	present := p.count(view)
+	view.present = present
 	p.settleNeed(view.Now, view.Needed)
 	plan := p.plan(view, zones)
 	p.keepUntilReplaced(plan, present, zones)
@@ -182,34 +187,40 @@
 	}
 }
 
-// plan spreads the need over the zones. Zones without reclaimable endpoints get the
-// least number of on-demand ones.
+// plan spreads the need over the zones: on-demand endpoints only as far as there aren't
+// enough reclaimable ones.
 func (p *ZonalPlanner) plan(view *ZonalView, zones []qf.AvailabilityZone) map[qf.AvailabilityZone]*counts {
 	plan := map[qf.AvailabilityZone]*counts{}
-	left := p.needed
-	for _, zone := range zones {
+	for i, zone := range zones {
 		plan[zone] = &counts{}
-		if view.Traits.ReclaimablePrice <= 0 || view.Now.Before(p.cell(zone, qf.ClassReclaimable).dryUntil) {
-			plan[zone].onDemand = max(view.Traits.Min, 0)
-			left -= plan[zone].onDemand
+		for onDemand := i; onDemand < p.settings.OnDemand; onDemand += len(zones) {
+			plan[zone].onDemand++
 		}
 	}
-	for i := 0; i < p.settings.OnDemand; i++ {
-		plan[zones[i%len(zones)]].onDemand++
+	reclaimable := p.spread(view, zones, plan, p.needed-p.settings.OnDemand, func(c *counts) *int { return &c.reclaimable },
+		func(zone qf.AvailabilityZone) bool { return p.hasReclaimable(view, zone) })
+	// What is there counts also in a zone that has no more of them.
+	for _, zone := range zones {
+		if !p.hasReclaimable(view, zone) {
+			plan[zone].reclaimable = view.present[zone].reclaimable
+			reclaimable += plan[zone].reclaimable
+		}
 	}
-	left = p.spread(view, zones, plan, left, func(c *counts) *int { return &c.reclaimable }, func(zone qf.AvailabilityZone) bool {
-		return view.Traits.ReclaimablePrice > 0 && !view.Now.Before(p.cell(zone, qf.ClassReclaimable).dryUntil)
-	})
-	p.spread(view, zones, plan, left, func(c *counts) *int { return &c.onDemand }, func(qf.AvailabilityZone) bool { return true })
+	p.spread(view, zones, plan, view.Enough-p.settings.OnDemand-reclaimable, func(c *counts) *int { return &c.onDemand },
+		func(qf.AvailabilityZone) bool { return true })
 	return plan
 }
 
+func (p *ZonalPlanner) hasReclaimable(view *ZonalView, zone qf.AvailabilityZone) bool {
+	return view.Traits.ReclaimablePrice > 0 && !view.Now.Before(p.cell(zone, qf.ClassReclaimable).dryUntil)
+}
+
 // spread adds endpoints one by one where there are fewest, up to each zone's bound, and
-// returns how many found no place.
+// returns how many found a place.
 func (p *ZonalPlanner) spread(view *ZonalView, zones []qf.AvailabilityZone, plan map[qf.AvailabilityZone]*counts,
-	left int, slot func(*counts) *int, mayUse func(qf.AvailabilityZone) bool,
+	count int, slot func(*counts) *int, mayUse func(qf.AvailabilityZone) bool,
 ) int {
-	for left > 0 {
+	for placed := range max(count, 0) {
 		var least *counts
 		for _, zone := range zones {
 			c := plan[zone]
@@ -221,12 +232,11 @@
 			}
 		}
 		if least == nil {
-			return left
+			return placed
 		}
 		*slot(least)++
-		left--
 	}
-	return 0
+	return max(count, 0)
 }
 
 // keepUntilReplaced keeps endpoints that would be given up while those that replace
@@ -277,6 +287,11 @@
 	case certainty == qf.Done || certainty == qf.Unknown:
 		c.ordered = order.Desired
 	case isRefused && order.Class == qf.ClassReclaimable:
-		c.dryUntil = now.Add(p.settings.DryFor)
+		// After a reclaim there are none anywhere for a while.
+		for key, other := range p.cells {
+			if key.class == qf.ClassReclaimable {
+				other.dryUntil = now.Add(p.settings.DryFor)
+			}
+		}
 	}
 }
--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -142,7 +142,7 @@
 	if needed := min(units, b.burst); b.level < needed {
 		return false, returnAfter(needed-b.level, rate)
 	}
-	if b.level < scarceLevel*b.burst && b.part <= 0 {
+	if q.isRelayed() && b.level < scarceLevel*b.burst && b.part <= 0 {
 		return false, returnAfter(-b.part, rate*b.share(q.nodes))
 	}
 	b.level -= units
@@ -153,6 +153,17 @@
 	return true, 0
 }
 
+// isRelayed reports whether uses are heard through relays, and so later than others
+// could be admitted.
+func (q *Quotas) isRelayed() bool {
+	for _, s := range q.sources {
+		if s.Scope != qf.TallyOwn {
+			return true
+		}
+	}
+	return false
+}
+
 // returnAfter is the time in which so many units come in.
 func returnAfter(units, rate float64) time.Duration {
 	wait := time.Duration(units / max(rate, 1) * float64(time.Second))
--- a/internal/qf/forward.go
+++ b/internal/qf/forward.go
@@ -366,8 +366,9 @@
 	// StartedAt and Tokens name the attempt to the router.
 	StartedAt time.Time
 	Tokens    int
-	// FirstToken is the predicted time to the first token; 0 is unknown.
-	FirstToken time.Duration
+	// FirstToken is the predicted time to the first token; 0 is unknown. Objective is
+	// the time that it should take.
+	FirstToken, Objective time.Duration
 	Reason     Reason
 }
 
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -186,3 +186,11 @@
 	// Catalogue fetches the peer's catalogue if it is newer than the revision.
 	Catalogue(ctx context.Context, address netip.AddrPort, newerThan Revision) ([]byte, Revision, error)
 }
+
+// FeedPeer reads feeds of the platform at peers that follow them.
+type FeedPeer interface {
+	// FeedWhole returns all rows.
+	FeedWhole(ctx context.Context, address netip.AddrPort, feed FeedName) (FeedPage, error)
+	// FeedSince returns what changed after a version; the peer waits for a change.
+	FeedSince(ctx context.Context, address netip.AddrPort, feed FeedName, after uint64, wait time.Duration) (FeedPage, error)
+}
--- a/internal/qf/transport/qfrpc/messages.go
+++ b/internal/qf/transport/qfrpc/messages.go
@@ -1,6 +1,10 @@
 package qfrpc
 
-import "quetzalfront/internal/qf"
+import (
+	"time"
+
+	"quetzalfront/internal/qf"
+)
 
 // ExchangeIn is the question of Exchange.
 type ExchangeIn struct{ Digest qf.Digest }
@@ -39,3 +43,17 @@
 	Snapshot []byte
 	Revision qf.Revision
 }
+
+// FeedIn asks for rows of a feed: all of them, or those that changed after a version.
+type FeedIn struct {
+	Feed  qf.FeedName
+	Whole bool
+	After uint64
+	Wait  time.Duration
+}
+
+// FeedOut holds the rows. Code is set if the node can't tell.
+type FeedOut struct {
+	Page qf.FeedPage
+	Code qf.Code
+}
--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -24,6 +24,8 @@
 	KeepShadows(records []qf.RequestRecord) []qf.RequestID
 	Lookup(id qf.RequestID) (qf.RequestRecord, error)
 	CatalogueNewerThan(revision qf.Revision) ([]byte, qf.Revision)
+	FeedWhole(feed qf.FeedName) (qf.FeedPage, error)
+	FeedSince(feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error)
 }
 
 // Server answers peers. Its methods have the shape that net/rpc requires.
@@ -63,6 +65,21 @@
 	return nil
 }
 
+// Feed returns rows of a feed that the node follows.
+func (s *Server) Feed(in FeedIn, out *FeedOut) error {
+	var err error
+	if in.Whole {
+		out.Page, err = s.handler.FeedWhole(in.Feed)
+	} else {
+		out.Page, err = s.handler.FeedSince(in.Feed, in.After, min(in.Wait, longestWait))
+	}
+	out.Code = qf.CodeOf(err)
+	return nil
+}
+
+// longestWait bounds how long a peer may be kept waiting.
+const longestWait = 5 * time.Second
+
 // Serve answers peers on the listener until it is closed.
 func Serve(listener net.Listener, handler Handler) error {
 	server := rpc.NewServer()
@@ -161,11 +178,15 @@
 // call makes one call. sent is false if it provably didn't leave. After an error
 // out must not be read: a late answer may still be written to it.
 func (c *Client) call(ctx context.Context, address netip.AddrPort, method string, in, out any) (sent bool, err error) {
+	return c.callWithin(ctx, address, method, in, out, c.timeout)
+}
+
+func (c *Client) callWithin(ctx context.Context, address netip.AddrPort, method string, in, out any, within time.Duration) (sent bool, err error) {
 	connection, err := c.connection(ctx, address)
 	if err != nil {
 		return false, peerError(address, "no connection", err)
 	}
-	timeout := c.timer.After(c.timeout)
+	timeout := c.timer.After(within)
 	defer timeout.Stop()
 	call := connection.Go(serviceName+"."+method, in, out, make(chan *rpc.Call, 1))
 	select {
@@ -239,3 +260,24 @@
 	}
 	return out.Snapshot, out.Revision, nil
 }
+
+// FeedWhole implements qf.Peer.
+func (c *Client) FeedWhole(ctx context.Context, address netip.AddrPort, feed qf.FeedName) (qf.FeedPage, error) {
+	return c.feed(ctx, address, &FeedIn{Feed: feed, Whole: true})
+}
+
+// FeedSince implements qf.Peer.
+func (c *Client) FeedSince(ctx context.Context, address netip.AddrPort, feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error) {
+	return c.feed(ctx, address, &FeedIn{Feed: feed, After: after, Wait: wait})
+}
+
+func (c *Client) feed(ctx context.Context, address netip.AddrPort, in *FeedIn) (qf.FeedPage, error) {
+	var out FeedOut
+	if _, err := c.callWithin(ctx, address, "Feed", in, &out, c.timeout+in.Wait); err != nil {
+		return qf.FeedPage{}, err // A late answer may still be written to out.
+	}
+	if out.Code != "" {
+		return qf.FeedPage{}, qf.NewError(out.Code, qf.StepTableRead, address.String(), "the peer can't tell")
+	}
+	return out.Page, nil
+}
