qflease, entry: take over from an ended run at once; order on under a checked number

Change: the lease of a run that is known to have ended is free at once; while the store is away the last holder goes on ordering under its number, which the platform checks; a quarter of the endpoints is on demand.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -50,6 +50,8 @@
 	fencing  qf.FencingNumber
 	reporter *qfusage.Reporter
 	planners map[qf.EntryName]*qffleet.ZonalPlanner
+	// isRefused is set when an order was refused after the lease had lapsed.
+	isRefused bool
 	// sizes holds how many endpoints each entry needs, as far as known.
 	sizes map[qf.EntryName]int
 }
@@ -87,15 +89,21 @@
 	if !e.isReady() {
 		return
 	}
-	d.holder.Step(ctx, []string{dutyAll}, e.liveNodes())
-	fencing, isHeld := d.holder.Held(dutyAll)
-	if !isHeld {
-		return
+	nodes := e.liveNodes()
+	live := make([]qf.NodeID, len(nodes))
+	for i := range nodes {
+		live[i] = nodes[i].ID
+		d.holder.Heard(nodes[i].ID, nodes[i].Incarnation)
 	}
-	if fencing != d.fencing {
+	d.holder.Step(ctx, []string{dutyAll}, live)
+	fencing, isHeld := d.holder.Held(dutyAll)
+	if isHeld && fencing != d.fencing {
 		d.begin(fencing)
 	}
-	if e.deployment.HasUsageDuty {
+	if !isHeld && !d.mayActOn() {
+		return
+	}
+	if isHeld && e.deployment.HasUsageDuty {
 		d.reportUsage(ctx)
 	}
 	if e.deployment.HasScaleDuty {
@@ -106,7 +114,7 @@
 // begin makes the parts anew for a lease that was just taken.
 func (d *duties) begin(fencing qf.FencingNumber) {
 	e := d.entry
-	d.fencing = fencing
+	d.fencing, d.isRefused = fencing, false
 	now := e.clock.agreed(e.now())
 	d.reporter = qfusage.NewReporter(e.governor.usage, now, e.deployment.Bounds.UsageWithin)
 	d.planners = map[qf.EntryName]*qffleet.ZonalPlanner{}
@@ -114,13 +122,13 @@
 }
 
 // liveNodes returns the nodes that may hold the lease.
-func (e *Entry) liveNodes() []qf.NodeID {
+func (e *Entry) liveNodes() []qf.Node {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var live []qf.NodeID
+	var live []qf.Node
 	for _, node := range e.membership.Nodes(e.now()) {
 		if node.State == qf.NodeLive {
-			live = append(live, node.ID)
+			live = append(live, node)
 		}
 	}
 	return live
@@ -132,6 +140,20 @@
 	return qf.DutyHolder{Node: d.entry.deployment.Self.ID, Fencing: fencing}, isHeld && fencing == d.fencing
 }
 
+// mayActOn reports whether the node may act although its lease has lapsed: nobody can
+// take it while the store is away, and the platform refuses a number that is too low.
+func (d *duties) mayActOn() bool {
+	fencing, isClaimed := d.holder.Claimed(dutyAll)
+	return d.entry.deployment.ChecksFencing && isClaimed && fencing == d.fencing && !d.isRefused
+}
+
+// mayOrder returns the holder to name in an order of endpoints.
+func (d *duties) mayOrder() (qf.DutyHolder, bool) {
+	holder, isHeld := d.mayAct()
+	holder.Fencing = d.fencing
+	return holder, isHeld || d.mayActOn()
+}
+
 // reportUsage reports one window that is due. What is reported is fixed in a row first,
 // so that a successor repeats it and never sends other counts.
 func (d *duties) reportUsage(ctx context.Context) {
@@ -217,7 +239,7 @@
 	if !ok {
 		return false
 	}
-	holder, ok := d.mayAct()
+	holder, ok := d.mayOrder()
 	if !ok {
 		return false
 	}
@@ -226,6 +248,9 @@
 	})
 	isRefused := errors.Is(result.Err, &qf.Error{Code: qf.CodeStaleFence})
 	planner.Ordered(e.now(), &order, result.Certainty, isRefused)
+	if _, isHeld := d.mayAct(); isRefused && !isHeld {
+		d.isRefused = true // Perhaps another node holds the lease by now.
+	}
 	qfevent.EndpointsOrdered.Log(&e.platform.Logger, traits.Entry, order.Zone, order.Class, order.Desired, order.Reason,
 		d.fencing, result.Certainty, result.Err)
 	return result.Certainty == qf.Done
--- a/internal/qf/coordination/qffleet/zonal.go
+++ b/internal/qf/coordination/qffleet/zonal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -11,8 +12,8 @@
 
 // ZonalSettings govern the orders of an entry's endpoints by zone.
 type ZonalSettings struct {
-	// OnDemand is the number of endpoints over all zones that no reclaim may take.
-	OnDemand int
+	// OnDemandShare is the part of the need that no reclaim may take.
+	OnDemandShare float64
 	// Settle is how long after an order its effect should show, besides the time
 	// that an endpoint needs to start; the order is then given again.
 	Settle time.Duration
@@ -25,7 +26,7 @@
 
 // DefaultZonalSettings returns the settings of a node.
 func DefaultZonalSettings() ZonalSettings {
-	return ZonalSettings{OnDemand: 0, Settle: 3 * time.Second, DryFor: 6 * time.Second, HoldDown: 8 * time.Second}
+	return ZonalSettings{OnDemandShare: 0.25, Settle: 3 * time.Second, DryFor: 6 * time.Second, HoldDown: 8 * time.Second}
 }
 
 // ZonalView is what is known of an entry.
@@ -191,13 +192,14 @@
 // enough reclaimable ones.
 func (p *ZonalPlanner) plan(view *ZonalView, zones []qf.AvailabilityZone) map[qf.AvailabilityZone]*counts {
 	plan := map[qf.AvailabilityZone]*counts{}
+	base := int(math.Ceil(float64(p.needed) * p.settings.OnDemandShare))
 	for i, zone := range zones {
 		plan[zone] = &counts{}
-		for onDemand := i; onDemand < p.settings.OnDemand; onDemand += len(zones) {
+		for onDemand := i; onDemand < base; onDemand += len(zones) {
 			plan[zone].onDemand++
 		}
 	}
-	reclaimable := p.spread(view, zones, plan, p.needed-p.settings.OnDemand, func(c *counts) *int { return &c.reclaimable },
+	reclaimable := p.spread(view, zones, plan, p.needed-base, func(c *counts) *int { return &c.reclaimable },
 		func(zone qf.AvailabilityZone) bool { return p.hasReclaimable(view, zone) })
 	// What is there counts also in a zone that has no more of them.
 	for _, zone := range zones {
@@ -206,7 +208,7 @@
 			reclaimable += plan[zone].reclaimable
 		}
 	}
-	p.spread(view, zones, plan, view.Enough-p.settings.OnDemand-reclaimable, func(c *counts) *int { return &c.onDemand },
+	p.spread(view, zones, plan, view.Enough-base-reclaimable, func(c *counts) *int { return &c.onDemand },
 		func(qf.AvailabilityZone) bool { return true })
 	return plan
 }
--- a/internal/qf/coordination/qflease/lease.go
+++ b/internal/qf/coordination/qflease/lease.go
@@ -91,6 +91,8 @@
 	sentAt    map[qf.TransactionID]time.Time
 	writes    uint64
 	releasing bool
+	// gone is the run of a holder that is known to have ended.
+	gone Record
 }
 
 // New returns a lease that the node neither holds nor tries to get.
@@ -118,6 +120,21 @@
 	return l.fencing, true
 }
 
+// Claimed returns the number under which the node last held the lease, as long as
+// nobody is known to have taken it. Only where each call's number is checked may the
+// node act under it when Held doesn't allow that any more.
+func (l *Lease) Claimed() (qf.FencingNumber, bool) {
+	return l.fencing, l.isMine() && !l.releasing && !l.record.Released
+}
+
+// HolderEnded takes the news that a run of a node's process has ended, because a later
+// one was heard. A lease that it held is free.
+func (l *Lease) HolderEnded(holder qf.NodeID, later qf.Incarnation) {
+	if l.known && l.record.Holder == holder && l.record.Incarnation < later {
+		l.gone = l.record
+	}
+}
+
 // Holder returns the last record that was seen.
 func (l *Lease) Holder() (Record, bool) { return l.record, l.known && l.version > 0 }
 
@@ -170,7 +187,7 @@
 // row's version was first seen, which is after its holder counts from.
 func (l *Lease) freeAt() time.Time {
 	wait := time.Duration(l.rank)*l.timing.RankDelay + l.patience
-	if l.version > 0 && !l.record.Released {
+	if l.version > 0 && !l.record.Released && l.gone != l.record {
 		wait += time.Duration(float64(l.timing.Duration) * (1 + l.timing.ClockMargin))
 	}
 	return l.seenAt.Add(wait)
--- a/internal/qf/deployment.go
+++ b/internal/qf/deployment.go
@@ -23,7 +23,10 @@
 	Bounds     DeploymentBounds
 	// DutyCallsPerSecond bounds the duty calls of all nodes.
 	DutyCallsPerSecond float64
-	// Duties says which calls are due.
+	// ChecksFencing says that the platform refuses calls with a fencing number below one
+	// that it has seen.
+	ChecksFencing bool
+	// HasUsageDuty and HasScaleDuty say which calls are due.
 	HasUsageDuty, HasScaleDuty bool
 }
 
--- a/internal/qf/forward.go
+++ b/internal/qf/forward.go
@@ -369,7 +369,7 @@
 	// FirstToken is the predicted time to the first token; 0 is unknown. Objective is
 	// the time that it should take.
 	FirstToken, Objective time.Duration
-	Reason     Reason
+	Reason                Reason
 }
 
 // AttemptEnd says how an attempt at an endpoint ended.
--- a/internal/qf/protocol/qfholder/holder.go
+++ b/internal/qf/protocol/qfholder/holder.go
@@ -64,6 +64,27 @@
 	return lease.Held(h.ports.Timer.Now())
 }
 
+// Claimed returns the fencing number under which the node last held a duty, as long as
+// nobody is known to have taken it.
+func (h *Holder) Claimed(duty string) (qf.FencingNumber, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lease := h.byDuty[duty]
+	if lease == nil {
+		return 0, false
+	}
+	return lease.Claimed()
+}
+
+// Heard takes the news of a node's run, which ended the runs before it.
+func (h *Holder) Heard(node qf.NodeID, incarnation qf.Incarnation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, lease := range h.byDuty {
+		lease.HolderEnded(node, incarnation)
+	}
+}
+
 // Step ranks the node for the duties that need a holder and makes the calls that
 // their leases ask for.
 func (h *Holder) Step(ctx context.Context, duties []string, live []qf.NodeID) {
