--- a/internal/contract/table_test.go
+++ b/internal/contract/table_test.go
@@ -1,10 +1,12 @@
 package contract
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,7 +15,9 @@
 	"quetzalfront/internal/qf/state/qftable"
 	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/standin/standfault"
+	"quetzalfront/internal/standin/standrows"
 	"quetzalfront/internal/standin/standtable"
+	"quetzalfront/platform"
 )
 
 // table is one implementation with its faults.
@@ -31,6 +35,45 @@
 		stand := standtable.New(qftimer.NewWall())
 		return table{qftable.NewClient(serverAddress, callTimeout, serve(t, stand.Handler())), stand.SetFaults}
 	},
+	"users' platform": func(t *testing.T) table {
+		stand := standrows.New(qftimer.NewWall(), standtable.ReadsPerSecond, standtable.WritesPerSecond)
+		return table{inOneTable{platform.NewStore(serverAddress, callTimeout, serve(t, stand.Handler()))}, stand.SetFaults}
+	},
+}
+
+// inOneTable puts the keys of the tests into one table of the users' platform, whose
+// rows are in order within a table only.
+type inOneTable struct{ *platform.Store }
+
+const tableOfTests = "tests/"
+
+func (o inOneTable) Read(ctx context.Context, key string) (qf.Row, error) {
+	row, err := o.Store.Read(ctx, tableOfTests+key)
+	row.Key = strings.TrimPrefix(row.Key, tableOfTests)
+	return row, err
+}
+
+func (o inOneTable) Scan(ctx context.Context, prefix, after string, limit int) ([]qf.Row, error) {
+	if after != "" {
+		after = tableOfTests + after
+	}
+	rows, err := o.Store.Scan(ctx, tableOfTests+prefix, after, limit)
+	for i := range rows {
+		rows[i].Key = strings.TrimPrefix(rows[i].Key, tableOfTests)
+	}
+	return rows, err
+}
+
+func (o inOneTable) Commit(ctx context.Context, transaction qf.Transaction) qf.Result[qf.Committed] {
+	t := qf.Transaction{ID: transaction.ID}
+	for _, c := range transaction.Conditions {
+		t.Conditions = append(t.Conditions, qf.Condition{Key: tableOfTests + c.Key, Version: c.Version})
+	}
+	for _, w := range transaction.Writes {
+		w.Key = tableOfTests + w.Key
+		t.Writes = append(t.Writes, w)
+	}
+	return o.Store.Commit(ctx, t)
 }
 
 // insert writes a row that must not exist.
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,207 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/standin/standfault"
+	"quetzalfront/internal/standin/standreplica"
+)
+
+// drainBound is how soon a leaving endpoint must get no new work, and changeBound how
+// soon a change must be in force.
+const (
+	drainBound  = 3 * time.Second
+	changeBound = 3 * time.Second
+)
+
+// TestLeavingEndpointGetsNoWork guards that promise for each way of leaving.
+func TestLeavingEndpointGetsNoWork(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(w *world)
+	}{
+		{"draining", func(w *world) { w.list("books-1", "books", "10.8.0.3:80", "draining") }},
+		{"removed", func(w *world) { w.store.Remove("servers", "books-1") }},
+		{"unreadable", func(w *world) { w.store.Put("servers", "books-1", []byte("{")) }},
+		{"in a gap of the history", func(w *world) {
+			w.store.Remove("servers", "books-1")
+			w.store.ForgetHistory()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inWorld(t, 2, func(w *world) {
+				tt.leave(w)
+				w.sleep(drainBound)
+				before := len(w.replicas["books-1"].Runs())
+				for i := range 20 {
+					w.call(w.t.Context(), i%2+1, http.MethodGet, "/read/1", "")
+				}
+				if after := len(w.replicas["books-1"].Runs()); after != before {
+					t.Errorf("a leaving endpoint got %d requests", after-before)
+				}
+			})
+		})
+	}
+}
+
+// TestChangeIsInForceAndStays guards that an accepted change is in force everywhere
+// soon, and that an older one never comes back.
+func TestChangeIsInForceAndStays(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		rename := func(text string) string { return strings.Replace(text, "/read/", "/look/", 1) }
+		w.configure(7, rename)
+		w.sleep(changeBound)
+		status := func(number int, path string) int {
+			return w.call(w.t.Context(), number, http.MethodGet, path, "").status
+		}
+		for number := 1; number <= 4; number++ {
+			if got := status(number, "/look/1"); got != http.StatusOK {
+				t.Errorf("node %d: the new route answers %d", number, got)
+			}
+			if got := status(number, "/read/1"); got != http.StatusNotFound {
+				t.Errorf("node %d: the old route answers %d", number, got)
+			}
+		}
+		w.configure(3, nil)
+		w.store.ForgetHistory()
+		w.sleep(changeBound)
+		for number := 1; number <= 4; number++ {
+			if got := status(number, "/look/1"); got != http.StatusOK {
+				t.Errorf("node %d: an older change came back: %d", number, got)
+			}
+		}
+	})
+}
+
+// TestNodeServesWithoutStore guards that a node goes on while the store is away, and
+// that a node that knows no configuration says so.
+func TestNodeServesWithoutStore(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.store.SetFaults(standfault.Faults{Down: true})
+		w.sleep(20 * time.Second)
+		if a := w.call(w.t.Context(), 1, http.MethodGet, "/read/1", ""); a.status != http.StatusOK {
+			t.Errorf("without the store: %d", a.status)
+		}
+		w.start(2)
+		w.sleep(time.Second)
+		if a := w.call(w.t.Context(), 2, http.MethodGet, "/none/1", ""); a.status != http.StatusServiceUnavailable {
+			t.Errorf("a node that knows nothing answers %d", a.status)
+		}
+	})
+}
+
+// TestPlannedStop guards that a planned stop cuts nothing and ends within the grace.
+func TestPlannedStop(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		for _, replica := range w.replicas {
+			replica.Pause = 500 * time.Millisecond
+		}
+		answers := make(chan answer, 1)
+		go func() {
+			answers <- w.call(w.t.Context(), 1, http.MethodPost, "/talk/1", "body", "X-Token-Counts", tokens)
+		}()
+		w.sleep(100 * time.Millisecond)
+		began := w.timer.Now()
+		w.nodes[0].Stop(context.Background())
+		if took := w.timer.Now().Sub(began); took > 8*time.Second {
+			t.Errorf("the stop took %s", took)
+		}
+		if a := <-answers; a.err != nil || a.body != wholeStream(a.id) {
+			t.Errorf("a planned stop cut an answer: %q, %v", a.body, a.err)
+		}
+		w.nodes = w.nodes[1:]
+	})
+}
+
+// directory asks a node which addresses a caller should use.
+func (w *world) directory(number int, zone string) []string {
+	client := &http.Client{Transport: &http.Transport{DialContext: w.network.From(callerIP).Dial, DisableKeepAlives: true}}
+	url := "http://10.1.0." + string(rune('0'+number)) + ":4/quetzalfront/resolve?name=" + host + "&zone=" + zone
+	response, err := client.Get(url)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	var found struct {
+		Addrs []string `json:"addrs"`
+	}
+	_ = json.Unmarshal(body, &found) // A refusal has no body.
+	return found.Addrs
+}
+
+// TestDirectory guards that callers are sent to live nodes of their own zone.
+func TestDirectory(t *testing.T) {
+	inWorld(t, 4, func(w *world) {
+		if got := w.directory(1, "north-a"); len(got) != 2 || got[0] != "10.1.0.2:1" && got[1] != "10.1.0.2:1" {
+			t.Errorf("addresses %v", got)
+		}
+		w.nodes[1].Stop(context.Background())
+		w.sleep(time.Second)
+		if got := w.directory(1, "north-a"); len(got) != 1 || got[0] != "10.1.0.4:1" {
+			t.Errorf("after a node has left: %v", got)
+		}
+		w.nodes = append(w.nodes[:1], w.nodes[2:]...)
+	})
+}
+
+// TestUsageIsReportedOnce guards that each window is reported, that no window gets two
+// different reports, and that a successor goes on after its holder has left.
+func TestUsageIsReportedOnce(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		const calls = 30
+		for i := range calls {
+			w.call(w.t.Context(), i%2+1, http.MethodGet, "/read/1", "")
+			w.sleep(300 * time.Millisecond)
+			if i == calls/2 {
+				w.nodes[2].Stop(context.Background())
+				w.nodes = w.nodes[:2]
+			}
+		}
+		w.sleep(15 * time.Second)
+		w.cloud.mu.Lock()
+		defer w.cloud.mu.Unlock()
+		total := 0
+		for window, bodies := range w.cloud.usage {
+			var report struct {
+				Counts map[string]int `json:"counts"`
+			}
+			_ = json.Unmarshal([]byte(bodies[0]), &report)
+			total += report.Counts["north"]
+			for _, body := range bodies {
+				if body != bodies[0] {
+					t.Errorf("window %d was reported as %s and as %s", window, bodies[0], body)
+				}
+			}
+		}
+		if total != calls {
+			t.Errorf("%d of %d requests were reported", total, calls)
+		}
+	})
+}
+
+// TestRepeatsAreBounded guards that failing endpoints aren't buried under repeats.
+func TestRepeatsAreBounded(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		const calls = 300
+		var failures []standreplica.Behaviour
+		for range 2 * calls {
+			failures = append(failures, standreplica.Fails)
+		}
+		w.behave("books", failures...)
+		for range calls {
+			w.call(w.t.Context(), 1, http.MethodGet, "/read/1", "")
+		}
+		runs := len(w.replicas["books-1"].Runs()) + len(w.replicas["books-2"].Runs())
+		if bound := calls + calls/5 + 50; runs > bound {
+			t.Errorf("%d runs of %d requests, want at most %d", runs, calls, bound)
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/world_test.go
@@ -0,0 +1,244 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"quetzalfront/internal/entry"
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/qf/transport/qfrpc"
+	"quetzalfront/internal/standin/standnet"
+	"quetzalfront/internal/standin/standreplica"
+	"quetzalfront/internal/standin/standrows"
+	"quetzalfront/platform"
+)
+
+const (
+	host     = "chat.example"
+	goodKey  = "key-1"
+	otherKey = "key-2"
+	settle   = 3 * time.Second
+)
+
+var (
+	storeAddress = netip.MustParseAddrPort("10.9.0.1:80")
+	cloudAddress = netip.MustParseAddrPort("10.9.0.2:80")
+	callerIP     = netip.MustParseAddr("10.7.0.1")
+)
+
+// world is a deployment on stand-ins over a network in memory, on virtual time.
+type world struct {
+	t        *testing.T
+	timer    qf.Timer
+	network  *standnet.Network
+	store    *standrows.Store
+	cloud    *cloud
+	replicas map[string]*standreplica.Replica
+	nodes    []*entry.Entry
+	servers  []*http.Server
+	requests int
+}
+
+// cloud records the duty calls.
+type cloud struct {
+	mu sync.Mutex
+	// usage holds the bodies by window, in the order of their arrival.
+	usage  map[int64][]string
+	orders []string
+}
+
+func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.URL.Path == "/usage" {
+		var report struct {
+			Window int64 `json:"window"`
+		}
+		_ = json.Unmarshal(body, &report)
+		c.usage[report.Window] = append(c.usage[report.Window], string(body))
+		return
+	}
+	c.orders = append(c.orders, string(body))
+	w.WriteHeader(http.StatusOK)
+}
+
+func inWorld(t *testing.T, nodes int, run func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		timer := qftimer.NewWall()
+		w := &world{
+			t: t, timer: timer, network: standnet.New(), store: standrows.New(timer, 2000, 400),
+			cloud: &cloud{usage: map[int64][]string{}}, replicas: map[string]*standreplica.Replica{},
+		}
+		w.serve(storeAddress, w.store.Handler())
+		w.serve(cloudAddress, w.cloud)
+		w.addReplica("chat-1", "chat", 1)
+		w.addReplica("chat-2", "chat", 2)
+		w.addReplica("books-1", "books", 3)
+		w.addReplica("books-2", "books", 4)
+		w.configure(1, nil)
+		for i := range nodes {
+			w.start(i + 1)
+		}
+		w.sleep(settle)
+		run(w)
+		for _, node := range w.nodes {
+			node.Stop(context.Background())
+		}
+		for _, server := range w.servers {
+			_ = server.Close()
+		}
+		w.network.Close()
+		w.sleep(time.Minute) // What waits for a time ends before the bubble does.
+	})
+}
+
+func (w *world) sleep(d time.Duration) { <-w.timer.After(d).C() }
+
+func (w *world) serve(address netip.AddrPort, handler http.Handler) {
+	listener, err := w.network.From(address.Addr()).Listen(w.t.Context(), address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	w.servers = append(w.servers, server)
+}
+
+func (w *world) addReplica(id, entryName string, number int) {
+	replica := standreplica.New(id, w.timer)
+	w.replicas[id] = replica
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 8, 0, byte(number)}), 80)
+	w.serve(address, replica)
+	w.list(id, entryName, address.String(), "ready")
+}
+
+func (w *world) list(id, entryName, address, state string) {
+	w.store.Put("servers", id, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"north-a","version":"v1","slots":8,"state":%q,"cold-left-ms":0,"seq":1,"born":1}`,
+		entryName, address, state))
+}
+
+// configure writes a configuration. The change edits it first.
+func (w *world) configure(revision int, change func(text string) string) {
+	text := fmt.Sprintf(`{"version":%d,"routes":[
+		{"name":"ask","host":%[2]q,"prefix":"/ask/","kind":"streaming","timeout-ms":4000,"slo-ms":1000,"service":"chat","attempts":2,"sticky":true,"resumable":true},
+		{"name":"talk","host":%[2]q,"prefix":"/talk/","kind":"streaming","timeout-ms":4000,"slo-ms":1000,"service":"chat","attempts":2,"sticky":true},
+		{"name":"file","host":%[2]q,"prefix":"/file/","kind":"unsafe","timeout-ms":2000,"slo-ms":200,"service":"books","attempts":1},
+		{"name":"read","host":%[2]q,"prefix":"/read/","kind":"safe","timeout-ms":2000,"slo-ms":200,"service":"books","attempts":2}],
+		"services":[{"name":"chat","health-path":"/health"},{"name":"books","health-path":"/health"}],
+		"limits":{"max-header-bytes":16384,"max-body-bytes":1000},
+		"tenants":[{"name":"north","api-keys":[%[3]q],"unit":"generation","plain-tokens":100,"rate-per-s":1000000,"burst":1000000}]}`,
+		revision, host, goodKey)
+	if change != nil {
+		text = change(text)
+	}
+	w.store.Put("op", "config", []byte(text))
+}
+
+// start starts a node in one of two zones.
+func (w *world) start(number int) *entry.Entry {
+	zone := []string{"north-a", "south-a"}[number%2]
+	ip := netip.AddrFrom4([4]byte{10, 1, 0, byte(number)})
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(ip, port) }
+	network := w.network.From(ip)
+	regions := map[qf.AvailabilityZone]qf.Region{"north-a": "north", "south-a": "south"}
+	deployment := qf.Deployment{
+		Self: qf.Node{
+			ID: qf.NodeID(fmt.Sprintf("node-%d", number)), AvailabilityZone: qf.AvailabilityZone(zone),
+			Region: regions[qf.AvailabilityZone(zone)], CallerAddress: at(1), PeerAddress: at(2),
+		},
+		ReadyAddress: at(3), DirectoryAddress: at(4), Regions: regions, HasUsageDuty: true, ChecksFencing: true,
+		Bounds: qf.DeploymentBounds{
+			StopGrace: 8 * time.Second, LeaseFor: 3 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
+			UsageWindow: 5 * time.Second, UsageWithin: 10 * time.Second,
+		},
+	}
+	store := platform.NewStore(storeAddress, entry.LongestWait, network.Dial)
+	peers := qfrpc.NewClient(w.timer, time.Second, network.Dial, nil)
+	node := entry.New(deployment, entry.Platform{
+		Timer: w.timer, Network: network, Feed: store, Table: store, Rollouts: store, Duties: platform.NewCloud(cloudAddress, network.Dial),
+		Codec: platform.Codec{Regions: regions}, Protocol: platform.Protocol{}, Peer: peers, FeedPeer: peers,
+		ReadyHandler: platform.ReadyHandler, DirectoryHandler: platform.DirectoryHandler,
+		Logger: zerolog.Nop(), Random: rand.New(rand.NewPCG(uint64(number), 7)),
+	})
+	if err := node.Start(w.t.Context()); err != nil {
+		w.t.Fatal(err)
+	}
+	w.nodes = append(w.nodes, node)
+	return node
+}
+
+// answer is what a caller got.
+type answer struct {
+	id     string
+	status int
+	body   string
+	header http.Header
+	// err is set if the answer isn't whole.
+	err error
+}
+
+// call sends a caller's request to a node.
+func (w *world) call(ctx context.Context, number int, method, path, body string, headers ...string) answer {
+	w.requests++
+	a := answer{id: fmt.Sprintf("request-%d", w.requests)}
+	client := &http.Client{Transport: &http.Transport{DialContext: w.network.From(callerIP).Dial, DisableKeepAlives: true}}
+	url := fmt.Sprintf("http://10.1.0.%d:1%s", number, path)
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	request.Host = host
+	request.Header.Set("X-Request-Id", a.id)
+	request.Header.Set("Authorization", "Bearer "+goodKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer response.Body.Close()
+	a.status, a.header = response.StatusCode, response.Header
+	text, err := io.ReadAll(response.Body)
+	a.body, a.err = string(text), err
+	return a
+}
+
+// runsOf returns how often a request began to run, at all replicas.
+func (w *world) runsOf(id string) int {
+	count := 0
+	for _, replica := range w.replicas {
+		for _, run := range replica.Runs() {
+			if run.ID == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// behave sets the behaviours of all replicas whose names begin so.
+func (w *world) behave(prefix string, next ...standreplica.Behaviour) {
+	for id, replica := range w.replicas {
+		if strings.HasPrefix(id, prefix) {
+			replica.Behave(next...)
+		}
+	}
+}
--- a/internal/standin/standnet/conn.go
+++ b/internal/standin/standnet/conn.go
@@ -72,6 +72,10 @@
 func (p *pair) close() {
 	_ = p.client.Conn.Close() // Closing a pipe never fails.
 	_ = p.server.Conn.Close()
+	p.forget()
+}
+
+func (p *pair) forget() {
 	p.network.mu.Lock()
 	defer p.network.mu.Unlock()
 	delete(p.network.pairs, p)
@@ -95,14 +99,14 @@
 // past is a deadline that has passed on any clock.
 var past = time.Unix(1, 0)
 
-// Close implements net.Conn. The other end of a silent connection doesn't hear
-// of it; only this end's calls return.
+// Close implements net.Conn. The other end reads the end of what was sent; that of a
+// silent connection doesn't hear of it, and only this end's calls return.
 func (e *end) Close() error {
 	if e.pair.silent.Load() {
 		return e.SetDeadline(past)
 	}
-	e.pair.close()
-	return nil
+	e.pair.forget()
+	return e.Conn.Close()
 }
 
 // LocalAddr implements net.Conn.
