--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -50,6 +50,7 @@
 	fencing  qf.FencingNumber
 	reporter *qfusage.Reporter
 	planners map[qf.EntryName]*qffleet.ZonalPlanner
+	rollouts *rollouts
 	// isRefused is set when an order was refused after the lease had lapsed.
 	isRefused bool
 	// sizes holds how many endpoints each entry needs, as far as known.
@@ -69,9 +70,6 @@
 
 // loop runs the lease and, while it is held, the duties.
 func (d *duties) loop(ctx context.Context) {
-	if !d.entry.deployment.HasUsageDuty && !d.entry.deployment.HasScaleDuty {
-		return
-	}
 	ticks := d.entry.platform.Timer.Every(dutyStep)
 	defer ticks.Stop()
 	for {
@@ -103,6 +101,9 @@
 	if !isHeld && !d.mayActOn() {
 		return
 	}
+	if isHeld {
+		d.rollouts.step(ctx)
+	}
 	if isHeld && e.deployment.HasUsageDuty {
 		d.reportUsage(ctx)
 	}
@@ -118,6 +119,7 @@
 	now := e.clock.agreed(e.now())
 	d.reporter = qfusage.NewReporter(e.governor.usage, now, e.deployment.Bounds.UsageWithin)
 	d.planners = map[qf.EntryName]*qffleet.ZonalPlanner{}
+	d.rollouts = newRollouts(e)
 	d.sizes = map[qf.EntryName]int{}
 }
 
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -98,9 +98,18 @@
 
 // Change implements feedRows.
 func (h *operatorRows) Change(rows []qf.FeedRow) {
+	e := h.entry
 	for i := range rows {
-		if h.entry.platform.Codec.IsConfigurationKey(rows[i].Key) && !rows[i].Removed {
-			h.entry.applyConfiguration(rows[i].Value, "")
+		if e.platform.Codec.IsConfigurationKey(rows[i].Key) && !rows[i].Removed {
+			e.applyConfiguration(rows[i].Value, "")
+			continue
+		}
+		order, isOrder, err := e.platform.Codec.Rollout(&rows[i])
+		if err != nil {
+			e.unreadable(qf.FeedOperator, &rows[i], err)
+		}
+		if isOrder {
+			e.placer.setOrder(order)
 		}
 	}
 }
--- a/internal/entry/governor.go
+++ b/internal/entry/governor.go
@@ -59,12 +59,9 @@
 }
 
 // heard takes a peer's tally.
-func (g *governor) heard(now time.Time, from *qf.Node, tally *qf.Tally) {
-	source := qf.TallySource{
-		Node: from.ID, Incarnation: from.Incarnation, Zone: from.AvailabilityZone, Scope: tally.Scope, Covers: tally.Covers,
-	}
+func (g *governor) heard(now time.Time, source *qf.TallySource, tally *qf.Tally) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quotas.Heard(now, source, tally.Quotas)
-	g.usage.Heard(source, tally.Usage)
+	g.quotas.Heard(now, *source, tally.Quotas)
+	g.usage.Heard(*source, tally.Usage)
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -165,7 +165,7 @@
 
 // tally exchanges only what is added up.
 func (e *Entry) tally(ctx context.Context, to *qf.Node) {
-	d := qf.Digest{From: e.self(), SentAt: e.clock.own(e.now()), Tally: e.tallyFor(to)}
+	d := e.tallyDigest(to)
 	answer, err := e.platform.Peer.Exchange(ctx, to.PeerAddress, d)
 	if err != nil {
 		e.avoid(to.ID, err)
@@ -174,6 +174,13 @@
 	e.learn(ctx, &answer)
 }
 
+// tallyDigest returns only what is added up, and the rollouts that it decides.
+func (e *Entry) tallyDigest(to *qf.Node) qf.Digest {
+	return qf.Digest{
+		From: e.self(), SentAt: e.clock.own(e.now()), Tally: e.tallyFor(to), RolloutPlans: e.placer.rolloutPlans(),
+	}
+}
+
 // tallyFor returns what a peer needs to add up.
 func (e *Entry) tallyFor(to *qf.Node) qf.Tally {
 	e.mu.Lock()
@@ -197,6 +204,9 @@
 	defer e.governor.mu.Unlock()
 	tally.Quotas = e.governor.quotas.Uses(tally.Scope, to.ID)
 	tally.Usage = e.governor.usage.Tally(since, tally.Scope, to.ID)
+	e.placer.mu.Lock()
+	defer e.placer.mu.Unlock()
+	tally.Versions = e.placer.versions.tally(tally.Scope, to.ID)
 	return tally
 }
 
@@ -212,7 +222,7 @@
 // digest returns the news for a peer.
 func (e *Entry) digest(to *qf.Node, wants []qf.AvailabilityZone) qf.Digest {
 	now := e.now()
-	d := qf.Digest{SentAt: e.clock.own(now)}
+	d := qf.Digest{SentAt: e.clock.own(now), RolloutPlans: e.placer.rolloutPlans()}
 	e.mu.Lock()
 	d.From = e.membership.Self()
 	d.From.CatalogueRevision = e.configuration.Revision()
@@ -244,14 +254,28 @@
 	if len(d.SentLoads) > 0 {
 		e.placer.peerSent(d.SentLoads)
 	}
+	for i := range d.RolloutPlans {
+		e.adoptRollout(&d.RolloutPlans[i])
+	}
 	if d.Tally.Scope != "" {
-		e.governor.heard(now, &d.From, &d.Tally)
+		e.heardTally(now, &d.From, &d.Tally)
 	}
 	if d.From.CatalogueRevision > e.configuration.Revision() {
 		e.background.Go(func() { e.fetchConfiguration(ctx, d.From) })
 	}
 }
 
+// heardTally takes a peer's tally.
+func (e *Entry) heardTally(now time.Time, from *qf.Node, tally *qf.Tally) {
+	source := qf.TallySource{
+		Node: from.ID, Incarnation: from.Incarnation, Zone: from.AvailabilityZone, Scope: tally.Scope, Covers: tally.Covers,
+	}
+	e.governor.heard(now, &source, tally)
+	e.placer.mu.Lock()
+	defer e.placer.mu.Unlock()
+	e.placer.versions.heard(&source, tally.Versions)
+}
+
 // fetchConfiguration gets a newer configuration from a peer.
 func (e *Entry) fetchConfiguration(ctx context.Context, from qf.Node) {
 	encoded, revision, err := e.platform.Peer.Catalogue(ctx, from.PeerAddress, e.configuration.Revision())
@@ -268,7 +292,7 @@
 func (e *Entry) Exchange(digest qf.Digest) qf.Digest {
 	e.learn(context.Background(), &digest)
 	if digest.Tally.Scope != "" && e.isGrouped() {
-		return qf.Digest{From: e.self(), SentAt: e.clock.own(e.now()), Tally: e.tallyFor(&digest.From)}
+		return e.tallyDigest(&digest.From)
 	}
 	return e.digest(&digest.From, digest.Wants)
 }
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -79,7 +79,7 @@
 	}
 	placement := qf.Placement{
 		Endpoint: choice.Endpoint, StartedAt: query.Now, Tokens: max(choice.Prediction.PrefillTokens, 1),
-		FirstToken: choice.FirstToken, Reason: choice.Reason, Objective: query.Route.Objective,
+		FirstToken: choice.FirstToken, Reason: choice.Reason, Objective: query.Route.Objective, Route: query.Route.Name,
 	}
 	p.router.Started(query.Now, placement.Endpoint.ID, placement.Tokens)
 	return placement, nil
@@ -105,6 +105,8 @@
 func (p *placer) Began(at time.Time, placement *qf.Placement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	placement.Began = at.Sub(placement.StartedAt)
+	p.versions.began(placement)
 	p.router.FirstToken(at, placement.Endpoint.ID, at.Sub(placement.StartedAt))
 	if placement.Endpoint.Kind == qf.KindModelEngine {
 		p.notePressure(at, at.Sub(placement.StartedAt), placement.Objective)
@@ -131,6 +133,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.router.SetEndpoints(endpoints)
+	p.versions.setListed(endpoints)
+}
+
+// setOrder takes the operator's order of a rollout.
+func (p *placer) setOrder(order qf.RolloutOrder) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.versions.setOrder(order)
 }
 
 // peerSent takes what a peer has in progress.
--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -204,7 +204,7 @@
 	for organisation, b := range q.buckets {
 		units := b.used
 		for id, s := range q.sources {
-			if isCovered(scope, s.Scope) && id != to {
+			if scope.Includes(s.Scope) && id != to {
 				units += s.heard[organisation]
 			}
 		}
@@ -214,15 +214,3 @@
 	}
 	return uses
 }
-
-// isCovered reports whether a tally passes on what was heard with another scope.
-func isCovered(tally, heard qf.TallyScope) bool {
-	switch tally {
-	case qf.TallyZone:
-		return heard == qf.TallyOwn
-	case qf.TallyRest:
-		return heard == qf.TallyOwn || heard == qf.TallyZone
-	default:
-		return false
-	}
-}
--- a/internal/qf/forward.go
+++ b/internal/qf/forward.go
@@ -369,7 +369,12 @@
 	// FirstToken is the predicted time to the first token; 0 is unknown. Objective is
 	// the time that it should take.
 	FirstToken, Objective time.Duration
-	Reason                Reason
+	// Route is the name of the request's route.
+	Route string
+	// Began is the time to the first token, or to the answer of a plain service; it is 0
+	// before that.
+	Began  time.Duration
+	Reason Reason
 }
 
 // AttemptEnd says how an attempt at an endpoint ended.
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -126,6 +126,18 @@
 	TallyRest TallyScope = "Rest"
 )
 
+// Includes reports whether a tally of this scope passes on what was heard with another.
+func (s TallyScope) Includes(heard TallyScope) bool {
+	switch s {
+	case TallyZone:
+		return heard == TallyOwn
+	case TallyRest:
+		return heard == TallyOwn || heard == TallyZone
+	default:
+		return false
+	}
+}
+
 // Tally is what nodes add up. An empty scope stands for no tally.
 type Tally struct {
 	Scope TallyScope
@@ -133,6 +145,26 @@
 	Covers int
 	Quotas []QuotaUse
 	Usage  []UsageCount
+	// Versions counts the attempts of rollouts that are under way.
+	Versions []VersionCount
+}
+
+// VersionKey names a counter of the attempts at a version on a route, since an order
+// of a rollout.
+type VersionKey struct {
+	// Generation is that of the rollout's plan.
+	Generation uint64
+	Entry      EntryName
+	Version    Version
+	Route      string
+	// Bad counts only the attempts that went badly.
+	Bad bool
+}
+
+// VersionCount is a counter. For one run of the sender it only rises.
+type VersionCount struct {
+	VersionKey
+	Count uint64
 }
 
 // TallySource says whose tally was heard.
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -36,7 +36,7 @@
 	for {
 		a, err := c.attempt(ctx, p, s, tried, entry)
 		if err != nil {
-			c.finish(p, s, nil, c.withoutPlace(p, err))
+			c.finish(s, nil, c.withoutPlace(p, err))
 			return
 		}
 		tried = append(tried, a.placement.Endpoint.ID)
@@ -44,7 +44,7 @@
 		step := c.next(p, a)
 		c.report(a, step)
 		if step != nextRepeat && step != nextResume {
-			c.finish(p, s, a, step)
+			c.finish(s, a, step)
 			return
 		}
 	}
@@ -250,7 +250,7 @@
 }
 
 // finish delivers the final answer.
-func (c *call) finish(p *progress, s *relay, a *attempt, step next) {
+func (c *call) finish(s *relay, a *attempt, step next) {
 	if step == nextPass && claimsNotRun(a.answer.Status) {
 		step = nextFail // The endpoint didn't say that it hasn't run the request.
 	}
--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -111,7 +111,9 @@
 func Body(id, endpoint string) string { return "answer to " + id + " by " + endpoint }
 
 // Event is the event of a stream with a number, from 1.
-func Event(id string, number int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", number, id, number) }
+func Event(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", number, id, number)
+}
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
