entry: keep requests apart that crash endpoints

Change: qf.Screen, by qfsuspect: an attempt that broke at an endpoint which then died is blamed; after two deaths the request is refused as not run at all nodes. Ruled out: taking deaths at which nothing of this node broke into account: they hid others as a wave.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,7 @@
 	configuration qfconfig.Current
 	placer        *placer
 	governor      *governor
+	screen        *screen
 	clock         *clock
 	mirror        *qfmirror.Mirror
 	exchanger     *qfexchange.Exchanger
@@ -115,10 +116,11 @@
 		}),
 		usage: qfusage.New(max(deployment.Bounds.UsageWindow, time.Second), usageKeepFor),
 	}
+	e.screen = newScreen(e)
 	e.mirror = qfmirror.New(platform.Timer)
 	e.exchanger = qfexchange.New(platform.Timer, platform.Network.Dial, platform.Protocol)
 	e.forwarder = qfforward.New(qfforward.Ports{
-		Timer: platform.Timer, Protocol: platform.Protocol, Exchanger: e.exchanger, Placer: e.placer, Governor: e.governor,
+		Timer: platform.Timer, Protocol: platform.Protocol, Exchanger: e.exchanger, Placer: e.placer, Governor: e.governor, Screen: e.screen,
 		Configuration: &e.configuration, Observe: e.observe, IsLeaving: e.leaving.Load,
 	})
 	e.duties = newDuties(e)
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -153,15 +153,25 @@
 	now := e.now()
 	e.mu.Lock()
 	var gone []qf.EndpointID
+	var dead []qf.Endpoint
 	newest := uint64(0)
 	for i := range rows {
 		newest = max(newest, rows[i].Version)
-		if h.isGone(now, &rows[i]) {
-			gone = append(gone, qf.EndpointID(rows[i].Key))
+		id := qf.EndpointID(rows[i].Key)
+		known := e.registry.Get(id)
+		isGone := h.isGone(now, &rows[i])
+		if isGone {
+			gone = append(gone, id)
+		}
+		if known != nil && !known.Leaving && (isGone || e.registry.Get(id).Incarnation != known.Incarnation) {
+			dead = append(dead, known.Endpoint) // Nobody announced its end.
 		}
 	}
 	e.registry.Remove(now, gone, newest)
 	e.mu.Unlock()
+	for i := range dead {
+		e.screen.died(now, &dead[i])
+	}
 	e.settle(now)
 }
 
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -224,3 +225,37 @@
 		}
 	})
 }
+
+// TestCrashingRequest sends a request again and again that ends the process of each
+// endpoint which runs it: it is kept apart at all nodes, and other requests are served.
+func TestCrashingRequest(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		deaths := 0
+		for round := range 12 {
+			w.behave("books", standreplica.Resets)
+			before := map[string]int{}
+			for id, replica := range w.replicas {
+				before[id] = len(replica.Runs())
+			}
+			a := w.call(w.t.Context(), round%2+1, http.MethodPost, "/file/poison", "the same each time")
+			for id, replica := range w.replicas {
+				if len(replica.Runs()) > before[id] {
+					deaths++
+					w.store.Remove("servers", id)
+					w.addReplica(fmt.Sprintf("books-again-%d", round), "books", 20+round)
+				}
+			}
+			if deaths >= 2 && round > 5 && a.status != http.StatusServiceUnavailable {
+				t.Errorf("round %d: status %d, want a refusal", round, a.status)
+			}
+			w.sleep(2 * time.Second)
+		}
+		if deaths > 3 {
+			t.Errorf("%d endpoints died", deaths)
+		}
+		w.behave("books")
+		if a := w.call(w.t.Context(), 1, http.MethodPost, "/file/poison", "another body"); a.status != http.StatusOK {
+			t.Errorf("another request: %d", a.status)
+		}
+	})
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -174,10 +174,12 @@
 	e.learn(ctx, &answer)
 }
 
-// tallyDigest returns only what is added up, and the rollouts that it decides.
+// tallyDigest returns only what is added up, and the news that all nodes need soon.
 func (e *Entry) tallyDigest(to *qf.Node) qf.Digest {
+	now := e.now()
 	return qf.Digest{
-		From: e.self(), SentAt: e.clock.own(e.now()), Tally: e.tallyFor(to), RolloutPlans: e.placer.rolloutPlans(),
+		From: e.self(), SentAt: e.clock.own(now), Tally: e.tallyFor(to), RolloutPlans: e.placer.rolloutPlans(),
+		Suspicions: e.screen.news(now),
 	}
 }
 
@@ -222,7 +224,7 @@
 // digest returns the news for a peer.
 func (e *Entry) digest(to *qf.Node, wants []qf.AvailabilityZone) qf.Digest {
 	now := e.now()
-	d := qf.Digest{SentAt: e.clock.own(now), RolloutPlans: e.placer.rolloutPlans()}
+	d := qf.Digest{SentAt: e.clock.own(now), RolloutPlans: e.placer.rolloutPlans(), Suspicions: e.screen.news(now)}
 	e.mu.Lock()
 	d.From = e.membership.Self()
 	d.From.CatalogueRevision = e.configuration.Revision()
@@ -254,6 +256,7 @@
 	if len(d.SentLoads) > 0 {
 		e.placer.peerSent(d.SentLoads)
 	}
+	e.screen.learn(now, d.Suspicions)
 	for i := range d.RolloutPlans {
 		e.adoptRollout(&d.RolloutPlans[i])
 	}
--- /dev/null
+++ b/internal/entry/screen.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfsuspect"
+	"quetzalfront/internal/qf/state/qfevent"
+)
+
+const (
+	// maxDeaths is the number of endpoints that may die with a request in progress
+	// before the request is refused.
+	maxDeaths = 2
+	// suspectFor is how long a suspicion lasts after its latest news.
+	suspectFor = 40 * time.Second
+)
+
+// screen implements qf.Screen: it keeps requests that crash endpoints apart.
+type screen struct {
+	entry *Entry
+
+	mu       sync.Mutex
+	suspects *qfsuspect.Suspects
+}
+
+func newScreen(e *Entry) *screen {
+	return &screen{entry: e, suspects: qfsuspect.New(qfsuspect.Config{MaxDeaths: maxDeaths, ExpireAfter: suspectFor})}
+}
+
+// fingerprint names what is asked, whoever sends it and however often.
+func fingerprint(content *qf.RequestContent) uint64 {
+	return qfsuspect.Fingerprint(&qf.Request{
+		Method: content.Method, Path: string(content.Organisation) + "@" + content.Host + content.Target, Body: content.Body,
+	})
+}
+
+// Judge implements qf.Screen.
+func (s *screen) Judge(now time.Time, content *qf.RequestContent) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.suspects.HasAny() {
+		return nil
+	}
+	verdict := s.suspects.Judge(now, fingerprint(content))
+	if verdict.Standing != qfsuspect.StandingRefused {
+		return nil
+	}
+	qfevent.SuspectRefused.Log(&s.entry.platform.Logger, content.ID, content.Target)
+	return &qf.Error{
+		Code: qf.CodeSuspect, Step: qf.StepAccept, Reason: "endpoints died with this request in progress", Ran: qf.RanNo,
+		RetryAfter: verdict.RetryAfter,
+	}
+}
+
+// Ended implements qf.Screen.
+func (s *screen) Ended(now time.Time, content *qf.RequestContent, endpoint *qf.Endpoint, end qf.AttemptEnd, err error) {
+	switch {
+	case end == qf.AttemptBroken:
+		s.mu.Lock()
+		s.suspects.Broke(now, fingerprint(content), endpoint.ID)
+		s.mu.Unlock()
+	case end == qf.AttemptNotRun && errors.Is(err, syscall.ECONNREFUSED):
+		s.died(now, endpoint)
+	case end == qf.AttemptAnswered:
+		s.mu.Lock()
+		if s.suspects.HasAny() {
+			s.suspects.Answered(now, fingerprint(content))
+		}
+		s.mu.Unlock()
+	}
+}
+
+// died takes the death of an endpoint that nobody announced.
+func (s *screen) died(now time.Time, endpoint *qf.Endpoint) {
+	s.entry.mu.Lock()
+	isAnnounced := s.entry.isLeavingEndpoint(endpoint.ID)
+	s.entry.mu.Unlock()
+	if isAnnounced {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.suspects.BrokeAt(endpoint.ID) {
+		return
+	}
+	s.suspects.Died(now, qfsuspect.Death{Endpoint: endpoint.ID, AvailabilityZone: endpoint.AvailabilityZone})
+}
+
+// news returns the suspicions for peers, and learn takes theirs.
+func (s *screen) news(now time.Time) []qf.Suspicion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.Suspicions(now)
+}
+
+func (s *screen) learn(now time.Time, news []qf.Suspicion) {
+	if len(news) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.Learn(now, news)
+}
--- a/internal/qf/coordination/qfsuspect/suspects.go
+++ b/internal/qf/coordination/qfsuspect/suspects.go
@@ -79,6 +79,9 @@
 	return &Suspects{config: config, suspects: suspects, running: map[qf.EndpointID]int{}}
 }
 
+// HasAny reports whether any request is suspected.
+func (s *Suspects) HasAny() bool { return s.suspects.Len() > 0 }
+
 // Broke takes the news that an attempt ended without an answer, of which nothing
 // proves that it didn't start.
 func (s *Suspects) Broke(now time.Time, fingerprint uint64, endpoint qf.EndpointID) {
@@ -88,6 +91,12 @@
 	}
 }
 
+// BrokeAt reports whether an attempt of this node broke at an endpoint of late. The
+// death of one at which nothing broke tells this node nothing.
+func (s *Suspects) BrokeAt(endpoint qf.EndpointID) bool {
+	return slices.ContainsFunc(s.breaks, func(b brokenAttempt) bool { return b.endpoint == endpoint })
+}
+
 // Died takes the death of an endpoint and blames it on the requests that broke
 // there, unless it belongs to a wave. A broken connection is no death. Telling of
 // a death twice changes nothing but the requests that broke since. It reports
--- a/internal/qf/forward.go
+++ b/internal/qf/forward.go
@@ -419,3 +419,20 @@
 	// Began counts a request of an organisation that began to run.
 	Began(now time.Time, organisation Organisation)
 }
+
+// RequestContent is what a request asks for, by which it is known again.
+type RequestContent struct {
+	ID           RequestID
+	Organisation Organisation
+	Method, Host string
+	Target       string
+	Body         []byte
+}
+
+// Screen keeps requests that crash endpoints apart. It is safe for concurrent use.
+type Screen interface {
+	// Judge returns an *Error with CodeSuspect for a request that must not run.
+	Judge(now time.Time, content *RequestContent) error
+	// Ended takes how an attempt ended.
+	Ended(now time.Time, content *RequestContent, endpoint *Endpoint, end AttemptEnd, err error)
+}
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -104,6 +104,9 @@
 	c.send(ctx, p, s, a)
 	at := ports.Timer.Now()
 	ports.Placer.Ended(at, &a.placement, a.end)
+	if !errors.Is(a.err, errTooSlow) {
+		ports.Screen.Ended(at, c.content(), &a.placement.Endpoint, a.end, a.err)
+	}
 	return a, nil
 }
 
@@ -145,6 +148,9 @@
 // broke settles the end of an attempt without a whole answer.
 func (a *attempt) broke(ctx context.Context, err error) {
 	a.err = err
+	if cause := context.Cause(ctx); errors.Is(cause, errTooSlow) {
+		a.err = errors.Join(errTooSlow, err)
+	}
 	switch cause := context.Cause(ctx); {
 	case a.answer == nil && qf.RanOf(err) == qf.RanNo && (cause == nil || errors.Is(cause, errTooSlow)):
 		a.end = qf.AttemptNotRun
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -21,6 +21,7 @@
 	Exchanger     qf.Exchanger
 	Placer        qf.Placer
 	Governor      qf.Governor
+	Screen        qf.Screen
 	Configuration *qfconfig.Current
 	// Observe takes each request's end.
 	Observe func(*Outcome)
@@ -103,9 +104,20 @@
 	if err := c.readBody(table.Configuration.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
+	if err := c.forwarder.ports.Screen.Judge(c.forwarder.ports.Timer.Now(), c.content()); err != nil {
+		return err
+	}
 	return c.admit()
 }
 
+// content is what the request asks for.
+func (c *call) content() *qf.RequestContent {
+	return &qf.RequestContent{
+		ID: c.request.ID, Organisation: c.organisation(), Method: c.incoming.Method, Host: c.request.Host,
+		Target: c.incoming.RequestURI, Body: c.body,
+	}
+}
+
 // identify finds the organisation that holds the caller's key.
 func (c *call) identify(table *qfconfig.Table) error {
 	if !table.HasOrganisations() || c.route.Public && c.request.Key == "" {
