--- a/cmd/quetzalfront/entry.go
+++ b/cmd/quetzalfront/entry.go
@@ -20,6 +20,7 @@
 	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/qf/transport/qfrpc"
+	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/platform"
 )
 
@@ -54,7 +55,16 @@
 	}
 	logger, closeLog := newBoundedLogger()
 	defer closeLog()
-	e := entry.New(settings.Deployment, connect(settings, logger))
+	timer := qftimer.NewWall()
+	telemetry, err := qftelemetry.New(qftelemetry.Config{
+		Node: settings.Deployment.Self.ID, AvailabilityZone: settings.Deployment.Self.AvailabilityZone, Timer: timer,
+	})
+	if err != nil {
+		return fail(err)
+	}
+	joined := connect(settings, timer, logger)
+	joined.Telemetry = telemetry
+	e := entry.New(settings.Deployment, joined)
 	if err := e.Start(ctx); err != nil {
 		return fail(err)
 	}
@@ -95,8 +105,7 @@
 	return logger, func() { _ = writer.Close() } // What is left is written first.
 }
 
-func connect(settings *platform.Settings, logger zerolog.Logger) entry.Platform {
-	timer := qftimer.NewWall()
+func connect(settings *platform.Settings, timer qf.Timer, logger zerolog.Logger) entry.Platform {
 	network := watchfulNetwork()
 	store := platform.NewStore(settings.Store, entry.LongestWait, network.Dial)
 	peers := qfrpc.NewClient(timer, peerTimeout, network.Dial, nil)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"quetzalfront/internal/qf/state/qfregistry"
 	"quetzalfront/internal/qf/state/qfusage"
 	"quetzalfront/internal/qf/transport/qfexchange"
+	"quetzalfront/internal/qf/transport/qftelemetry"
 )
 
 // Platform is everything outside the node.
@@ -40,6 +41,8 @@
 	Protocol qf.CallerProtocol
 	Peer     qf.Peer
 	FeedPeer qf.FeedPeer
+	// Telemetry may be nil.
+	Telemetry *qftelemetry.Telemetry
 	// ReadyHandler and DirectoryHandler answer the platform's and callers' questions.
 	ReadyHandler     func(isReady func() bool) http.Handler
 	DirectoryHandler func(addresses func(qf.Region, qf.AvailabilityZone) ([]netip.AddrPort, time.Duration)) http.Handler
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -58,8 +58,12 @@
 	}{
 		{d.ReadyAddress, e.platform.ReadyHandler(e.isReady)},
 		{d.DirectoryAddress, e.platform.DirectoryHandler(e.addresses)},
+		{d.MetricsAddress, e.metricsHandler()},
 	}
 	for _, other := range others {
+		if other.handler == nil {
+			continue
+		}
 		server := newServer(other.handler)
 		e.servers.others = append(e.servers.others, server)
 		if err := e.serve(ctx, server, other.address); err != nil {
@@ -69,6 +73,16 @@
 	return e.listenPeers(ctx)
 }
 
+// metricsHandler returns nil without telemetry.
+func (e *Entry) metricsHandler() http.Handler {
+	if e.platform.Telemetry == nil {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.platform.Telemetry.MetricsHandler())
+	return mux
+}
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -163,8 +177,11 @@
 	qfevent.NodeStopped.Log(&e.platform.Logger, e.deployment.Self.ID)
 }
 
-// observe logs the end of a request.
+// observe counts and logs the end of a request.
 func (e *Entry) observe(o *qfforward.Outcome) {
+	if e.platform.Telemetry != nil {
+		e.platform.Telemetry.Forwarded(o)
+	}
 	attempts := summarise(o.Attempts)
 	if o.Err == nil && o.Status < http.StatusInternalServerError {
 		qfevent.ForwardEnded.Log(&e.platform.Logger, o.Request, o.Route, o.Organisation, o.Revision, o.Status, attempts, o.First.String(), o.Took.String())
--- a/internal/qf/deployment.go
+++ b/internal/qf/deployment.go
@@ -12,8 +12,8 @@
 	// ReadyAddress answers whether the node takes callers, DirectoryAddress which
 	// nodes callers should use.
 	ReadyAddress, DirectoryAddress netip.AddrPort
-	// MetricsPort is free for the node's own metrics; 0 means that there is none.
-	MetricsPort uint16
+	// MetricsAddress is where the node's metrics are read.
+	MetricsAddress netip.AddrPort
 	// Seeds are peer addresses of a few nodes; they may be stale.
 	Seeds []netip.AddrPort
 	// Regions maps each availability zone to its region.
--- /dev/null
+++ b/internal/qf/transport/qftelemetry/forward.go
@@ -0,0 +1,57 @@
+package qftelemetry
+
+import (
+	"context"
+	"errors"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"quetzalfront/internal/qf/protocol/qfforward"
+)
+
+// The attributes of forwarded requests. Routes come and go by the hundred, so that they
+// are no attribute.
+const (
+	keyKind   = attribute.Key("kind")
+	keyStatus = attribute.Key("status")
+	keyEnd    = attribute.Key("end")
+)
+
+// forwardInstruments are the metrics of forwarded requests.
+type forwardInstruments struct {
+	forwarded   metric.Int64Counter
+	forwardEnds metric.Int64Counter
+	firstByte   metric.Float64Histogram
+	took        metric.Float64Histogram
+}
+
+func newForwardInstruments(m metric.Meter) (forwardInstruments, error) {
+	var i forwardInstruments
+	var errs [4]error
+	i.forwarded, errs[0] = m.Int64Counter("quetzalfront.forward.requests", metric.WithUnit("{request}"),
+		metric.WithDescription("Forwarded requests that ended, by kind of route and status."))
+	i.forwardEnds, errs[1] = m.Int64Counter("quetzalfront.forward.attempts", metric.WithUnit("{attempt}"),
+		metric.WithDescription("Attempts of forwarded requests, by how they ended."))
+	i.firstByte, errs[2] = m.Float64Histogram("quetzalfront.forward.time_to_first_byte", metric.WithUnit("s"),
+		metric.WithDescription("Time from a request's arrival to the first byte of its answer."),
+		metric.WithExplicitBucketBoundaries(firstTokenBounds...))
+	i.took, errs[3] = m.Float64Histogram("quetzalfront.forward.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from a request's arrival to the end of its answer."),
+		metric.WithExplicitBucketBoundaries(firstTokenBounds...))
+	return i, errors.Join(errs[:]...)
+}
+
+// Forwarded counts a forwarded request that has ended.
+func (t *Telemetry) Forwarded(o *qfforward.Outcome) {
+	ctx := context.Background()
+	kind := keyKind.String(string(o.Kind))
+	t.forwarded.Add(ctx, 1, metric.WithAttributes(kind, keyStatus.Int(o.Status)))
+	for i := range o.Attempts {
+		t.forwardEnds.Add(ctx, 1, metric.WithAttributes(kind, keyEnd.String(string(o.Attempts[i].End))))
+	}
+	if o.First > 0 {
+		t.firstByte.Record(ctx, o.First.Seconds(), metric.WithAttributes(kind))
+	}
+	t.took.Record(ctx, o.Took.Seconds(), metric.WithAttributes(kind))
+}
--- a/internal/qf/transport/qftelemetry/telemetry.go
+++ b/internal/qf/transport/qftelemetry/telemetry.go
@@ -49,6 +49,7 @@
 	registry   *prometheus.Registry
 	propagator propagation.TextMapPropagator
 	instruments
+	forwardInstruments
 }
 
 // New returns the telemetry of a node. Shut it down after use.
@@ -75,6 +76,10 @@
 	t.traces = sdktrace.NewTracerProvider(options...)
 	t.tracer = t.traces.Tracer(scope)
 	t.instruments, err = newInstruments(t.meters.Meter(scope))
+	if err != nil {
+		return nil, err
+	}
+	t.forwardInstruments, err = newForwardInstruments(t.meters.Meter(scope))
 	return t, err
 }
 
