--- a/cmd/quetzalfront/entry.go
+++ b/cmd/quetzalfront/entry.go
@@ -32,6 +32,9 @@
 	// silentAfter is how long data may stay without an acknowledgement before the
 	// connection counts as lost.
 	silentAfter = 2 * time.Second
+	// dialTimeout bounds the opening of a connection. It is below the first repeat of a
+	// lost packet, so that a new try is the faster way once the other end is back.
+	dialTimeout = 600 * time.Millisecond
 	// probeEvery is the time between probes of an idle connection.
 	probeEvery = time.Second
 	probeCount = 3
@@ -123,6 +126,7 @@
 // watchfulNetwork opens connections that notice when the other end has gone silent.
 func watchfulNetwork() qf.Network {
 	dialer := &net.Dialer{
+		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
 		Control:         setUserTimeout,
 	}
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -18,7 +18,7 @@
 )
 
 // LongestWait is how long the store may hold a call for changes.
-const LongestWait = 4 * time.Second
+const LongestWait = 3 * time.Second
 
 // follow begins to follow the feeds.
 func (e *Entry) follow(ctx context.Context) {
