qflimit: start with the node's own part of a quota

Change: a node that doesn't know how many nodes there are takes 64 for granted and begins with its part of a burst.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,6 +89,8 @@
 	failedAt map[qf.NodeID]time.Time
 	// hasEndpoints is set once the list of endpoints was read.
 	hasEndpoints atomic.Bool
+	// hasNodes is set once the list of nodes was read.
+	hasNodes atomic.Bool
 
 	inProgress atomic.Int64
 	leaving    atomic.Bool
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -18,6 +18,9 @@
 	registerRetry = 500 * time.Millisecond
 	// nodeKeyPrefix begins the keys of nodes' rows.
 	nodeKeyPrefix = "nodes/"
+	// nodesKnownAfter is how long after its start a node that can't read the list of nodes
+	// takes those that it heard for all.
+	nodesKnownAfter = 4 * time.Second
 	// avoidFor is how long a node isn't a relay after a call to it failed.
 	avoidFor = 2 * time.Second
 	// usageTold is how long after its end a window is told to peers.
@@ -28,7 +31,10 @@
 type nodeRows struct{ entry *Entry }
 
 // Replace implements feedRows.
-func (h *nodeRows) Replace(rows []qf.FeedRow, _ uint64) { h.Change(rows) }
+func (h *nodeRows) Replace(rows []qf.FeedRow, _ uint64) {
+	h.Change(rows)
+	h.entry.hasNodes.Store(true)
+}
 
 // Change implements feedRows.
 func (h *nodeRows) Change(rows []qf.FeedRow) {
@@ -125,7 +131,9 @@
 	relays := e.membership.Relays(now, e.isAvoided(now))
 	e.relays = relays
 	e.mu.Unlock()
-	e.governor.setNodes(relays.Nodes)
+	if e.hasNodes.Load() || now.Sub(e.startedAt) > nodesKnownAfter {
+		e.governor.setNodes(relays.Nodes)
+	}
 	if relays.Nodes == 1 {
 		e.askSeeds(ctx)
 	}
--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -11,9 +11,12 @@
 	// quotaSilentAfter is how long nodes' uses may be silent before their even part of
 	// each quota is left to them.
 	quotaSilentAfter = 1500 * time.Millisecond
-	// firstLevel is the part of its burst that a quota starts with, because the nodes
-	// before a restart may have spent it.
+	// firstLevel is the part of a node's even part of a burst that it starts with, because
+	// the nodes before a restart may have spent it.
 	firstLevel = 0.5
+	// unknownNodes is the number of nodes that a node assumes until it knows better: all
+	// may have started together, each with its part of every quota.
+	unknownNodes = 64
 	// scarceLevel is the part of a burst below which each node keeps to its own part of
 	// the rate, so that late news doesn't let all of them spend the same units.
 	scarceLevel = 0.5
@@ -65,7 +68,7 @@
 
 // NewQuotas returns quotas without organisations.
 func NewQuotas() *Quotas {
-	return &Quotas{buckets: map[qf.Organisation]*quota{}, sources: map[qf.NodeID]*quotaSource{}, nodes: 1}
+	return &Quotas{buckets: map[qf.Organisation]*quota{}, sources: map[qf.NodeID]*quotaSource{}, nodes: unknownNodes}
 }
 
 // SetOrganisations replaces the quotas. What was used stays.
@@ -79,7 +82,7 @@
 		}
 		b := known[o.Organisation]
 		if b == nil {
-			b = &quota{level: o.Burst * firstLevel, at: now}
+			b = &quota{level: o.Burst * firstLevel / float64(q.nodes), at: now}
 		}
 		q.fill(now, b)
 		b.rate, b.burst = o.UnitsPerSecond, max(o.Burst, o.UnitsPerSecond)
--- /dev/null
+++ b/internal/qf/coordination/qflimit/quota_test.go
@@ -0,0 +1,158 @@
+package qflimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+// quotaFleet plays nodes that tell each other what they admit, directly or through one
+// relay, and clients that ask for many times their quota.
+type quotaFleet struct {
+	nodes     []*Quotas
+	isRelayed bool
+	now       time.Time
+	// cut lists the nodes that hear nobody and are heard by nobody.
+	cut map[int]bool
+}
+
+const (
+	fleetRate  = 1_000_000
+	fleetBurst = 1_000_000
+	tellEvery  = 400 * time.Millisecond
+)
+
+func newQuotaFleet(size int, isRelayed bool) *quotaFleet {
+	f := &quotaFleet{isRelayed: isRelayed, now: time.Unix(1_800_000_000, 0), cut: map[int]bool{}}
+	for range size {
+		f.nodes = append(f.nodes, f.newNode())
+	}
+	return f
+}
+
+// newNode returns a node that doesn't know yet how many there are.
+func (f *quotaFleet) newNode() *Quotas {
+	q := NewQuotas()
+	q.SetOrganisations(f.now, []qf.OrganisationTraits{{Organisation: "north", UnitsPerSecond: fleetRate, Burst: fleetBurst}})
+	return q
+}
+
+func nodeName(i int) qf.NodeID { return qf.NodeID(fmt.Sprintf("node-%03d", i)) }
+
+// tell lets every node hear the others.
+func (f *quotaFleet) tell(incarnation qf.Incarnation) {
+	for _, node := range f.nodes {
+		node.SetNodes(len(f.nodes))
+	}
+	if f.isRelayed {
+		f.tellRelay(incarnation)
+		return
+	}
+	for i, from := range f.nodes {
+		for j, to := range f.nodes {
+			if i != j && !f.cut[i] && !f.cut[j] {
+				to.Heard(f.now, qf.TallySource{Node: nodeName(i), Incarnation: incarnation, Scope: qf.TallyOwn, Covers: 1},
+					from.Uses(qf.TallyOwn, nodeName(j)))
+			}
+		}
+	}
+}
+
+func (f *quotaFleet) tellRelay(incarnation qf.Incarnation) {
+	relay := f.nodes[0]
+	for i := 1; i < len(f.nodes); i++ {
+		if f.cut[i] {
+			continue
+		}
+		relay.Heard(f.now, qf.TallySource{Node: nodeName(i), Incarnation: incarnation, Scope: qf.TallyOwn, Covers: 1},
+			f.nodes[i].Uses(qf.TallyOwn, nodeName(0)))
+		f.nodes[i].Heard(f.now, qf.TallySource{Node: nodeName(0), Incarnation: incarnation, Scope: qf.TallyRest, Covers: len(f.nodes) - 1},
+			relay.Uses(qf.TallyRest, nodeName(i)))
+	}
+}
+
+// TestQuotasHoldOverNodes guards that in no window more is admitted than the quota and
+// what the users allow beyond it, and that what is allowed is given.
+func TestQuotasHoldOverNodes(t *testing.T) {
+	tests := []struct {
+		name string
+		size int
+		// isRelayed lets uses be heard through a relay.
+		isRelayed bool
+		// demand is how many times the quota is asked for.
+		demand float64
+		// restartAt is when all nodes lose what they know; 0 is never.
+		restartAt time.Duration
+		cut       []int
+		// least is the part of the quota that must be given in the last seconds.
+		least float64
+	}{
+		{name: "six nodes", size: 6, demand: 4, least: 0.9},
+		{name: "six nodes, within the quota", size: 6, demand: 0.6, least: 0.55},
+		{name: "six nodes, all started again", size: 6, demand: 4, restartAt: 10 * time.Second, least: 0.9},
+		{name: "six nodes, two cut off", size: 6, demand: 4, cut: []int{1, 2}, least: 0.5},
+		{name: "many nodes", size: 66, isRelayed: true, demand: 3, least: 0.8},
+		{name: "many nodes, all started again", size: 66, isRelayed: true, demand: 3, restartAt: 10 * time.Second, least: 0.8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newQuotaFleet(tt.size, tt.isRelayed)
+			for _, i := range tt.cut {
+				f.cut[i] = true
+			}
+			admitted := f.play(tt.demand, tt.restartAt)
+			const window = 80 // Steps of a tenth of a second.
+			for first := 0; first+window <= len(admitted); first++ {
+				sum := 0.0
+				for _, units := range admitted[first : first+window] {
+					sum += units
+				}
+				if bound := (fleetRate*8+fleetBurst)*1.1 + 110_000; sum > bound {
+					t.Fatalf("%.0f units from step %d, want at most %.0f", sum, first, bound)
+				}
+			}
+			last := 0.0
+			for _, units := range admitted[len(admitted)-50:] {
+				last += units
+			}
+			if last < tt.least*fleetRate*5 {
+				t.Errorf("%.0f units in the last 5 s, want at least %.0f", last, tt.least*fleetRate*5)
+			}
+		})
+	}
+}
+
+// play returns what all nodes admitted in each tenth of a second.
+func (f *quotaFleet) play(demand float64, restartAt time.Duration) []float64 {
+	const steps, size = 200, 8000.0
+	const step = 100 * time.Millisecond
+	random := rand.New(rand.NewPCG(1, 2))
+	start := f.now
+	incarnation := qf.Incarnation(1)
+	toldAt := start
+	admitted := make([]float64, steps)
+	owed := 0.0
+	for i := range steps {
+		f.now = start.Add(time.Duration(i) * step)
+		if restartAt > 0 && f.now.Sub(start) == restartAt {
+			incarnation++
+			for n := range f.nodes {
+				f.nodes[n] = f.newNode()
+			}
+		}
+		if f.now.Sub(toldAt) >= tellEvery {
+			toldAt = f.now
+			f.tell(incarnation)
+		}
+		for owed += demand * fleetRate * step.Seconds(); owed > 0; owed -= size {
+			units := size * (0.5 + random.Float64())
+			if ok, _ := f.nodes[random.IntN(len(f.nodes))].Admit(f.now, "north", units); ok {
+				admitted[i] += units
+			}
+		}
+	}
+	return admitted
+}
