--- a/cmd/quetzalfront/main.go
+++ b/cmd/quetzalfront/main.go
@@ -50,7 +50,7 @@
 }
 
 func attachAll() []*command {
-	top := []*command{entryCommand(), nodeCommand(), standinCommand(), demoCommand(), loadCommand(), versionCommand()}
+	top := []*command{entryCommand(), nodeCommand(), standinCommand(), demoCommand(), loadCommand(), explainCommand(), versionCommand()}
 	for _, c := range top {
 		flaggy.AttachSubcommand(c.sub, 1)
 	}
--- a/cmd/quetzalfront/settings.go
+++ b/cmd/quetzalfront/settings.go
@@ -8,6 +8,7 @@
 
 	"quetzalfront/internal/qf/state/qfdocument"
 	"quetzalfront/internal/qfsettings"
+	"quetzalfront/platform"
 )
 
 func settingsCommands() []*command {
@@ -18,8 +19,24 @@
 	check.Description = "check a settings file and explain every fault"
 	check.AddPositionalValue(&path, "FILE", 1, true, "the settings file")
 	parent.AttachSubcommand(check, 1)
+	joined := flaggy.NewSubcommand("platform")
+	joined.Description = "check a settings file that the users' platform wrote"
+	joined.AddPositionalValue(&path, "FILE", 1, true, "the settings file")
+	parent.AttachSubcommand(joined, 1)
 	flaggy.AttachSubcommand(parent, 1)
-	return []*command{{sub: check, run: func(context.Context) int { return checkSettings(path) }}}
+	return []*command{
+		{sub: check, run: func(context.Context) int { return checkSettings(path) }},
+		{sub: joined, run: func(context.Context) int { return checkPlatformSettings(path) }},
+	}
+}
+
+func checkPlatformSettings(path string) int {
+	if _, err := platform.LoadSettings(path); err != nil {
+		fmt.Println(err)
+		return exitUsage
+	}
+	fmt.Printf("%s: no faults\n", path)
+	return exitOK
 }
 
 func checkSettings(path string) int {
--- /dev/null
+++ b/internal/qf/coordination/qffleet/zonal_test.go
@@ -0,0 +1,205 @@
+package qffleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+var zonalTraits = &qf.ScalingTraits{
+	Min: 1, Max: 6, StartTakes: 4 * time.Second, ReclaimablePrice: 0.22,
+	Prices: map[qf.AvailabilityZone]float64{"a": 0.85, "b": 1.2, "c": 1},
+}
+
+// zonalWorld carries orders out: endpoints start after some time, reclaims take all
+// reclaimable ones of a zone.
+type zonalWorld struct {
+	now       time.Time
+	planner   *ZonalPlanner
+	endpoints []zonalEndpoint
+	number    int
+	// dryUntil is until when reclaimable ones are refused everywhere.
+	dryUntil time.Time
+	orders   int
+	enough   int
+	// loses says that the next orders get no answer and don't take effect.
+	loses int
+}
+
+type zonalEndpoint struct {
+	qf.ListedEndpoint
+	readyAt, goneAt time.Time
+}
+
+func newZonalWorld(onDemand int) *zonalWorld {
+	w := &zonalWorld{now: time.Unix(1_800_000_000, 0), planner: NewZonalPlanner(DefaultZonalSettings()), enough: 6}
+	for i := range onDemand {
+		w.add([]qf.AvailabilityZone{"a", "b", "c"}[i%3], qf.ClassOnDemand, 0)
+	}
+	return w
+}
+
+func (w *zonalWorld) add(zone qf.AvailabilityZone, class qf.VMClass, after time.Duration) {
+	w.number++
+	w.endpoints = append(w.endpoints, zonalEndpoint{
+		ListedEndpoint: qf.ListedEndpoint{Endpoint: qf.Endpoint{
+			ID: qf.EndpointID(fmt.Sprint(w.number)), AvailabilityZone: zone, Class: class,
+		}},
+		readyAt: w.now.Add(after),
+	})
+}
+
+// ready counts the endpoints that serve, of one class or of both.
+func (w *zonalWorld) ready(class qf.VMClass) int {
+	count := 0
+	for i := range w.endpoints {
+		e := &w.endpoints[i]
+		if (class == "" || e.Class == class) && !e.Leaving && !w.now.Before(e.readyAt) {
+			count++
+		}
+	}
+	return count
+}
+
+// reclaim takes the reclaimable endpoints of a zone after a notice.
+func (w *zonalWorld) reclaim(zone qf.AvailabilityZone) {
+	const notice, dryFor = 2500 * time.Millisecond, 14 * time.Second
+	for i := range w.endpoints {
+		e := &w.endpoints[i]
+		if e.AvailabilityZone == zone && e.Class == qf.ClassReclaimable {
+			e.Leaving, e.LeavesIn, e.goneAt = true, notice, w.now.Add(notice)
+		}
+	}
+	w.dryUntil = w.now.Add(dryFor)
+}
+
+func (w *zonalWorld) step() {
+	w.now = w.now.Add(300 * time.Millisecond)
+	var listed []qf.ListedEndpoint
+	kept := w.endpoints[:0]
+	for _, e := range w.endpoints {
+		if !e.goneAt.IsZero() && !w.now.Before(e.goneAt) {
+			continue
+		}
+		kept = append(kept, e)
+		if !w.now.Before(e.readyAt) {
+			listed = append(listed, e.ListedEndpoint)
+		}
+	}
+	w.endpoints = kept
+	for range 4 {
+		order, ok := w.planner.Next(&ZonalView{Now: w.now, Traits: zonalTraits, Needed: 9, Enough: w.enough, Endpoints: listed})
+		if !ok {
+			return
+		}
+		w.carryOut(&order)
+	}
+}
+
+func (w *zonalWorld) carryOut(order *ZonalOrder) {
+	w.orders++
+	if w.loses > 0 {
+		w.loses--
+		w.planner.Ordered(w.now, order, qf.Unknown, false)
+		return
+	}
+	if order.Class == qf.ClassReclaimable && w.now.Before(w.dryUntil) {
+		w.planner.Ordered(w.now, order, qf.NotDone, true)
+		return
+	}
+	there := 0
+	for i := range w.endpoints {
+		e := &w.endpoints[i]
+		if e.AvailabilityZone != order.Zone || e.Class != order.Class || e.Leaving {
+			continue
+		}
+		if there++; there > order.Desired {
+			e.Leaving, e.goneAt = true, w.now.Add(3*time.Second)
+		}
+	}
+	for ; there < order.Desired; there++ {
+		w.add(order.Zone, order.Class, 4*time.Second)
+	}
+	w.planner.Ordered(w.now, order, qf.Done, false)
+}
+
+func (w *zonalWorld) run(d time.Duration) (least int) {
+	least = w.ready("")
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.step()
+		least = min(least, w.ready(""))
+	}
+	return least
+}
+
+// TestZonalPlanner guards that the number of endpoints that serve never falls below what
+// is needed but for what a reclaim takes, that the cheap ones are used where they are to
+// be had, and that orders come to an end.
+func TestZonalPlanner(t *testing.T) {
+	t.Run("replaces on-demand ones without a gap", func(t *testing.T) {
+		w := newZonalWorld(9)
+		if least := w.run(20 * time.Second); least < 9 {
+			t.Errorf("%d endpoints served at the least", least)
+		}
+		if r, o := w.ready(qf.ClassReclaimable), w.ready(qf.ClassOnDemand); r != 6 || o != 3 {
+			t.Errorf("%d reclaimable and %d on demand", r, o)
+		}
+		orders := w.orders
+		w.run(time.Minute)
+		if w.orders != orders {
+			t.Errorf("%d orders without a cause", w.orders-orders)
+		}
+	})
+	t.Run("gets along after the loss of a zone", func(t *testing.T) {
+		w := newZonalWorld(9)
+		w.run(20 * time.Second)
+		w.reclaim("b")
+		if least := w.run(10 * time.Second); least < 7 {
+			t.Errorf("%d endpoints served at the least", least)
+		}
+		w.run(20 * time.Second)
+		if all := w.ready(""); all != 9 {
+			t.Errorf("%d endpoints in the end", all)
+		}
+	})
+	t.Run("pays for on-demand ones when all zones are lost", func(t *testing.T) {
+		w := newZonalWorld(9)
+		w.run(20 * time.Second)
+		for _, zone := range []qf.AvailabilityZone{"a", "b", "c"} {
+			w.reclaim(zone)
+		}
+		w.run(7 * time.Second)
+		if all := w.ready(""); all < 6 {
+			t.Errorf("%d endpoints serve", all)
+		}
+		w.run(30 * time.Second)
+		if r, o := w.ready(qf.ClassReclaimable), w.ready(qf.ClassOnDemand); r != 6 || o != 3 {
+			t.Errorf("%d reclaimable and %d on demand in the end", r, o)
+		}
+	})
+	t.Run("gives orders again whose fate isn't known", func(t *testing.T) {
+		w := newZonalWorld(9)
+		w.loses = 5
+		w.run(40 * time.Second)
+		if r, o := w.ready(qf.ClassReclaimable), w.ready(qf.ClassOnDemand); r != 6 || o != 3 {
+			t.Errorf("%d reclaimable and %d on demand", r, o)
+		}
+	})
+	t.Run("stays within the bounds of each zone", func(t *testing.T) {
+		w := newZonalWorld(3)
+		w.enough = 30
+		w.dryUntil = w.now.Add(time.Hour)
+		w.run(30 * time.Second)
+		counts := map[qf.AvailabilityZone]int{}
+		for i := range w.endpoints {
+			counts[w.endpoints[i].AvailabilityZone]++
+		}
+		for zone, count := range counts {
+			if count > zonalTraits.Max {
+				t.Errorf("%d endpoints in zone %s", count, zone)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/qf/coordination/qflease/ended_test.go
@@ -0,0 +1,74 @@
+package qflease
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+var endedTiming = Timing{Duration: 3 * time.Second, RenewEvery: time.Second, RankDelay: 100 * time.Millisecond, ClockMargin: 0.02}
+
+// TestLeaseOfAnEndedRun guards that the lease of a run which is known to have ended is
+// free at once, and that no other one is.
+func TestLeaseOfAnEndedRun(t *testing.T) {
+	held := Record{Holder: "a", Incarnation: 5, Fencing: 7}
+	tests := []struct {
+		name   string
+		holder qf.NodeID
+		later  qf.Incarnation
+		isFree bool
+	}{
+		{"a later run of the holder", "a", 6, true},
+		{"the same run", "a", 5, false},
+		{"an earlier run", "a", 4, false},
+		{"another node", "b", 6, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(1_800_000_000, 0)
+			l := New("c", 1, endedTiming, rand.New(rand.NewPCG(1, 2)))
+			l.SetRank(0)
+			if l.Next(now).Kind != ActionRead {
+				t.Fatal("the row isn't read first")
+			}
+			l.ReadDone(now, 3, held, "x")
+			l.HolderEnded(tt.holder, tt.later)
+			now = now.Add(endedTiming.RankDelay + time.Millisecond)
+			action := l.Next(now)
+			if got := action.Kind == ActionWrite; got != tt.isFree {
+				t.Errorf("the lease is taken: %v, want %v", got, tt.isFree)
+			}
+			if tt.isFree && action.Record.Fencing != held.Fencing+1 {
+				t.Errorf("fencing number %d", action.Record.Fencing)
+			}
+		})
+	}
+}
+
+// TestClaimed guards that a lapsed lease stays claimed until another holder is seen.
+func TestClaimed(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	l := New("a", 1, endedTiming, rand.New(rand.NewPCG(1, 2)))
+	l.SetRank(0)
+	l.Next(now)
+	l.ReadDone(now, 0, Record{}, "")
+	now = now.Add(endedTiming.RankDelay + time.Millisecond)
+	action := l.Next(now)
+	l.WriteDone(now, action, qf.Done, false)
+	now = now.Add(time.Minute)
+	if _, isHeld := l.Held(now); isHeld {
+		t.Error("a lapsed lease is held")
+	}
+	if fencing, isClaimed := l.Claimed(); !isClaimed || fencing != 1 {
+		t.Errorf("claimed %v under %d", isClaimed, fencing)
+	}
+	l.Next(now)
+	l.WriteDone(now, action, qf.NotDone, true)
+	l.Next(now)
+	l.ReadDone(now, 9, Record{Holder: "b", Incarnation: 1, Fencing: 2}, "y")
+	if _, isClaimed := l.Claimed(); isClaimed {
+		t.Error("a lease that another node holds is claimed")
+	}
+}
