qfroute: send a shared part of a prompt to the same endpoint from all nodes of a zone

Change: of the endpoints of the node's zone that with the highest hash for the parts before the last is taken to have them cached; tokens that are read again have a price; loads told to peers don't repeat the sender.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -137,13 +137,17 @@
 	return rand.New(rand.NewPCG(e.random.Uint64(), e.random.Uint64()))
 }
 
-// Bytes between regions cost about as much as a good answer is worth; the price is
-// that of a gibibyte in thousandths of the unit in which routers count.
-const trafficPrice = 20000
+// The prices in the unit in which routers count: a gibibyte between regions, and a token
+// that is computed again. Prompts are long here, so that both weigh as much as tenths of
+// a second.
+const (
+	trafficPrice = 20000
+	readPrice    = 4e-4
+)
 
 func routeConfig() qfroute.Config {
 	config := qfroute.DefaultConfig()
-	config.TrafficPrice = trafficPrice
+	config.TrafficPrice, config.ReadPrice = trafficPrice, readPrice
 	return config
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -248,9 +248,6 @@
 	e.placer.mu.Lock()
 	d.SentLoads = e.placer.router.Sent(now)
 	e.placer.mu.Unlock()
-	for i := range d.SentLoads {
-		d.SentLoads[i].Node = d.From.ID
-	}
 	return d
 }
 
@@ -261,9 +258,7 @@
 	e.membership.Take(now, d)
 	e.mu.Unlock()
 	e.clock.heard(now, d.From.ID, d.SentAt)
-	if len(d.SentLoads) > 0 {
-		e.placer.peerSent(d.SentLoads)
-	}
+	e.placer.peerSent(d.From.ID, d.SentLoads)
 	e.screen.learn(now, d.Suspicions)
 	for i := range d.RolloutPlans {
 		e.adoptRollout(&d.RolloutPlans[i])
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -71,6 +71,7 @@
 	if query.Prompt != nil {
 		question.PromptTokens = query.Prompt.Tokens
 		question.Prefixes = prefixesOf(query.Prompt)
+		question.Affinity, question.AffinityTokens = affinityOf(query.Prompt)
 		request.MaxTokens = query.Prompt.MaxAnswer
 	}
 	choice, err := p.router.Choose(question)
@@ -144,10 +145,11 @@
 }
 
 // peerSent takes what a peer has in progress.
-func (p *placer) peerSent(loads []qf.SentLoad) {
+func (p *placer) peerSent(node qf.NodeID, loads []qf.SentLoad) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, sent := range loads {
+		sent.Node = node
 		p.router.PeerSent(sent)
 	}
 }
@@ -169,6 +171,15 @@
 	return prefixes
 }
 
+// affinityOf names the parts of a prompt that other requests share: all but the last.
+func affinityOf(prompt *qf.Prompt) (name uint64, tokens int) {
+	for i := range len(prompt.Parts) - 1 {
+		name = hash(name, prompt.Parts[i].ID)
+		tokens += prompt.Parts[i].Tokens
+	}
+	return name, tokens
+}
+
 func hash(numbers ...uint64) uint64 {
 	const bytesOfNumber = 8
 	buffer := make([]byte, 0, bytesOfNumber*len(numbers))
--- a/internal/qf/coordination/qfroute/choose.go
+++ b/internal/qf/coordination/qfroute/choose.go
@@ -40,6 +40,7 @@
 		return nil, qf.RouteChoice{}, errNoEndpoint()
 	}
 	f := p.factorsOf(query, pool)
+	f.preferred, f.affinityTokens = preferred(list, query), float64(query.AffinityTokens)
 	for i, e := range list {
 		p.scores[i] = p.score(e, &f)
 	}
--- a/internal/qf/coordination/qfroute/config.go
+++ b/internal/qf/coordination/qfroute/config.go
@@ -14,6 +14,9 @@
 	// TrafficPrice is the price of a gibibyte between regions, in thousandths of
 	// the currency unit.
 	TrafficPrice float64
+	// ReadPrice is the price of a token that has to be computed although some endpoint
+	// has it cached, in thousandths of the currency unit.
+	ReadPrice float64
 	// CacheFor is how long the prefix index trusts what it last saw.
 	CacheFor time.Duration
 	// CachePrefixes is the number of prefixes that the index has room for.
--- a/internal/qf/coordination/qfroute/score.go
+++ b/internal/qf/coordination/qfroute/score.go
@@ -15,6 +15,11 @@
 	answerTime float64
 	// traffic is the price of the request's bytes between regions.
 	traffic float64
+	// preferred is the endpoint that is taken to have affinityTokens cached, or nil.
+	preferred      *endpoint
+	affinityTokens float64
+	// readPrice is that of a token that isn't cached.
+	readPrice float64
 	// perCost turns cost into seconds.
 	perCost float64
 }
@@ -25,6 +30,7 @@
 		tokens:     float64(query.PromptTokens + query.ResumeTokens),
 		answerTime: float64(answer) * pool.betweenToken.Seconds() / decodeBatch,
 		traffic:    float64((query.PromptTokens+answer)*bytesPerToken) / gibibyte * p.config.TrafficPrice,
+		readPrice:  p.config.ReadPrice,
 		perCost:    1 / secondPrice(query.Request.Class),
 	}
 }
@@ -42,16 +48,42 @@
 // time that it is worth.
 func (p *Predictive) score(e *endpoint, f *factors) float64 {
 	pace := e.pool.perTokenSeconds * e.slow
-	prefill := p.uncached(e, f) * pace
-	return e.fixedSeconds + e.load.tokens*pace + prefill + f.cost(e, prefill)*f.perCost
+	uncached := p.uncached(e, f)
+	prefill := uncached * pace
+	cost := f.cost(e, prefill) + uncached*f.readPrice
+	return e.fixedSeconds + e.load.tokens*pace + prefill + cost*f.perCost
 }
 
-// uncached counts the tokens that the endpoint has to compute.
+// uncached counts the tokens that the endpoint has to compute. At the endpoint to which
+// all nodes send a shared part, that part is taken to be cached.
 func (p *Predictive) uncached(e *endpoint, f *factors) float64 {
-	if e.markedIn != p.decision {
-		return f.tokens
+	cached := 0.0
+	if e.markedIn == p.decision {
+		cached = e.marked
 	}
-	return max(f.tokens-e.marked, 0)
+	if e == f.preferred {
+		cached = max(cached, f.affinityTokens)
+	}
+	return max(f.tokens-cached, 0)
+}
+
+// preferred returns the endpoint to which all nodes of a zone send a shared part: that
+// with the highest hash among those of the zone, or of all if it has none.
+func preferred(list []*endpoint, query *qf.RouteQuery) *endpoint {
+	if query.Affinity == 0 {
+		return nil
+	}
+	var best *endpoint
+	var highest uint64
+	isBestNear := false
+	for _, e := range list {
+		h := mix(query.Affinity, e.ID)
+		isNear := e.AvailabilityZone == query.FromZone
+		if best == nil || isNear && !isBestNear || isNear == isBestNear && h > highest {
+			best, highest, isBestNear = e, h, isNear
+		}
+	}
+	return best
 }
 
 // mark notes at the endpoints how much of the prompt they have cached. A mark
--- a/internal/qf/decision.go
+++ b/internal/qf/decision.go
@@ -28,6 +28,11 @@
 	ResumeTokens int
 	// Prefixes are the hashes of the prompt's blocks, shortest prefix first.
 	Prefixes []uint64
+	// Affinity names the part of the prompt that others share, and AffinityTokens is its
+	// length. Nodes that don't know each other's choices send the same part to the same
+	// endpoint of a zone. It is 0 if nothing is shared.
+	Affinity       uint64
+	AffinityTokens int
 	// Version restricts the choice to one version, if it is set.
 	Version Version
 	// Excluded endpoints must not be chosen.
