qfrequest: let a deliberate fault show in every run of its test

Change: this row's world has more late writes (30 of 100) and more broken calls (25): the deleted row and the late write that it lets through meet more often.

--- a/internal/qf/protocol/qfrequest/onceonly_test.go
+++ b/internal/qf/protocol/qfrequest/onceonly_test.go
@@ -175,7 +175,7 @@
 			p.ledger = func(l qf.Ledger) qf.Ledger { return forgetfulLedger{l} }
 		}},
 		{"expire records while callers repeat", func(p *plan) { p.recordsFor = time.Minute }},
-		{"delete the rows of freed keys", func(p *plan) { p.deleteFreed = true }},
+		{"delete the rows of freed keys", func(p *plan) { p.deleteFreed, p.late, p.broken = true, 30, 25 }},
 		{"take a question about an attempt for a bar", func(p *plan) { p.forgetsBars = true }},
 		{"trust the old version after a take-over", func(p *plan) {
 			p.ledger = func(l qf.Ledger) qf.Ledger { return trustingLedger{l} }
