soak: play real processes under faults from outside

Change: TestSoak runs three entry nodes as processes on loopback against the stand-ins: planned work, then kills, pauses, resets, cuts one way, silence, delays, a store that is down, slow, loses answers or applies them late, endpoints that misbehave, in series and overlapping; callers keep their connections. Requests are refused whose first token is predicted to take three times its objective; a caller that finds no endpoint comes back after 0.3 of its time.

--- /dev/null
+++ b/cmd/quetzalfront/soak_world_test.go
@@ -0,0 +1,282 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/standin/standproxy"
+	"quetzalfront/internal/standin/standreplica"
+	"quetzalfront/internal/standin/standrows"
+)
+
+const (
+	soakNodes    = 3
+	soakReplicas = 4
+	soakHost     = "soak.example"
+	soakKey      = "key-1"
+	callersPort  = 28081
+	readyPort    = 28082
+	peersPort    = 28083
+	askPort      = 28084
+	standinPort  = 28090
+)
+
+// soakWorld is a small deployment of real processes on loopback, with proxies between
+// them and the stand-ins.
+type soakWorld struct {
+	t        *testing.T
+	timer    *qftimer.Wall
+	net      byte
+	folder   string
+	store    *standrows.Store
+	replicas []*soakReplica
+	proxies  []*standproxy.Proxy
+	servers  []*http.Server
+	nodes    []*soakNode
+	clients  sync.WaitGroup
+
+	mu sync.Mutex
+	// revision is the newest configuration that was written.
+	revision int
+	number   int
+	results  []soakResult
+	// troubledAt is when a fault was last active, the planned work left out.
+	troubledAt time.Time
+}
+
+type soakReplica struct {
+	*standreplica.Replica
+	address netip.AddrPort
+	entry   string
+	// leftAt is when the replica said that it leaves; it is zero while it doesn't.
+	leftAt time.Time
+}
+
+// soakNode is one node's process, over all of its runs.
+type soakNode struct {
+	number  int
+	command *exec.Cmd
+	// run counts the starts.
+	run int
+	// highest is the newest revision that this run was seen to serve.
+	highest int
+	log     *os.File
+}
+
+// soakResult is what a caller saw of one request.
+type soakResult struct {
+	id, path string
+	sentAt   time.Time
+	node     int
+	status   int
+	body     string
+	err      error
+	isStream bool
+}
+
+func (w *soakWorld) ip(last byte) netip.Addr { return netip.AddrFrom4([4]byte{127, w.net, 0, last}) }
+
+func (w *soakWorld) at(last byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(w.ip(last), port)
+}
+
+func newSoakWorld(t *testing.T, network byte) *soakWorld {
+	t.Helper()
+	w := &soakWorld{t: t, timer: qftimer.NewWall(), net: network, folder: t.TempDir()}
+	w.store = standrows.New(w.timer, 2000, 400)
+	w.serve(w.at(100, standinPort), w.store.Handler())
+	w.serve(w.at(101, standinPort), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	for i := range soakReplicas {
+		id := fmt.Sprintf("replica-%d", i)
+		replica := &soakReplica{Replica: standreplica.New(id, w.timer), address: w.at(byte(150+i), standinPort), entry: []string{"chat", "books"}[i%2]}
+		replica.Pause = 20 * time.Millisecond
+		w.serve(w.at(byte(120+i), standinPort), replica)
+		w.proxy(replica.address, w.at(byte(120+i), standinPort))
+		w.replicas = append(w.replicas, replica)
+		w.list(replica, "ready")
+	}
+	w.configure()
+	for i := range soakNodes {
+		w.proxy(w.at(byte(200+i), standinPort), w.at(100, standinPort))
+		w.nodes = append(w.nodes, &soakNode{number: i})
+		w.start(w.nodes[i])
+	}
+	return w
+}
+
+func (w *soakWorld) sleep(d time.Duration) { <-w.timer.After(d).C() }
+
+func (w *soakWorld) serve(address netip.AddrPort, handler http.Handler) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	w.servers = append(w.servers, server)
+	go func() { _ = server.Serve(listener) }()
+}
+
+func (w *soakWorld) proxy(address, target netip.AddrPort) {
+	proxy, err := standproxy.New(w.timer, address, target)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.proxies = append(w.proxies, proxy)
+}
+
+func (w *soakWorld) list(r *soakReplica, state string) {
+	w.store.Put("servers", r.ID, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":64,"state":%q,"born":1}`, r.entry, r.address, state))
+}
+
+// configure writes the next configuration: each has a route of its own and keeps the
+// others.
+func (w *soakWorld) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision++
+	w.store.Put("op", "config", fmt.Appendf(nil, `{"version":%[1]d,"routes":[
+		{"name":"ask","host":%[2]q,"prefix":"/ask/","kind":"streaming","timeout-ms":3000,"slo-ms":1000,"service":"chat","attempts":2,"sticky":true,"resumable":true},
+		{"name":"talk","host":%[2]q,"prefix":"/talk/","kind":"streaming","timeout-ms":3000,"slo-ms":1000,"service":"chat","attempts":1,"sticky":true},
+		{"name":"file","host":%[2]q,"prefix":"/file/","kind":"unsafe","timeout-ms":2000,"slo-ms":200,"service":"books","attempts":1},
+		{"name":"read","host":%[2]q,"prefix":"/read/","kind":"safe","timeout-ms":2000,"slo-ms":200,"service":"books","attempts":2},
+		{"name":"rev","host":%[2]q,"prefix":"/rev-%[1]d/","kind":"safe","timeout-ms":2000,"slo-ms":200,"service":"books","attempts":2}],
+		"services":[{"name":"chat"},{"name":"books"}],"limits":{"max-body-bytes":100000},
+		"tenants":[{"name":"north","api-keys":[%[3]q],"unit":"generation","plain-tokens":1,"rate-per-s":1000000,"burst":1000000}]}`,
+		w.revision, soakHost, soakKey))
+}
+
+// start starts a node's process. Only processes that are started here are ever ended.
+func (w *soakWorld) start(n *soakNode) {
+	ip := byte(n.number + 1)
+	settings := map[string]any{
+		"node-name": fmt.Sprintf("node-%d", n.number), "zone": "a", "region": "r", "zones": map[string]string{"a": "r"},
+		"listen": map[string]string{
+			"front": w.at(ip, callersPort).String(), "readiness": w.at(ip, readyPort).String(),
+			"control": w.at(ip, peersPort).String(), "directory": w.at(ip, askPort).String(),
+		},
+		"seeds": []string{w.at(1, peersPort).String()}, "heartbeat-ms": 1200,
+		"bounds": map[string]any{
+			"grace-s": 8, "config-ms": 3000, "lease-ms": 3000, "retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 50,
+			"usage-window-s": 5, "usage-late-s": 10, "fence-checked": true, "ttl_max_s": 5,
+		},
+		"platform": map[string]string{"address": w.at(byte(200+n.number), standinPort).String()},
+		"cloud":    map[string]any{"address": w.at(101, standinPort).String(), "duties": []string{"usage_report"}},
+	}
+	data, err := json.Marshal(settings)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	path := filepath.Join(w.folder, fmt.Sprintf("node-%d.json", n.number))
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	n.log, err = os.OpenFile(filepath.Join(w.folder, fmt.Sprintf("node-%d.log", n.number)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	program, err := os.Executable()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	n.command = &exec.Cmd{Path: program, Args: []string{"quetzalfront", "entry", "--settings", path}, Stdout: n.log, Stderr: n.log}
+	if err := n.command.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.mu.Lock()
+	n.run++
+	n.highest = 0
+	w.mu.Unlock()
+}
+
+// end sends a signal to a node's process and waits for its end.
+func (w *soakWorld) end(n *soakNode, signal os.Signal) {
+	_ = n.command.Process.Signal(signal) // It may have ended.
+	_ = n.command.Process.Signal(syscall.SIGCONT)
+	_ = n.command.Wait() // A killed process ends with an error.
+	_ = n.log.Close()
+}
+
+func (w *soakWorld) close() {
+	for _, n := range w.nodes {
+		w.end(n, os.Kill)
+	}
+	for _, p := range w.proxies {
+		p.Close()
+	}
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+}
+
+// send sends one request over a client's kept connections and notes what came of it.
+func (w *soakWorld) send(client *http.Client, random *rand.Rand, name string) {
+	w.mu.Lock()
+	w.number++
+	revision := w.revision
+	n := w.nodes[random.IntN(len(w.nodes))]
+	run := n.run
+	r := soakResult{id: fmt.Sprintf("%s-%d", name, w.number), node: n.number}
+	w.mu.Unlock()
+	if random.IntN(4) == 0 {
+		revision = max(revision-random.IntN(3), 1)
+	}
+	r.path = []string{"/ask/1", "/talk/1", "/file/1", "/read/1", fmt.Sprintf("/rev-%d/1", revision)}[random.IntN(5)]
+	r.isStream = strings.HasPrefix(r.path, "/ask/") || strings.HasPrefix(r.path, "/talk/")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.at(byte(n.number+1), callersPort).String()+r.path, strings.NewReader("body"))
+	if err != nil {
+		w.t.Error(err)
+		return
+	}
+	request.Host = soakHost
+	request.Header.Set("X-Request-Id", r.id)
+	request.Header.Set("Authorization", "Bearer "+soakKey)
+	if r.isStream {
+		request.Header.Set("X-Token-Counts", "10,10")
+	}
+	w.mu.Lock()
+	highest := n.highest
+	w.mu.Unlock()
+	r.sentAt = w.timer.Now()
+	response, err := client.Do(request)
+	if err == nil {
+		var body []byte
+		body, err = io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		r.status, r.body = response.StatusCode, string(body)
+	}
+	r.err = err
+	w.note(n, run, highest, &r)
+}
+
+// note keeps a result, and checks that no run of a node goes back to an older revision.
+func (w *soakWorld) note(n *soakNode, run, highest int, r *soakResult) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.results = append(w.results, *r)
+	var served int
+	if _, err := fmt.Sscanf(r.path, "/rev-%d/", &served); err != nil || r.status != http.StatusOK || n.run != run {
+		return
+	}
+	if served < highest {
+		w.t.Errorf("node %d served revision %d although it had served %d before", n.number, served, highest)
+	}
+	n.highest = max(n.highest, served)
+}
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -78,6 +78,12 @@
 	if err != nil {
 		return qf.Placement{}, err
 	}
+	if isHopeless(query, &choice) {
+		return qf.Placement{}, &qf.Error{
+			Code: qf.CodeOverloaded, Step: qf.StepRoute, Peer: string(choice.Endpoint.ID), Ran: qf.RanNo,
+			Reason: "the first token would come too late at every endpoint",
+		}
+	}
 	placement := qf.Placement{
 		Endpoint: choice.Endpoint, StartedAt: query.Now, Tokens: max(choice.Prediction.PrefillTokens, 1),
 		FirstToken: choice.FirstToken, Reason: choice.Reason, Objective: query.Route.Objective, Route: query.Route.Name,
@@ -86,6 +92,19 @@
 	return placement, nil
 }
 
+// hopelessFactor is how many times its objective a first token may be predicted to take
+// before the request is refused: what would be late anyway must not make others late.
+const hopelessFactor = 3.0
+
+// isHopeless reports whether even the best endpoint would begin the answer too late.
+func isHopeless(query *qf.PlaceQuery, choice *qf.RouteChoice) bool {
+	objective := query.Route.Objective
+	if query.Prompt == nil || objective <= 0 || len(query.Excluded) > 0 {
+		return false
+	}
+	return float64(choice.FirstToken) > hopelessFactor*float64(objective)
+}
+
 // draw picks one of a route's entries by weight.
 func (p *placer) draw(entries []qf.WeightedEntry) qf.EntryName {
 	total := 0.0
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -297,19 +297,18 @@
 	return err
 }
 
-const (
-	// returnShare is the part of a route's objective after which a caller that was
-	// refused should come back, and returnLeast the least such time.
-	returnShare = 0.25
-	returnLeast = 100 * time.Millisecond
-)
+// returnShare is the part of its time after which a caller that found no endpoint should
+// come back. Callers take no advice beyond a third, and a later return finds more
+// endpoints.
+const returnShare = 0.3
 
 func (c *call) comeBack() time.Duration {
 	var known *qf.Error
 	if errors.As(c.outcome.Err, &known) && known.RetryAfter > 0 {
 		return known.RetryAfter
 	}
-	return max(time.Duration(float64(c.route.Objective)*returnShare), returnLeast)
+	left := c.deadline.Sub(c.forwarder.ports.Timer.Now())
+	return max(time.Duration(float64(left)*returnShare), 0)
 }
 
 func (c *call) deliver(s *relay, a *attempt) {
