--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -92,9 +92,10 @@
 	return placement, nil
 }
 
-// hopelessFactor is how many times its objective a first token may be predicted to take
-// before the request is refused: what would be late anyway must not make others late.
-const hopelessFactor = 3.0
+// hopelessFactor is how many times its objective a request may be predicted to wait for
+// others before its own prompt is computed. Beyond that it is refused: what would be late
+// anyway must not make others late. Its own size is no reason.
+const hopelessFactor = 2.5
 
 // isHopeless reports whether even the best endpoint would begin the answer too late.
 func isHopeless(query *qf.PlaceQuery, choice *qf.RouteChoice) bool {
@@ -102,7 +103,7 @@
 	if query.Prompt == nil || objective <= 0 || len(query.Excluded) > 0 {
 		return false
 	}
-	return float64(choice.FirstToken) > hopelessFactor*float64(objective)
+	return float64(choice.Prediction.Queue) > hopelessFactor*float64(objective)
 }
 
 // draw picks one of a route's entries by weight.
--- a/internal/qf/forward.go
+++ b/internal/qf/forward.go
@@ -259,6 +259,11 @@
 	Body   io.ReadCloser
 }
 
+// HasBody reports whether an answer with a status to a method has a body.
+func HasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // Exchanger sends requests to endpoints. An *Error has RanNo if it is proven that
 // the endpoint didn't get the request.
 type Exchanger interface {
--- a/internal/qf/transport/qfexchange/connection.go
+++ b/internal/qf/transport/qfexchange/connection.go
@@ -103,7 +103,7 @@
 	c.mayKeep = !response.Close
 	c.idleFor = idleOf(response.Header)
 	source := response.Body
-	if !isWhole(request.Method, response.StatusCode) {
+	if !qf.HasBody(request.Method, response.StatusCode) {
 		source = http.NoBody
 	}
 	return &qf.ExchangeAnswer{Status: response.StatusCode, Header: response.Header, Traits: traits, Body: source}, nil
--- a/internal/qf/transport/qfexchange/exchanger.go
+++ b/internal/qf/transport/qfexchange/exchanger.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -186,8 +185,3 @@
 		delete(x.idle, to)
 	}
 }
-
-// isWhole reports whether an answer has a body that belongs to the request's method.
-func isWhole(method string, status int) bool {
-	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
-}
