entry: a large fleet reads at its relays from the start

Change: a node that starts finds its relay by the list of nodes first, and for 4 s waits for one that starts too.

--- a/internal/entry/feedsource.go
+++ b/internal/entry/feedsource.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfmember"
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
@@ -14,6 +15,16 @@
 // that hangs must be found before a change is due.
 const peerWait = time.Second
 
+const (
+	// firstWait is how long a node that starts waits for the list of nodes before it reads
+	// other feeds, and firstPause the time between two looks.
+	firstWait  = time.Second
+	firstPause = 100 * time.Millisecond
+	// relayStarts is how long after its own start a node of a large fleet waits for a relay
+	// that is starting too: if all start together, the store can't serve each of them.
+	relayStarts = 4 * time.Second
+)
+
 // feedSource is a qf.RowFeed that reads at the relay of the node's zone, and at the
 // platform's store if the node is the relay or the relay can't tell.
 type feedSource struct{ entry *Entry }
@@ -21,9 +32,8 @@
 // Snapshot implements qf.RowFeed.
 func (s feedSource) Snapshot(ctx context.Context, feed qf.FeedName) (qf.FeedPage, error) {
 	e := s.entry
-	page, isDone, err := s.atRelay(func(address netip.AddrPort) (qf.FeedPage, error) {
-		return e.platform.FeedPeer.FeedWhole(ctx, address, feed)
-	})
+	s.awaitNodes(ctx, feed)
+	page, isDone, err := s.wholeAtRelay(ctx, feed)
 	if !isDone {
 		page, err = e.platform.Feed.Snapshot(ctx, feed)
 		e.mirror.Asked(feed, err)
@@ -34,6 +44,31 @@
 	return page, err
 }
 
+// wholeAtRelay reads all rows at the relay. A node of a large fleet that starts gives a
+// relay that starts too the time to read the feed first.
+func (s feedSource) wholeAtRelay(ctx context.Context, feed qf.FeedName) (page qf.FeedPage, isDone bool, err error) {
+	e := s.entry
+	for {
+		relays := e.findRelays()
+		page, isDone, err = s.atRelay(func(address netip.AddrPort) (qf.FeedPage, error) {
+			return e.platform.FeedPeer.FeedWhole(ctx, address, feed)
+		})
+		isEarly := e.now().Sub(e.startedAt) < relayStarts && relays.Nodes > fullExchangeUpTo
+		if isDone || err == nil || !isEarly || ctx.Err() != nil {
+			return page, isDone, err
+		}
+		e.sleep(ctx, firstPause)
+	}
+}
+
+// awaitNodes lets a node that starts find its relay.
+func (s feedSource) awaitNodes(ctx context.Context, feed qf.FeedName) {
+	e := s.entry
+	for feed != qf.FeedNodes && e.now().Sub(e.startedAt) < firstWait && !e.hasNodes.Load() && ctx.Err() == nil {
+		e.sleep(ctx, firstPause)
+	}
+}
+
 // Changes implements qf.RowFeed.
 func (s feedSource) Changes(ctx context.Context, feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error) {
 	e := s.entry
@@ -50,8 +85,17 @@
 	return page, err
 }
 
+// findRelays looks for the relays now and keeps them.
+func (e *Entry) findRelays() qfmember.Relays {
+	now := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.relays = e.membership.Relays(now, e.isAvoided(now))
+	return e.relays
+}
+
 // atRelay asks the relay, unless that is this node. isDone is false if the store must
-// be asked.
+// be asked; err then says why the relay can't tell, or is nil if there is none.
 func (s feedSource) atRelay(ask func(netip.AddrPort) (qf.FeedPage, error)) (page qf.FeedPage, isDone bool, err error) {
 	e := s.entry
 	now := e.now()
@@ -66,9 +110,11 @@
 	switch {
 	case err == nil, errors.Is(err, &qf.Error{Code: qf.CodeStaleRevision}):
 		return page, true, err
+	case errors.Is(err, &qf.Error{Code: qf.CodeNotYetKnown}) && now.Sub(e.startedAt) < relayStarts:
+		return page, false, err
 	default:
 		e.avoid(relays.Own.ID, err)
-		return page, false, nil
+		return page, false, err
 	}
 }
 
--- a/internal/qf/state/qfmirror/mirror.go
+++ b/internal/qf/state/qfmirror/mirror.go
@@ -125,7 +125,7 @@
 
 // errStale says that another source must be asked.
 func errStale(name qf.FeedName) error {
-	return qf.NewError(qf.CodeUnavailable, qf.StepTableRead, string(name), "nothing fresh is known of the feed here")
+	return qf.NewError(qf.CodeNotYetKnown, qf.StepTableRead, string(name), "nothing fresh is known of the feed here")
 }
 
 // Whole returns all rows of a feed for a peer.
