--- a/internal/qf/coordination/qffleet/zonal.go
+++ b/internal/qf/coordination/qffleet/zonal.go
@@ -208,7 +208,12 @@
 			reclaimable += plan[zone].reclaimable
 		}
 	}
-	p.spread(view, zones, plan, view.Enough-base-reclaimable, func(c *counts) *int { return &c.onDemand },
+	// There must be enough also when the next zone loses its reclaimable ones.
+	atRisk := 0
+	for _, zone := range zones {
+		atRisk = max(atRisk, plan[zone].reclaimable)
+	}
+	p.spread(view, zones, plan, view.Enough-base-(reclaimable-atRisk), func(c *counts) *int { return &c.onDemand },
 		func(qf.AvailabilityZone) bool { return true })
 	return plan
 }
--- a/internal/qf/coordination/qffleet/zonal_test.go
+++ b/internal/qf/coordination/qffleet/zonal_test.go
@@ -164,6 +164,16 @@
 			t.Errorf("%d endpoints in the end", all)
 		}
 	})
+	t.Run("has enough when a second zone is lost soon after", func(t *testing.T) {
+		w := newZonalWorld(9)
+		w.run(20 * time.Second)
+		w.reclaim("b")
+		w.run(6 * time.Second)
+		w.reclaim("c")
+		if least := w.run(6 * time.Second); least < 6 {
+			t.Errorf("%d endpoints served at the least", least)
+		}
+	})
 	t.Run("pays for on-demand ones when all zones are lost", func(t *testing.T) {
 		w := newZonalWorld(9)
 		w.run(20 * time.Second)
