entry: forget lapsed entries in time, also while nothing changes

The log of front-kandy-a-1: its first answer after the store had refused it for 7.8 s held a removal made 17 ms before, which was taken for a lapse; the entry was forgotten only with the feed's next answer, up to 3 s later instead of 2.2 s. Ruled out: a change lost at the zone's relay: all other nodes had it within 0.4 s. Change: lapsed entries are looked at each 0.1 s; the endpoints' feed rests 0.3 s and is tried again within 0.3 s; entries may take 2.1 s to come back.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,6 +77,8 @@
 	forwarder     *qfforward.Forwarder
 	duties        *duties
 
+	// settling orders the lists of endpoints that the router is given.
+	settling sync.Mutex
 	// mu guards the membership, the registry and the seeds.
 	mu         sync.Mutex
 	membership *qfmember.Membership
@@ -161,6 +163,7 @@
 	loops, stop := context.WithCancel(context.Background())
 	e.stopLoops = stop
 	e.follow(loops)
+	e.background.Go(func() { e.settleLoop(loops) })
 	e.background.Go(func() { e.exchangeLoop(loops) })
 	e.background.Go(func() { e.registerLoop(loops) })
 	e.background.Go(func() { e.duties.loop(loops) })
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -29,6 +29,21 @@
 		{"draining", func(w *world) { w.list("books-1", "books", "10.8.0.3:80", "draining") }},
 		{"removed", func(w *world) { w.store.Remove("servers", "books-1") }},
 		{"unreadable", func(w *world) { w.store.Put("servers", "books-1", []byte("{")) }},
+		{"while the store comes back", func(w *world) {
+			w.store.SetFaults(standfault.Faults{Down: true})
+			w.sleep(4 * time.Second)
+			w.store.SetFaults(standfault.Faults{})
+			w.store.Remove("servers", "books-1")
+		}},
+		{"with most others of its entry", func(w *world) {
+			for _, id := range []string{"books-3", "books-4", "books-5"} {
+				w.addReplica(id, "books", 10+len(w.replicas))
+			}
+			w.sleep(time.Second)
+			for _, id := range []string{"books-1", "books-3", "books-4"} {
+				w.store.Remove("servers", id)
+			}
+		}},
 		{"in a gap of the history", func(w *world) {
 			w.store.Remove("servers", "books-1")
 			w.store.ForgetHistory()
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -13,10 +13,14 @@
 // is over.
 var (
 	operatorPace  = qffollow.Pace{Wait: LongestWait, Rest: 200 * time.Millisecond, LeastRetry: 100 * time.Millisecond, MostRetry: time.Second}
-	endpointsPace = qffollow.Pace{Wait: LongestWait, Rest: 400 * time.Millisecond, LeastRetry: 100 * time.Millisecond, MostRetry: time.Second}
+	endpointsPace = qffollow.Pace{Wait: LongestWait, Rest: 300 * time.Millisecond, LeastRetry: 100 * time.Millisecond, MostRetry: 300 * time.Millisecond}
 	nodesPace     = qffollow.Pace{Wait: LongestWait, Rest: time.Second, LeastRetry: 200 * time.Millisecond, MostRetry: 2 * time.Second}
 )
 
+// settleEvery is the time between two looks at the entries that may have lapsed. With the
+// times of the feed it keeps a leaving endpoint within its bound.
+const settleEvery = 100 * time.Millisecond
+
 // LongestWait is how long the store may hold a call for changes.
 const LongestWait = 3 * time.Second
 
@@ -77,7 +81,6 @@
 		e.mu.Lock()
 		e.registry.StoreAnswered()
 		e.mu.Unlock()
-		e.settle(now)
 	}
 	if !h.lostAt.IsZero() {
 		qfevent.FeedRegained.Log(&e.platform.Logger, h.name, now.Sub(h.lostAt).String())
@@ -205,11 +208,21 @@
 	return known != nil && known.Leaving
 }
 
+// settleLoop forgets entries that have lapsed for too long, also while nothing changes.
+func (e *Entry) settleLoop(ctx context.Context) {
+	e.every(ctx, settleEvery, func(context.Context) { e.settle(e.now()) })
+}
+
 // settle gives the router the endpoints that may get work, if they changed.
 func (e *Entry) settle(now time.Time) {
+	e.settling.Lock()
+	defer e.settling.Unlock()
 	e.mu.Lock()
 	isChanged := e.registry.Settle(now)
-	usable := e.registry.Usable()
+	var usable []qf.Endpoint
+	if isChanged {
+		usable = e.registry.Usable()
+	}
 	e.mu.Unlock()
 	if isChanged {
 		e.placer.setEndpoints(usable)
--- a/internal/qf/state/qfregistry/registry.go
+++ b/internal/qf/state/qfregistry/registry.go
@@ -13,7 +13,7 @@
 const (
 	// settleFor is how long after the store's return the entries that lapsed
 	// meanwhile may take to come back.
-	settleFor = 2200 * time.Millisecond
+	settleFor = 2100 * time.Millisecond
 	// massShare is the part of an entry's endpoints whose rows vanish together only if
 	// they lapsed.
 	massShare = 0.5
