entry: let a relay that can't read the store still add up counts

Change: relays for feeds and for tallies are told apart; own parts count below 0.3 of a burst and are kept for 1 s.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,9 +86,10 @@
 	random     *rand.Rand
 	// seeds are peer addresses of a few nodes; they may be stale.
 	seeds []netip.AddrPort
-	// relays are those of the last exchange; failedAt is when a call to a relay failed.
-	relays   qfmember.Relays
-	failedAt map[qf.NodeID]time.Time
+	// relays are those of the last exchange; failedAt is when a call to a relay failed, and
+	// staleAt when one couldn't tell of a feed.
+	relays            qfmember.Relays
+	failedAt, staleAt map[qf.NodeID]time.Time
 	// hasEndpoints is set once the list of endpoints was read.
 	hasEndpoints atomic.Bool
 	// hasNodes is set once the list of nodes was read.
@@ -108,7 +109,7 @@
 	now := platform.Timer.Now()
 	deployment.Self.Incarnation = qf.Incarnation(now.UnixMilli())
 	deployment.Self.State = qf.NodeLive
-	e := &Entry{deployment: deployment, platform: platform, startedAt: now, random: platform.Random, seeds: deployment.Seeds, failedAt: map[qf.NodeID]time.Time{}}
+	e := &Entry{deployment: deployment, platform: platform, startedAt: now, random: platform.Random, seeds: deployment.Seeds, failedAt: map[qf.NodeID]time.Time{}, staleAt: map[qf.NodeID]time.Time{}}
 	e.clock = newClock(now)
 	e.registry = qfregistry.New()
 	e.membership = qfmember.New(deployment.Self, qfmember.Timing{
--- a/internal/entry/feedsource.go
+++ b/internal/entry/feedsource.go
@@ -49,7 +49,7 @@
 func (s feedSource) wholeAtRelay(ctx context.Context, feed qf.FeedName) (page qf.FeedPage, isDone bool, err error) {
 	e := s.entry
 	for {
-		relays := e.findRelays()
+		relays := e.feedRelays()
 		page, isDone, err = s.atRelay(func(address netip.AddrPort) (qf.FeedPage, error) {
 			return e.platform.FeedPeer.FeedWhole(ctx, address, feed)
 		})
@@ -85,32 +85,37 @@
 	return page, err
 }
 
-// findRelays looks for the relays now and keeps them.
-func (e *Entry) findRelays() qfmember.Relays {
+// feedRelays returns the relays for feeds: a node that can't read the store itself may
+// still add up counts.
+func (e *Entry) feedRelays() qfmember.Relays {
 	now := e.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.relays = e.membership.Relays(now, e.isAvoided(now))
-	return e.relays
+	isFailed := e.isAvoided(now)
+	return e.membership.Relays(now, func(id qf.NodeID) bool {
+		stale, isKnown := e.staleAt[id]
+		return isFailed(id) || isKnown && now.Sub(stale) < avoidFor
+	})
 }
 
 // atRelay asks the relay, unless that is this node. isDone is false if the store must
 // be asked; err then says why the relay can't tell, or is nil if there is none.
 func (s feedSource) atRelay(ask func(netip.AddrPort) (qf.FeedPage, error)) (page qf.FeedPage, isDone bool, err error) {
 	e := s.entry
-	now := e.now()
-	e.mu.Lock()
-	relays := e.relays
-	mayAsk := relays.Own.ID != "" && !relays.IsSelf && !e.isAvoided(now)(relays.Own.ID)
-	e.mu.Unlock()
-	if !mayAsk {
+	relays := e.feedRelays()
+	if relays.IsSelf || relays.Own.ID == e.deployment.Self.ID {
 		return page, false, nil
 	}
 	page, err = ask(relays.Own.PeerAddress)
 	switch {
 	case err == nil, errors.Is(err, &qf.Error{Code: qf.CodeStaleRevision}):
 		return page, true, err
-	case errors.Is(err, &qf.Error{Code: qf.CodeNotYetKnown}) && now.Sub(e.startedAt) < relayStarts:
+	case errors.Is(err, &qf.Error{Code: qf.CodeNotYetKnown}):
+		if now := e.now(); now.Sub(e.startedAt) >= relayStarts {
+			e.mu.Lock()
+			e.staleAt[relays.Own.ID] = now
+			e.mu.Unlock()
+		}
 		return page, false, err
 	default:
 		e.avoid(relays.Own.ID, err)
--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -19,14 +19,14 @@
 	unknownNodes = 64
 	// scarceLevel is the part of a burst below which each node keeps to its own part of
 	// the rate, so that late news doesn't let all of them spend the same units.
-	scarceLevel = 0.5
+	scarceLevel = 0.3
 	// shareWindow is the time over which the parts of the nodes are averaged.
 	shareWindow = 3 * time.Second
 	// leastShare is the least part of the rate that a node gets, as a share of the even
 	// part.
 	leastShare = 0.3
 	// shareBurst is how long a node's unused part is kept for it.
-	shareBurst = 500 * time.Millisecond
+	shareBurst = time.Second
 	// leastReturn and mostReturn bound when a refused caller should come back.
 	leastReturn = 50 * time.Millisecond
 	mostReturn  = 5 * time.Second
