--- a/internal/qf/coordination/qflimit/quota_test.go
+++ b/internal/qf/coordination/qflimit/quota_test.go
@@ -156,3 +156,61 @@
 	}
 	return admitted
 }
+
+// TestQuotaHoldsWhenHalfOfTheNodesAreKilled kills the relay and every other node of a large
+// fleet while an organisation asks for four times its quota. Until the others have found
+// another relay they hear nobody.
+func TestQuotaHoldsWhenHalfOfTheNodesAreKilled(t *testing.T) {
+	const size, steps, killAt, relayFoundAt, window = 82, 200, 100, 125, 80
+	f := newQuotaFleet(size, true)
+	random := rand.New(rand.NewPCG(1, 2))
+	start := f.now
+	survivors := make([]int, 0, size/2)
+	all := make([]int, size)
+	for i := range size {
+		all[i] = i
+		if i%2 == 1 {
+			survivors = append(survivors, i)
+		}
+	}
+	admitted := make([]float64, steps)
+	owed := 0.0
+	for step := range steps {
+		f.now = start.Add(time.Duration(step) * 100 * time.Millisecond)
+		alive := all
+		if step >= killAt {
+			alive = survivors
+		}
+		if step%4 == 0 && (step < killAt || step >= relayFoundAt) {
+			f.tellThrough(alive)
+		}
+		for owed += 4 * fleetRate * 0.1; owed > 0; owed -= 8000 {
+			units := 8000 * (0.5 + random.Float64())
+			if ok, _ := f.nodes[alive[random.IntN(len(alive))]].Admit(f.now, "north", units); ok {
+				admitted[step] += units
+			}
+		}
+	}
+	for first := 0; first+window <= steps; first++ {
+		sum := 0.0
+		for _, units := range admitted[first : first+window] {
+			sum += units
+		}
+		if bound := (fleetRate*8+fleetBurst)*1.1 + 110_000; sum > bound {
+			t.Fatalf("%.0f units from step %d, want at most %.0f", sum, first, bound)
+		}
+	}
+}
+
+// tellThrough lets the first of the nodes pass on what the others tell.
+func (f *quotaFleet) tellThrough(alive []int) {
+	relay := alive[0]
+	for _, i := range alive[1:] {
+		f.nodes[i].SetNodes(len(f.nodes))
+		f.nodes[relay].SetNodes(len(f.nodes))
+		f.nodes[relay].Heard(f.now, qf.TallySource{Node: nodeName(i), Incarnation: 1, Scope: qf.TallyOwn, Covers: 1},
+			f.nodes[i].Uses(qf.TallyOwn, nodeName(relay)))
+		f.nodes[i].Heard(f.now, qf.TallySource{Node: nodeName(relay), Incarnation: 1, Scope: qf.TallyRest, Covers: len(alive) - 1},
+			f.nodes[relay].Uses(qf.TallyRest, nodeName(i)))
+	}
+}
