qflimit, entry: quotas hold when relays die

Cause: after a relay was killed, nodes went on filling their copies of a bucket for 1.5 s without knowing what others spent, and relays vouched for all nodes of the fleet, also for zones from which they heard nothing. Change: in a relayed fleet a bucket is filled up to the last news only; when news is later than 0.6 s each node keeps to its own part; a relay's tally covers the nodes whose uses it heard of late. Ruled out: a restarted node's first level (0.35 of a burst at most).

--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -17,8 +17,8 @@
 		return
 	}
 	for _, other := range relays.Others {
-		if e.deployment.Self.ID < other.Node.ID {
-			e.background.Go(func() { e.tally(ctx, &other.Node) })
+		if e.deployment.Self.ID < other.ID {
+			e.background.Go(func() { e.tally(ctx, &other) })
 		}
 	}
 }
@@ -54,22 +54,18 @@
 	e.mu.Lock()
 	relays, isGrouped := e.relays, e.membership.IsGrouped()
 	e.mu.Unlock()
-	tally := qf.Tally{Scope: qf.TallyOwn, Covers: 1}
-	self := &e.deployment.Self
+	tally := qf.Tally{Scope: qf.TallyOwn}
 	if isGrouped && relays.IsSelf {
-		others := 0
-		for i := range relays.Others {
-			others += relays.Others[i].Covers
-		}
-		if to.AvailabilityZone == self.AvailabilityZone {
-			tally.Scope, tally.Covers = qf.TallyRest, relays.Nodes-1
-		} else {
-			tally.Scope, tally.Covers = qf.TallyZone, relays.Nodes-others
+		tally.Scope = qf.TallyZone
+		if to.AvailabilityZone == e.deployment.Self.AvailabilityZone {
+			tally.Scope = qf.TallyRest
 		}
 	}
-	since := e.clock.agreed(e.now()).Add(-usageTold)
+	now := e.now()
+	since := e.clock.agreed(now).Add(-usageTold)
 	e.governor.mu.Lock()
 	defer e.governor.mu.Unlock()
+	tally.Covers = e.governor.quotas.Covers(now, tally.Scope, to.ID)
 	tally.Quotas = e.governor.quotas.Uses(tally.Scope, to.ID)
 	tally.Usage = e.governor.usage.Tally(since, tally.Scope, to.ID)
 	e.placer.mu.Lock()
--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -25,6 +25,9 @@
 	// leastShare is the least part of the rate that a node gets, as a share of the even
 	// part.
 	leastShare = 0.3
+	// quotaLateAfter is how old the news of others' uses may be before each node keeps to
+	// its own part: a bit more than the time between two exchanges.
+	quotaLateAfter = 600 * time.Millisecond
 	// shareBurst is how long a node's unused part is kept for it.
 	shareBurst = time.Second
 	// leastReturn and mostReturn bound when a refused caller should come back.
@@ -41,6 +44,8 @@
 	sources map[qf.NodeID]*quotaSource
 	// nodes is the number of nodes that aren't known to be gone, this one included.
 	nodes int
+	// heardAt is when any tally was last heard.
+	heardAt time.Time
 }
 
 // quota is an organisation's bucket.
@@ -48,7 +53,9 @@
 	rate, burst float64
 	// level is below 0 while there is debt.
 	level float64
-	at    time.Time
+	// at is when own, all and part were last brought up to date, filledTo when the level
+	// was.
+	at, filledTo time.Time
 	// used is what this node admitted.
 	used float64
 	// own and all are what this node and all nodes used of late, with exponential decay.
@@ -82,7 +89,7 @@
 		}
 		b := known[o.Organisation]
 		if b == nil {
-			b = &quota{level: o.Burst * firstLevel / float64(q.nodes), at: now}
+			b = &quota{level: o.Burst * firstLevel / float64(q.nodes), at: now, filledTo: now}
 		}
 		q.fill(now, b)
 		b.rate, b.burst = o.UnitsPerSecond, max(o.Burst, o.UnitsPerSecond)
@@ -110,20 +117,32 @@
 }
 
 func (q *Quotas) fill(now time.Time, b *quota) {
+	heardRate := b.rate * q.heardPart(now)
+	if until := q.fillsUntil(now); until.After(b.filledTo) {
+		b.level = min(b.level+until.Sub(b.filledTo).Seconds()*heardRate, b.burst)
+		b.filledTo = until
+	}
 	elapsed := now.Sub(b.at).Seconds()
 	b.at = now
 	if elapsed <= 0 {
 		return
 	}
-	rate := b.rate * q.heardPart(now)
-	b.level = min(b.level+elapsed*rate, b.burst)
 	keep := math.Exp(-elapsed / shareWindow.Seconds())
 	b.own *= keep
 	b.all *= keep
-	own := rate * b.share(q.nodes)
+	own := heardRate * b.share(q.nodes)
 	b.part = min(b.part+elapsed*own, own*shareBurst.Seconds())
 }
 
+// fillsUntil is the time up to which units may be added to the buckets. Those of a large
+// fleet wait for the news of what was used meanwhile, unless it stays away.
+func (q *Quotas) fillsUntil(now time.Time) time.Time {
+	if !q.isRelayed() || now.Sub(q.heardAt) > quotaSilentAfter {
+		return now
+	}
+	return q.heardAt
+}
+
 // share is this node's part of the uses of late.
 func (b *quota) share(nodes int) float64 {
 	least := leastShare / float64(nodes)
@@ -145,7 +164,7 @@
 	if needed := min(units, b.burst); b.level < needed {
 		return false, returnAfter(needed-b.level, rate)
 	}
-	if q.isRelayed() && b.level < scarceLevel*b.burst && b.part <= 0 {
+	if b.part <= 0 && q.keepsToPart(now, b) {
 		return false, returnAfter(-b.part, rate*b.share(q.nodes))
 	}
 	b.level -= units
@@ -156,6 +175,15 @@
 	return true, 0
 }
 
+// keepsToPart reports whether this node may use no more than its own part: others may be
+// spending the same units when little is left, and when they weren't heard of late.
+func (q *Quotas) keepsToPart(now time.Time, b *quota) bool {
+	if !q.isRelayed() {
+		return false
+	}
+	return b.level < scarceLevel*b.burst || now.Sub(q.heardAt) > quotaLateAfter
+}
+
 // isRelayed reports whether uses are heard through relays, and so later than others
 // could be admitted.
 func (q *Quotas) isRelayed() bool {
@@ -183,6 +211,7 @@
 	}
 	isFirst := s.heardAt.IsZero()
 	s.TallySource, s.heardAt = from, now
+	q.heardAt = now
 	for _, use := range uses {
 		more := use.Units - s.told[use.Organisation]
 		if more <= 0 {
@@ -201,6 +230,18 @@
 	}
 }
 
+// Covers is the number of nodes whose uses are in a tally to a node and were heard of late,
+// this node included.
+func (q *Quotas) Covers(now time.Time, scope qf.TallyScope, to qf.NodeID) int {
+	covers := 1
+	for id, s := range q.sources {
+		if scope.Includes(s.Scope) && id != to && now.Sub(s.heardAt) <= quotaSilentAfter {
+			covers += s.Covers
+		}
+	}
+	return covers
+}
+
 // Uses returns what was used by the nodes that a tally to a node covers.
 func (q *Quotas) Uses(scope qf.TallyScope, to qf.NodeID) []qf.QuotaUse {
 	uses := make([]qf.QuotaUse, 0, len(q.buckets))
--- a/internal/qf/coordination/qflimit/quota_test.go
+++ b/internal/qf/coordination/qflimit/quota_test.go
@@ -95,6 +95,8 @@
 		{name: "six nodes, all started again", size: 6, demand: 4, restartAt: 10 * time.Second, least: 0.9},
 		{name: "six nodes, two cut off", size: 6, demand: 4, cut: []int{1, 2}, least: 0.5},
 		{name: "many nodes", size: 66, isRelayed: true, demand: 3, least: 0.8},
+		{name: "many nodes, within the quota", size: 66, isRelayed: true, demand: 0.6, least: 0.55},
+		{name: "many nodes, far more than the quota", size: 66, isRelayed: true, demand: 7.5, least: 0.8},
 		{name: "many nodes, all started again", size: 66, isRelayed: true, demand: 3, restartAt: 10 * time.Second, least: 0.8},
 	}
 	for _, tt := range tests {
@@ -158,10 +160,40 @@
 }
 
 // TestQuotaHoldsWhenHalfOfTheNodesAreKilled kills the relay and every other node of a large
-// fleet while an organisation asks for four times its quota. Until the others have found
+// fleet while an organisation asks for many times its quota. Until the others have found
 // another relay they hear nobody.
 func TestQuotaHoldsWhenHalfOfTheNodesAreKilled(t *testing.T) {
-	const size, steps, killAt, relayFoundAt, window = 82, 200, 100, 125, 80
+	tests := []struct {
+		name string
+		// before and after are how many times the quota is asked for until the nodes are
+		// killed, and then.
+		before, after float64
+	}{
+		{name: "four times the quota", before: 4, after: 4},
+		{name: "much more than the quota", before: 7.5, after: 7.5},
+		{name: "much more than the quota, from the kill on", before: 0.5, after: 7.5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const window = 80 // Steps of a tenth of a second.
+			admitted := playKill(tt.before, tt.after)
+			for first := 0; first+window <= len(admitted); first++ {
+				sum := 0.0
+				for _, units := range admitted[first : first+window] {
+					sum += units
+				}
+				if bound := (fleetRate*8+fleetBurst)*1.1 + 110_000; sum > bound {
+					t.Fatalf("%.0f units from step %d, want at most %.0f", sum, first, bound)
+				}
+			}
+		})
+	}
+}
+
+// playKill returns what a large fleet admitted in each tenth of a second, half of which is
+// killed after ten seconds.
+func playKill(before, after float64) []float64 {
+	const size, steps, killAt, relayFoundAt = 82, 200, 100, 125
 	f := newQuotaFleet(size, true)
 	random := rand.New(rand.NewPCG(1, 2))
 	start := f.now
@@ -177,29 +209,21 @@
 	owed := 0.0
 	for step := range steps {
 		f.now = start.Add(time.Duration(step) * 100 * time.Millisecond)
-		alive := all
+		alive, demand := all, before
 		if step >= killAt {
-			alive = survivors
+			alive, demand = survivors, after
 		}
 		if step%4 == 0 && (step < killAt || step >= relayFoundAt) {
 			f.tellThrough(alive)
 		}
-		for owed += 4 * fleetRate * 0.1; owed > 0; owed -= 8000 {
+		for owed += demand * fleetRate * 0.1; owed > 0; owed -= 8000 {
 			units := 8000 * (0.5 + random.Float64())
 			if ok, _ := f.nodes[alive[random.IntN(len(alive))]].Admit(f.now, "north", units); ok {
 				admitted[step] += units
 			}
 		}
 	}
-	for first := 0; first+window <= steps; first++ {
-		sum := 0.0
-		for _, units := range admitted[first : first+window] {
-			sum += units
-		}
-		if bound := (fleetRate*8+fleetBurst)*1.1 + 110_000; sum > bound {
-			t.Fatalf("%.0f units from step %d, want at most %.0f", sum, first, bound)
-		}
-	}
+	return admitted
 }
 
 // tellThrough lets the first of the nodes pass on what the others tell.
@@ -214,3 +238,28 @@
 			f.nodes[relay].Uses(qf.TallyRest, nodeName(i)))
 	}
 }
+
+// TestQuotaCoversOnlyNodesThatWereHeard guards that a relay doesn't vouch for nodes from which
+// it hears nothing, because members fill their buckets with the parts of all it covers.
+func TestQuotaCoversOnlyNodesThatWereHeard(t *testing.T) {
+	f := newQuotaFleet(1, true)
+	relay := f.nodes[0]
+	relay.SetNodes(82)
+	hear := func(name string, scope qf.TallyScope, covers int) {
+		relay.Heard(f.now, qf.TallySource{Node: qf.NodeID(name), Incarnation: 1, Scope: scope, Covers: covers}, nil)
+	}
+	hear("member-1", qf.TallyOwn, 1)
+	hear("member-2", qf.TallyOwn, 1)
+	hear("relay-b", qf.TallyZone, 14)
+	if got := relay.Covers(f.now, qf.TallyRest, "member-1"); got != 16 {
+		t.Errorf("a member is told of %d nodes, want 16", got)
+	}
+	if got := relay.Covers(f.now, qf.TallyZone, "relay-b"); got != 3 {
+		t.Errorf("another relay is told of %d nodes, want 3", got)
+	}
+	f.now = f.now.Add(quotaSilentAfter + time.Millisecond)
+	hear("member-1", qf.TallyOwn, 1)
+	if got := relay.Covers(f.now, qf.TallyRest, "member-2"); got != 2 {
+		t.Errorf("after silence a member is told of %d nodes, want 2", got)
+	}
+}
--- a/internal/qf/coordination/qfmember/relay.go
+++ b/internal/qf/coordination/qfmember/relay.go
@@ -8,13 +8,6 @@
 	"quetzalfront/internal/qf"
 )
 
-// ZoneRelay is the node through which a zone's counts pass.
-type ZoneRelay struct {
-	Node qf.Node
-	// Covers is the number of the zone's nodes that aren't dead.
-	Covers int
-}
-
 // Relays says through whom a large fleet adds up its counts: members tell the relay of
 // their zone, and the relays tell each other.
 type Relays struct {
@@ -22,7 +15,7 @@
 	IsSelf bool
 	Own    qf.Node
 	// Others are the relays of all other zones.
-	Others []ZoneRelay
+	Others []qf.Node
 	// Nodes is the number of nodes that aren't dead, this one included.
 	Nodes int
 }
@@ -35,33 +28,27 @@
 // name comes first, those left out that are to be avoided.
 func (m *Membership) Relays(now time.Time, avoid func(qf.NodeID) bool) Relays {
 	r := Relays{Nodes: 1, IsSelf: m.self.State != qf.NodeLeaving, Own: m.self}
-	zones := map[qf.AvailabilityZone]*ZoneRelay{}
+	zones := map[qf.AvailabilityZone]qf.Node{}
 	for _, p := range m.peers {
 		state := m.stateOf(now, p)
 		if state == qf.NodeDead {
 			continue
 		}
 		r.Nodes++
-		z := zones[p.node.AvailabilityZone]
-		if z == nil {
-			z = &ZoneRelay{}
-			zones[p.node.AvailabilityZone] = z
-		}
-		z.Covers++
-		isBetter := z.Node.ID == "" || p.node.ID < z.Node.ID
-		if state == qf.NodeLive && isBetter && !avoid(p.node.ID) {
-			z.Node = p.node
+		zone := p.node.AvailabilityZone
+		known, ok := zones[zone]
+		if state == qf.NodeLive && (!ok || p.node.ID < known.ID) && !avoid(p.node.ID) {
+			zones[zone] = p.node
 		}
 	}
-	for zone, z := range zones {
+	for zone, relay := range zones {
 		switch {
-		case z.Node.ID == "":
 		case zone != m.self.AvailabilityZone:
-			r.Others = append(r.Others, *z)
-		case !r.IsSelf || z.Node.ID < m.self.ID:
-			r.IsSelf, r.Own = false, z.Node
+			r.Others = append(r.Others, relay)
+		case !r.IsSelf || relay.ID < m.self.ID:
+			r.IsSelf, r.Own = false, relay
 		}
 	}
-	slices.SortFunc(r.Others, func(a, b ZoneRelay) int { return strings.Compare(string(a.Node.ID), string(b.Node.ID)) })
+	slices.SortFunc(r.Others, func(a, b qf.Node) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return r
 }
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -141,7 +141,7 @@
 // Tally is what nodes add up. An empty scope stands for no tally.
 type Tally struct {
 	Scope TallyScope
-	// Covers is the number of nodes that are covered.
+	// Covers is the number of nodes that are covered and were heard of late.
 	Covers int
 	Quotas []QuotaUse
 	Usage  []UsageCount
