qfforward, entry: requests are held while a node starts

Change: in its first second a node holds requests until it knows the configuration and the endpoints, and asks itself again before it refuses for a quota.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,10 @@
 	fullExchangeUpTo = 16
 )
 
+// holdFor is how long after its start a node holds requests that it can't judge yet. Most
+// nodes know enough after half of it.
+const holdFor = time.Second
+
 // usageKeepFor is how long counts of usage are kept after their window.
 const usageKeepFor = 40 * time.Second
 
@@ -94,6 +98,9 @@
 	hasEndpoints atomic.Bool
 	// hasNodes is set once the list of nodes was read.
 	hasNodes atomic.Bool
+	// known is closed once the configuration and the endpoints are known.
+	known     chan struct{}
+	knownOnce sync.Once
 
 	inProgress atomic.Int64
 	leaving    atomic.Bool
@@ -109,7 +116,10 @@
 	now := platform.Timer.Now()
 	deployment.Self.Incarnation = qf.Incarnation(now.UnixMilli())
 	deployment.Self.State = qf.NodeLive
-	e := &Entry{deployment: deployment, platform: platform, startedAt: now, random: platform.Random, seeds: deployment.Seeds, failedAt: map[qf.NodeID]time.Time{}, staleAt: map[qf.NodeID]time.Time{}}
+	e := &Entry{
+		deployment: deployment, platform: platform, startedAt: now, random: platform.Random, seeds: deployment.Seeds,
+		failedAt: map[qf.NodeID]time.Time{}, staleAt: map[qf.NodeID]time.Time{}, known: make(chan struct{}),
+	}
 	e.clock = newClock(now)
 	e.registry = qfregistry.New()
 	e.membership = qfmember.New(deployment.Self, qfmember.Timing{
@@ -129,7 +139,7 @@
 	e.exchanger = qfexchange.New(platform.Timer, platform.Network.Dial, platform.Protocol)
 	e.forwarder = qfforward.New(qfforward.Ports{
 		Timer: platform.Timer, Protocol: platform.Protocol, Exchanger: e.exchanger, Placer: e.placer, Governor: e.governor, Screen: e.screen,
-		Configuration: &e.configuration, Observe: e.observe, IsLeaving: e.leaving.Load,
+		Startup: qfforward.Startup{Known: e.known, Until: now.Add(holdFor)}, Configuration: &e.configuration, Observe: e.observe, IsLeaving: e.leaving.Load,
 	})
 	e.duties = newDuties(e)
 	return e
@@ -172,6 +182,13 @@
 	return nil
 }
 
+// noteKnown lets held requests go on once the node knows what it needs.
+func (e *Entry) noteKnown() {
+	if e.configuration.Get() != nil && e.hasEndpoints.Load() {
+		e.knownOnce.Do(func() { close(e.known) })
+	}
+}
+
 // isReady reports whether the node takes callers.
 func (e *Entry) isReady() bool {
 	return !e.leaving.Load() && e.configuration.Get() != nil && e.hasEndpoints.Load()
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -130,6 +130,7 @@
 	e.governor.mu.Lock()
 	e.governor.quotas.SetOrganisations(e.now(), configuration.Organisations)
 	e.governor.mu.Unlock()
+	e.noteKnown()
 	qfevent.ConfigInForce.Log(&e.platform.Logger, configuration.Revision, from, len(configuration.Routes))
 }
 
@@ -148,6 +149,7 @@
 	e.mu.Unlock()
 	h.Change(rows)
 	e.hasEndpoints.Store(true)
+	e.noteKnown()
 }
 
 // Change implements feedRows.
--- /dev/null
+++ b/internal/entry/startup_test.go
@@ -0,0 +1,44 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/standin/standfault"
+)
+
+// TestRequestsWaitForANodeThatStarts guards that callers aren't refused in the moments in
+// which a node reads the configuration, and that they are refused at once after these.
+func TestRequestsWaitForANodeThatStarts(t *testing.T) {
+	const number, longestHold = 2, 1100 * time.Millisecond
+	tests := []struct {
+		name        string
+		isStoreDown bool
+		// after is the time from the node's start to the request.
+		after  time.Duration
+		status int
+		// within bounds the time to the answer.
+		within time.Duration
+	}{
+		{name: "at the start", status: http.StatusOK, within: longestHold},
+		{name: "at the start, without a store", isStoreDown: true, status: http.StatusServiceUnavailable, within: longestHold},
+		{name: "later, without a store", isStoreDown: true, after: longestHold, status: http.StatusServiceUnavailable, within: 50 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inWorld(t, 0, func(w *world) {
+				w.store.SetFaults(standfault.Faults{Down: tt.isStoreDown})
+				w.start(number)
+				w.sleep(tt.after)
+				sentAt := w.timer.Now()
+				got := w.call(w.t.Context(), number, http.MethodGet, "/read/1", "")
+				took := w.timer.Now().Sub(sentAt)
+				if got.status != tt.status || took > tt.within {
+					t.Errorf("status %d after %v, want %d within %v", got.status, took, tt.status, tt.within)
+				}
+				w.store.SetFaults(standfault.Faults{})
+			})
+		})
+	}
+}
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -23,6 +23,7 @@
 	Governor      qf.Governor
 	Screen        qf.Screen
 	Configuration *qfconfig.Current
+	Startup       Startup
 	// Observe takes each request's end.
 	Observe func(*Outcome)
 	// IsLeaving says that callers should open their next connection elsewhere.
@@ -82,10 +83,11 @@
 
 // accept checks the request against the configuration and reads its body.
 func (c *call) accept() error {
-	table := c.forwarder.ports.Configuration.Get()
 	var err error
 	c.request, err = c.forwarder.ports.Protocol.Request(c.incoming)
 	c.outcome.Request = c.request.ID
+	c.awaitStart()
+	table := c.forwarder.ports.Configuration.Get()
 	if table == nil {
 		return refusal(qf.CodeUnavailable, "", "the node has no configuration yet", unready)
 	}
@@ -184,12 +186,10 @@
 
 // admit takes the request from the organisation's quota.
 func (c *call) admit() error {
-	now := c.forwarder.ports.Timer.Now()
 	if c.holder == nil || c.holder.UnitsPerSecond <= 0 {
 		return nil
 	}
-	admitted, retryAfter := c.forwarder.ports.Governor.Admit(now, c.holder, c.units())
-	if !admitted {
+	if admitted, retryAfter := c.admitAtStart(); !admitted {
 		return refusal(qf.CodeLimited, "Organisation", "the organisation's quota is spent", retryAfter)
 	}
 	return nil
--- /dev/null
+++ b/internal/qf/protocol/qfforward/startup.go
@@ -0,0 +1,55 @@
+package qfforward
+
+import "time"
+
+// Startup describes a node's first moments, in which it doesn't know yet what it needs to
+// answer. Requests are held then, because callers that were refused would come back later
+// than the node knows.
+type Startup struct {
+	// Known is closed once the node knows the configuration and the endpoints.
+	Known <-chan struct{}
+	// Until bounds how long requests are held.
+	Until time.Time
+}
+
+// awaitStart holds a request that came before the node knows what to do with it.
+func (c *call) awaitStart() {
+	startup := &c.forwarder.ports.Startup
+	c.hold(startup.Until.Sub(c.arrivedAt), startup.Known)
+}
+
+// hold waits until a channel is closed, some time is over or the caller has left.
+func (c *call) hold(longest time.Duration, known <-chan struct{}) {
+	if longest <= 0 {
+		return
+	}
+	over := c.forwarder.ports.Timer.After(longest)
+	defer over.Stop()
+	select {
+	case <-known:
+	case <-over.C():
+	case <-c.incoming.Context().Done():
+	}
+}
+
+// admitAtStart takes the request from the organisation's quota. A node that has just started
+// doesn't know yet what is left of it, and asks itself again before it refuses.
+func (c *call) admitAtStart() (admitted bool, retryAfter time.Duration) {
+	f := c.forwarder
+	until := earlier(f.ports.Startup.Until, c.deadline)
+	for {
+		now := f.ports.Timer.Now()
+		admitted, retryAfter = f.ports.Governor.Admit(now, c.holder, c.units())
+		if admitted || now.Add(retryAfter).After(until) || c.incoming.Context().Err() != nil {
+			return admitted, retryAfter
+		}
+		c.hold(retryAfter, nil)
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
