entry: a node that starts reads each feed at the store at once

Cause: a node read the list of nodes first, to find its relay, and other feeds only then: two calls one after the other, 0.3 to 0.6 s in which it could serve nobody. Change: the first read of each feed goes to the store at once; what the store refuses is read at the relay, as before.

--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -38,7 +38,7 @@
 	for _, feed := range feeds {
 		handler := &feedHandler{entry: e, name: feed.name, feedRows: feed.handler}
 		e.background.Go(func() {
-			qffollow.Follow(ctx, e.platform.Timer, feedSource{e}, feed.name, feed.pace, handler)
+			qffollow.Follow(ctx, e.platform.Timer, &feedSource{entry: e}, feed.name, feed.pace, handler)
 		})
 	}
 }
--- a/internal/entry/feedsource.go
+++ b/internal/entry/feedsource.go
@@ -26,12 +26,20 @@
 )
 
 // feedSource is a qf.RowFeed that reads at the relay of the node's zone, and at the
-// platform's store if the node is the relay or the relay can't tell.
-type feedSource struct{ entry *Entry }
+// platform's store if the node is the relay or the relay can't tell. Each feed has its own.
+type feedSource struct {
+	entry *Entry
+	// hasBegun is set once the feed was read at the store for the first time, or that
+	// failed.
+	hasBegun bool
+}
 
 // Snapshot implements qf.RowFeed.
-func (s feedSource) Snapshot(ctx context.Context, feed qf.FeedName) (qf.FeedPage, error) {
+func (s *feedSource) Snapshot(ctx context.Context, feed qf.FeedName) (qf.FeedPage, error) {
 	e := s.entry
+	if page, isDone := s.begin(ctx, feed); isDone {
+		return page, nil
+	}
 	s.awaitNodes(ctx, feed)
 	page, isDone, err := s.wholeAtRelay(ctx, feed)
 	if !isDone {
@@ -44,9 +52,27 @@
 	return page, err
 }
 
+// begin reads a feed at the store once, which is the quickest way for a node that starts. If
+// too many start together for the store, those that it refuses read at their relays.
+func (s *feedSource) begin(ctx context.Context, feed qf.FeedName) (page qf.FeedPage, isDone bool) {
+	if s.hasBegun {
+		return page, false
+	}
+	s.hasBegun = true
+	e := s.entry
+	page, err := e.platform.Feed.Snapshot(ctx, feed)
+	e.mirror.Asked(feed, err)
+	if err != nil {
+		qfevent.FeedLost.Log(&e.platform.Logger, feed, err)
+		return page, false
+	}
+	e.mirror.TakeWhole(feed, &page)
+	return page, true
+}
+
 // wholeAtRelay reads all rows at the relay. A node of a large fleet that starts gives a
 // relay that starts too the time to read the feed first.
-func (s feedSource) wholeAtRelay(ctx context.Context, feed qf.FeedName) (page qf.FeedPage, isDone bool, err error) {
+func (s *feedSource) wholeAtRelay(ctx context.Context, feed qf.FeedName) (page qf.FeedPage, isDone bool, err error) {
 	e := s.entry
 	for {
 		relays := e.feedRelays()
@@ -62,7 +88,7 @@
 }
 
 // awaitNodes lets a node that starts find its relay.
-func (s feedSource) awaitNodes(ctx context.Context, feed qf.FeedName) {
+func (s *feedSource) awaitNodes(ctx context.Context, feed qf.FeedName) {
 	e := s.entry
 	for feed != qf.FeedNodes && e.now().Sub(e.startedAt) < firstWait && !e.hasNodes.Load() && ctx.Err() == nil {
 		e.sleep(ctx, firstPause)
@@ -70,7 +96,7 @@
 }
 
 // Changes implements qf.RowFeed.
-func (s feedSource) Changes(ctx context.Context, feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error) {
+func (s *feedSource) Changes(ctx context.Context, feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error) {
 	e := s.entry
 	page, isDone, err := s.atRelay(func(address netip.AddrPort) (qf.FeedPage, error) {
 		return e.platform.FeedPeer.FeedSince(ctx, address, feed, after, peerWait)
@@ -100,7 +126,7 @@
 
 // atRelay asks the relay, unless that is this node. isDone is false if the store must
 // be asked; err then says why the relay can't tell, or is nil if there is none.
-func (s feedSource) atRelay(ask func(netip.AddrPort) (qf.FeedPage, error)) (page qf.FeedPage, isDone bool, err error) {
+func (s *feedSource) atRelay(ask func(netip.AddrPort) (qf.FeedPage, error)) (page qf.FeedPage, isDone bool, err error) {
 	e := s.entry
 	relays := e.feedRelays()
 	if relays.IsSelf || relays.Own.ID == e.deployment.Self.ID {
--- a/internal/entry/startup_test.go
+++ b/internal/entry/startup_test.go
@@ -15,6 +15,8 @@
 	tests := []struct {
 		name        string
 		isStoreDown bool
+		// storeDelay is the time that each call to the store takes.
+		storeDelay time.Duration
 		// after is the time from the node's start to the request.
 		after  time.Duration
 		status int
@@ -22,13 +24,14 @@
 		within time.Duration
 	}{
 		{name: "at the start", status: http.StatusOK, within: longestHold},
+		{name: "at the start, with a slow store", storeDelay: 300 * time.Millisecond, status: http.StatusOK, within: 450 * time.Millisecond},
 		{name: "at the start, without a store", isStoreDown: true, status: http.StatusServiceUnavailable, within: longestHold},
 		{name: "later, without a store", isStoreDown: true, after: longestHold, status: http.StatusServiceUnavailable, within: 50 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			inWorld(t, 0, func(w *world) {
-				w.store.SetFaults(standfault.Faults{Down: tt.isStoreDown})
+				w.store.SetFaults(standfault.Faults{Down: tt.isStoreDown, Delay: tt.storeDelay})
 				w.start(number)
 				w.sleep(tt.after)
 				sentAt := w.timer.Now()
