entry, qfforward: what a starting node doesn't know of quotas is asked again at once

The node foresaw seconds until its part of a 64th of the quota was enough, although it learned the number of nodes 0.2 s later; and the first exchange waited 0.4 s. Change: a held request asks every 50 ms; the first exchange follows the list of nodes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,8 +96,9 @@
 	failedAt, staleAt map[qf.NodeID]time.Time
 	// hasEndpoints is set once the list of endpoints was read.
 	hasEndpoints atomic.Bool
-	// hasNodes is set once the list of nodes was read.
-	hasNodes atomic.Bool
+	// hasNodes is set, and nodesRead closed, once the list of nodes was read.
+	hasNodes  atomic.Bool
+	nodesRead chan struct{}
 	// known is closed once the configuration and the endpoints are known.
 	known     chan struct{}
 	knownOnce sync.Once
@@ -118,7 +119,7 @@
 	deployment.Self.State = qf.NodeLive
 	e := &Entry{
 		deployment: deployment, platform: platform, startedAt: now, random: platform.Random, seeds: deployment.Seeds,
-		failedAt: map[qf.NodeID]time.Time{}, staleAt: map[qf.NodeID]time.Time{}, known: make(chan struct{}),
+		failedAt: map[qf.NodeID]time.Time{}, staleAt: map[qf.NodeID]time.Time{}, known: make(chan struct{}), nodesRead: make(chan struct{}),
 	}
 	e.clock = newClock(now)
 	e.registry = qfregistry.New()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,9 +8,19 @@
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
-// exchangeLoop tells peers what they need to know and learns the same.
+// exchangeLoop tells peers what they need to know and learns the same. It begins as soon as
+// the node knows its peers, because until then it knows nothing of what they use.
 func (e *Entry) exchangeLoop(ctx context.Context) {
 	e.askSeeds(ctx)
+	first := e.platform.Timer.After(exchangeEvery)
+	defer first.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-e.nodesRead:
+	case <-first.C():
+	}
+	e.exchange(ctx)
 	e.every(ctx, exchangeEvery, e.exchange)
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -30,7 +30,9 @@
 // Replace implements feedRows.
 func (h *nodeRows) Replace(rows []qf.FeedRow, _ uint64) {
 	h.Change(rows)
-	h.entry.hasNodes.Store(true)
+	if !h.entry.hasNodes.Swap(true) {
+		close(h.entry.nodesRead)
+	}
 }
 
 // Change implements feedRows.
--- a/internal/entry/startup_test.go
+++ b/internal/entry/startup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,3 +46,18 @@
 		})
 	}
 }
+
+// TestQuotaIsAskedAgainAtTheStart guards that a caller within its quota isn't refused because
+// the node doesn't know yet what others use.
+func TestQuotaIsAskedAgainAtTheStart(t *testing.T) {
+	const number = 2
+	inWorld(t, 0, func(w *world) {
+		w.configure(2, func(text string) string {
+			return strings.Replace(text, `"rate-per-s":1000000,"burst":1000000`, `"rate-per-s":2000,"burst":2000`, 1)
+		})
+		w.start(number)
+		if got := w.call(w.t.Context(), number, http.MethodGet, "/read/1", ""); got.status != http.StatusOK {
+			t.Errorf("status %d, want %d", got.status, http.StatusOK)
+		}
+	})
+}
--- a/internal/qf/protocol/qfforward/startup.go
+++ b/internal/qf/protocol/qfforward/startup.go
@@ -12,6 +12,10 @@
 	Until time.Time
 }
 
+// askAgainAfter is the longest time between two looks at a quota of which a node that starts
+// learns more.
+const askAgainAfter = 50 * time.Millisecond
+
 // awaitStart holds a request that came before the node knows what to do with it.
 func (c *call) awaitStart() {
 	startup := &c.forwarder.ports.Startup
@@ -40,10 +44,10 @@
 	for {
 		now := f.ports.Timer.Now()
 		admitted, retryAfter = f.ports.Governor.Admit(now, c.holder, c.units())
-		if admitted || now.Add(retryAfter).After(until) || c.incoming.Context().Err() != nil {
+		if admitted || !now.Before(until) || c.incoming.Context().Err() != nil {
 			return admitted, retryAfter
 		}
-		c.hold(retryAfter, nil)
+		c.hold(min(retryAfter, askAgainAfter), nil)
 	}
 }
 
