--- a/internal/entry/governor.go
+++ b/internal/entry/governor.go
@@ -20,7 +20,7 @@
 }
 
 // Admit implements qf.Governor.
-func (g *governor) Admit(now time.Time, organisation *qf.OrganisationTraits, units float64) (bool, time.Duration) {
+func (g *governor) Admit(now time.Time, organisation *qf.OrganisationTraits, units float64) qf.QuotaVerdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.quotas.Admit(now, organisation.Organisation, units)
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -82,6 +83,7 @@
 		return qf.Placement{}, &qf.Error{
 			Code: qf.CodeOverloaded, Step: qf.StepRoute, Peer: string(choice.Endpoint.ID), Ran: qf.RanNo,
 			Reason: "the first token would come too late at every endpoint",
+			Cause:  fmt.Errorf("%v to wait at the best one, objective %v", choice.Prediction.Queue, query.Route.Objective),
 		}
 	}
 	placement := qf.Placement{
--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -104,6 +104,11 @@
 // heardPart is the share of a quota that this node may fill its bucket with: the parts
 // of nodes whose uses aren't heard are theirs.
 func (q *Quotas) heardPart(now time.Time) float64 {
+	return min(float64(q.heard(now))/float64(q.nodes), 1)
+}
+
+// heard is the number of nodes whose uses are known, this one included.
+func (q *Quotas) heard(now time.Time) int {
 	heard := 1
 	for id, s := range q.sources {
 		silent := now.Sub(s.heardAt)
@@ -113,7 +118,7 @@
 			delete(q.sources, id)
 		}
 	}
-	return min(float64(heard)/float64(q.nodes), 1)
+	return heard
 }
 
 func (q *Quotas) fill(now time.Time, b *quota) {
@@ -152,27 +157,35 @@
 	return max(b.own/b.all, least)
 }
 
-// Admit takes units from an organisation's quota, or returns when there will be
-// enough. Organisations without a quota are always admitted.
-func (q *Quotas) Admit(now time.Time, organisation qf.Organisation, units float64) (admitted bool, retryAfter time.Duration) {
+// Admit takes units from an organisation's quota, or says when there will be enough.
+// Organisations without a quota are always admitted.
+func (q *Quotas) Admit(now time.Time, organisation qf.Organisation, units float64) qf.QuotaVerdict {
 	b := q.buckets[organisation]
 	if b == nil {
-		return true, 0
+		return qf.QuotaVerdict{IsAdmitted: true}
 	}
 	q.fill(now, b)
 	rate := b.rate * q.heardPart(now)
 	if needed := min(units, b.burst); b.level < needed {
-		return false, returnAfter(needed-b.level, rate)
+		return q.refuse(now, b, returnAfter(needed-b.level, rate))
 	}
 	if b.part <= 0 && q.keepsToPart(now, b) {
-		return false, returnAfter(-b.part, rate*b.share(q.nodes))
+		return q.refuse(now, b, returnAfter(-b.part, rate*b.share(q.nodes)))
 	}
 	b.level -= units
 	b.part = max(b.part-units, -b.rate)
 	b.used += units
 	b.own += units
 	b.all += units
-	return true, 0
+	return qf.QuotaVerdict{IsAdmitted: true}
+}
+
+func (q *Quotas) refuse(now time.Time, b *quota, retryAfter time.Duration) qf.QuotaVerdict {
+	verdict := qf.QuotaVerdict{RetryAfter: retryAfter, Left: b.level, Part: b.part, Heard: q.heard(now), Nodes: q.nodes}
+	if !q.heardAt.IsZero() {
+		verdict.NewsAge = now.Sub(q.heardAt)
+	}
+	return verdict
 }
 
 // keepsToPart reports whether this node may use no more than its own part: others may be
--- a/internal/qf/coordination/qflimit/quota_test.go
+++ b/internal/qf/coordination/qflimit/quota_test.go
@@ -151,7 +151,7 @@
 		}
 		for owed += demand * fleetRate * step.Seconds(); owed > 0; owed -= size {
 			units := size * (0.5 + random.Float64())
-			if ok, _ := f.nodes[random.IntN(len(f.nodes))].Admit(f.now, "north", units); ok {
+			if f.nodes[random.IntN(len(f.nodes))].Admit(f.now, "north", units).IsAdmitted {
 				admitted[i] += units
 			}
 		}
@@ -218,7 +218,7 @@
 		}
 		for owed += demand * fleetRate * 0.1; owed > 0; owed -= 8000 {
 			units := 8000 * (0.5 + random.Float64())
-			if ok, _ := f.nodes[alive[random.IntN(len(alive))]].Admit(f.now, "north", units); ok {
+			if f.nodes[alive[random.IntN(len(alive))]].Admit(f.now, "north", units).IsAdmitted {
 				admitted[step] += units
 			}
 		}
@@ -263,3 +263,22 @@
 		t.Errorf("after silence a member is told of %d nodes, want 2", got)
 	}
 }
+
+// TestRefusalSaysWhatDecided guards that the log of a refusal can tell what the node knew.
+func TestRefusalSaysWhatDecided(t *testing.T) {
+	f := newQuotaFleet(1, false)
+	q := f.nodes[0]
+	q.SetNodes(3)
+	q.Heard(f.now, qf.TallySource{Node: "node-b", Incarnation: 1, Scope: qf.TallyOwn, Covers: 1}, nil)
+	f.now = f.now.Add(200 * time.Millisecond)
+	verdict := q.Admit(f.now, "north", 2*fleetBurst)
+	if verdict.IsAdmitted || verdict.RetryAfter <= 0 {
+		t.Fatalf("got %+v, want a refusal", verdict)
+	}
+	if verdict.Heard != 2 || verdict.Nodes != 3 || verdict.NewsAge != 200*time.Millisecond {
+		t.Errorf("got %s, want 2 of 3 nodes heard, 0.2 s ago", verdict.String())
+	}
+	if verdict.Left <= 0 || verdict.Left >= fleetBurst {
+		t.Errorf("%.0f left, want what a node that starts may use", verdict.Left)
+	}
+}
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -189,10 +189,13 @@
 	if c.holder == nil || c.holder.UnitsPerSecond <= 0 {
 		return nil
 	}
-	if admitted, retryAfter := c.admitAtStart(); !admitted {
-		return refusal(qf.CodeLimited, "Organisation", "the organisation's quota is spent", retryAfter)
+	verdict := c.admitAtStart()
+	if verdict.IsAdmitted {
+		return nil
 	}
-	return nil
+	err := refusal(qf.CodeLimited, "Organisation", "the organisation's quota is spent", verdict.RetryAfter)
+	err.Cause = errors.New(verdict.String())
+	return err
 }
 
 // units is what the request takes from the quota.
--- a/internal/qf/protocol/qfforward/startup.go
+++ b/internal/qf/protocol/qfforward/startup.go
@@ -1,6 +1,10 @@
 package qfforward
 
-import "time"
+import (
+	"time"
+
+	"quetzalfront/internal/qf"
+)
 
 // Startup describes a node's first moments, in which it doesn't know yet what it needs to
 // answer. Requests are held then, because callers that were refused would come back later
@@ -38,16 +42,16 @@
 
 // admitAtStart takes the request from the organisation's quota. A node that has just started
 // doesn't know yet what is left of it, and asks itself again before it refuses.
-func (c *call) admitAtStart() (admitted bool, retryAfter time.Duration) {
+func (c *call) admitAtStart() qf.QuotaVerdict {
 	f := c.forwarder
 	until := earlier(f.ports.Startup.Until, c.deadline)
 	for {
 		now := f.ports.Timer.Now()
-		admitted, retryAfter = f.ports.Governor.Admit(now, c.holder, c.units())
-		if admitted || !now.Before(until) || c.incoming.Context().Err() != nil {
-			return admitted, retryAfter
+		verdict := f.ports.Governor.Admit(now, c.holder, c.units())
+		if verdict.IsAdmitted || !now.Before(until) || c.incoming.Context().Err() != nil {
+			return verdict
 		}
-		c.hold(min(retryAfter, askAgainAfter), nil)
+		c.hold(min(verdict.RetryAfter, askAgainAfter), nil)
 	}
 }
 
