--- /dev/null
+++ b/internal/qf/configuration.go
@@ -0,0 +1,123 @@
+package qf
+
+import (
+	"time"
+)
+
+// RouteKind says whether a route's requests may be repeated.
+type RouteKind string
+
+// The kinds of routes.
+const (
+	// RouteRepeatable requests are idempotent.
+	RouteRepeatable RouteKind = "Repeatable"
+	// RouteOnceOnly requests run at most once.
+	RouteOnceOnly RouteKind = "OnceOnly"
+	// RouteStream requests are answered by server-sent events. They run at most
+	// once unless the route is resumable.
+	RouteStream RouteKind = "Stream"
+)
+
+// CallerRoute maps the paths of one host to the entries that serve them.
+type CallerRoute struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   RouteKind
+	// Timeout bounds the time from a request's arrival to its final answer.
+	Timeout time.Duration
+	// Objective is the time within which an answer, or a stream's first event, is
+	// on time. PauseObjective bounds the pauses between a stream's events.
+	Objective, PauseObjective time.Duration
+	// Priority is the rank of the route's requests; 0 is the most urgent.
+	Priority int
+	// Attempts bounds the endpoints on which one request may run; it is at least 1.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another endpoint after their last event.
+	Resumable bool
+	// Generates is set for routes whose requests describe a prompt.
+	Generates bool
+	// Entries is never empty.
+	Entries []WeightedEntry
+}
+
+// MayRepeat reports whether a request of the route may run more than once.
+func (r *CallerRoute) MayRepeat() bool {
+	return r.Kind == RouteRepeatable || r.Kind == RouteStream && r.Resumable
+}
+
+// WeightedEntry is an entry with its part of a route's requests.
+type WeightedEntry struct {
+	Entry EntryName
+	// Weight is positive.
+	Weight float64
+}
+
+// EntryTraits are what the operator tells of an entry's endpoints.
+type EntryTraits struct {
+	Entry EntryName
+	// HealthPath is the path of the endpoints' health check.
+	HealthPath string
+	// MaxConnections bounds the connections of all nodes to one endpoint.
+	MaxConnections int
+	// Engine is nil for plain services.
+	Engine *EngineTraits
+	// Scaling is nil if the number of endpoints isn't ours to order.
+	Scaling *ScalingTraits
+}
+
+// EngineTraits describe the model engines of an entry.
+type EngineTraits struct {
+	// Slots is the number of requests that an engine runs at once.
+	Slots int
+	// KVTokens is the number of tokens for which an engine has memory.
+	KVTokens int
+}
+
+// ScalingTraits bound the number of an entry's endpoints in each availability zone.
+type ScalingTraits struct {
+	Min, Max int
+	// StartTakes is the time from an order to the first request.
+	StartTakes time.Duration
+	// ReclaimablePrice is the price of a reclaimable endpoint as a share of an
+	// on-demand one; 0 means that there are none.
+	ReclaimablePrice float64
+	// Prices are those of an on-demand endpoint, in the platform's unit.
+	Prices map[AvailabilityZone]float64
+}
+
+// CallerLimits bound what a caller may send and how long it may take.
+type CallerLimits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// OrganisationTraits are an organisation's keys and quota.
+type OrganisationTraits struct {
+	Organisation Organisation
+	Keys         []string
+	// Priority is the rank of the organisation's requests; it is nil if the
+	// route's counts.
+	Priority *int
+	// UnitsPerSecond and Burst are the quota over all nodes; 0 is no limit.
+	UnitsPerSecond, Burst float64
+	// CountsTokens says that the quota's unit is the token and not the request.
+	CountsTokens bool
+	// PlainTokens is what a request without a prompt counts then.
+	PlainTokens int
+}
+
+// Configuration is what the operator wants of all nodes.
+type Configuration struct {
+	// Revision rises with each change.
+	Revision      Revision
+	Routes        []CallerRoute
+	Entries       []EntryTraits
+	Limits        CallerLimits
+	Organisations []OrganisationTraits
+}
