qffleet: orders of on-demand endpoints aren't taken back before they took effect

The holder orders all endpoints while its first tokens come late, and two thirds otherwise; that signal changed every second, and orders were taken back 1.2 s later, while a start takes 4 s.

--- a/internal/qf/coordination/qffleet/zonal.go
+++ b/internal/qf/coordination/qffleet/zonal.go
@@ -49,11 +49,29 @@
 type ZonalPlanner struct {
 	settings ZonalSettings
 	cells    map[offerKey]*cell
-	// needed is the need in use; lowSince is when a lower one was first seen.
-	needed   int
+	// needed and enough are the numbers in use.
+	needed, enough steadyNumber
+}
+
+// steadyNumber follows a number up at once, and down only once it has been lower for some
+// time: an order that is taken back before it has taken effect helps nobody.
+type steadyNumber struct {
+	value int
+	// lowSince is when a lower number was first seen; it is zero if the last one wasn't.
 	lowSince time.Time
 }
 
+func (s *steadyNumber) follow(now time.Time, wanted int, holdDown time.Duration) {
+	switch {
+	case wanted >= s.value:
+		s.value, s.lowSince = wanted, time.Time{}
+	case s.lowSince.IsZero():
+		s.lowSince = now
+	case now.Sub(s.lowSince) >= holdDown:
+		s.value, s.lowSince = wanted, time.Time{}
+	}
+}
+
 // cell is one class of endpoints in one zone.
 type cell struct {
 	// ordered is the number that was last asked for; it is negative before the first
@@ -100,7 +118,8 @@
 	zones := zonesOf(view.Traits)
 	present := p.count(view)
 	view.present = present
-	p.settleNeed(view.Now, view.Needed)
+	p.needed.follow(view.Now, view.Needed, p.settings.HoldDown)
+	p.enough.follow(view.Now, view.Enough, p.settings.HoldDown)
 	plan := p.plan(view, zones)
 	p.keepUntilReplaced(plan, present, zones)
 	var best *ZonalOrder
@@ -176,30 +195,18 @@
 	return present
 }
 
-// settleNeed follows a higher need at once and a lower one after some time.
-func (p *ZonalPlanner) settleNeed(now time.Time, needed int) {
-	switch {
-	case needed >= p.needed:
-		p.needed, p.lowSince = needed, time.Time{}
-	case p.lowSince.IsZero():
-		p.lowSince = now
-	case now.Sub(p.lowSince) >= p.settings.HoldDown:
-		p.needed, p.lowSince = needed, time.Time{}
-	}
-}
-
 // plan spreads the need over the zones: on-demand endpoints only as far as there aren't
 // enough reclaimable ones.
 func (p *ZonalPlanner) plan(view *ZonalView, zones []qf.AvailabilityZone) map[qf.AvailabilityZone]*counts {
 	plan := map[qf.AvailabilityZone]*counts{}
-	base := int(math.Ceil(float64(p.needed) * p.settings.OnDemandShare))
+	base := int(math.Ceil(float64(p.needed.value) * p.settings.OnDemandShare))
 	for i, zone := range zones {
 		plan[zone] = &counts{}
 		for onDemand := i; onDemand < base; onDemand += len(zones) {
 			plan[zone].onDemand++
 		}
 	}
-	reclaimable := p.spread(view, zones, plan, p.needed-base, func(c *counts) *int { return &c.reclaimable },
+	reclaimable := p.spread(view, zones, plan, p.needed.value-base, func(c *counts) *int { return &c.reclaimable },
 		func(zone qf.AvailabilityZone) bool { return p.hasReclaimable(view, zone) })
 	// What is there counts also in a zone that has no more of them.
 	for _, zone := range zones {
@@ -213,7 +220,7 @@
 	for _, zone := range zones {
 		atRisk = max(atRisk, plan[zone].reclaimable)
 	}
-	p.spread(view, zones, plan, view.Enough-base-(reclaimable-atRisk), func(c *counts) *int { return &c.onDemand },
+	p.spread(view, zones, plan, p.enough.value-base-(reclaimable-atRisk), func(c *counts) *int { return &c.onDemand },
 		func(qf.AvailabilityZone) bool { return true })
 	return plan
 }
@@ -282,7 +289,7 @@
 		return nil
 	}
 	return &ZonalOrder{Zone: zone, Class: class, Desired: desired, Reason: fmt.Sprintf(
-		"%d needed; %d of %d planned are there", p.needed, there, desired)}
+		"%d needed; %d of %d planned are there", p.needed.value, there, desired)}
 }
 
 // Ordered takes what became of an order.
--- a/internal/qf/coordination/qffleet/zonal_test.go
+++ b/internal/qf/coordination/qffleet/zonal_test.go
@@ -189,6 +189,20 @@
 			t.Errorf("%d reclaimable and %d on demand in the end", r, o)
 		}
 	})
+	t.Run("keeps to its orders while first tokens are late by turns", func(t *testing.T) {
+		w := newZonalWorld(9)
+		w.run(20 * time.Second)
+		for _, zone := range []qf.AvailabilityZone{"a", "b", "c"} {
+			w.reclaim(zone)
+		}
+		for i := range 12 {
+			w.enough = 6 + 3*(1-i%2)
+			w.run(600 * time.Millisecond)
+		}
+		if all := w.ready(""); all < 9 {
+			t.Errorf("%d endpoints serve", all)
+		}
+	})
 	t.Run("gives orders again whose fate isn't known", func(t *testing.T) {
 		w := newZonalWorld(9)
 		w.loses = 5
