entry: what a node believes of endpoints and peers is logged

Cause: an entry node never took the router's news of endpoints' health: none was logged, and the list grew for as long as the node ran. Peers that fell silent had no line either. Change: events 240 to 242, 420 and 421 are written when a belief changes; a first read that fails has its own event (324).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -183,6 +183,7 @@
 	e.background.Go(func() { e.registerLoop(loops) })
 	e.background.Go(func() { e.duties.loop(loops) })
 	e.background.Go(func() { e.every(loops, leftOutEvery, e.tellLeftOut) })
+	e.background.Go(func() { e.every(loops, beliefsEvery, newBeliefs(e).step) })
 	qfevent.NodeStarted.Log(&e.platform.Logger, e.deployment.Self.ID, e.deployment.Self.CallerAddress)
 	return nil
 }
--- a/internal/entry/feedsource.go
+++ b/internal/entry/feedsource.go
@@ -63,7 +63,7 @@
 	page, err := e.platform.Feed.Snapshot(ctx, feed)
 	e.mirror.Asked(feed, err)
 	if err != nil {
-		qfevent.FeedLost.Log(&e.platform.Logger, feed, err)
+		qfevent.FirstReadFailed.Log(&e.platform.Logger, feed, err)
 		return page, false
 	}
 	e.mirror.TakeWhole(feed, &page)
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -48,10 +48,43 @@
 	cloud    *cloud
 	replicas map[string]*standreplica.Replica
 	nodes    []*entry.Entry
+	// log holds what all nodes write.
+	log      logBuffer
 	servers  []*http.Server
 	requests int
 }
 
+// logBuffer keeps the lines of all nodes.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lines = append(b.lines, string(line))
+	return len(line), nil
+}
+
+// count returns how many lines hold all of the texts.
+func (b *logBuffer) count(texts ...string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for _, line := range b.lines {
+		holdsAll := true
+		for _, text := range texts {
+			holdsAll = holdsAll && strings.Contains(line, text)
+		}
+		if holdsAll {
+			count++
+		}
+	}
+	return count
+}
+
 // cloud records the duty calls.
 type cloud struct {
 	mu sync.Mutex
@@ -174,7 +207,7 @@
 		Timer: w.timer, Network: network, Feed: store, Table: store, Rollouts: store, Duties: platform.NewCloud(cloudAddress, network.Dial),
 		Codec: platform.Codec{Regions: regions}, Protocol: platform.Protocol{}, Peer: peers, FeedPeer: peers,
 		ReadyHandler: platform.ReadyHandler, DirectoryHandler: platform.DirectoryHandler,
-		Logger: zerolog.Nop(), Random: rand.New(rand.NewPCG(uint64(number), 7)),
+		Logger: zerolog.New(&w.log), Random: rand.New(rand.NewPCG(uint64(number), 7)),
 	})
 	if err := node.Start(w.t.Context()); err != nil {
 		w.t.Fatal(err)
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -124,6 +124,7 @@
 	LinesLeftOut     = Event{106, warning, "log lines were left out", []string{FieldCount}, "Nothing; the log's reader is too slow or the load is high."}
 	SettingsReloaded = Event{107, info, "settings were read again", []string{FieldOutcome}, "Nothing, unless Outcome names a fault; then the settings in use stay."}
 	FeedLost         = Event{320, warning, "a feed of the platform's store is lost", []string{FieldFeed, FieldError}, "See operators/store-outage.md; what is known stays in use."}
+	FirstReadFailed  = Event{324, warning, "a feed could not be read at the start; the relay is asked next", []string{FieldFeed, FieldError}, "Nothing at once; see 320 if it lasts."}
 	FeedRegained     = Event{321, info, "a feed of the platform's store answers again", []string{FieldFeed, FieldAge}, "Nothing."}
 	RowUnreadable    = Event{322, warning, "a row can't be read", []string{FieldFeed, FieldName, FieldVersion, FieldError}, "Look for its writer; the row is left out."}
 	ConfigInForce    = Event{323, info, "configuration in force", []string{FieldRevision, FieldPeer, FieldCount}, "Nothing; Peer is empty if it came from the store."}
@@ -192,6 +193,7 @@
 		SettingsReloaded,
 		FeedLost,
 		FeedRegained,
+		FirstReadFailed,
 		RowUnreadable,
 		ConfigInForce,
 		EndpointListed,
