entry: requests are refused by what waits were, not by what the router foresees

Cause: in a test that plays twice what the endpoints can do, 342 of 501 served callers were late. Change: the ratio of measured to foreseen waits of the last 5 s corrects what is foreseen; from 0.8 objectives of expected wait on a request is refused. Attempts log the time foreseen.

--- /dev/null
+++ b/internal/entry/forecast.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// forecastWindow is the time over which waits are compared with what was foreseen.
+	forecastWindow = 5 * time.Second
+	// forecastFrom is the least wait that is compared, as a share of the objective. Short
+	// ones say nothing about long ones: they are the link and the prompt itself.
+	forecastFrom = 0.2
+	// usualRatio is what is assumed before any wait was compared: endpoints read prompts
+	// side by side, and their reports are late, so that the router foresees too much.
+	usualRatio = 0.5
+	// usualWeight is how many seconds of foreseen waits the assumption counts as much as.
+	usualWeight = 1.0
+	// leastRatio and mostRatio bound the ratio.
+	leastRatio, mostRatio = 0.25, 1.5
+)
+
+// forecast learns how long first tokens take against what the router foresees. It isn't
+// safe for concurrent use.
+type forecast struct {
+	// foreseen and measured are sums of seconds, with exponential decay as of at.
+	foreseen, measured float64
+	at                 time.Time
+}
+
+// note compares a first token that came with what was foreseen.
+func (f *forecast) note(at time.Time, foreseen, measured, objective time.Duration) {
+	if objective <= 0 || float64(foreseen) < forecastFrom*float64(objective) {
+		return
+	}
+	keep := math.Exp(-at.Sub(f.at).Seconds() / forecastWindow.Seconds())
+	f.foreseen = f.foreseen*keep + foreseen.Seconds()
+	f.measured = f.measured*keep + measured.Seconds()
+	f.at = at
+}
+
+// expect is how long a wait will be that the router foresees.
+func (f *forecast) expect(foreseen time.Duration) time.Duration {
+	ratio := (f.measured + usualRatio*usualWeight) / (f.foreseen + usualWeight)
+	return time.Duration(min(max(ratio, leastRatio), mostRatio) * float64(foreseen))
+}
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// summarise writes the attempts of a request in one field: endpoint, version, rule,
-// end, status, time, error and what followed.
+// summarise writes the attempts of a request in one field: endpoint, version, rule with the
+// time that was foreseen, end, status, time, error and what followed.
 func summarise(attempts []qfforward.AttemptReport) string {
 	var b strings.Builder
 	for i := range attempts {
@@ -59,7 +59,8 @@
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		b.WriteString(string(a.Endpoint) + " " + string(a.Version) + " " + a.Rule + " " + string(a.End))
+		b.WriteString(string(a.Endpoint) + " " + string(a.Version) + " " + a.Rule)
+		b.WriteString("(" + a.Predicted.Round(time.Millisecond).String() + ") " + string(a.End))
 		b.WriteString(" " + strconv.Itoa(a.Status) + " " + a.Took.String())
 		if a.Err != nil {
 			b.WriteString(" (" + a.Err.Error() + ")")
--- /dev/null
+++ b/internal/entry/overload_internal_test.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfroute"
+)
+
+// overloadWorld plays prompts at endpoints that read one after the other.
+type overloadWorld struct {
+	placer    *placer
+	now       time.Time
+	busyUntil map[qf.EndpointID]time.Time
+	open      []*openPrompt
+}
+
+// openPrompt is a prompt that was placed and whose first token hasn't come.
+type openPrompt struct {
+	placement qf.Placement
+	sentAt    time.Time
+	firstAt   time.Time
+}
+
+const (
+	overloadEndpoints = 3
+	promptTokens      = 3000
+	// readsIn is the time that an endpoint takes to read a prompt.
+	readsIn           = 80 * time.Millisecond
+	overloadObjective = time.Second
+	overloadTimeout   = 6 * time.Second
+)
+
+func newOverloadWorld() *overloadWorld {
+	w := &overloadWorld{now: time.Unix(1_800_000_000, 0), busyUntil: map[qf.EndpointID]time.Time{}}
+	random := rand.New(rand.NewPCG(3, 4))
+	w.placer = &placer{
+		self:   qf.Node{ID: "node-1", AvailabilityZone: "north-a", Region: "north"},
+		random: random, versions: newVersions(),
+		router: qfroute.NewPredictive(routeConfig(), random, w.now),
+	}
+	endpoints := make([]qf.Endpoint, overloadEndpoints)
+	for i := range endpoints {
+		id := fmt.Sprintf("chat-%d", i)
+		endpoints[i] = qf.Endpoint{
+			ID: qf.EndpointID(id), VM: qf.VMID(id), Incarnation: 1, Kind: qf.KindModelEngine, Entry: "chat", Version: "v1",
+			AvailabilityZone: "north-a", Region: "north",
+		}
+	}
+	w.placer.setEndpoints(endpoints)
+	return w
+}
+
+// overloadCounts are what callers got.
+type overloadCounts struct {
+	asked, refused, inTime, late int
+	// slowest is the longest time to a first token.
+	slowest time.Duration
+}
+
+// play asks for a multiple of what the endpoints can read, and counts what callers got of
+// what was asked after the first seconds.
+func (w *overloadWorld) play(t *testing.T, demand float64) overloadCounts {
+	t.Helper()
+	const step, length, warmUp = 5 * time.Millisecond, 20 * time.Second, 5 * time.Second
+	route := &qf.CallerRoute{
+		Name: "ask", Kind: qf.RouteStream, Objective: overloadObjective, Timeout: overloadTimeout, Generates: true, Attempts: 2,
+		Entries: []qf.WeightedEntry{{Entry: "chat", Weight: 1}},
+	}
+	start := w.now
+	counts := overloadCounts{}
+	owed := 0.0
+	for ; w.now.Sub(start) < length; w.now = w.now.Add(step) {
+		isCounted := w.now.Sub(start) >= warmUp
+		w.answer(&counts, start.Add(warmUp))
+		for owed += demand * overloadEndpoints * step.Seconds() / readsIn.Seconds(); owed >= 1; owed-- {
+			err := w.send(route)
+			if isCounted {
+				counts.asked++
+			}
+			var refusal *qf.Error
+			switch {
+			case err == nil:
+			case !errors.As(err, &refusal) || refusal.Code != qf.CodeOverloaded || refusal.Ran != qf.RanNo:
+				t.Fatalf("refused with %v, want Overloaded and not run", err)
+			case isCounted:
+				counts.refused++
+			}
+		}
+	}
+	return counts
+}
+
+func (w *overloadWorld) send(route *qf.CallerRoute) error {
+	placement, err := w.placer.Place(&qf.PlaceQuery{
+		Now: w.now, Route: route, Deadline: w.now.Add(route.Timeout),
+		Prompt: &qf.Prompt{Tokens: promptTokens, MaxAnswer: 50, Parts: []qf.PromptPart{{ID: uint64(w.now.UnixNano()), Tokens: promptTokens}}},
+	})
+	if err != nil {
+		return err
+	}
+	id := placement.Endpoint.ID
+	begins := w.now
+	if until := w.busyUntil[id]; until.After(begins) {
+		begins = until
+	}
+	w.busyUntil[id] = begins.Add(readsIn)
+	w.open = append(w.open, &openPrompt{placement: placement, sentAt: w.now, firstAt: w.busyUntil[id]})
+	return nil
+}
+
+// answer delivers the first tokens that are due, and counts those of prompts that were sent
+// after a time.
+func (w *overloadWorld) answer(counts *overloadCounts, after time.Time) {
+	waiting := w.open[:0]
+	for _, prompt := range w.open {
+		if prompt.firstAt.After(w.now) {
+			waiting = append(waiting, prompt)
+			continue
+		}
+		w.placer.Began(w.now, &prompt.placement)
+		w.placer.Ended(w.now, &prompt.placement, qf.AttemptAnswered)
+		if prompt.sentAt.Before(after) {
+			continue
+		}
+		took := prompt.firstAt.Sub(prompt.sentAt)
+		counts.slowest = max(counts.slowest, took)
+		if took <= overloadObjective {
+			counts.inTime++
+		} else {
+			counts.late++
+		}
+	}
+	w.open = waiting
+}
+
+// TestOverloadIsRefusedAtOnce guards that callers beyond what the endpoints can do are
+// refused when they come, that none of the others waits for its whole time, and that the
+// endpoints stay busy.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		demand float64
+		// mostRefused, leastServed and leastInTime are shares of what was asked. In time
+		// are at least 0.6 of what the endpoints can do.
+		mostRefused, leastServed, leastInTime float64
+	}{
+		{name: "within what they can do", demand: 0.7, leastServed: 0.99, leastInTime: 0.99},
+		{name: "twice of it", demand: 2, mostRefused: 0.55, leastServed: 0.4, leastInTime: 0.3},
+		{name: "five times of it", demand: 5, mostRefused: 0.85, leastServed: 0.15, leastInTime: 0.12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := newOverloadWorld().play(t, tt.demand)
+			served := float64(got.inTime+got.late) / float64(got.asked)
+			if refused := float64(got.refused) / float64(got.asked); refused > tt.mostRefused {
+				t.Errorf("%.2f refused, want at most %.2f", refused, tt.mostRefused)
+			}
+			if served < tt.leastServed {
+				t.Errorf("%.2f served, want at least %.2f", served, tt.leastServed)
+			}
+			if inTime := float64(got.inTime) / float64(got.asked); inTime < tt.leastInTime {
+				t.Errorf("%.2f in time, want at least %.2f", inTime, tt.leastInTime)
+			}
+			if got.slowest >= overloadTimeout {
+				t.Errorf("a caller waited %v for its first token", got.slowest)
+			}
+		})
+	}
+}
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -26,6 +26,7 @@
 	// late, as of pressureAt.
 	pressure   float64
 	pressureAt time.Time
+	forecast   forecast
 }
 
 const (
@@ -79,11 +80,11 @@
 	if err != nil {
 		return qf.Placement{}, err
 	}
-	if isHopeless(query, &choice) {
+	if wait, isHopeless := p.expectHopeless(query, &choice); isHopeless {
 		return qf.Placement{}, &qf.Error{
 			Code: qf.CodeOverloaded, Step: qf.StepRoute, Peer: string(choice.Endpoint.ID), Ran: qf.RanNo,
 			Reason: "the first token would come too late at every endpoint",
-			Cause:  fmt.Errorf("%v to wait at the best one, objective %v", choice.Prediction.Queue, query.Route.Objective),
+			Cause:  fmt.Errorf("%v to wait at the best one, objective %v", wait, query.Route.Objective),
 		}
 	}
 	placement := qf.Placement{
@@ -94,18 +95,20 @@
 	return placement, nil
 }
 
-// hopelessFactor is how many times its objective a request may be predicted to wait for
-// others before its own prompt is computed. Beyond that it is refused: what would be late
-// anyway must not make others late. Its own size is no reason.
-const hopelessFactor = 2.5
+// hopelessFrom is how much of its objective a request may be expected to wait for others
+// before its own prompt is computed. Beyond that it is refused: what would be late anyway
+// must not make others late. Its own size is no reason.
+const hopelessFrom = 0.8
 
-// isHopeless reports whether even the best endpoint would begin the answer too late.
-func isHopeless(query *qf.PlaceQuery, choice *qf.RouteChoice) bool {
+// expectHopeless returns how long a request will wait at the best endpoint, and whether that
+// is too long.
+func (p *placer) expectHopeless(query *qf.PlaceQuery, choice *qf.RouteChoice) (wait time.Duration, isHopeless bool) {
 	objective := query.Route.Objective
 	if query.Prompt == nil || objective <= 0 || len(query.Excluded) > 0 {
-		return false
+		return 0, false
 	}
-	return float64(choice.Prediction.Queue) > hopelessFactor*float64(objective)
+	wait = p.forecast.expect(choice.Prediction.Queue)
+	return wait, float64(wait) > hopelessFrom*float64(objective)
 }
 
 // draw picks one of a route's entries by weight.
@@ -132,7 +135,8 @@
 	p.versions.began(placement)
 	p.router.FirstToken(at, placement.Endpoint.ID, at.Sub(placement.StartedAt))
 	if placement.Endpoint.Kind == qf.KindModelEngine {
-		p.notePressure(at, at.Sub(placement.StartedAt), placement.Objective)
+		p.notePressure(at, placement.Began, placement.Objective)
+		p.forecast.note(at, placement.FirstToken, placement.Began, placement.Objective)
 	}
 }
 
@@ -212,3 +216,10 @@
 	}
 	return xxhash.Sum64(buffer)
 }
+
+// healthChanges returns the news of endpoints' health since the last call.
+func (p *placer) healthChanges() []qf.HealthChange {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.router.HealthChanges()
+}
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -222,7 +222,7 @@
 // report notes an attempt for the log.
 func (c *call) report(a *attempt, step next) {
 	r := AttemptReport{
-		Endpoint: a.placement.Endpoint.ID, Version: a.placement.Endpoint.Version, Rule: a.placement.Reason.Rule,
+		Endpoint: a.placement.Endpoint.ID, Version: a.placement.Endpoint.Version, Rule: a.placement.Reason.Rule, Predicted: a.placement.FirstToken,
 		End: a.end, Next: string(step), Err: a.err, Took: c.forwarder.ports.Timer.Now().Sub(a.startedAt),
 	}
 	if a.answer != nil {
--- a/internal/qf/protocol/qfforward/outcome.go
+++ b/internal/qf/protocol/qfforward/outcome.go
@@ -26,8 +26,10 @@
 type AttemptReport struct {
 	Endpoint qf.EndpointID
 	Version  qf.Version
-	// Rule is why the endpoint was chosen.
-	Rule string
+	// Rule is why the endpoint was chosen, Predicted the time to the first token that was
+	// foreseen there; 0 is unknown.
+	Rule      string
+	Predicted time.Duration
 	End  qf.AttemptEnd
 	// Status is the endpoint's, or 0 if it didn't answer.
 	Status int
