entry: a node that has measured no wait of late lets enough pass to learn

Change: a third is assumed, which is the old limit of 2.5 objectives; what was measured counts for less as time passes; the ratio may fall to 0.05.

--- a/internal/entry/forecast.go
+++ b/internal/entry/forecast.go
@@ -11,13 +11,14 @@
 	// forecastFrom is the least wait that is compared, as a share of the objective. Short
 	// ones say nothing about long ones: they are the link and the prompt itself.
 	forecastFrom = 0.2
-	// usualRatio is what is assumed before any wait was compared: endpoints read prompts
-	// side by side, and their reports are late, so that the router foresees too much.
-	usualRatio = 0.5
+	// usualRatio is what is assumed while no wait was compared of late: endpoints read
+	// prompts side by side, and their reports are late, so that the router foresees too
+	// much. It is low, because who is refused can't show how long he would have waited.
+	usualRatio = 0.32
 	// usualWeight is how many seconds of foreseen waits the assumption counts as much as.
 	usualWeight = 1.0
 	// leastRatio and mostRatio bound the ratio.
-	leastRatio, mostRatio = 0.25, 1.5
+	leastRatio, mostRatio = 0.05, 1.5
 )
 
 // forecast learns how long first tokens take against what the router foresees. It isn't
@@ -33,14 +34,21 @@
 	if objective <= 0 || float64(foreseen) < forecastFrom*float64(objective) {
 		return
 	}
-	keep := math.Exp(-at.Sub(f.at).Seconds() / forecastWindow.Seconds())
-	f.foreseen = f.foreseen*keep + foreseen.Seconds()
-	f.measured = f.measured*keep + measured.Seconds()
-	f.at = at
+	f.decay(at)
+	f.foreseen += foreseen.Seconds()
+	f.measured += measured.Seconds()
+}
+
+func (f *forecast) decay(now time.Time) {
+	keep := math.Exp(-now.Sub(f.at).Seconds() / forecastWindow.Seconds())
+	f.foreseen *= keep
+	f.measured *= keep
+	f.at = now
 }
 
 // expect is how long a wait will be that the router foresees.
-func (f *forecast) expect(foreseen time.Duration) time.Duration {
+func (f *forecast) expect(now time.Time, foreseen time.Duration) time.Duration {
+	f.decay(now)
 	ratio := (f.measured + usualRatio*usualWeight) / (f.foreseen + usualWeight)
 	return time.Duration(min(max(ratio, leastRatio), mostRatio) * float64(foreseen))
 }
--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -107,7 +107,7 @@
 	if query.Prompt == nil || objective <= 0 || len(query.Excluded) > 0 {
 		return 0, false
 	}
-	wait = p.forecast.expect(choice.Prediction.Queue)
+	wait = p.forecast.expect(query.Now, choice.Prediction.Queue)
 	return wait, float64(wait) > hopelessFrom*float64(objective)
 }
 
--- a/internal/qf/protocol/qfforward/outcome.go
+++ b/internal/qf/protocol/qfforward/outcome.go
@@ -30,7 +30,7 @@
 	// foreseen there; 0 is unknown.
 	Rule      string
 	Predicted time.Duration
-	End  qf.AttemptEnd
+	End       qf.AttemptEnd
 	// Status is the endpoint's, or 0 if it didn't answer.
 	Status int
 	// Next is what was done after it.
