--- a/internal/entry/placer.go
+++ b/internal/entry/placer.go
@@ -2,15 +2,12 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"quetzalfront/internal/qf"
-	"quetzalfront/internal/qf/state/qfprefix"
+	"quetzalfront/internal/qf/coordination/qfadmit"
 )
 
 // placer implements qf.Placer over a router. It guards the router, which isn't safe
@@ -22,39 +19,16 @@
 	router   qf.Router
 	random   *rand.Rand
 	versions *versions
-	// pressure is how late first tokens are, as a share of the objective: a mean of
-	// late, as of pressureAt.
-	pressure   float64
-	pressureAt time.Time
-	forecast   forecast
-}
-
-const (
-	// pressureWindow is the time over which the pressure is averaged.
-	pressureWindow = 2 * time.Second
-	// pressed is the pressure from which on more endpoints are needed.
-	pressed = 0.4
-)
-
-// notePressure averages how late an attempt's first token was.
-func (p *placer) notePressure(at time.Time, took, objective time.Duration) {
-	if objective <= 0 {
-		return
-	}
-	keep := math.Exp(-at.Sub(p.pressureAt).Seconds() / pressureWindow.Seconds())
-	weight := max(1-keep, 1.0/pressureSamples)
-	p.pressure += (float64(took)/float64(objective) - p.pressure) * weight
-	p.pressureAt = at
+	// pressure and forecast learn from first tokens.
+	pressure qfadmit.Pressure
+	forecast qfadmit.Forecast
 }
 
-// pressureSamples bounds the weight of the past by a number of first tokens.
-const pressureSamples = 16
-
 // isPressed reports whether first tokens come late.
 func (p *placer) isPressed(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pressure > pressed && now.Sub(p.pressureAt) < 2*pressureWindow
+	return p.pressure.IsHigh(now)
 }
 
 // Place implements qf.Placer.
@@ -95,20 +69,14 @@
 	return placement, nil
 }
 
-// hopelessFrom is how much of its objective a request may be expected to wait for others
-// before its own prompt is computed. Beyond that it is refused: what would be late anyway
-// must not make others late. Its own size is no reason.
-const hopelessFrom = 0.8
-
 // expectHopeless returns how long a request will wait at the best endpoint, and whether that
-// is too long.
+// is too long. Repeats have waited already.
 func (p *placer) expectHopeless(query *qf.PlaceQuery, choice *qf.RouteChoice) (wait time.Duration, isHopeless bool) {
 	objective := query.Route.Objective
 	if query.Prompt == nil || objective <= 0 || len(query.Excluded) > 0 {
 		return 0, false
 	}
-	wait = p.forecast.expect(query.Now, choice.Prediction.Queue)
-	return wait, float64(wait) > hopelessFrom*float64(objective)
+	return p.forecast.IsHopeless(query.Now, choice.Prediction.Queue, objective)
 }
 
 // draw picks one of a route's entries by weight.
@@ -135,8 +103,8 @@
 	p.versions.began(placement)
 	p.router.FirstToken(at, placement.Endpoint.ID, at.Sub(placement.StartedAt))
 	if placement.Endpoint.Kind == qf.KindModelEngine {
-		p.notePressure(at, placement.Began, placement.Objective)
-		p.forecast.note(at, placement.FirstToken, placement.Began, placement.Objective)
+		p.pressure.Note(at, placement.Began, placement.Objective)
+		p.forecast.Note(at, placement.FirstToken, placement.Began, placement.Objective)
 	}
 }
 
@@ -180,43 +148,6 @@
 	}
 }
 
-// prefixesOf turns the parts of a prompt into the hashes of its blocks. The last part
-// counts too: a session's next request begins with it.
-func prefixesOf(prompt *qf.Prompt) []uint64 {
-	var prefixes []uint64
-	var chain [3]uint64
-	tokens := 0
-	for _, part := range prompt.Parts {
-		chain[0], chain[1] = chain[2], part.ID
-		tokens += part.Tokens
-		for block := uint64(len(prefixes)); int(block+1)*qfprefix.BlockTokens <= tokens; block++ {
-			prefixes = append(prefixes, hash(chain[0], chain[1], block))
-		}
-		chain[2] = hash(chain[0], chain[1], 0)
-	}
-	return prefixes
-}
-
-// affinityOf names the parts of a prompt that other requests share: all but the last.
-func affinityOf(prompt *qf.Prompt) (name uint64, tokens int) {
-	for i := range len(prompt.Parts) - 1 {
-		name = hash(name, prompt.Parts[i].ID)
-		tokens += prompt.Parts[i].Tokens
-	}
-	return name, tokens
-}
-
-func hash(numbers ...uint64) uint64 {
-	const bytesOfNumber = 8
-	buffer := make([]byte, 0, bytesOfNumber*len(numbers))
-	for _, n := range numbers {
-		for shift := 0; shift < 64; shift += 8 {
-			buffer = append(buffer, byte(n>>shift))
-		}
-	}
-	return xxhash.Sum64(buffer)
-}
-
 // healthChanges returns the news of endpoints' health since the last call.
 func (p *placer) healthChanges() []qf.HealthChange {
 	p.mu.Lock()
--- a/internal/entry/forecast.go
+++ b/internal/qf/coordination/qfadmit/forecast.go
@@ -1,4 +1,4 @@
-package entry
+package qfadmit
 
 import (
 	"math"
@@ -6,6 +6,10 @@
 )
 
 const (
+	// hopelessFrom is how much of its objective a request may be expected to wait for others
+	// before its own prompt is computed. Beyond that it is refused: what would be late anyway
+	// must not make others late.
+	hopelessFrom = 0.8
 	// forecastWindow is the time over which waits are compared with what was foreseen.
 	forecastWindow = 5 * time.Second
 	// forecastFrom is the least wait that is compared, as a share of the objective. Short
@@ -21,16 +25,16 @@
 	leastRatio, mostRatio = 0.05, 1.5
 )
 
-// forecast learns how long first tokens take against what the router foresees. It isn't
+// Forecast learns how long first tokens take against what the router foresees. It isn't
 // safe for concurrent use.
-type forecast struct {
+type Forecast struct {
 	// foreseen and measured are sums of seconds, with exponential decay as of at.
 	foreseen, measured float64
 	at                 time.Time
 }
 
-// note compares a first token that came with what was foreseen.
-func (f *forecast) note(at time.Time, foreseen, measured, objective time.Duration) {
+// Note compares a first token that came with what was foreseen.
+func (f *Forecast) Note(at time.Time, foreseen, measured, objective time.Duration) {
 	if objective <= 0 || float64(foreseen) < forecastFrom*float64(objective) {
 		return
 	}
@@ -39,16 +43,23 @@
 	f.measured += measured.Seconds()
 }
 
-func (f *forecast) decay(now time.Time) {
+func (f *Forecast) decay(now time.Time) {
 	keep := math.Exp(-now.Sub(f.at).Seconds() / forecastWindow.Seconds())
 	f.foreseen *= keep
 	f.measured *= keep
 	f.at = now
 }
 
-// expect is how long a wait will be that the router foresees.
-func (f *forecast) expect(now time.Time, foreseen time.Duration) time.Duration {
+// Expect is how long a wait will be that the router foresees.
+func (f *Forecast) Expect(now time.Time, foreseen time.Duration) time.Duration {
 	f.decay(now)
 	ratio := (f.measured + usualRatio*usualWeight) / (f.foreseen + usualWeight)
 	return time.Duration(min(max(ratio, leastRatio), mostRatio) * float64(foreseen))
 }
+
+// IsHopeless returns how long a request will wait for others by what the router foresees, and
+// whether that is too long for its objective. The size of the request itself is no reason.
+func (f *Forecast) IsHopeless(now time.Time, foreseen, objective time.Duration) (wait time.Duration, isHopeless bool) {
+	wait = f.Expect(now, foreseen)
+	return wait, float64(wait) > hopelessFrom*float64(objective)
+}
