qfforward: a node that starts reads the requests that it holds

Change: its body is read first, up to 1 MiB, and checked against the configuration's bound later. Measured: TestHeldRequestsAreRead fails without it.

--- a/internal/entry/startup_test.go
+++ b/internal/entry/startup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -47,6 +48,40 @@
 	}
 }
 
+// TestHeldRequestsAreRead guards that a node that starts reads the requests that it holds, and
+// that their bodies are bounded by the configuration that it learns then.
+func TestHeldRequestsAreRead(t *testing.T) {
+	const number, storeDelay = 2, 300 * time.Millisecond
+	tests := []struct {
+		name   string
+		size   int
+		status int
+	}{
+		{name: "within the bound", size: 900, status: http.StatusOK},
+		{name: "beyond the bound", size: 9000, status: http.StatusRequestEntityTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inWorld(t, 0, func(w *world) {
+				w.store.SetFaults(standfault.Faults{Delay: storeDelay})
+				w.start(number)
+				sentAt := w.timer.Now()
+				var readAfter time.Duration
+				trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { readAfter = w.timer.Now().Sub(sentAt) }}
+				ctx := httptrace.WithClientTrace(w.t.Context(), trace)
+				got := w.call(ctx, number, http.MethodPost, "/file/1", strings.Repeat("x", tt.size))
+				if got.status != tt.status {
+					t.Errorf("status %d, want %d", got.status, tt.status)
+				}
+				if readAfter >= storeDelay {
+					t.Errorf("the request was read after %v, want before the node knew the configuration", readAfter)
+				}
+				w.store.SetFaults(standfault.Faults{})
+			})
+		})
+	}
+}
+
 // TestQuotaIsAskedAgainAtTheStart guards that a caller within its quota isn't refused because
 // the node doesn't know yet what others use.
 func TestQuotaIsAskedAgainAtTheStart(t *testing.T) {
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -56,6 +56,8 @@
 	route     *qf.CallerRoute
 	holder    *qf.OrganisationTraits
 	body      []byte
+	// isRead is set once the body was read.
+	isRead    bool
 	arrivedAt time.Time
 	deadline  time.Time
 	outcome   Outcome
@@ -83,17 +85,18 @@
 
 // accept checks the request against the configuration and reads its body.
 func (c *call) accept() error {
-	var err error
-	c.request, err = c.forwarder.ports.Protocol.Request(c.incoming)
-	c.outcome.Request = c.request.ID
-	c.awaitStart()
+	request, invalid := c.forwarder.ports.Protocol.Request(c.incoming)
+	c.request, c.outcome.Request = request, request.ID
+	if err := c.awaitStart(); err != nil {
+		return err
+	}
 	table := c.forwarder.ports.Configuration.Get()
 	if table == nil {
 		return refusal(qf.CodeUnavailable, "", "the node has no configuration yet", unready)
 	}
 	c.outcome.Revision = table.Configuration.Revision
-	if err != nil {
-		return err
+	if invalid != nil {
+		return invalid
 	}
 	if c.route = table.Route(c.request.Host, c.request.Path); c.route == nil {
 		return refusal(qf.CodeNotFound, "Path", "no route has this host and path", 0)
@@ -152,6 +155,13 @@
 }
 
 func (c *call) readBody(limit int64) error {
+	if c.isRead {
+		if limit > 0 && int64(len(c.body)) > limit {
+			return errTooLarge()
+		}
+		return nil
+	}
+	c.isRead = true
 	if c.incoming.Body == nil || c.incoming.Body == http.NoBody {
 		return nil
 	}
@@ -166,7 +176,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return refusal(qf.CodeTooLarge, "Body", "the body is larger than the configuration allows", 0)
+		return errTooLarge()
 	case err != nil:
 		return &qf.Error{Code: qf.CodeInvalid, Step: qf.StepAccept, Field: "Body", Reason: "the body can't be read", Ran: qf.RanNo, Cause: err}
 	}
@@ -174,6 +184,10 @@
 	return nil
 }
 
+func errTooLarge() error {
+	return refusal(qf.CodeTooLarge, "Body", "the body is larger than the configuration allows", 0)
+}
+
 // readAll reads a body whose length is known or not.
 func readAll(source io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
--- a/internal/qf/protocol/qfforward/startup.go
+++ b/internal/qf/protocol/qfforward/startup.go
@@ -16,14 +16,36 @@
 	Until time.Time
 }
 
+func (s *Startup) isKnown() bool {
+	select {
+	case <-s.Known:
+		return true
+	default:
+		return false
+	}
+}
+
 // askAgainAfter is the longest time between two looks at a quota of which a node that starts
 // learns more.
 const askAgainAfter = 50 * time.Millisecond
 
-// awaitStart holds a request that came before the node knows what to do with it.
-func (c *call) awaitStart() {
+// maxHeldBody bounds the body of a request that is held: the configuration's bound isn't
+// known yet.
+const maxHeldBody = 1 << 20
+
+// awaitStart holds a request that came before the node knows what to do with it. Its body is
+// read first, because callers take a node that doesn't read for dead.
+func (c *call) awaitStart() error {
 	startup := &c.forwarder.ports.Startup
-	c.hold(startup.Until.Sub(c.arrivedAt), startup.Known)
+	left := startup.Until.Sub(c.arrivedAt)
+	if left <= 0 || startup.isKnown() {
+		return nil
+	}
+	if err := c.readBody(maxHeldBody); err != nil {
+		return err
+	}
+	c.hold(left, startup.Known)
+	return nil
 }
 
 // hold waits until a channel is closed, some time is over or the caller has left.
