--- a/cmd/quetzalfront/soak_test.go
+++ b/cmd/quetzalfront/soak_test.go
@@ -20,6 +20,7 @@
 var (
 	soakSeeds = flag.Int("soak-seeds", 1, "how many seeds the soak plays besides the kept ones")
 	soakFirst = flag.Uint64("soak-first", 1, "the first seed of the soak")
+	soakNodes = flag.Int("soak-nodes", 3, "how many processes of nodes each seed runs")
 )
 
 // keptSeeds are those that failed once, each with its cause.
@@ -158,10 +159,12 @@
 	behaviours := []standreplica.Behaviour{
 		standreplica.Fails, standreplica.Sheds, standreplica.Busy, standreplica.Cuts, standreplica.Resets, standreplica.Repeats, standreplica.Unframed,
 	}
-	switch random.IntN(8) {
+	switch random.IntN(9) {
 	case 0:
 		w.end(n, os.Kill)
 		w.start(n)
+	case 7:
+		w.killMany(random)
 	case 1:
 		_ = n.command.Process.Signal(syscall.SIGSTOP)
 		w.sleep(time.Duration(random.IntN(2500)) * time.Millisecond)
@@ -186,6 +189,23 @@
 	}
 }
 
+// killMany kills each node by a chance that is drawn first, and starts it again.
+func (w *soakWorld) killMany(random *rand.Rand) {
+	share := random.Float64()
+	var killed []*soakNode
+	for _, n := range w.nodes {
+		if random.Float64() < share {
+			killed = append(killed, n)
+			_ = n.command.Process.Kill() // It may have ended.
+		}
+	}
+	w.sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+	for _, n := range killed {
+		w.end(n, os.Kill)
+		w.start(n)
+	}
+}
+
 func (w *soakWorld) setTrouble(at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/cmd/quetzalfront/soak_world_test.go
+++ b/cmd/quetzalfront/soak_world_test.go
@@ -25,7 +25,6 @@
 )
 
 const (
-	soakNodes    = 3
 	soakReplicas = 4
 	soakHost     = "soak.example"
 	soakKey      = "key-1"
@@ -36,6 +35,17 @@
 	standinPort  = 28090
 )
 
+// The hosts of a soak's network, by number: nodes and the proxies between each and the store
+// begin at nodeHosts and storeHosts.
+const (
+	storeHost      = 100
+	cloudHost      = 101
+	replicaHosts   = 120
+	replicaProxies = 150
+	nodeHosts      = 1000
+	storeHosts     = 2000
+)
+
 // soakWorld is a small deployment of real processes on loopback, with proxies between
 // them and the stand-ins.
 type soakWorld struct {
@@ -89,30 +99,30 @@
 	isStream bool
 }
 
-func (w *soakWorld) ip(last byte) netip.Addr { return netip.AddrFrom4([4]byte{127, w.net, 0, last}) }
-
-func (w *soakWorld) at(last byte, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(w.ip(last), port)
+func (w *soakWorld) at(host int, port uint16) netip.AddrPort {
+	const perOctet = 250
+	ip := netip.AddrFrom4([4]byte{127, w.net, byte(host / perOctet), byte(host%perOctet + 1)})
+	return netip.AddrPortFrom(ip, port)
 }
 
 func newSoakWorld(t *testing.T, network byte) *soakWorld {
 	t.Helper()
 	w := &soakWorld{t: t, timer: qftimer.NewWall(), net: network, folder: t.TempDir()}
 	w.store = standrows.New(w.timer, 2000, 400)
-	w.serve(w.at(100, standinPort), w.store.Handler())
-	w.serve(w.at(101, standinPort), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	w.serve(w.at(storeHost, standinPort), w.store.Handler())
+	w.serve(w.at(cloudHost, standinPort), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	for i := range soakReplicas {
 		id := fmt.Sprintf("replica-%d", i)
-		replica := &soakReplica{Replica: standreplica.New(id, w.timer), address: w.at(byte(150+i), standinPort), entry: []string{"chat", "books"}[i%2]}
+		replica := &soakReplica{Replica: standreplica.New(id, w.timer), address: w.at(replicaProxies+i, standinPort), entry: []string{"chat", "books"}[i%2]}
 		replica.Pause = 20 * time.Millisecond
-		w.serve(w.at(byte(120+i), standinPort), replica)
-		w.proxy(replica.address, w.at(byte(120+i), standinPort))
+		w.serve(w.at(replicaHosts+i, standinPort), replica)
+		w.proxy(replica.address, w.at(replicaHosts+i, standinPort))
 		w.replicas = append(w.replicas, replica)
 		w.list(replica, "ready")
 	}
 	w.configure()
-	for i := range soakNodes {
-		w.proxy(w.at(byte(200+i), standinPort), w.at(100, standinPort))
+	for i := range *soakNodes {
+		w.proxy(w.at(storeHosts+i, standinPort), w.at(storeHost, standinPort))
 		w.nodes = append(w.nodes, &soakNode{number: i})
 		w.start(w.nodes[i])
 	}
@@ -163,20 +173,20 @@
 
 // start starts a node's process. Only processes that are started here are ever ended.
 func (w *soakWorld) start(n *soakNode) {
-	ip := byte(n.number + 1)
+	host := nodeHosts + n.number
 	settings := map[string]any{
 		"node-name": fmt.Sprintf("node-%d", n.number), "zone": "a", "region": "r", "zones": map[string]string{"a": "r"},
 		"listen": map[string]string{
-			"front": w.at(ip, callersPort).String(), "readiness": w.at(ip, readyPort).String(),
-			"control": w.at(ip, peersPort).String(), "directory": w.at(ip, askPort).String(),
+			"front": w.at(host, callersPort).String(), "readiness": w.at(host, readyPort).String(),
+			"control": w.at(host, peersPort).String(), "directory": w.at(host, askPort).String(),
 		},
-		"seeds": []string{w.at(1, peersPort).String()}, "heartbeat-ms": 1200,
+		"seeds": []string{w.at(nodeHosts, peersPort).String()}, "heartbeat-ms": 1200,
 		"bounds": map[string]any{
 			"grace-s": 8, "config-ms": 3000, "lease-ms": 3000, "retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 50,
 			"usage-window-s": 5, "usage-late-s": 10, "fence-checked": true, "ttl_max_s": 5,
 		},
-		"platform": map[string]string{"address": w.at(byte(200+n.number), standinPort).String()},
-		"cloud":    map[string]any{"address": w.at(101, standinPort).String(), "duties": []string{"usage_report"}},
+		"platform": map[string]string{"address": w.at(storeHosts+n.number, standinPort).String()},
+		"cloud":    map[string]any{"address": w.at(cloudHost, standinPort).String(), "duties": []string{"usage_report"}},
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
@@ -240,7 +250,7 @@
 	r.isStream = strings.HasPrefix(r.path, "/ask/") || strings.HasPrefix(r.path, "/talk/")
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.at(byte(n.number+1), callersPort).String()+r.path, strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.at(nodeHosts+n.number, callersPort).String()+r.path, strings.NewReader("body"))
 	if err != nil {
 		w.t.Error(err)
 		return
