--- a/cmd/quetzalfront/soak_test.go
+++ b/cmd/quetzalfront/soak_test.go
@@ -41,12 +41,17 @@
 	// of them can touch it.
 	settledFor  = 3 * time.Second
 	soakClients = 6
+	// mostSoakNodes keeps one seed's processes well below half of a small machine's memory.
+	mostSoakNodes = 150
 )
 
 // TestSoak plays real processes under faults from outside. Three parts follow each other:
 // planned work only, faults of all kinds, and the time after them. What callers and
 // endpoints saw is checked against the promises.
 func TestSoak(t *testing.T) {
+	if *soakNodes < 1 || *soakNodes > mostSoakNodes {
+		t.Fatalf("soak-nodes is %d, want 1 to %d", *soakNodes, mostSoakNodes)
+	}
 	for _, kept := range keptSeeds {
 		t.Run(fmt.Sprintf("kept-%d", kept.seed), func(t *testing.T) { soak(t, kept.seed) })
 	}
