--- a/internal/entry/beliefs.go
+++ b/internal/entry/beliefs.go
@@ -56,7 +56,10 @@
 	for i := range peers {
 		peer := &peers[i]
 		present[peer.ID] = peer.State != qf.NodeSuspect
-		if peer.State == qf.NodeLive && !b.heard[peer.ID] {
+		switch {
+		case peer.State == qf.NodeLeaving:
+			delete(b.heard, peer.ID) // Its silence is expected.
+		case peer.State == qf.NodeLive && !b.heard[peer.ID]:
 			b.heard[peer.ID] = true
 			qfevent.PeerRegained.Log(&e.platform.Logger, peer.ID, peer.PeerAddress)
 		}
