--- a/cmd/quetzalfront/demo.go
+++ b/cmd/quetzalfront/demo.go
@@ -14,7 +14,15 @@
 	sub.Description = "run both deployments in this process, reclaim a zone, and check every answer"
 	var deployment string
 	sub.String(&deployment, "d", "deployment", "Lahore or Lanka; both if not given")
+	var onPlatform bool
+	sub.Bool(&onPlatform, "p", "platform", "show entry nodes on a stand-in of the users' platform instead")
 	return &command{sub: sub, run: func(ctx context.Context) int {
+		if onPlatform {
+			if err := showPlatform(ctx, os.Stdout); err != nil {
+				return fail(err)
+			}
+			return exitOK
+		}
 		if err := demo.Run(ctx, os.Stdout, deployment); err != nil {
 			return fail(err)
 		}
--- /dev/null
+++ b/internal/standin/standplatform/platform.go
@@ -0,0 +1,120 @@
+// Package standplatform is a small stand-in of the users' whole platform on loopback: the
+// store with a configuration, endpoints that serve two entries, the API for duties, and
+// callers.
+package standplatform
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/standin/standreplica"
+	"quetzalfront/internal/standin/standrows"
+)
+
+const (
+	// host and key are those of the only organisation.
+	host = "demo.example"
+	key  = "key-1"
+	// zone is the availability zone of all endpoints, and region its region.
+	zone   = "north-a"
+	region = "north"
+	// readsPerSecond and writesPerSecond bound the store's calls.
+	readsPerSecond, writesPerSecond = 2000, 400
+	// eventPause is the time before each event of a stream.
+	eventPause = 40 * time.Millisecond
+)
+
+const configuration = `{"version":%d,"routes":[
+	{"name":"ask","host":%[2]q,"prefix":"/ask/","kind":"streaming","timeout-ms":4000,"slo-ms":1000,"service":"chat","attempts":2,"sticky":true,"resumable":true},
+	{"name":"file","host":%[2]q,"prefix":"/file/","kind":"unsafe","timeout-ms":2000,"slo-ms":200,"service":"books","attempts":1},
+	{"name":"read","host":%[2]q,"prefix":"/read%[1]d/","kind":"safe","timeout-ms":2000,"slo-ms":200,"service":"books","attempts":2}],
+	"services":[{"name":"chat"},{"name":"books"}],"limits":{"max-body-bytes":100000},
+	"tenants":[{"name":"north","api-keys":[%[3]q],"unit":"generation","plain-tokens":1,"rate-per-s":1000000,"burst":1000000}]}`
+
+// Platform is a running platform.
+type Platform struct {
+	// Store and Cloud are where nodes reach the store and the API.
+	Store, Cloud netip.AddrPort
+	Endpoints    []*Endpoint
+
+	rows    *standrows.Store
+	servers []*http.Server
+}
+
+// Endpoint is one replica.
+type Endpoint struct {
+	*standreplica.Replica
+	address netip.AddrPort
+	entry   string
+}
+
+// Start starts a platform with two endpoints of each entry.
+func Start(timer qf.Timer) (*Platform, error) {
+	p := &Platform{rows: standrows.New(timer, readsPerSecond, writesPerSecond)}
+	if err := p.start(timer); err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Platform) start(timer qf.Timer) (err error) {
+	if p.Store, err = p.serve(p.rows.Handler()); err != nil {
+		return err
+	}
+	if p.Cloud, err = p.serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})); err != nil {
+		return err
+	}
+	for i, entry := range []string{"chat", "chat", "books", "books"} {
+		e := &Endpoint{Replica: standreplica.New(fmt.Sprintf("%s-%d", entry, i%2+1), timer), entry: entry}
+		e.Pause = eventPause
+		if e.address, err = p.serve(e); err != nil {
+			return err
+		}
+		p.Endpoints = append(p.Endpoints, e)
+		p.list(e, "ready")
+	}
+	p.Configure(1)
+	return nil
+}
+
+// Regions maps the platform's availability zone to its region.
+func (p *Platform) Regions() map[qf.AvailabilityZone]qf.Region {
+	return map[qf.AvailabilityZone]qf.Region{zone: region}
+}
+
+// Configure writes a configuration with a revision; its plain route has the revision in its
+// path.
+func (p *Platform) Configure(revision int) {
+	p.rows.Put("op", "config", fmt.Appendf(nil, configuration, revision, host, key))
+}
+
+// Drain lets an endpoint say that it leaves.
+func (p *Platform) Drain(e *Endpoint) { p.list(e, "draining") }
+
+func (p *Platform) list(e *Endpoint, state string) {
+	p.rows.Put("servers", e.ID, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":64,"state":%q,"born":1}`, e.entry, e.address, zone, state))
+}
+
+func (p *Platform) serve(handler http.Handler) (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	p.servers = append(p.servers, server)
+	go func() { _ = server.Serve(listener) }() // Close ends it.
+	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// Close ends the platform.
+func (p *Platform) Close() {
+	for _, server := range p.servers {
+		_ = server.Close() // Nothing is in progress that must be finished.
+	}
+}
