qfroute, entry: refuse as too late only if every endpoint's queue is too long

A dump at the refusal showed a node that judged the queue of the cheapest endpoint alone, where a peer's prompt of 390 ms ago was still listed, while the other endpoint had nothing to do; and a time per token still at the first guess of 100 us after all answers so far: an answer that came sooner than the fixed part of the prediction wasn't taken as a sample, so that only slow answers counted. Change: RouteQuery.MaxQueue bounds the predicted queue; endpoints above it are chosen only if all are, and only then the request is refused. Fast answers are samples too, and the first few weigh more than the guess. Ruled out: that the predicted prefill counts as a wait (it doesn't).

--- a/internal/entry/endpointpicker.go
+++ b/internal/entry/endpointpicker.go
@@ -43,6 +43,7 @@
 	routeQuery := qf.RouteQuery{
 		Now: query.Now, Request: request, FromZone: p.self.AvailabilityZone, FromRegion: p.self.Region,
 		ResumeTokens: query.ResumeTokens, Excluded: query.Excluded, Version: p.versions.chooseVersion(entry, p.random),
+		MaxQueue: p.maxQueue(query),
 	}
 	if query.Prompt != nil {
 		routeQuery.PromptTokens = query.Prompt.Tokens
@@ -54,11 +55,12 @@
 	if err != nil {
 		return qf.PickedEndpoint{}, err
 	}
-	if wait, isTooLate := p.predictMissedObjective(query, &choice); isTooLate {
+	if queue := choice.Prediction.Queue; routeQuery.MaxQueue > 0 && queue > routeQuery.MaxQueue {
 		return qf.PickedEndpoint{}, &qf.Error{
 			Code: qf.CodeOverloaded, Step: qf.StepRoute, Peer: string(choice.Endpoint.ID), Ran: qf.RanNo,
 			Reason: "the first token would come too late at every endpoint",
-			Cause:  fmt.Errorf("%v to wait at the best one, objective %v", wait, query.Route.Objective),
+			Cause: fmt.Errorf("%v to wait at the best one, objective %v",
+				p.waitEstimator.EstimateWait(query.Now, queue), query.Route.Objective),
 		}
 	}
 	picked := qf.PickedEndpoint{
@@ -69,14 +71,14 @@
 	return picked, nil
 }
 
-// predictMissedObjective returns the predicted wait at the best endpoint, and whether it is
-// too long for the objective. Retries are exempt, since they have waited already.
-func (p *endpointPicker) predictMissedObjective(query *qf.PickQuery, choice *qf.RouteChoice) (wait time.Duration, isTooLate bool) {
+// maxQueue returns the longest predicted queue in which a request can wait and still meet its
+// objective, or 0 if any will do. Retries are exempt, since they have waited already.
+func (p *endpointPicker) maxQueue(query *qf.PickQuery) time.Duration {
 	objective := query.Route.Objective
 	if query.Prompt == nil || objective <= 0 || len(query.Excluded) > 0 {
-		return 0, false
+		return 0
 	}
-	return p.waitEstimator.CheckObjective(query.Now, choice.Prediction.Queue, objective)
+	return p.waitEstimator.MaxQueue(query.Now, objective)
 }
 
 // drawEntry picks one of a route's entries by weight.
--- a/internal/qf/coordination/qfadmit/wait.go
+++ b/internal/qf/coordination/qfadmit/wait.go
@@ -53,17 +53,20 @@
 	w.at = now
 }
 
+// ratio returns the ratio of measured to predicted waits.
+func (w *WaitEstimator) ratio(now time.Time) float64 {
+	w.decay(now)
+	return min(max((w.measured+defaultRatio*defaultWeight)/(w.predicted+defaultWeight), minRatio), maxRatio)
+}
+
 // EstimateWait returns the corrected estimate of a wait that the router predicts.
 func (w *WaitEstimator) EstimateWait(now time.Time, predicted time.Duration) time.Duration {
-	w.decay(now)
-	ratio := (w.measured + defaultRatio*defaultWeight) / (w.predicted + defaultWeight)
-	return time.Duration(min(max(ratio, minRatio), maxRatio) * float64(predicted))
+	return time.Duration(w.ratio(now) * float64(predicted))
 }
 
-// CheckObjective returns the estimated time in the queue of a request, given the router's
-// prediction, and whether it is too long for the objective. The time for the request's own
-// prompt doesn't count, so that no request is refused for its size.
-func (w *WaitEstimator) CheckObjective(now time.Time, predicted, objective time.Duration) (wait time.Duration, missesObjective bool) {
-	wait = w.EstimateWait(now, predicted)
-	return wait, float64(wait) > maxWaitShare*float64(objective)
+// MaxQueue returns the longest queue, as the router predicts it, in which a request can wait
+// and still meet its objective. The time for the request's own prompt doesn't count, so that
+// no request is refused for its size.
+func (w *WaitEstimator) MaxQueue(now time.Time, objective time.Duration) time.Duration {
+	return time.Duration(maxWaitShare * float64(objective) / w.ratio(now))
 }
--- a/internal/qf/coordination/qfroute/choose.go
+++ b/internal/qf/coordination/qfroute/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qfprefix"
@@ -40,6 +41,7 @@
 	if len(list) == 0 {
 		return nil, qf.RouteChoice{}, errNoEndpoint()
 	}
+	list = withinQueue(list, query.MaxQueue)
 	f := p.newFactors(query, pool)
 	f.preferred, f.affinityTokens = affinityEndpoint(list, query), float64(query.AffinityTokens)
 	for i, e := range list {
@@ -49,6 +51,15 @@
 	return e, p.buildChoice(e, &f, len(list), rule), nil
 }
 
+// withinQueue returns the endpoints whose predicted queue is within a bound, or all of them
+// if none is or there is no bound. It reuses the list.
+func withinQueue(list []*endpoint, bound time.Duration) []*endpoint {
+	if bound <= 0 || !slices.ContainsFunc(list, func(e *endpoint) bool { return e.queue() <= bound }) {
+		return list
+	}
+	return slices.DeleteFunc(list, func(e *endpoint) bool { return e.queue() > bound })
+}
+
 // buildChoice returns the choice of an endpoint with its prediction.
 func (p *Predictive) buildChoice(e *endpoint, f *factors, candidates int, rule string) qf.RouteChoice {
 	tokens := p.uncached(e, f)
--- a/internal/qf/coordination/qfroute/estimate.go
+++ b/internal/qf/coordination/qfroute/estimate.go
@@ -41,27 +41,40 @@
 // times predicts the time to first token of a request with the given number of tokens to
 // compute.
 func (e *endpoint) times(tokens float64) times {
-	perToken := e.pool.perTokenSeconds * e.slowdown * float64(time.Second)
-	t := times{work: e.load.tokens + tokens, link: 2 * e.link, fixed: e.fixed()}
-	t.queue = t.fixed + time.Duration(e.load.tokens*perToken)
-	t.prefill = time.Duration(tokens * perToken)
+	t := times{work: e.load.tokens + tokens, queue: e.queue(), link: 2 * e.link, fixed: e.fixed()}
+	t.prefill = e.prefillTime(tokens)
 	t.fixed += t.link
 	return t
 }
 
+// queue predicts the time from a request's arrival to the start of its prefill.
+func (e *endpoint) queue() time.Duration { return e.fixed() + e.prefillTime(e.load.tokens) }
+
+// prefillTime predicts the time to compute a number of tokens.
+func (e *endpoint) prefillTime(tokens float64) time.Duration {
+	return time.Duration(tokens * e.pool.perTokenSeconds * e.slowdown * float64(time.Second))
+}
+
 // updateSpeed updates the pool's time per token and the slowdown of endpoint and pool.
 func (e *endpoint) updateSpeed(a *attempt, took time.Duration) {
-	if rest := took - a.fixed; a.work >= minSampleTokens && rest > 0 {
-		perToken := e.pool.perTokenSeconds * float64(time.Second)
-		sample := min(max(float64(rest)/a.work, perToken/maxSampleFactor), perToken*maxSampleFactor)
-		sample = min(max(sample, float64(minPerToken)), float64(maxPerToken))
-		e.pool.perTokenSeconds += (sample/float64(time.Second) - e.pool.perTokenSeconds) / poolSamples
+	if a.work >= minSampleTokens {
+		// An answer that came sooner than the fixed part is a sample too: without it only
+		// slow answers would count, and a time per token that is far too long would stay.
+		e.pool.updatePerToken(max(took-a.fixed, 0).Seconds() / a.work)
 	}
 	ratio := float64(took+slowdownFloor) / float64(a.predicted+slowdownFloor) * e.slowdown
 	e.slowdown += (min(max(ratio, minSlowdown), maxSlowdown) - e.slowdown) / endpointSamples
 	e.pool.slowdown += (e.slowdown - e.pool.slowdown) / poolSlowdownSamples
 }
 
+// updatePerToken moves the time per token towards a sample in seconds.
+func (p *pool) updatePerToken(sample float64) {
+	sample = min(max(sample, p.perTokenSeconds/maxSampleFactor), p.perTokenSeconds*maxSampleFactor)
+	sample = min(max(sample, minPerToken.Seconds()), maxPerToken.Seconds())
+	p.perTokenSamples = min(p.perTokenSamples+1, poolSamples)
+	p.perTokenSeconds += (sample - p.perTokenSeconds) / float64(p.perTokenSamples)
+}
+
 // updateDecodeTime updates the pool's mean time from first token to end.
 func (e *endpoint) updateDecodeTime(a *attempt, at time.Time) {
 	since := a.firstAt
--- a/internal/qf/coordination/qfroute/pool.go
+++ b/internal/qf/coordination/qfroute/pool.go
@@ -24,6 +24,9 @@
 	// one token of an answer to the next, and decodeTime that from first token to end.
 	perTokenSeconds          float64
 	betweenToken, decodeTime time.Duration
+	// perTokenSamples is the weight of perTokenSeconds in samples, at most poolSamples. It
+	// is low at first, so that the initial guess is soon replaced by what is measured.
+	perTokenSamples int
 	// slowdown is the moving average of the endpoints' slowdown.
 	slowdown float64
 	// rate is this node's requests per second, as of rateAt; prefillSeconds is the mean
--- a/internal/qf/coordination/qfroute/predictive_test.go
+++ b/internal/qf/coordination/qfroute/predictive_test.go
@@ -144,6 +144,16 @@
 			p.SetEndpoints(append([]qf.Endpoint(nil), list...))
 			p.MarkDeparting("e0000", 0) // An older incarnation has no effect.
 		}, nil, "e0001"},
+		{"queue too long at the cheapest", func(p *Predictive, list []qf.Endpoint) {
+			list[1].Region, list[1].AvailabilityZone = "far", "far-z"
+			p.config.RegionDelay = 2 * time.Second
+			p.SetEndpoints(append([]qf.Endpoint(nil), list...))
+			reportLoad(p, "e0000", start, start, 5, 9000)
+		}, func(q *qf.RouteQuery) { q.MaxQueue = 500 * time.Millisecond }, "e0001"},
+		{"queue too long everywhere", func(p *Predictive, _ []qf.Endpoint) {
+			reportLoad(p, "e0000", start, start, 5, 9000)
+			reportLoad(p, "e0001", start, start, 5, 9900)
+		}, func(q *qf.RouteQuery) { q.MaxQueue = 500 * time.Millisecond }, "e0000"},
 		{"next incarnation of a departed VM", func(p *Predictive, list []qf.Endpoint) {
 			p.MarkDeparting("e0000", 1)
 			list[0].Incarnation = 2
@@ -170,6 +180,41 @@
 	}
 }
 
+// TestSpeedIsLearned guards against a predicted queue that stays at the guess made before
+// the first answers, because only slow answers count or the guess counts for too many.
+func TestSpeedIsLearned(t *testing.T) {
+	const tokens = 10_000
+	tests := []struct {
+		name string
+		// took is the time of each of the answers so far.
+		took    time.Duration
+		answers int
+		// least and most bound the predicted queue behind one prompt.
+		least, most time.Duration
+	}{
+		{name: "no answers", least: 900 * time.Millisecond, most: 1100 * time.Millisecond},
+		{name: "fast", took: 100 * time.Millisecond, answers: 8, least: 20 * time.Millisecond, most: 300 * time.Millisecond},
+		{name: "sooner than the fixed part", answers: 8, most: 200 * time.Millisecond},
+		{name: "slow", took: 4 * time.Second, answers: 8, least: 2 * time.Second, most: 8 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newRouter(1, sameZone(endpointsOf(1)))
+			now := start
+			for range tt.answers {
+				p.RecordStart(now, "e0000", tokens)
+				now = now.Add(tt.took)
+				p.RecordFirstToken(now, "e0000", tt.took)
+				p.RecordEnd(now, "e0000", tokens, true)
+			}
+			p.RecordStart(now, "e0000", tokens)
+			if got := mustChoose(t, p, queryAt(now, tokens)).Prediction.Queue; got < tt.least || got > tt.most {
+				t.Errorf("predicted queue %v, want %v to %v", got, tt.least, tt.most)
+			}
+		})
+	}
+}
+
 // TestNodesDontHerd guards against nodes that all pick the same endpoint because they have
 // the same outdated reports. To prove the check, it must fail for a router that always
 // picks the best by these reports.
