--- a/cmd/quetzalfront/entry.go
+++ b/cmd/quetzalfront/entry.go
@@ -120,7 +120,7 @@
 	peers := qfrpc.NewClient(timer, peerTimeout, network.Dial, nil)
 	seed := uint64(time.Now().UnixNano()) //nolint:gosec // Any bits will do.
 	return entry.Platform{
-		Clock: timer, Network: network, Feed: store, Table: store, Rollouts: store,
+		Clock: timer, Network: network, Feed: store, Table: store, Eras: store, Rollouts: store,
 		Duties:     platform.NewDutyClient(settings.Cloud, network.Dial),
 		RowDecoder: platform.RowDecoder{Regions: settings.Deployment.Regions}, Protocol: platform.Protocol{},
 		Peer: peers, PeerFeed: peers,
--- a/internal/contract/table_test.go
+++ b/internal/contract/table_test.go
@@ -24,20 +24,23 @@
 type table struct {
 	qf.Table
 	setFaults func(standfault.Faults)
+	// era is the era that rows are read in.
+	era qf.StoreEra
 }
 
 var tables = map[string]func(t *testing.T) table{
 	"stand-in": func(*testing.T) table {
 		stand := standtable.New(qftimer.NewWall())
-		return table{stand, stand.SetFaults}
+		return table{Table: stand, setFaults: stand.SetFaults}
 	},
 	"adapter": func(t *testing.T) table {
 		stand := standtable.New(qftimer.NewWall())
-		return table{qftable.NewClient(serverAddress, callTimeout, serve(t, stand.Handler())), stand.SetFaults}
+		return table{Table: qftable.NewClient(serverAddress, callTimeout, serve(t, stand.Handler())), setFaults: stand.SetFaults}
 	},
 	"customer platform": func(t *testing.T) table {
 		stand := standrows.New(qftimer.NewWall(), standtable.ReadsPerSecond, standtable.WritesPerSecond)
-		return table{prefixedStore{platform.NewStore(serverAddress, callTimeout, serve(t, stand.Handler()))}, stand.SetFaults}
+		store := platform.NewStore(serverAddress, callTimeout, serve(t, stand.Handler()))
+		return table{Table: prefixedStore{store}, setFaults: stand.SetFaults, era: qf.StoreEra(stand.Era())}
 	},
 }
 
@@ -157,7 +160,7 @@
 		for _, key := range keys {
 			b.mustCommit(t, insert(qf.TransactionID(key), key))
 			row, err := b.Read(t.Context(), key)
-			want := qf.Row{Key: key, Version: 1, Value: []byte("value of " + key), Writer: qf.TransactionID(key)}
+			want := qf.Row{Key: key, Version: 1, Value: []byte("value of " + key), Writer: qf.TransactionID(key), Era: b.era}
 			if err != nil || !reflect.DeepEqual(row, want) {
 				t.Errorf("row %+v, %v; want %+v", row, err, want)
 			}
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -38,15 +38,21 @@
 	isOrderRefused bool
 	// desiredSizes holds the number of endpoints that each entry needs, where known.
 	desiredSizes map[qf.EntryName]int
+	// storedSizes holds the entries whose number is known to be in the store. It is reset with
+	// each lease, because a later era of the store may lack the row.
+	storedSizes map[qf.EntryName]bool
+	// frozen holds the reports of the latest windows that this node has stored.
+	frozen map[int64]qf.UsageReport
 }
 
 func newDuties(e *Entry) *duties {
 	lease := max(e.deployment.Bounds.LeaseFor, time.Second)
-	return &duties{entry: e, holder: qfholder.New(qfholder.Ports{
+	return &duties{entry: e, frozen: map[int64]qf.UsageReport{}, desiredSizes: map[qf.EntryName]int{}, holder: qfholder.New(qfholder.Ports{
 		Clock: e.platform.Clock, Table: e.platform.Table, Logger: &e.platform.Logger, Random: e.newRandom(),
 		Timing: qflease.Timing{
 			Duration: lease, RenewEvery: lease / renewalsPerLease, RankDelay: leaseRankDelay, ClockMargin: maxClockDrift,
 		},
+		Eras: e.platform.Eras, IsFirstStart: e.deployment.FirstStart,
 		Self: func() (qf.NodeID, qf.Incarnation) { return e.deployment.Self.ID, e.deployment.Self.Incarnation },
 	})}
 }
@@ -94,7 +100,7 @@
 	d.reporter = qfusage.NewReporter(e.admission.usage, now, e.deployment.Bounds.UsageWithin)
 	d.planners = map[qf.EntryName]*qffleet.ZonalPlanner{}
 	d.rollouts = newRolloutDriver(e)
-	d.desiredSizes = map[qf.EntryName]int{}
+	d.storedSizes = map[qf.EntryName]bool{}
 }
 
 // liveNodes returns the nodes that may hold the lease.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,7 @@
 	Network    qf.Network
 	Feed       qf.FeedReader
 	Table      qf.Table
+	Eras       qf.EraTracker
 	Duties     qf.DutyClient
 	Rollouts   qf.RolloutReporter
 	RowDecoder qf.RowDecoder
@@ -82,6 +83,7 @@
 	exchanger     *qfexchange.Client
 	forwarder     *qfforward.Forwarder
 	duties        *duties
+	storeEra      *eraWatcher
 	logLimiter    *qflog.Limiter
 
 	// endpointsMu serialises updates of the router's endpoints.
@@ -102,6 +104,10 @@
 	// hasNodes is set, and nodesRead closed, once the list of nodes was read.
 	hasNodes  atomic.Bool
 	nodesRead chan struct{}
+	// registerAgain is sent to when the store has lost the node's row.
+	registerAgain chan struct{}
+	// registeredIn is the store's era in which the node's row was written.
+	registeredIn atomic.Uint64
 	// loaded is closed once the configuration and the endpoints are loaded.
 	loaded     chan struct{}
 	loadedOnce sync.Once
@@ -123,6 +129,7 @@
 	e := &Entry{
 		deployment: deployment, platform: platform, startedAt: now, random: platform.Random, seeds: deployment.Seeds,
 		relayFailedAt: map[qf.NodeID]time.Time{}, relayStaleAt: map[qf.NodeID]time.Time{}, loaded: make(chan struct{}), nodesRead: make(chan struct{}),
+		registerAgain: make(chan struct{}, 1),
 	}
 	e.fleetClock = newFleetClock(now)
 	e.registry = qfregistry.New()
@@ -147,6 +154,7 @@
 		Startup: qfforward.Startup{Ready: e.loaded, Until: now.Add(startupHold)}, Configuration: &e.configuration, Observe: e.observe, IsLeaving: e.isLeaving.Load,
 	})
 	e.duties = newDuties(e)
+	e.storeEra = &eraWatcher{entry: e}
 	return e
 }
 
@@ -182,6 +190,7 @@
 	e.background.Go(func() { e.exchangeLoop(loops) })
 	e.background.Go(func() { e.registerLoop(loops) })
 	e.background.Go(func() { e.duties.run(loops) })
+	e.background.Go(func() { e.storeEra.run(loops) })
 	e.background.Go(func() { e.runEvery(loops, droppedLogInterval, e.logDropped) })
 	e.background.Go(func() { e.runEvery(loops, statusLogInterval, newStatusLogger(e).step) })
 	qfevent.NodeStarted.Log(&e.platform.Logger, e.deployment.Self.ID, e.deployment.Self.CallerAddress)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -79,6 +79,7 @@
 func (e *Entry) buildDigest(to *qf.Node, wants []qf.AvailabilityZone) qf.Digest {
 	now := e.now()
 	d := qf.Digest{SentAt: e.fleetClock.localTime(now), RolloutPlans: e.picker.rolloutPlans(), Suspicions: e.poisonFilter.listSuspicions(now)}
+	d.Store = e.storeEra.get()
 	e.mu.Lock()
 	d.From = e.membership.Self()
 	d.From.CatalogueRevision = e.configuration.Revision()
@@ -106,6 +107,7 @@
 	e.fleetClock.recordPeerTime(now, d.From.ID, d.SentAt)
 	e.picker.recordPeerLoads(d.From.ID, d.SentLoads)
 	e.poisonFilter.mergeSuspicions(now, d.Suspicions)
+	e.storeEra.applyPeer(d.Store)
 	for i := range d.RolloutPlans {
 		e.applyRolloutPlan(&d.RolloutPlans[i])
 	}
--- a/internal/entry/feedreader.go
+++ b/internal/entry/feedreader.go
@@ -23,6 +23,9 @@
 	// relayStartupTime is how long after its own start a node of a large fleet waits for a relay
 	// that is starting too: if all start together, the store can't serve each of them.
 	relayStartupTime = 4 * time.Second
+	// relayRestoreTime is how long a node waits for its relay to read a feed again after the
+	// store came back from an older copy, so that not all nodes read the store at once.
+	relayRestoreTime = time.Second
 )
 
 // relayFeedReader is a qf.FeedReader that reads at the relay of the node's zone. It reads at the
@@ -74,13 +77,19 @@
 // relay that is also starting to read the feed first.
 func (s *relayFeedReader) readRelaySnapshot(ctx context.Context, feed qf.FeedName) (page qf.FeedPage, isDone bool, err error) {
 	e := s.entry
+	began := e.now()
 	for {
 		relays := e.feedRelays()
 		page, isDone, err = s.readRelay(func(address netip.AddrPort) (qf.FeedPage, error) {
 			return e.platform.PeerFeed.ReadPeerSnapshot(ctx, address, feed)
 		})
+		isOlder := isDone && err == nil && page.Era < e.platform.Eras.Era()
+		if isOlder {
+			page, isDone, err = qf.FeedPage{}, false, qf.NewError(qf.CodeNotYetKnown, qf.StepTableRead, string(relays.Own.ID), "the relay's copy is of an earlier era of the store")
+		}
 		isEarly := e.now().Sub(e.startedAt) < relayStartupTime && relays.Nodes > fullExchangeUpTo
-		if isDone || err == nil || !isEarly || ctx.Err() != nil {
+		mayWait := isEarly || isOlder && e.now().Sub(began) < relayRestoreTime
+		if isDone || err == nil || !mayWait || ctx.Err() != nil {
 			return page, isDone, err
 		}
 		e.sleep(ctx, startupPollInterval)
@@ -96,8 +105,11 @@
 }
 
 // ReadChanges implements qf.FeedReader.
-func (s *relayFeedReader) ReadChanges(ctx context.Context, feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error) {
+func (s *relayFeedReader) ReadChanges(ctx context.Context, feed qf.FeedName, after qf.StorePosition, wait time.Duration) (qf.FeedPage, error) {
 	e := s.entry
+	if e.platform.Eras.Era() > after.Era {
+		return qf.FeedPage{}, qf.NewError(qf.CodeStaleRevision, qf.StepTableRead, string(feed), "the store is in a later era")
+	}
 	page, isDone, err := s.readRelay(func(address netip.AddrPort) (qf.FeedPage, error) {
 		return e.platform.PeerFeed.ReadPeerChanges(ctx, address, feed, after, peerPollTimeout)
 	})
@@ -162,6 +174,6 @@
 func (e *Entry) FeedWhole(feed qf.FeedName) (qf.FeedPage, error) { return e.mirror.Snapshot(feed) }
 
 // FeedSince implements qfrpc.Handler.
-func (e *Entry) FeedSince(feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error) {
+func (e *Entry) FeedSince(feed qf.FeedName, after qf.StorePosition, wait time.Duration) (qf.FeedPage, error) {
 	return e.mirror.WaitForChanges(context.Background(), feed, after, wait)
 }
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -44,8 +44,8 @@
 
 // rowHandler applies the rows of one feed.
 type rowHandler interface {
-	ApplySnapshot(rows []qf.FeedRow, version uint64)
-	ApplyChanges(rows []qf.FeedRow)
+	ApplySnapshot(page *qf.FeedPage)
+	ApplyChanges(page *qf.FeedPage)
 }
 
 // feedHandler adds the failure handling that all feeds share to a rowHandler.
@@ -55,6 +55,17 @@
 	name  qf.FeedName
 	// failedSince is when the feed began to fail; it is zero while reads succeed.
 	failedSince time.Time
+	// position is that of the last snapshot.
+	position qf.StorePosition
+}
+
+// ApplySnapshot implements qffollow.Handler.
+func (h *feedHandler) ApplySnapshot(page *qf.FeedPage) {
+	if h.position.Era > 0 && page.Era > h.position.Era {
+		qfevent.FeedRestored.Log(&h.entry.platform.Logger, h.name, page.Era, page.Version, h.position.Version, len(page.Rows))
+	}
+	h.position = page.Position()
+	h.rowHandler.ApplySnapshot(page)
 }
 
 // RecordFailure implements qffollow.Handler.
@@ -96,11 +107,12 @@
 type operatorRowHandler struct{ entry *Entry }
 
 // ApplySnapshot implements rowHandler.
-func (h *operatorRowHandler) ApplySnapshot(rows []qf.FeedRow, _ uint64) { h.ApplyChanges(rows) }
+func (h *operatorRowHandler) ApplySnapshot(page *qf.FeedPage) { h.ApplyChanges(page) }
 
 // ApplyChanges implements rowHandler.
-func (h *operatorRowHandler) ApplyChanges(rows []qf.FeedRow) {
+func (h *operatorRowHandler) ApplyChanges(page *qf.FeedPage) {
 	e := h.entry
+	rows := page.Rows
 	for i := range rows {
 		if e.platform.RowDecoder.IsConfigurationKey(rows[i].Key) && !rows[i].Removed {
 			e.applyConfiguration(rows[i].Value, "")
@@ -137,24 +149,25 @@
 type endpointRowHandler struct{ entry *Entry }
 
 // ApplySnapshot implements rowHandler.
-func (h *endpointRowHandler) ApplySnapshot(rows []qf.FeedRow, version uint64) {
+func (h *endpointRowHandler) ApplySnapshot(page *qf.FeedPage) {
 	e := h.entry
-	listed := make(map[qf.EndpointID]bool, len(rows))
-	for i := range rows {
-		listed[qf.EndpointID(rows[i].Key)] = true
+	listed := make(map[qf.EndpointID]bool, len(page.Rows))
+	for i := range page.Rows {
+		listed[qf.EndpointID(page.Rows[i].Key)] = true
 	}
 	e.mu.Lock()
-	e.registry.RemoveMissing(e.now(), listed, version)
+	e.registry.RemoveMissing(e.now(), listed, page.Position())
 	e.mu.Unlock()
-	h.ApplyChanges(rows)
+	h.ApplyChanges(page)
 	e.hasEndpoints.Store(true)
 	e.signalLoaded()
 }
 
 // ApplyChanges implements rowHandler.
-func (h *endpointRowHandler) ApplyChanges(rows []qf.FeedRow) {
+func (h *endpointRowHandler) ApplyChanges(page *qf.FeedPage) {
 	e := h.entry
 	now := e.now()
+	rows := page.Rows
 	e.mu.Lock()
 	var gone []qf.EndpointID
 	var dead []qf.Endpoint
@@ -163,7 +176,7 @@
 		newest = max(newest, rows[i].Version)
 		id := qf.EndpointID(rows[i].Key)
 		known := e.registry.Get(id)
-		isGone := h.applyRow(now, &rows[i])
+		isGone := h.applyRow(now, &rows[i], page.Era)
 		if isGone {
 			gone = append(gone, id)
 		}
@@ -171,7 +184,7 @@
 			dead = append(dead, known.Endpoint) // Its end was not announced.
 		}
 	}
-	e.registry.Remove(now, gone, newest)
+	e.registry.Remove(now, gone, qf.StorePosition{Era: page.Era, Version: newest})
 	e.mu.Unlock()
 	for i := range dead {
 		e.poisonFilter.recordDeath(now, &dead[i])
@@ -181,7 +194,7 @@
 
 // applyRow applies one row and reports whether its endpoint is gone or unusable. The caller
 // must hold e.mu.
-func (h *endpointRowHandler) applyRow(now time.Time, row *qf.FeedRow) bool {
+func (h *endpointRowHandler) applyRow(now time.Time, row *qf.FeedRow, era qf.StoreEra) bool {
 	e := h.entry
 	id := qf.EndpointID(row.Key)
 	if row.Removed {
@@ -194,10 +207,10 @@
 		return true
 	}
 	wasLeaving := e.isLeavingEndpoint(id)
-	if e.registry.Set(now, &listed, row.Version) {
+	if e.registry.Set(now, &listed, qf.StorePosition{Era: era, Version: row.Version}) {
 		qfevent.EndpointListed.Log(&e.platform.Logger, id, listed.Entry, listed.Version, listed.AvailabilityZone, listed.Address)
 	}
-	if listed.Leaving && !wasLeaving {
+	if !wasLeaving && e.isLeavingEndpoint(id) {
 		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "it registered as draining")
 	}
 	return false
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -43,11 +43,14 @@
 type testFleet struct {
 	t        *testing.T
 	clock    qf.Clock
+	began    time.Time
 	network  *standnet.Network
 	store    *standrows.Store
 	cloud    *cloud
 	replicas map[string]*standreplica.Replica
 	nodes    []*entry.Entry
+	// numbers are those of the nodes, by which callers reach them.
+	numbers []int
 	// log holds the log lines of all nodes.
 	log      logBuffer
 	servers  []*http.Server
@@ -91,12 +94,18 @@
 	// usage holds the bodies by window, in the order of their arrival.
 	usage  map[int64][]string
 	orders []string
+	// acts holds the holder and the fencing number of each call, in the order of arrival.
+	acts []dutyAct
 }
 
+// dutyAct is the holder of a duty in one call.
+type dutyAct struct{ holder, fencing string }
+
 func (c *cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.acts = append(c.acts, dutyAct{r.Header.Get("X-Duty-Holder"), r.Header.Get("X-Fencing-Token")})
 	if r.URL.Path == "/usage" {
 		var report struct {
 			Window int64 `json:"window"`
@@ -114,7 +123,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		clock := qftimer.NewWall()
 		w := &testFleet{
-			t: t, clock: clock, network: standnet.New(), store: standrows.New(clock, 2000, 400),
+			t: t, clock: clock, began: clock.Now(), network: standnet.New(), store: standrows.New(clock, 2000, 400),
 			cloud: &cloud{usage: map[int64][]string{}}, replicas: map[string]*standreplica.Replica{},
 		}
 		w.serve(storeAddress, w.store.Handler())
@@ -196,6 +205,7 @@
 			Region: regions[qf.AvailabilityZone(zone)], CallerAddress: at(1), PeerAddress: at(2),
 		},
 		ReadyAddress: at(3), DirectoryAddress: at(4), Regions: regions, HasUsageDuty: true, ChecksFencing: true,
+		FirstStart: w.clock.Now().Sub(w.began) < settle,
 		Bounds: qf.DeploymentBounds{
 			StopGrace: 8 * time.Second, LeaseFor: 3 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
 			UsageWindow: 5 * time.Second, UsageWithin: 10 * time.Second,
@@ -204,7 +214,7 @@
 	store := platform.NewStore(storeAddress, entry.MaxPollTimeout, network.Dial)
 	peers := qfrpc.NewClient(w.clock, time.Second, network.Dial, nil)
 	node := entry.New(deployment, entry.Platform{
-		Clock: w.clock, Network: network, Feed: store, Table: store, Rollouts: store, Duties: platform.NewDutyClient(cloudAddress, network.Dial),
+		Clock: w.clock, Network: network, Feed: store, Table: store, Eras: store, Rollouts: store, Duties: platform.NewDutyClient(cloudAddress, network.Dial),
 		RowDecoder: platform.RowDecoder{Regions: regions}, Protocol: platform.Protocol{}, Peer: peers, PeerFeed: peers,
 		ReadyHandler: platform.ReadyHandler, DirectoryHandler: platform.DirectoryHandler,
 		Logger: zerolog.New(&w.log), Random: rand.New(rand.NewPCG(uint64(number), 7)),
@@ -212,7 +222,7 @@
 	if err := node.Start(w.t.Context()); err != nil {
 		w.t.Fatal(err)
 	}
-	w.nodes = append(w.nodes, node)
+	w.nodes, w.numbers = append(w.nodes, node), append(w.numbers, number)
 	return node
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfevent"
 )
 
 const (
@@ -28,16 +29,38 @@
 type nodeRowHandler struct{ entry *Entry }
 
 // ApplySnapshot implements rowHandler.
-func (h *nodeRowHandler) ApplySnapshot(rows []qf.FeedRow, _ uint64) {
-	h.ApplyChanges(rows)
+func (h *nodeRowHandler) ApplySnapshot(page *qf.FeedPage) {
+	h.ApplyChanges(page)
+	h.checkOwnRow(page)
 	if !h.entry.hasNodes.Swap(true) {
 		close(h.entry.nodesRead)
 	}
 }
 
+// checkOwnRow makes the node write its row again if a snapshot of a later era lacks it.
+func (h *nodeRowHandler) checkOwnRow(page *qf.FeedPage) {
+	e := h.entry
+	registeredIn := qf.StoreEra(e.registeredIn.Load())
+	if registeredIn == 0 || page.Era <= registeredIn {
+		return
+	}
+	for i := range page.Rows {
+		var node qf.Node
+		isOwn := page.Rows[i].Key == string(e.deployment.Self.ID) && json.Unmarshal(page.Rows[i].Value, &node) == nil
+		if isOwn && node.Incarnation == e.deployment.Self.Incarnation {
+			return
+		}
+	}
+	select {
+	case e.registerAgain <- struct{}{}:
+	default: // It is due already.
+	}
+}
+
 // ApplyChanges implements rowHandler.
-func (h *nodeRowHandler) ApplyChanges(rows []qf.FeedRow) {
+func (h *nodeRowHandler) ApplyChanges(page *qf.FeedPage) {
 	e := h.entry
+	rows := page.Rows
 	for i := range rows {
 		if rows[i].Removed {
 			continue // Its heartbeats stop, which marks it dead.
@@ -55,13 +78,20 @@
 	}
 }
 
-// registerLoop retries until the node's row is written.
+// registerLoop writes the node's row, and writes it again once the store has lost it.
 func (e *Entry) registerLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if e.register(ctx).Certainty == qf.Done {
-			return
+		result := e.register(ctx)
+		if result.Certainty != qf.Done {
+			e.sleep(ctx, registerRetryDelay)
+			continue
+		}
+		e.registeredIn.Store(uint64(result.Value.Era))
+		select {
+		case <-ctx.Done():
+		case <-e.registerAgain:
+			qfevent.RowRewritten.Log(&e.platform.Logger, nodeKeyPrefix+string(e.deployment.Self.ID), e.platform.Eras.Era())
 		}
-		e.sleep(ctx, registerRetryDelay)
 	}
 }
 
--- a/internal/entry/recorded_internal_test.go
+++ b/internal/entry/recorded_internal_test.go
@@ -69,7 +69,7 @@
 	table := &oneRow{}
 	qftest.CheckJSON(t, "size", func(data []byte) (int, error) {
 		table.value = data
-		d := &duties{entry: entryOn(table), desiredSizes: map[qf.EntryName]int{}}
+		d := &duties{entry: entryOn(table), desiredSizes: map[qf.EntryName]int{}, storedSizes: map[qf.EntryName]bool{}}
 		return d.desiredSize(t.Context(), "chat")
 	}, marshal)
 	qftest.CheckLines(t, "size-key", table.key)
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -18,14 +18,21 @@
 // rolloutDriver drives the rollouts that the operator orders, while the node holds the lease.
 type rolloutDriver struct {
 	entry *Entry
-	// rowVersions holds the version of each entry's row, once read.
-	rowVersions map[qf.EntryName]uint64
+	// rows holds the version of each entry's row, once read.
+	rows map[qf.EntryName]planRow
 	// reported holds the plans whose state was last reported to the operator.
 	reported map[qf.EntryName]qf.RolloutPlan
 }
 
+// planRow is the version of the row of a plan, and the store's era in which it was read. The
+// version is 0 if there is no row.
+type planRow struct {
+	version uint64
+	era     qf.StoreEra
+}
+
 func newRolloutDriver(e *Entry) *rolloutDriver {
-	return &rolloutDriver{entry: e, rowVersions: map[qf.EntryName]uint64{}, reported: map[qf.EntryName]qf.RolloutPlan{}}
+	return &rolloutDriver{entry: e, rows: map[qf.EntryName]planRow{}, reported: map[qf.EntryName]qf.RolloutPlan{}}
 }
 
 // step advances each ordered rollout by one step.
@@ -56,26 +63,32 @@
 	return r.reportState(ctx, plan)
 }
 
-// loadPlan reads the plan that an earlier holder stored.
+// loadPlan reads the plan that an earlier holder stored. If the plan in force is newer, because
+// the store has lost the row, the plan is stored again.
 func (r *rolloutDriver) loadPlan(ctx context.Context, entry qf.EntryName) error {
-	if _, isRead := r.rowVersions[entry]; isRead {
-		return nil
-	}
-	row, err := r.entry.platform.Table.Read(ctx, rolloutKeyPrefix+string(entry))
-	if errors.Is(err, &qf.Error{Code: qf.CodeNotFound}) {
-		r.rowVersions[entry] = 0
+	if _, isRead := r.rows[entry]; isRead {
 		return nil
 	}
-	if err != nil {
+	key := rolloutKeyPrefix + string(entry)
+	row, err := r.entry.platform.Table.Read(ctx, key)
+	isAbsent := errors.Is(err, &qf.Error{Code: qf.CodeNotFound})
+	if err != nil && !isAbsent {
 		return err
 	}
-	var plan qf.RolloutPlan
-	if err := json.Unmarshal(row.Value, &plan); err != nil {
-		return err
+	var stored qf.RolloutPlan
+	if !isAbsent {
+		if err := json.Unmarshal(row.Value, &stored); err != nil {
+			return err
+		}
+		r.entry.applyRolloutPlan(&stored)
 	}
-	r.rowVersions[entry] = row.Version
-	r.entry.applyRolloutPlan(&plan)
-	return nil
+	r.rows[entry] = planRow{version: row.Version, era: row.Era}
+	inForce := r.entry.picker.rolloutPlan(entry)
+	if inForce == nil || !isAbsent && !inForce.IsNewerThan(&stored) {
+		return nil
+	}
+	qfevent.RowRewritten.Log(&r.entry.platform.Logger, key, row.Era)
+	return r.storePlan(ctx, inForce)
 }
 
 // storePlan stores a plan for the next lease holder.
@@ -84,17 +97,17 @@
 	if err != nil {
 		return err
 	}
-	key := rolloutKeyPrefix + string(plan.Entry)
+	key, known := rolloutKeyPrefix+string(plan.Entry), r.rows[plan.Entry]
 	result := r.entry.platform.Table.Commit(ctx, qf.Transaction{
 		ID:         qf.TransactionID(fmt.Sprintf("%s/%d/%d", key, plan.Generation, plan.Step)),
-		Conditions: []qf.Condition{{Key: key, Version: r.rowVersions[plan.Entry]}},
+		Conditions: []qf.Condition{{Key: key, Version: known.version, Era: known.era}},
 		Writes:     []qf.Write{{Key: key, Value: value}},
 	})
 	if result.Certainty != qf.Done {
-		delete(r.rowVersions, plan.Entry) // It is read again: another holder or this write may have changed it.
+		delete(r.rows, plan.Entry) // It is read again: another holder or this write may have changed it.
 		return result.Err
 	}
-	r.rowVersions[plan.Entry]++
+	r.rows[plan.Entry] = planRow{version: known.version + 1, era: result.Value.Era}
 	return nil
 }
 
@@ -154,6 +167,13 @@
 	return p.versions.plans[order.Entry], p.versions.timedInput(now, order)
 }
 
+// rolloutPlan returns the plan in force for an entry, or nil.
+func (p *endpointPicker) rolloutPlan(entry qf.EntryName) *qf.RolloutPlan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.versions.plans[entry]
+}
+
 // rolloutPlans returns the plans in force, for peers.
 func (p *endpointPicker) rolloutPlans() []qf.RolloutPlan {
 	p.mu.Lock()
--- a/internal/entry/scaling.go
+++ b/internal/entry/scaling.go
@@ -107,7 +107,7 @@
 // desiredSize returns how many endpoints an entry needs: as many as the operator started with.
 // The first lease holder stores that number for its successors. It is 0 while unknown.
 func (d *duties) desiredSize(ctx context.Context, entry qf.EntryName) (int, error) {
-	if size := d.desiredSizes[entry]; size > 0 {
+	if size := d.desiredSizes[entry]; size > 0 && d.storedSizes[entry] {
 		return size, nil
 	}
 	e := d.entry
@@ -116,13 +116,18 @@
 	if err == nil {
 		var size int
 		err = json.Unmarshal(row.Value, &size)
-		d.desiredSizes[entry] = size
+		d.desiredSizes[entry], d.storedSizes[entry] = size, err == nil
 		return size, err
 	}
 	if !errors.Is(err, &qf.Error{Code: qf.CodeNotFound}) {
 		return 0, err
 	}
-	size := e.countSettledEndpoints(entry)
+	size := d.desiredSizes[entry]
+	if size > 0 {
+		qfevent.RowRewritten.Log(&e.platform.Logger, key, row.Era)
+	} else {
+		size = e.countSettledEndpoints(entry)
+	}
 	if size == 0 {
 		return 0, nil
 	}
@@ -131,10 +136,10 @@
 		return 0, err
 	}
 	result := e.platform.Table.Commit(ctx, qf.Transaction{
-		ID: qf.TransactionID(key), Conditions: []qf.Condition{{Key: key}}, Writes: []qf.Write{{Key: key, Value: value}},
+		ID: qf.TransactionID(key), Conditions: []qf.Condition{{Key: key, Era: row.Era}}, Writes: []qf.Write{{Key: key, Value: value}},
 	})
 	if result.Certainty == qf.Done {
-		d.desiredSizes[entry] = size
+		d.desiredSizes[entry], d.storedSizes[entry] = size, true
 	}
 	return d.desiredSizes[entry], result.Err
 }
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -47,7 +47,7 @@
 	now := e.now()
 	return qf.Digest{
 		From: e.self(), SentAt: e.fleetClock.localTime(now), Tally: e.buildTally(to), RolloutPlans: e.picker.rolloutPlans(),
-		Suspicions: e.poisonFilter.listSuspicions(now),
+		Suspicions: e.poisonFilter.listSuspicions(now), Store: e.storeEra.get(),
 	}
 }
 
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -75,6 +75,6 @@
 }
 
 // FeedSince implements qfrpc.Handler.
-func (n *Node) FeedSince(feed qf.FeedName, _ uint64, _ time.Duration) (qf.FeedPage, error) {
+func (n *Node) FeedSince(feed qf.FeedName, _ qf.StorePosition, _ time.Duration) (qf.FeedPage, error) {
 	return qf.FeedPage{}, errNoFeeds(feed)
 }
--- a/internal/qf/coordination/qflease/lease.go
+++ b/internal/qf/coordination/qflease/lease.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quetzalfront/internal/qf"
 )
 
@@ -28,7 +30,8 @@
 type Record struct {
 	Holder      qf.NodeID
 	Incarnation qf.Incarnation
-	// Fencing rises by one with each change of holder.
+	// Fencing rises with each change of holder, and is above all numbers given out in earlier
+	// eras of the store.
 	Fencing qf.FencingNumber
 	// Released is true if no node holds the lease.
 	Released bool
@@ -52,6 +55,8 @@
 	// ActionWrite.
 	Record  Record
 	Version uint64
+	// Era is the store's era in which Version was read.
+	Era qf.StoreEra
 	// Transaction identifies the write.
 	Transaction qf.TransactionID
 }
@@ -93,8 +98,29 @@
 	releasing bool
 	// ended is the record of a holder whose process is known to have ended.
 	ended Record
+	// era is the store's era to which version and record belong.
+	era qf.StoreEra
+	// isCarried is true while the node holds the lease under a number of an earlier era.
+	isCarried bool
+	// isFirstStart is true if the row has never existed.
+	isFirstStart bool
+	// highest is the highest fencing number that was ever seen.
+	highest qf.FencingNumber
 }
 
+const (
+	// fencingPerEra bounds the fencing numbers given out in one era.
+	fencingPerEra = 1 << 32
+	// fencingSlots is the number of slots for holders among the fencing numbers of an era. A
+	// write sent in an earlier era can replace a holder's row before others have seen its
+	// number. Slots keep the next holder from taking the same number.
+	fencingSlots = 1 << 12
+)
+
+// eraFloor returns the number that is below all fencing numbers of an era, and at or above
+// all those of earlier eras.
+func eraFloor(era qf.StoreEra) qf.FencingNumber { return qf.FencingNumber(era) * fencingPerEra }
+
 // New returns a lease that the node neither holds nor tries to acquire.
 func New(self qf.NodeID, incarnation qf.Incarnation, timing Timing, random *rand.Rand) *Lease {
 	return &Lease{
@@ -107,6 +133,50 @@
 // SetRank sets the number of candidates of better rank, or NotCandidate.
 func (l *Lease) SetRank(rank int) { l.rank = rank }
 
+// SetFirstStart declares that the whole fleet starts for the first time, so that an absent row
+// was never written.
+func (l *Lease) SetFirstStart() { l.isFirstStart = true }
+
+// RecordEra records the store's era. In a later era the row may be absent, or an older one
+// with a version that was given out before, so nothing that was read earlier holds. A holder
+// keeps the lease until its validity ends: until then no other node takes it, because each
+// waits for the duration of the lease after it has seen the new era.
+func (l *Lease) RecordEra(now time.Time, era qf.StoreEra) {
+	if era <= l.era {
+		return
+	}
+	_, isHeld := l.Held(now)
+	l.isCarried = isHeld
+	if !l.isCarried {
+		l.fencing = 0
+	}
+	l.era = era
+	l.known, l.version, l.record, l.ended = false, 0, Record{}, Record{}
+	clear(l.sentAt) // A write without a known outcome doesn't count as done.
+}
+
+// Highest returns the highest fencing number that this node has seen or received.
+func (l *Lease) Highest() qf.FencingNumber { return l.highest }
+
+// RecordFencing records a fencing number that a peer has seen. The row may no longer show it.
+func (l *Lease) RecordFencing(fencing qf.FencingNumber) { l.highest = max(l.highest, fencing) }
+
+// nextFencing returns the number for the next change of holder: the lowest one above all that
+// are known, and of this node's slot if the store reports its era.
+func (l *Lease) nextFencing() qf.FencingNumber {
+	next := max(l.record.Fencing, l.highest, eraFloor(l.era)) + 1
+	if l.era == 0 {
+		return next
+	}
+	return next + (l.slot()-next)%fencingSlots
+}
+
+// slot returns the node's slot among the fencing numbers.
+func (l *Lease) slot() qf.FencingNumber {
+	key := fmt.Sprintf("%s/%d", l.self.Holder, l.self.Incarnation)
+	return qf.FencingNumber(xxhash.Sum64String(key) % fencingSlots)
+}
+
 // Release releases the lease. It can't be undone.
 func (l *Lease) Release() { l.releasing = true }
 
@@ -145,23 +215,26 @@
 
 // NextAction returns the call that the adapter must make now.
 func (l *Lease) NextAction(now time.Time) Action {
+	if l.isCarried && !now.Before(l.validUntil) {
+		l.isCarried, l.fencing = false, 0
+	}
 	switch {
 	case l.callInProgress:
 		return Action{Kind: ActionNone}
 	case l.releasing:
 		return l.nextRelease(now)
-	case l.isMine() && !l.isUncertain:
+	case l.isMine() && !l.isCarried && !l.isUncertain:
 		if now.Sub(l.writtenAt) < l.timing.RenewEvery {
 			return Action{Kind: ActionNone}
 		}
 		return l.write(now, l.record)
-	case l.rank == NotCandidate && !l.isMine():
+	case l.rank == NotCandidate && !l.isMine() && !l.isCarried:
 		return Action{Kind: ActionNone}
 	case !l.known || l.isUncertain:
 		return l.read(now)
-	case !now.Before(l.freeAt()):
+	case l.isCarried || !now.Before(l.freeAt()):
 		next := l.self
-		next.Fencing = l.record.Fencing + 1
+		next.Fencing = l.nextFencing()
 		return l.write(now, next)
 	case now.Sub(l.readAt) >= l.timing.RenewEvery:
 		return l.read(now)
@@ -187,12 +260,20 @@
 // counts.
 func (l *Lease) freeAt() time.Time {
 	wait := time.Duration(l.rank)*l.timing.RankDelay + l.jitter
-	if l.version > 0 && !l.record.Released && l.ended != l.record {
+	isFree := l.version == 0 || l.record.Released || l.ended == l.record
+	if !isFree || l.mayHideHolder() {
 		wait += time.Duration(float64(l.timing.Duration) * (1 + l.timing.ClockMargin))
 	}
 	return l.seenAt.Add(wait)
 }
 
+// mayHideHolder reports whether the row may be older than a holder's last write: it was written
+// before the store's present era.
+func (l *Lease) mayHideHolder() bool {
+	isNew := l.isFirstStart && l.version == 0
+	return l.record.Fencing < eraFloor(l.era) && !isNew
+}
+
 func (l *Lease) read(now time.Time) Action {
 	l.callInProgress = true
 	l.readAt = now
@@ -205,7 +286,7 @@
 	l.writtenAt = now
 	id := qf.TransactionID(fmt.Sprintf("%s/%d/%d/%d", l.self.Holder, l.self.Incarnation, l.writes, l.random.Uint64()))
 	l.sentAt[id] = now
-	return Action{Kind: ActionWrite, Record: record, Version: l.version, Transaction: id}
+	return Action{Kind: ActionWrite, Record: record, Version: l.version, Era: l.era, Transaction: id}
 }
 
 // RecordRead records the row that was read. Version 0 stands for an absent row.
@@ -229,6 +310,8 @@
 func (l *Lease) RecordWrite(now time.Time, action Action, certainty qf.Certainty, conflict bool) {
 	l.callInProgress = false
 	switch {
+	case action.Era != l.era:
+		l.isUncertain = true // The store came back older meanwhile.
 	case certainty == qf.Done:
 		sent := l.sentAt[action.Transaction]
 		clear(l.sentAt)
@@ -246,6 +329,12 @@
 func (l *Lease) recordRow(now time.Time, version uint64, record Record) {
 	l.known, l.version, l.record, l.seenAt, l.readAt = true, version, record, now, now
 	l.jitter = time.Duration(l.random.Int64N(int64(l.timing.RankDelay) + 1))
+	l.highest = max(l.highest, record.Fencing)
+	isTakenInEra := record.Fencing > eraFloor(l.era) && !record.Released
+	if l.isCarried && !isTakenInEra {
+		return
+	}
+	l.isCarried = false
 	if !l.isMine() {
 		l.fencing = 0 // Another node holds the lease, or none does.
 	}
@@ -253,7 +342,7 @@
 
 // confirm sets the validity of a confirmed write, counted from when it was sent.
 func (l *Lease) confirm(record Record, sent time.Time) {
-	l.fencing = record.Fencing
+	l.fencing, l.isCarried = record.Fencing, false
 	if record.Released {
 		l.validUntil = time.Time{}
 		return
--- a/internal/qf/coordination/qflease/lease_test.go
+++ b/internal/qf/coordination/qflease/lease_test.go
@@ -39,11 +39,25 @@
 	writes      int
 	history     []porcupine.Operation
 	outageUntil time.Duration
+	// storeVersion is the store's version of the row, counter its newest version. Other
+	// rows raise the counter too.
+	storeVersion, counter uint64
+	era                   qf.StoreEra
+	// exchanges makes nodes exchange the fencing numbers that they have seen.
+	exchanges bool
+	// isCalm ends pauses and outages.
+	isCalm bool
+	// copies holds the state after each write, for restores.
+	copies []storeCopy
+	// acted holds who acted under each fencing number, and the order in which they did.
+	acted map[qf.FencingNumber]int
+	actor []action
 }
 
 type lateWrite struct {
-	at     time.Duration
-	action Action
+	at           time.Duration
+	action       Action
+	storeVersion uint64
 }
 
 type simNode struct {
@@ -55,10 +69,12 @@
 	// answerAt and answer belong to the call in progress.
 	answerAt time.Duration
 	answer   func(now time.Time)
+	// storeVersion is the store's version of the row that the node read or wrote last.
+	storeVersion uint64
 }
 
 func newWorld(seed uint64) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 11)), vacantAt: 0}
+	w := &world{random: rand.New(rand.NewPCG(seed, 11)), vacantAt: 0, acted: map[qf.FencingNumber]int{}}
 	for i := range Candidates {
 		rate := 1 + (w.random.Float64()-0.5)*testTiming.ClockMargin
 		l := New(qf.NodeID(fmt.Sprintf("node-%d", i)), qf.Incarnation(i+1), testTiming, rand.New(rand.NewPCG(seed, uint64(i))))
@@ -78,14 +94,17 @@
 	return least + time.Duration(w.random.Int64N(int64(most-least)))
 }
 
-func (w *world) apply(a Action) bool {
-	if a.Version != w.version {
+func (w *world) apply(a Action, storeVersion uint64) bool {
+	if storeVersion != w.storeVersion {
 		return false
 	}
-	w.version++
+	w.version = a.Version + 1
+	w.counter += 1 + w.random.Uint64N(5)
+	w.storeVersion = w.counter
 	w.record, w.writer = a.Record, a.Transaction
 	w.writes++
 	w.fencings = append(w.fencings, a.Record.Fencing)
+	w.copies = append(w.copies, storeCopy{w.now, w.version, w.storeVersion, w.counter, w.record, w.writer})
 	return true
 }
 
@@ -104,23 +123,40 @@
 		return
 	}
 	if a.Kind == ActionRead {
-		version, record, writer := w.version, w.record, w.writer
+		version, record, writer, storeVersion, era := w.version, w.record, w.writer, w.storeVersion, w.era
 		w.recordCall(client, start, took, Action{}, registerOutput{version: version})
-		n.answerAt, n.answer = w.now+took, func(now time.Time) { n.lease.RecordRead(now, version, record, writer) }
+		n.answerAt, n.answer = w.now+took, func(now time.Time) {
+			n.lease.RecordEra(now, era)
+			n.storeVersion = storeVersion
+			n.lease.RecordRead(now, version, record, writer)
+		}
 		return
 	}
 	certainty, conflict := qf.Done, false
+	expected := n.storeVersion
 	switch {
 	case w.chance(0.03):
-		w.late = append(w.late, lateWrite{at: w.now + w.between(0, 8*time.Second), action: a})
+		w.late = append(w.late, lateWrite{at: w.now + w.between(0, 8*time.Second), action: a, storeVersion: expected})
 		certainty, took = qf.Unknown, callTimeout
-	case !w.apply(a):
+	case !w.apply(a, expected):
 		certainty, conflict = qf.NotDone, true
 	case w.chance(0.05):
 		certainty, took = qf.Unknown, callTimeout
 	}
+	if certainty == qf.Done && a.Era != w.era {
+		certainty = qf.Unknown // The row was read before the store came back older.
+	}
 	w.recordCall(client, start, took, a, registerOutput{certainty: certainty, conflict: conflict})
-	n.answerAt, n.answer = w.now+took, func(now time.Time) { n.lease.RecordWrite(now, a, certainty, conflict) }
+	era, storeVersion := w.era, w.storeVersion
+	n.answerAt, n.answer = w.now+took, func(now time.Time) {
+		if certainty != qf.Unknown {
+			n.lease.RecordEra(now, era)
+		}
+		if certainty == qf.Done {
+			n.storeVersion = storeVersion
+		}
+		n.lease.RecordWrite(now, a, certainty, conflict)
+	}
 }
 
 func (w *world) step() {
@@ -129,16 +165,17 @@
 		if l.at > w.now {
 			return false
 		}
-		w.apply(l.action)
+		w.apply(l.action, l.storeVersion)
 		return true
 	})
-	if w.chance(0.0005) {
+	if w.chance(0.0005) && !w.isCalm {
 		w.outageUntil = w.now + w.between(time.Second, 10*time.Second)
 	}
 	holders := 0
 	for i, n := range w.nodes {
-		if _, held := n.lease.Held(w.local(n)); held && !n.dead {
+		if fencing, held := n.lease.Held(w.local(n)); held && !n.dead {
 			holders++
+			w.act(i, fencing)
 		}
 		w.run(i, n)
 	}
@@ -156,6 +193,7 @@
 		n.answer = nil
 		answer(w.local(n))
 	}
+	w.exchange(n)
 	if a := n.lease.NextAction(w.local(n)); a.Kind != ActionNone {
 		w.call(client, n, a)
 	}
@@ -163,7 +201,7 @@
 		w.handovers = append(w.handovers, w.now-w.vacantAt)
 		w.vacantAt = -1
 	}
-	if w.chance(0.0005) {
+	if w.chance(0.0005) && !w.isCalm {
 		n.pausedUntil = w.now + w.between(0, 15*time.Second)
 	}
 }
--- a/internal/qf/feed.go
+++ b/internal/qf/feed.go
@@ -1,6 +1,7 @@
 package qf
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -11,6 +12,8 @@
 	// Slots is the number of requests that the endpoint runs at once.
 	Slots   int
 	Leaving bool
+	// Sequence rises with each write of the registration by one incarnation.
+	Sequence uint64
 	// LeavesIn is the time from the registration's last write until the endpoint
 	// stops; it is 0 if unknown.
 	LeavesIn time.Duration
@@ -32,9 +35,37 @@
 	FeedNodes FeedName = "Nodes"
 )
 
+// StoreEra counts how often the platform's store came back from a copy that lacks its latest
+// writes. The store gives out the versions of the lost writes again. It is 0 for a store that
+// doesn't report its era.
+type StoreEra uint64
+
+// StorePosition is a place in the history of the platform's store. Versions of different eras
+// can't be compared.
+type StorePosition struct {
+	Era     StoreEra
+	Version uint64
+}
+
+// Compare returns -1, 0 or 1 if the position is before, at or after another one. A later era
+// goes before any version.
+func (p StorePosition) Compare(other StorePosition) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Version, other.Version))
+}
+
+// EraTracker holds the newest era of the platform's store that is known to this node.
+type EraTracker interface {
+	Era() StoreEra
+	// ObserveEra records an era that a peer has seen.
+	ObserveEra(era StoreEra)
+	// AwaitEraAfter returns a channel that is closed once a later era is known.
+	AwaitEraAfter(era StoreEra) <-chan struct{}
+}
+
 // FeedRow is a row of a feed.
 type FeedRow struct {
-	Key     string
+	Key string
+	// Version is a version of the page's era.
 	Version uint64
 	Value   []byte
 	// Removed rows have no value.
@@ -46,16 +77,23 @@
 	Rows []FeedRow
 	// Version is the feed's version at the time of the read.
 	Version uint64
+	// Era is the store's era at the time of the read.
+	Era StoreEra
+}
+
+// Position returns the position at which the feed was read.
+func (p *FeedPage) Position() StorePosition {
+	return StorePosition{Era: p.Era, Version: p.Version}
 }
 
 // FeedReader reads the rows of feeds from the platform's store.
 type FeedReader interface {
 	// ReadSnapshot returns all rows of a feed.
 	ReadSnapshot(ctx context.Context, feed FeedName) (FeedPage, error)
-	// ReadChanges returns the rows that changed after a version; it waits at most
+	// ReadChanges returns the rows that changed after a position; it waits at most
 	// the given time for a change. An *Error with CodeStaleRevision means that the
-	// store no longer holds the changes since that version.
-	ReadChanges(ctx context.Context, feed FeedName, after uint64, wait time.Duration) (FeedPage, error)
+	// store no longer holds the changes since that position, or is in a later era.
+	ReadChanges(ctx context.Context, feed FeedName, after StorePosition, wait time.Duration) (FeedPage, error)
 }
 
 // RowDecoder decodes the rows of feeds.
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -201,6 +201,31 @@
 	Zones []ZoneSummary
 	Wants []AvailabilityZone
 	Lists []ZoneList
+	// Store is the sender's view of the platform's store.
+	Store StoreSighting
+}
+
+// StoreSighting is what is known of the era of the platform's store.
+type StoreSighting struct {
+	Era StoreEra
+	// FirstSeen is the earliest time, by the fleet's clock, at which a live node is known to
+	// have seen the era. The restore that began the era took place before.
+	FirstSeen time.Time
+	// Fencing is the highest fencing number of the duties' lease that the sender knows. The
+	// lease's row may no longer show it.
+	Fencing FencingNumber
+}
+
+// Merge returns the later of two eras with the earliest time at which it was seen, and the
+// higher fencing number.
+func (s StoreSighting) Merge(other StoreSighting) StoreSighting {
+	merged := s
+	isEarlier := other.Era == s.Era && other.FirstSeen.Before(s.FirstSeen) && !other.FirstSeen.IsZero()
+	if other.Era > s.Era || isEarlier {
+		merged.Era, merged.FirstSeen = other.Era, other.FirstSeen
+	}
+	merged.Fencing = max(s.Fencing, other.Fencing)
+	return merged
 }
 
 // PeerClient calls other entry nodes.
@@ -225,7 +250,7 @@
 type PeerFeedReader interface {
 	// ReadPeerSnapshot returns all rows.
 	ReadPeerSnapshot(ctx context.Context, address netip.AddrPort, feed FeedName) (FeedPage, error)
-	// ReadPeerChanges returns the rows that changed after a version; the peer waits for
+	// ReadPeerChanges returns the rows that changed after a position; the peer waits for
 	// a change.
-	ReadPeerChanges(ctx context.Context, address netip.AddrPort, feed FeedName, after uint64, wait time.Duration) (FeedPage, error)
+	ReadPeerChanges(ctx context.Context, address netip.AddrPort, feed FeedName, after StorePosition, wait time.Duration) (FeedPage, error)
 }
--- a/internal/qf/platform.go
+++ b/internal/qf/platform.go
@@ -14,12 +14,17 @@
 	Value   []byte
 	// Writer is the transaction that wrote this version.
 	Writer TransactionID
+	// Era is the store's era in which the row was read. It is set also if there is no row.
+	Era StoreEra
 }
 
 // Condition requires a row to be at a version. Version 0 requires its absence.
 type Condition struct {
 	Key     string
 	Version uint64
+	// Era is the store's era in which the version was read. The condition fails in a later
+	// era; 0 means any.
+	Era StoreEra
 }
 
 // Write sets or deletes a row.
@@ -41,6 +46,8 @@
 // Committed is the result of a transaction that took effect.
 type Committed struct {
 	ID TransactionID
+	// Era is the store's era in which the transaction took effect.
+	Era StoreEra
 }
 
 // Table is the platform's transactional table service.
--- a/internal/qf/protocol/qfholder/holder.go
+++ b/internal/qf/protocol/qfholder/holder.go
@@ -32,6 +32,11 @@
 	// Self returns the node's name and incarnation. It is called only once the node
 	// serves.
 	Self func() (qf.NodeID, qf.Incarnation)
+	// Eras tracks the eras of the table's store. It is nil for a table that never loses what
+	// it has acknowledged.
+	Eras qf.EraTracker
+	// IsFirstStart is true if the whole fleet starts for the first time.
+	IsFirstStart bool
 }
 
 // Holder manages the node's leases of all duties. It is safe for concurrent use.
@@ -88,6 +93,24 @@
 	}
 }
 
+// HighestFencing returns the highest fencing number that is known of a duty.
+func (h *Holder) HighestFencing(duty string) qf.FencingNumber {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lease := h.byDuty[duty]
+	if lease == nil {
+		return 0
+	}
+	return lease.Highest()
+}
+
+// RecordFencing records a fencing number of a duty that a peer has seen.
+func (h *Holder) RecordFencing(duty string, fencing qf.FencingNumber) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lease(duty).RecordFencing(fencing)
+}
+
 // UpdateLeases ranks the node for the duties that need a holder and makes the calls that
 // their leases require.
 func (h *Holder) UpdateLeases(ctx context.Context, duties []string, live []qf.NodeID) {
@@ -104,6 +127,9 @@
 		h.lease(duty).SetRank(qflease.Rank(duty, self, live))
 	}
 	for duty, lease := range h.byDuty {
+		if h.ports.Eras != nil {
+			lease.RecordEra(h.ports.Clock.Now(), h.ports.Eras.Era())
+		}
 		h.logChange(duty, lease)
 		h.call(ctx, duty, lease)
 	}
@@ -116,6 +142,9 @@
 	if lease == nil {
 		id, incarnation := h.ports.Self()
 		lease = qflease.New(id, incarnation, h.ports.Timing, h.ports.Random)
+		if h.ports.IsFirstStart {
+			lease.SetFirstStart()
+		}
 		h.byDuty[duty] = lease
 	}
 	return lease
@@ -163,6 +192,7 @@
 		lease.RecordReadFailure()
 		return
 	}
+	lease.RecordEra(h.ports.Clock.Now(), row.Era)
 	lease.RecordRead(h.ports.Clock.Now(), row.Version, record, row.Writer)
 }
 
@@ -173,7 +203,7 @@
 		key := rowLeasePrefix + duty
 		result = h.ports.Table.Commit(ctx, qf.Transaction{
 			ID:         action.Transaction,
-			Conditions: []qf.Condition{{Key: key, Version: action.Version}},
+			Conditions: []qf.Condition{{Key: key, Version: action.Version, Era: action.Era}},
 			Writes:     []qf.Write{{Key: key, Value: value}},
 		})
 	}
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -41,6 +41,8 @@
 	FieldTook             = "Took"
 	FieldDetails          = "Details"
 	FieldAge              = "Age"
+	FieldEra              = "Era"
+	FieldBefore           = "Before"
 	FieldDuty             = "Duty"
 	FieldFencing          = "Fencing"
 	FieldRoute            = "Route"
@@ -127,6 +129,9 @@
 	FirstReadFailed  = Event{324, warning, "a feed could not be read at the start; the relay is tried next", []string{FieldFeed, FieldError}, "Nothing at once; see 320 if it lasts."}
 	FeedRegained     = Event{321, info, "a feed of the platform's store answers again", []string{FieldFeed, FieldAge}, "Nothing."}
 	RowUnreadable    = Event{322, warning, "a row can't be read", []string{FieldFeed, FieldName, FieldVersion, FieldError}, "Look for its writer; the row is left out."}
+	StoreRestored    = Event{325, warning, "the store came back from an older copy", []string{FieldEra, FieldBefore}, "Nothing at once; 326 and 327 show what is read and written again. See operators/store-outage.md."}
+	FeedRestored     = Event{326, info, "a feed was read anew after the store came back from an older copy", []string{FieldFeed, FieldEra, FieldVersion, FieldBefore, FieldCount}, "Nothing; Before is the version that was read last, Count the number of rows."}
+	RowRewritten     = Event{327, info, "a row that the store has lost is written again", []string{FieldName, FieldEra}, "Nothing."}
 	ConfigInForce    = Event{323, info, "configuration in force", []string{FieldRevision, FieldPeer, FieldCount}, "Nothing; Peer is empty if it came from the store."}
 	EndpointListed   = Event{330, info, "an endpoint is listed", []string{FieldEndpoint, FieldEntry, FieldVersion, FieldAvailabilityZone, FieldAddress}, "Nothing."}
 	EndpointLeaving  = Event{331, info, "an endpoint leaves", []string{FieldEndpoint, FieldReason}, "Nothing; it gets no new work."}
@@ -195,6 +200,9 @@
 		FeedRegained,
 		FirstReadFailed,
 		RowUnreadable,
+		StoreRestored,
+		FeedRestored,
+		RowRewritten,
 		ConfigInForce,
 		EndpointListed,
 		EndpointLeaving,
--- a/internal/qf/state/qffollow/follower.go
+++ b/internal/qf/state/qffollow/follower.go
@@ -14,10 +14,11 @@
 
 // Handler processes the rows of one feed. Its methods are called one at a time.
 type Handler interface {
-	// ApplySnapshot replaces all rows by those of a version.
-	ApplySnapshot(rows []qf.FeedRow, version uint64)
-	// ApplyChanges applies changed rows, in order.
-	ApplyChanges(rows []qf.FeedRow)
+	// ApplySnapshot replaces all rows. A snapshot of a later era may lack rows that were
+	// read before, or hold older versions of them.
+	ApplySnapshot(page *qf.FeedPage)
+	// ApplyChanges applies changed rows of the snapshot's era, in order.
+	ApplyChanges(page *qf.FeedPage)
 	// RecordFailure is called after each failed call, RecordSuccess after each that
 	// succeeded.
 	RecordFailure(err error)
@@ -54,8 +55,8 @@
 	retry   *backoff.ExponentialBackOff
 	// hasSnapshot is false until a snapshot was read.
 	hasSnapshot bool
-	// version is the newest version that was read.
-	version uint64
+	// position is the newest position that was read.
+	position qf.StorePosition
 }
 
 // step makes one call to the store, passes its result to the handler and waits until the
@@ -83,21 +84,24 @@
 		if err != nil {
 			return err
 		}
-		if page.Version < f.version {
+		if page.Position().Compare(f.position) < 0 {
 			return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepTableRead, Reason: "the snapshot is older than data that was read before"}
 		}
-		f.handler.ApplySnapshot(page.Rows, page.Version)
-		f.hasSnapshot, f.version = true, page.Version
+		f.handler.ApplySnapshot(&page)
+		f.hasSnapshot, f.position = true, page.Position()
 		return nil
 	}
-	page, err := f.source.ReadChanges(ctx, f.feed, f.version, f.timing.PollTimeout)
+	page, err := f.source.ReadChanges(ctx, f.feed, f.position, f.timing.PollTimeout)
 	if err != nil {
 		return err
 	}
+	if page.Era != f.position.Era {
+		return &qf.Error{Code: qf.CodeStaleRevision, Step: qf.StepTableRead, Reason: "the changes are from another era of the store"}
+	}
 	if len(page.Rows) > 0 {
-		f.handler.ApplyChanges(page.Rows)
+		f.handler.ApplyChanges(&page)
 	}
-	f.version = page.Version
+	f.position = page.Position()
 	return nil
 }
 
--- a/internal/qf/state/qfmirror/mirror.go
+++ b/internal/qf/state/qfmirror/mirror.go
@@ -32,10 +32,13 @@
 	rows map[string]qf.FeedRow
 	// removed holds the rows removed since floor, in the order of their versions.
 	removed []qf.FeedRow
-	// floor is the version from which on all changes are held; it is 0 before the first
-	// snapshot.
+	// hasSnapshot is set once a snapshot was applied.
+	hasSnapshot bool
+	// floor is the version from which on all changes are held.
 	floor   uint64
 	version uint64
+	// era is the store's era to which all versions belong.
+	era qf.StoreEra
 	// answeredAt is when the platform last answered this node; it is zero after a failed
 	// call, or while the node reads the feed from another source.
 	answeredAt time.Time
@@ -69,42 +72,46 @@
 	}
 }
 
-// ApplySnapshot replaces the copy of a feed, unless the copy is newer.
+// ApplySnapshot replaces the copy of a feed, unless the copy is newer. A snapshot of a later
+// era is newer, whatever its version.
 func (m *Mirror) ApplySnapshot(name qf.FeedName, page *qf.FeedPage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f := m.feed(name)
-	if page.Version < f.version {
+	if page.Position().Compare(f.position()) < 0 {
 		return
 	}
 	clear(f.rows)
 	f.removed = nil
-	f.floor = page.Version
+	f.hasSnapshot, f.floor = true, page.Version
 	for _, row := range page.Rows {
 		f.rows[row.Key] = row
 	}
-	f.advance(page.Version)
+	f.advance(page.Position())
 }
 
-// ApplyChanges applies the changes after a version. They are ignored if changes before
-// them are missing here.
-func (m *Mirror) ApplyChanges(name qf.FeedName, after uint64, page *qf.FeedPage) {
+// ApplyChanges applies the changes after a position. They are ignored if changes before
+// them are missing here, or if they are from another era.
+func (m *Mirror) ApplyChanges(name qf.FeedName, after qf.StorePosition, page *qf.FeedPage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f := m.feed(name)
-	if f.floor == 0 || after > f.version {
+	if !f.hasSnapshot || page.Era != f.era || after.Compare(f.position()) > 0 {
 		return
 	}
 	f.apply(page.Rows)
-	f.advance(page.Version)
+	f.advance(page.Position())
 }
 
-// advance sets the version and wakes the goroutines that wait for a change.
-func (f *feed) advance(version uint64) {
-	if version <= f.version {
+// position returns the position of the copy.
+func (f *feed) position() qf.StorePosition { return qf.StorePosition{Era: f.era, Version: f.version} }
+
+// advance sets the position and wakes the goroutines that wait for a change.
+func (f *feed) advance(to qf.StorePosition) {
+	if to.Compare(f.position()) <= 0 {
 		return
 	}
-	f.version = version
+	f.era, f.version = to.Era, to.Version
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -138,10 +145,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f := m.feed(name)
-	if !f.isFresh(m.clock.Now()) || f.floor == 0 {
+	if !f.isFresh(m.clock.Now()) || !f.hasSnapshot {
 		return qf.FeedPage{}, staleError(name)
 	}
-	page := qf.FeedPage{Version: f.version, Rows: make([]qf.FeedRow, 0, len(f.rows))}
+	page := qf.FeedPage{Version: f.version, Era: f.era, Rows: make([]qf.FeedRow, 0, len(f.rows))}
 	for _, row := range f.rows {
 		page.Rows = append(page.Rows, row)
 	}
@@ -153,9 +160,9 @@
 	return !f.answeredAt.IsZero() && now.Sub(f.answeredAt) < staleAfter
 }
 
-// WaitForChanges returns the changes after a version, for a peer. If there are none yet, it
+// WaitForChanges returns the changes after a position, for a peer. If there are none yet, it
 // waits for one until the wait has passed.
-func (m *Mirror) WaitForChanges(ctx context.Context, name qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error) {
+func (m *Mirror) WaitForChanges(ctx context.Context, name qf.FeedName, after qf.StorePosition, wait time.Duration) (qf.FeedPage, error) {
 	timeout := m.clock.After(wait)
 	defer timeout.Stop()
 	for {
@@ -173,26 +180,26 @@
 	}
 }
 
-// changesSince returns the changes after a version, and a channel that is closed at the next
+// changesSince returns the changes after a position, and a channel that is closed at the next
 // change.
-func (m *Mirror) changesSince(name qf.FeedName, after uint64) (qf.FeedPage, <-chan struct{}, error) {
+func (m *Mirror) changesSince(name qf.FeedName, after qf.StorePosition) (qf.FeedPage, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f := m.feed(name)
-	if !f.isFresh(m.clock.Now()) {
+	if !f.isFresh(m.clock.Now()) || after.Era > f.era {
 		return qf.FeedPage{}, nil, staleError(name)
 	}
-	if f.floor == 0 || after < f.floor {
+	if !f.hasSnapshot || after.Era < f.era || after.Version < f.floor {
 		return qf.FeedPage{}, nil, &qf.Error{Code: qf.CodeStaleRevision, Step: qf.StepTableRead, Reason: "this node lacks the history from that version on"}
 	}
-	page := qf.FeedPage{Version: max(f.version, after)}
+	page := qf.FeedPage{Version: max(f.version, after.Version), Era: f.era}
 	for _, row := range f.rows {
-		if row.Version > after {
+		if row.Version > after.Version {
 			page.Rows = append(page.Rows, row)
 		}
 	}
 	for _, row := range f.removed {
-		if row.Version > after {
+		if row.Version > after.Version {
 			page.Rows = append(page.Rows, row)
 		}
 	}
--- a/internal/qf/state/qfplatform/client.go
+++ b/internal/qf/state/qfplatform/client.go
@@ -26,6 +26,8 @@
 	qf.CodeTooLarge:    http.StatusRequestEntityTooLarge,
 	qf.CodeLimited:     http.StatusTooManyRequests,
 	qf.CodeUnavailable: http.StatusServiceUnavailable,
+	// A service answers so if it no longer has what was asked for.
+	qf.CodeStaleRevision: http.StatusGone,
 }
 
 // StatusOf returns the HTTP status of a code.
@@ -74,30 +76,52 @@
 
 // Read makes a call that has no effect and decodes its response.
 func (c *Client) Read(ctx context.Context, step qf.Step, s *sling.Sling, into any) error {
+	_, err := c.ReadWithHeader(ctx, step, s, into)
+	return err
+}
+
+// ReadWithHeader is Read, and returns the header of the response, also of one that is an
+// error. It is nil without a response.
+func (c *Client) ReadWithHeader(ctx context.Context, step qf.Step, s *sling.Sling, into any) (http.Header, error) {
 	request, err := s.Request()
 	if err != nil {
-		return c.failure(qf.CodeInternal, step, "could not build the request", err)
+		return nil, c.failure(qf.CodeInternal, step, "could not build the request", err)
 	}
 	response, err := s.Do(request.WithContext(ctx), into, nil)
 	if err != nil {
-		return c.failure(qf.CodeUnavailable, step, "no answer", err)
+		return headerOf(response), c.failure(qf.CodeUnavailable, step, "no answer", err)
 	}
-	return c.StatusError(step, response)
+	return response.Header, c.StatusError(step, response)
+}
+
+// headerOf returns the header of a response, or nil without one.
+func headerOf(response *http.Response) http.Header {
+	if response == nil {
+		return nil
+	}
+	return response.Header
 }
 
 // Write makes a call that has an effect. The result is NotDone only if the service
 // refused the call, or if no connection was established.
 func Write[T any](ctx context.Context, c *Client, step qf.Step, s *sling.Sling) qf.Result[T] {
+	result, _ := WriteWithHeader[T](ctx, c, step, s)
+	return result
+}
+
+// WriteWithHeader is Write, and returns the header of the response. It is nil without a
+// response.
+func WriteWithHeader[T any](ctx context.Context, c *Client, step qf.Step, s *sling.Sling) (qf.Result[T], http.Header) {
 	request, err := s.Request()
 	if err != nil {
-		return qf.NotDoneFor[T](c.failure(qf.CodeInternal, step, "could not build the request", err))
+		return qf.NotDoneFor[T](c.failure(qf.CodeInternal, step, "could not build the request", err)), nil
 	}
 	var value T
 	response, err := s.Do(request.WithContext(ctx), &value, nil)
 	if err != nil {
-		return FailedWrite[T](c, step, err)
+		return FailedWrite[T](c, step, err), headerOf(response)
 	}
-	return WriteResult(c, step, response, value)
+	return WriteResult(c, step, response, value), response.Header
 }
 
 // FailedWrite returns the result of a write without a valid response.
--- a/internal/qf/state/qfregistry/registry.go
+++ b/internal/qf/state/qfregistry/registry.go
@@ -25,8 +25,8 @@
 // EndpointRecord is one registered endpoint with the state of its row.
 type EndpointRecord struct {
 	qf.RegisteredEndpoint
-	// RowVersion is the version of the row.
-	RowVersion uint64
+	// Position is the position of the row in the store's history.
+	Position qf.StorePosition
 	// FirstSeenAt is when this incarnation of the endpoint was first seen.
 	FirstSeenAt time.Time
 	// lapsedAt is when the row was found missing; it is zero while the row exists.
@@ -41,10 +41,30 @@
 	isStoreFailing bool
 	// changed is true if the list may have changed since the last call of RemoveLapsed.
 	changed bool
+	// era is the store's era of the last snapshot.
+	era qf.StoreEra
+	// gone holds the endpoints that were removed, because a store that came back from an
+	// older copy may list them again.
+	gone map[qf.EndpointID]goneEndpoint
 }
 
+// goneEndpoint is an endpoint that was removed.
+type goneEndpoint struct {
+	incarnation qf.Incarnation
+	// sequence is that of the last registration which was read.
+	sequence uint64
+	era      qf.StoreEra
+	at       time.Time
+}
+
+// goneFor is how long removed endpoints are remembered. A store never comes back from a copy
+// that is older.
+const goneFor = 2 * time.Minute
+
 // New returns an empty registry.
-func New() *Registry { return &Registry{endpoints: map[qf.EndpointID]*EndpointRecord{}} }
+func New() *Registry {
+	return &Registry{endpoints: map[qf.EndpointID]*EndpointRecord{}, gone: map[qf.EndpointID]goneEndpoint{}}
+}
 
 // MarkStoreFailed records that a call to the store failed.
 func (r *Registry) MarkStoreFailed() { r.isStoreFailing = true }
@@ -52,39 +72,82 @@
 // MarkStoreAnswered records that a response of the store was processed.
 func (r *Registry) MarkStoreAnswered() { r.isStoreFailing = false }
 
-// Set adds or updates an endpoint from its row. It reports whether the endpoint is new.
-func (r *Registry) Set(now time.Time, row *qf.RegisteredEndpoint, rowVersion uint64) bool {
+// Set adds or updates an endpoint from its row. It reports whether the endpoint is new. A row
+// of a later era that is older than what was read before has no effect: the endpoint writes it
+// again.
+func (r *Registry) Set(now time.Time, row *qf.RegisteredEndpoint, position qf.StorePosition) bool {
 	known := r.endpoints[row.ID]
-	if known != nil && known.RowVersion >= rowVersion && known.lapsedAt.IsZero() {
+	if known != nil && known.Position.Compare(position) >= 0 && known.lapsedAt.IsZero() {
+		return false
+	}
+	if r.isOutdated(known, row, position.Era) {
+		r.markLapsed(now, known)
 		return false
 	}
 	isNew := known == nil || known.Incarnation != row.Incarnation
-	if isNew || known.RegisteredEndpoint != *row || !known.lapsedAt.IsZero() {
+	if isNew || !isSameRegistration(&known.RegisteredEndpoint, row) || !known.lapsedAt.IsZero() {
 		r.changed = true
 	}
 	firstSeenAt := now
 	if !isNew {
 		firstSeenAt = known.FirstSeenAt
 	}
-	r.endpoints[row.ID] = &EndpointRecord{RegisteredEndpoint: *row, RowVersion: rowVersion, FirstSeenAt: firstSeenAt}
+	delete(r.gone, row.ID)
+	r.endpoints[row.ID] = &EndpointRecord{RegisteredEndpoint: *row, Position: position, FirstSeenAt: firstSeenAt}
 	return isNew
 }
 
+// isSameRegistration reports whether two registrations differ at most in their sequence.
+func isSameRegistration(a, b *qf.RegisteredEndpoint) bool {
+	x, y := *a, *b
+	x.Sequence, y.Sequence = 0, 0
+	return x == y
+}
+
+// isOutdated reports whether a row of a later era was written before the last registration
+// that is known of its endpoint.
+func (r *Registry) isOutdated(known *EndpointRecord, row *qf.RegisteredEndpoint, era qf.StoreEra) bool {
+	if known != nil {
+		isSame := row.Incarnation == known.Incarnation
+		isOlder := row.Incarnation < known.Incarnation || isSame && row.Sequence < known.Sequence
+		return era > known.Position.Era && (isOlder || isSame && known.Leaving && !row.Leaving)
+	}
+	gone, wasRemoved := r.gone[row.ID]
+	return wasRemoved && era > gone.era &&
+		(row.Incarnation < gone.incarnation || row.Incarnation == gone.incarnation && row.Sequence <= gone.sequence)
+}
+
+// markLapsed starts the time in which an endpoint must register again, unless it is leaving.
+func (r *Registry) markLapsed(now time.Time, known *EndpointRecord) {
+	if known != nil && !known.Leaving && known.lapsedAt.IsZero() {
+		known.lapsedAt = now
+	}
+}
+
+// delete removes an endpoint.
+func (r *Registry) delete(now time.Time, e *EndpointRecord) {
+	delete(r.endpoints, e.ID)
+	r.gone[e.ID] = goneEndpoint{incarnation: e.Incarnation, sequence: e.Sequence, era: e.Position.Era, at: now}
+	r.changed = true
+}
+
 // Remove removes the endpoints whose rows are missing or unreadable in one response of
 // the store. If the store was failing, or most rows of an entry disappeared together, the
 // rows may only have lapsed: their endpoints are kept for lapseGrace, so that they can
 // register again. Endpoints that are leaving are removed at once in any case.
-func (r *Registry) Remove(now time.Time, ids []qf.EndpointID, rowVersion uint64) {
-	mayHaveLapsed := r.isStoreFailing || r.isMass(ids)
+func (r *Registry) Remove(now time.Time, ids []qf.EndpointID, position qf.StorePosition) {
+	r.remove(now, ids, position, r.isStoreFailing || r.isMass(ids))
+}
+
+func (r *Registry) remove(now time.Time, ids []qf.EndpointID, position qf.StorePosition, mayHaveLapsed bool) {
 	for _, id := range ids {
 		known := r.endpoints[id]
 		switch {
-		case known == nil || known.RowVersion > rowVersion:
+		case known == nil || known.Position.Compare(position) > 0:
 		case known.Leaving || !mayHaveLapsed:
-			delete(r.endpoints, id)
-			r.changed = true
-		case known.lapsedAt.IsZero():
-			known.lapsedAt = now
+			r.delete(now, known)
+		default:
+			r.markLapsed(now, known)
 		}
 	}
 }
@@ -111,24 +174,37 @@
 	return false
 }
 
-// RemoveMissing removes the endpoints that are missing from a snapshot of the store.
-func (r *Registry) RemoveMissing(now time.Time, present map[qf.EndpointID]bool, rowVersion uint64) {
+// RemoveMissing removes the endpoints that are missing from a snapshot of the store. In the
+// first snapshot of a later era their rows may be lost: the endpoints may register again.
+func (r *Registry) RemoveMissing(now time.Time, present map[qf.EndpointID]bool, position qf.StorePosition) {
 	var gone []qf.EndpointID
 	for id := range r.endpoints {
 		if !present[id] {
 			gone = append(gone, id)
 		}
 	}
-	r.Remove(now, gone, rowVersion)
+	if position.Era > r.era {
+		r.era = position.Era
+		for _, id := range gone {
+			r.endpoints[id].lapsedAt = time.Time{} // The time to register again starts anew.
+		}
+		r.remove(now, gone, position, true)
+		return
+	}
+	r.Remove(now, gone, position)
 }
 
 // RemoveLapsed removes the endpoints whose rows have been missing for lapseGrace. It
 // reports whether the list has changed since the last call.
 func (r *Registry) RemoveLapsed(now time.Time) bool {
-	for id, e := range r.endpoints {
+	for _, e := range r.endpoints {
 		if !e.lapsedAt.IsZero() && now.Sub(e.lapsedAt) >= lapseGrace {
-			delete(r.endpoints, id)
-			r.changed = true
+			r.delete(now, e)
+		}
+	}
+	for id, gone := range r.gone {
+		if now.Sub(gone.at) >= goneFor {
+			delete(r.gone, id)
 		}
 	}
 	wasChanged := r.changed
--- a/internal/qf/transport/qfrpc/messages.go
+++ b/internal/qf/transport/qfrpc/messages.go
@@ -51,6 +51,8 @@
 	// are returned.
 	Whole bool
 	After uint64
+	// Era is the era of the version After.
+	Era qf.StoreEra
 	// Wait is how long the peer may wait for a change.
 	Wait time.Duration
 }
--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -25,7 +25,7 @@
 	Lookup(id qf.RequestID) (qf.RequestRecord, error)
 	CatalogueNewerThan(revision qf.Revision) ([]byte, qf.Revision)
 	FeedWhole(feed qf.FeedName) (qf.FeedPage, error)
-	FeedSince(feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error)
+	FeedSince(feed qf.FeedName, after qf.StorePosition, wait time.Duration) (qf.FeedPage, error)
 }
 
 // Server adapts a Handler to the method signatures that net/rpc requires.
@@ -71,7 +71,7 @@
 	if in.Whole {
 		out.Page, err = s.handler.FeedWhole(in.Feed)
 	} else {
-		out.Page, err = s.handler.FeedSince(in.Feed, in.After, min(in.Wait, maxFeedWait))
+		out.Page, err = s.handler.FeedSince(in.Feed, qf.StorePosition{Era: in.Era, Version: in.After}, min(in.Wait, maxFeedWait))
 	}
 	out.Code = qf.CodeOf(err)
 	return nil
@@ -271,8 +271,8 @@
 }
 
 // ReadPeerChanges implements qf.PeerClient.
-func (c *Client) ReadPeerChanges(ctx context.Context, address netip.AddrPort, feed qf.FeedName, after uint64, wait time.Duration) (qf.FeedPage, error) {
-	return c.feed(ctx, address, &FeedIn{Feed: feed, After: after, Wait: wait})
+func (c *Client) ReadPeerChanges(ctx context.Context, address netip.AddrPort, feed qf.FeedName, after qf.StorePosition, wait time.Duration) (qf.FeedPage, error) {
+	return c.feed(ctx, address, &FeedIn{Feed: feed, After: after.Version, Era: after.Era, Wait: wait})
 }
 
 func (c *Client) feed(ctx context.Context, address netip.AddrPort, in *FeedIn) (qf.FeedPage, error) {
--- a/internal/qf/transport/qftelemetry/forward.go
+++ b/internal/qf/transport/qftelemetry/forward.go
@@ -24,11 +24,13 @@
 	forwardEnds metric.Int64Counter
 	firstByte   metric.Float64Histogram
 	took        metric.Float64Histogram
+	// restores counts how often the platform's store came back from an older copy.
+	restores metric.Int64Counter
 }
 
 func newForwardInstruments(m metric.Meter) (forwardInstruments, error) {
 	var i forwardInstruments
-	var errs [4]error
+	var errs [5]error
 	i.forwarded, errs[0] = m.Int64Counter("quetzalfront.forward.requests", metric.WithUnit("{request}"),
 		metric.WithDescription("Forwarded requests that ended, by kind of route and status."))
 	i.forwardEnds, errs[1] = m.Int64Counter("quetzalfront.forward.attempts", metric.WithUnit("{attempt}"),
@@ -39,9 +41,14 @@
 	i.took, errs[3] = m.Float64Histogram("quetzalfront.forward.duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request's arrival to the end of its answer."),
 		metric.WithExplicitBucketBoundaries(firstTokenBounds...))
+	i.restores, errs[4] = m.Int64Counter("quetzalfront.store.restores", metric.WithUnit("{restore}"),
+		metric.WithDescription("Times the platform's store came back from an older copy, as seen by this node."))
 	return i, errors.Join(errs[:]...)
 }
 
+// RecordStoreRestore counts one return of the platform's store from an older copy.
+func (t *Telemetry) RecordStoreRestore() { t.restores.Add(context.Background(), 1) }
+
 // RecordForwarded records the metrics of a forwarded request that has ended.
 func (t *Telemetry) RecordForwarded(o *qfforward.Outcome) {
 	ctx := context.Background()
--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -45,7 +45,9 @@
 
 // ExecutedRequest is a request that the replica executed, as received.
 type ExecutedRequest struct {
-	ID     string
+	ID string
+	// At is when the run began.
+	At     time.Time
 	Method string
 	Target string
 	Body   string
@@ -101,7 +103,7 @@
 		behaviour, r.next = r.next[0], r.next[1:]
 	}
 	run := &ExecutedRequest{
-		ID: request.Header.Get("X-Request-Id"), Method: request.Method, Target: request.RequestURI, Body: string(body),
+		ID: request.Header.Get("X-Request-Id"), At: r.clock.Now(), Method: request.Method, Target: request.RequestURI, Body: string(body),
 		Header: request.Header.Clone(),
 	}
 	if behaviour != Sheds {
--- a/internal/standin/standrows/http.go
+++ b/internal/standin/standrows/http.go
@@ -19,10 +19,40 @@
 		s.mu.Lock()
 		s.calls[r.URL.Path]++
 		s.mu.Unlock()
-		mux.ServeHTTP(w, r)
+		mux.ServeHTTP(&eraWriter{ResponseWriter: w, store: s}, r)
 	})
 }
 
+// headerEra holds the store's era in all answers.
+const headerEra = "Store-Era"
+
+// eraWriter adds the store's era at the time of the answer.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+	// hasEra is set once the era was added.
+	hasEra bool
+}
+
+func (w *eraWriter) addEra() {
+	if !w.hasEra {
+		w.hasEra = true
+		w.Header().Set(headerEra, strconv.FormatUint(w.store.Era(), 10))
+	}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	w.addEra()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(data []byte) (int, error) {
+	w.addEra()
+	return w.ResponseWriter.Write(data)
+}
+
 // serveTransaction commits a transaction.
 func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request) {
 	var t transaction
--- a/internal/standin/standrows/store.go
+++ b/internal/standin/standrows/store.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/standin/standfault"
@@ -48,13 +49,28 @@
 	changed chan struct{}
 	// calls counts the received calls by path.
 	calls map[string]int
+	// era rises by one with each restore.
+	era uint64
+	// log holds all changes with their times, also those that restores have undone until
+	// they are, so that the store can be restored to any earlier time.
+	log []loggedChange
+	// lost holds the changes of other clients that the last restores have undone.
+	lost []Row
+}
+
+// loggedChange is a change with its time and its writer.
+type loggedChange struct {
+	row Row
+	at  time.Time
+	// isOthers is true for a change by another client than the nodes.
+	isOthers bool
 }
 
 // New returns an empty store with these rate limits.
 func New(clock qf.Clock, readsPerSecond, writesPerSecond int) *Store {
 	return &Store{
 		clock: clock, gate: standfault.NewGate(clock, readsPerSecond, writesPerSecond), rows: map[rowKey]Row{},
-		changed: make(chan struct{}), calls: map[string]int{},
+		changed: make(chan struct{}), calls: map[string]int{}, era: 1,
 	}
 }
 
@@ -80,14 +96,23 @@
 func (s *Store) Put(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(&transaction{Writes: []Row{{Table: table, Key: key, Value: value}}})
+	s.applyOthers(&transaction{Writes: []Row{{Table: table, Key: key, Value: value}}})
 }
 
 // Remove removes a row without rate limits or faults, as another client of the store.
 func (s *Store) Remove(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(&transaction{Remove: []Row{{Table: table, Key: key}}})
+	s.applyOthers(&transaction{Remove: []Row{{Table: table, Key: key}}})
+}
+
+// applyOthers applies a transaction of another client. The caller holds s.mu.
+func (s *Store) applyOthers(t *transaction) {
+	first := len(s.log)
+	s.apply(t)
+	for i := range s.log[first:] {
+		s.log[first+i].isOthers = true
+	}
 }
 
 // Get returns the value of a row and whether the row exists.
@@ -128,17 +153,31 @@
 	s.ver++
 	for _, row := range t.Writes {
 		row.Ver = s.ver
-		s.rows[row.primaryKey()] = row
-		s.history = append(s.history, row)
+		s.record(row)
 	}
 	for _, row := range t.Remove {
-		delete(s.rows, row.primaryKey())
-		s.history = append(s.history, Row{Table: row.Table, Part: row.Part, Key: row.Key, Ver: s.ver, Removed: true})
+		s.record(Row{Table: row.Table, Part: row.Part, Key: row.Key, Ver: s.ver, Removed: true})
 	}
 	s.wakeFeeds()
 	return qf.DoneWith(storeResponse{Ver: s.ver})
 }
 
+// record applies and records one change. The caller holds s.mu.
+func (s *Store) record(row Row) {
+	s.set(row)
+	s.history = append(s.history, row)
+	s.log = append(s.log, loggedChange{row: row, at: s.clock.Now()})
+}
+
+// set applies one change to the rows. The caller holds s.mu.
+func (s *Store) set(row Row) {
+	if row.Removed {
+		delete(s.rows, row.primaryKey())
+		return
+	}
+	s.rows[row.primaryKey()] = row
+}
+
 // commit applies a transaction, subject to the rate limits and the injected faults.
 func (s *Store) commit(ctx context.Context, t *transaction) qf.Result[storeResponse] {
 	if err := s.gate.AdmitWrite(ctx, qf.StepTableCommit); err != nil {
@@ -188,7 +227,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gate.ApplyDueWrites()
-	if after < s.floor {
+	if after < s.floor || after > s.ver {
 		return storeResponse{}, http.StatusGone, nil
 	}
 	changes = storeResponse{Ver: max(s.ver, after)}
