contract, qfmirror: use the clock in the tests of restores

Cause: the linter forbids time.Sleep and time.Now outside the timer service. Change: the tests wait and measure on qftimer's clock; formatting.

--- a/internal/contract/restore_test.go
+++ b/internal/contract/restore_test.go
@@ -108,7 +108,7 @@
 	if result := commitAt(t.Context(), s.a, qf.Row{}, "first"); result.Certainty != qf.Done {
 		t.Fatal(result.Err)
 	}
-	time.Sleep(2 * time.Second)
+	<-clock.After(2 * time.Second).C()
 	row, err := s.b.Read(t.Context(), restoreKey)
 	if err != nil {
 		t.Fatal(err)
@@ -133,7 +133,8 @@
 func TestRestoreEndsOpenPolls(t *testing.T) {
 	const wait, seenAfter = 3 * time.Second, 500 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		stand := standrows.New(qftimer.NewWall(), standtable.ReadsPerSecond, standtable.WritesPerSecond)
+		clock := qftimer.NewWall()
+		stand := standrows.New(clock, standtable.ReadsPerSecond, standtable.WritesPerSecond)
 		client := platform.NewStore(serverAddress, wait, serve(t, stand.Handler()))
 		page, err := client.ReadSnapshot(t.Context(), qf.FeedNodes)
 		if err != nil {
@@ -141,12 +142,12 @@
 		}
 		stand.SetFaults(standfault.Faults{Delay: 2 * wait}) // The open call gets no answer in time.
 		go func() {
-			time.Sleep(seenAfter)
+			<-clock.After(seenAfter).C()
 			client.ObserveEra(page.Era + 1)
 		}()
-		began := time.Now()
+		began := clock.Now()
 		_, err = client.ReadChanges(t.Context(), qf.FeedNodes, page.Position(), wait)
-		if took := time.Since(began); qf.CodeOf(err) != qf.CodeStaleRevision || took > seenAfter {
+		if took := clock.Now().Sub(began); qf.CodeOf(err) != qf.CodeStaleRevision || took > seenAfter {
 			t.Errorf("the call ended after %v with %v", took, err)
 		}
 	})
--- a/internal/qf/state/qffollow/follower_test.go
+++ b/internal/qf/state/qffollow/follower_test.go
@@ -57,6 +57,7 @@
 func (r *recorder) ApplySnapshot(page *qf.FeedPage) {
 	r.snapshots = append(r.snapshots, page.Position())
 }
+
 func (r *recorder) ApplyChanges(page *qf.FeedPage) { r.changes = append(r.changes, page.Position()) }
 func (r *recorder) RecordFailure(error)            { r.failures++ }
 func (*recorder) RecordSuccess()                   {}
--- a/internal/qf/state/qfmirror/mirror_test.go
+++ b/internal/qf/state/qfmirror/mirror_test.go
@@ -169,17 +169,18 @@
 // the store came back from an older copy.
 func TestMirrorEndsWaitsInANewEra(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := New(qftimer.NewWall())
+		clock := qftimer.NewWall()
+		m := New(clock)
 		m.RecordRead(feedName, nil)
 		m.ApplySnapshot(feedName, &qf.FeedPage{Version: 100, Era: 1})
 		go func() {
-			time.Sleep(time.Second)
+			<-clock.After(time.Second).C()
 			m.ApplySnapshot(feedName, &qf.FeedPage{Version: 70, Era: 2})
 		}()
-		began := time.Now()
+		began := clock.Now()
 		_, err := m.WaitForChanges(t.Context(), feedName, qf.StorePosition{Era: 1, Version: 100}, time.Minute)
-		if qf.CodeOf(err) != qf.CodeStaleRevision || time.Since(began) != time.Second {
-			t.Errorf("got %v after %v, want %s after a second", err, time.Since(began), qf.CodeStaleRevision)
+		if took := clock.Now().Sub(began); qf.CodeOf(err) != qf.CodeStaleRevision || took != time.Second {
+			t.Errorf("got %v after %v, want %s after a second", err, took, qf.CodeStaleRevision)
 		}
 	})
 }
