qfforward: move streams away from endpoints that leave

Cause: streams that nobody can resume were cut when their endpoint stopped after a reclaim or drain with notice; no run ever moved memory. Also: the stamp of a rollout's order was a bare version of the store, so that a new order after a restore was ignored (its version is lower). Change: shortly before a leaving endpoint stops, each such stream's memory is copied to another of the same version, the run is stopped, and the stream goes on there after its last event (qf.RunMover, platform/move.go, event 262). The stamp holds the era; an order written again in a later era is told from a new one.

--- a/cmd/quetzalfront/entry.go
+++ b/cmd/quetzalfront/entry.go
@@ -123,7 +123,8 @@
 		Clock: timer, Network: network, Feed: store, Table: store, Eras: store, Rollouts: store,
 		Duties:     platform.NewDutyClient(settings.Cloud, network.Dial),
 		RowDecoder: platform.RowDecoder{Regions: settings.Deployment.Regions}, Protocol: platform.Protocol{},
-		Peer: peers, PeerFeed: peers,
+		Mover: platform.NewMoveClient(network.Dial),
+		Peer:  peers, PeerFeed: peers,
 		ReadyHandler: platform.ReadyHandler, DirectoryHandler: platform.DirectoryHandler,
 		Logger: logger, Random: rand.New(rand.NewPCG(seed, uint64(os.Getpid()))), //nolint:gosec // As above.
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,7 @@
 	Rollouts   qf.RolloutReporter
 	RowDecoder qf.RowDecoder
 	Protocol   qf.CallerProtocol
+	Mover      qf.RunMover
 	Peer       qf.PeerClient
 	PeerFeed   qf.PeerFeedReader
 	// Telemetry may be nil.
@@ -118,7 +119,9 @@
 	background sync.WaitGroup
 	// stopLoops stops the feeds, the exchanges, the duties and the other loops.
 	stopLoops context.CancelFunc
-	servers   servers
+	// loops is the context of the background goroutines.
+	loops   context.Context
+	servers servers
 }
 
 // New returns an entry node that hasn't started.
@@ -152,6 +155,7 @@
 	e.forwarder = qfforward.New(qfforward.Ports{
 		Clock: platform.Clock, Protocol: platform.Protocol, Endpoints: e.exchanger, Picker: e.picker, Admission: e.admission, PoisonFilter: e.poisonFilter,
 		Startup: qfforward.Startup{Ready: e.loaded, Until: now.Add(startupHold)}, Configuration: &e.configuration, Observe: e.observe, IsLeaving: e.isLeaving.Load,
+		Mover: platform.Mover, ObserveMove: e.observeMove,
 	})
 	e.duties = newDuties(e)
 	e.storeEra = &eraWatcher{entry: e}
@@ -184,7 +188,7 @@
 		return err
 	}
 	loops, stop := context.WithCancel(context.Background())
-	e.stopLoops = stop
+	e.stopLoops, e.loops = stop, loops
 	e.followFeeds(loops)
 	e.background.Go(func() { e.updateEndpointsLoop(loops) })
 	e.background.Go(func() { e.exchangeLoop(loops) })
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -123,6 +123,7 @@
 			e.logUnreadableRow(qf.FeedOperator, &rows[i], err)
 		}
 		if isOrder {
+			order.Stamp = stampOf(page.Era, rows[i].Version)
 			e.picker.setRolloutOrder(order)
 		}
 	}
@@ -212,10 +213,29 @@
 	}
 	if !wasLeaving && e.isLeavingEndpoint(id) {
 		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "it registered as draining")
+		e.evacuate(&listed)
 	}
 	return false
 }
 
+// evacuate moves the streams that run at a leaving endpoint shortly before it stops, if its
+// engine can move runs.
+func (e *Entry) evacuate(leaving *qf.RegisteredEndpoint) {
+	table := e.configuration.Get()
+	if table == nil {
+		return
+	}
+	settings := table.Entry(leaving.Entry)
+	if settings == nil || settings.Engine == nil || !settings.Engine.CanMoveRuns {
+		return
+	}
+	stopsIn := leaving.LeavesIn
+	if stopsIn <= 0 {
+		stopsIn = e.deployment.Bounds.EndpointDrain
+	}
+	e.background.Go(func() { e.forwarder.Evacuate(e.loops, leaving.ID, stopsIn) })
+}
+
 // isLeavingEndpoint reports whether an endpoint is registered as leaving. The caller must
 // hold e.mu.
 func (e *Entry) isLeavingEndpoint(id qf.EndpointID) bool {
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -52,8 +52,10 @@
 	// numbers are those of the nodes, by which callers reach them.
 	numbers []int
 	// log holds the log lines of all nodes.
-	log      logBuffer
-	servers  []*http.Server
+	log     logBuffer
+	servers []*http.Server
+	// mu guards requests.
+	mu       sync.Mutex
 	requests int
 }
 
@@ -215,7 +217,7 @@
 	peers := qfrpc.NewClient(w.clock, time.Second, network.Dial, nil)
 	node := entry.New(deployment, entry.Platform{
 		Clock: w.clock, Network: network, Feed: store, Table: store, Eras: store, Rollouts: store, Duties: platform.NewDutyClient(cloudAddress, network.Dial),
-		RowDecoder: platform.RowDecoder{Regions: regions}, Protocol: platform.Protocol{}, Peer: peers, PeerFeed: peers,
+		RowDecoder: platform.RowDecoder{Regions: regions}, Protocol: platform.Protocol{}, Mover: platform.NewMoveClient(network.Dial), Peer: peers, PeerFeed: peers,
 		ReadyHandler: platform.ReadyHandler, DirectoryHandler: platform.DirectoryHandler,
 		Logger: zerolog.New(&w.log), Random: rand.New(rand.NewPCG(uint64(number), 7)),
 	})
@@ -238,8 +240,10 @@
 
 // call sends a caller's request to a node.
 func (w *testFleet) call(ctx context.Context, number int, method, path, body string, headers ...string) answer {
+	w.mu.Lock()
 	w.requests++
 	a := answer{id: fmt.Sprintf("request-%d", w.requests)}
+	w.mu.Unlock()
 	client := &http.Client{Transport: &http.Transport{DialContext: w.network.From(callerIP).Dial, DisableKeepAlives: true}}
 	url := fmt.Sprintf("http://10.1.0.%d:1%s", number, path)
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/protocol/qfforward"
 	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/state/qflog"
@@ -32,6 +33,13 @@
 	qfevent.ForwardFailed.Log(&e.platform.Logger, o.Request, o.Route, o.Organisation, o.Revision, o.Status, attempts, o.First.String(), o.Took.String(), o.Err)
 }
 
+// observeMove logs the result of a move of a running request to another endpoint.
+func (e *Entry) observeMove(request qf.RequestID, from, to qf.EndpointID, certainty qf.Certainty, err error) {
+	if e.logLimiter.Allow(e.now(), qflog.ClassNotable) {
+		qfevent.RunMoved.Log(&e.platform.Logger, request, from, to, certainty, err)
+	}
+}
+
 func isSuccess(o *qfforward.Outcome) bool {
 	return o.Err == nil && o.Status < http.StatusInternalServerError
 }
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -239,6 +239,7 @@
 				if !strings.Contains(string(value), tt.want) {
 					t.Errorf("the operator reads %s, want %s", value, tt.want)
 				}
+				w.checkNewOrder()
 				if more := len(w.replicas["new-1"].Runs()) - runsAtRestore; tt.isBad && tt.after > 5*time.Second && more > 0 {
 					t.Errorf("a version that was rolled back got %d requests after the restore", more)
 				}
@@ -247,6 +248,22 @@
 	}
 }
 
+// checkNewOrder checks that an order which the operator gives after a restore is carried out.
+func (w *testFleet) checkNewOrder() {
+	w.addReplica("next-1", "books", 6)
+	w.store.Put("servers", "next-1", []byte(
+		`{"service":"books","address":"10.8.0.6:80","zone":"north-a","version":"v3","slots":8,"state":"ready","seq":1,"born":1}`))
+	w.sleep(2 * time.Second)
+	w.store.Put("op", "rollout/books", []byte(`{"service":"books","to":"v3","duration-s":12}`))
+	for i := range 1300 {
+		w.call(w.t.Context(), i%3+1, http.MethodPost, "/file/1", "body")
+		w.sleep(10 * time.Millisecond)
+	}
+	if value, _ := w.store.Get("status", "rollout/books"); string(value) != `{"state":"succeeded","to":"v3"}` {
+		w.t.Errorf("of a new order the operator reads %s", value)
+	}
+}
+
 // TestNodesRegisterAgain fails if a node whose row was lost isn't listed again, or if each node
 // reads all feeds at the store by itself after a restore.
 func TestNodesRegisterAgain(t *testing.T) {
--- a/internal/entry/versionselector.go
+++ b/internal/entry/versionselector.go
@@ -23,6 +23,8 @@
 type versionSelector struct {
 	orders map[qf.EntryName]qf.RolloutOrder
 	plans  map[qf.EntryName]*qf.RolloutPlan
+	// history holds the orders that were seen.
+	history orderHistory
 	// endpointCounts holds the number of usable endpoints of each version.
 	endpointCounts map[qf.EntryName]map[qf.Version]int
 	// baselines holds each route's usual time to the start of an answer, from the versions
@@ -33,7 +35,7 @@
 
 func newVersionSelector() *versionSelector {
 	return &versionSelector{
-		orders: map[qf.EntryName]qf.RolloutOrder{}, plans: map[qf.EntryName]*qf.RolloutPlan{},
+		orders: map[qf.EntryName]qf.RolloutOrder{}, plans: map[qf.EntryName]*qf.RolloutPlan{}, history: orderHistory{},
 		endpointCounts: map[qf.EntryName]map[qf.Version]int{}, baselines: map[string]time.Duration{},
 		counters: qftally.New[qf.VersionKey](),
 	}
@@ -52,9 +54,13 @@
 
 // setOrder sets the operator's order if it is newer than the current one.
 func (v *versionSelector) setOrder(order qf.RolloutOrder) {
-	if order.Stamp > v.orders[order.Entry].Stamp {
-		v.orders[order.Entry] = order
+	if v.history.record(&order) || order.Stamp <= v.orders[order.Entry].Stamp {
+		return
+	}
+	if plan := v.plans[order.Entry]; plan != nil && isPlanOf(plan, &order) {
+		order.Stamp = plan.Generation
 	}
+	v.orders[order.Entry] = order
 }
 
 // applyPlan puts a plan in force if it is newer, and reports whether it was.
@@ -68,6 +74,10 @@
 	}
 	copied := *plan
 	v.plans[plan.Entry] = &copied
+	if order, isKnown := v.orders[plan.Entry]; isKnown && known == nil && isPlanOf(plan, &order) {
+		order.Stamp = plan.Generation
+		v.orders[plan.Entry] = order
+	}
 	return true
 }
 
--- a/internal/qf/caller.go
+++ b/internal/qf/caller.go
@@ -47,6 +47,8 @@
 	Urgency int
 	// ResumeAfter replaces the caller's own value if it isn't empty.
 	ResumeAfter string
+	// Memory is that of a run with which the request goes on; it is empty for a new run.
+	Memory RunMemory
 }
 
 // ResponseInfo holds the fields decoded from the headers of an endpoint's answer.
--- a/internal/qf/configuration.go
+++ b/internal/qf/configuration.go
@@ -75,6 +75,8 @@
 	Slots int
 	// KVTokens is the size of an engine's KV cache in tokens.
 	KVTokens int
+	// CanMoveRuns means that a running request can be moved to another engine.
+	CanMoveRuns bool
 }
 
 // ScalingSettings bound the number of an entry's endpoints in each availability zone.
--- a/internal/qf/deployment.go
+++ b/internal/qf/deployment.go
@@ -42,6 +42,9 @@
 	LeaseFor time.Duration
 	// EndpointHeartbeat is the interval at which endpoints renew their registrations.
 	EndpointHeartbeat time.Duration
+	// EndpointDrain is how long an endpoint serves on, at least, after it has announced that
+	// it leaves.
+	EndpointDrain time.Duration
 	// RetryShare, RetryWindow and RetrySlack set the retry budget of an entry, over all
 	// nodes: RetryShare of the requests within RetryWindow, plus RetrySlack.
 	RetryShare  float64
--- a/internal/qf/duty.go
+++ b/internal/qf/duty.go
@@ -10,7 +10,8 @@
 	Entry  EntryName
 	To     Version
 	Within time.Duration
-	// Stamp is the version of the row that holds the order.
+	// Stamp rises with each order: it is the version of the row that holds the order, below
+	// the store's era.
 	Stamp uint64
 }
 
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -34,14 +34,20 @@
 	s := &relay{call: c}
 	var tried []qf.EndpointID
 	var entry qf.EntryName
+	var move *streamMove
 	for {
-		a, err := c.attempt(ctx, p, s, tried, entry)
+		a, err := c.attempt(ctx, p, s, tried, entry, move)
 		if err != nil {
 			c.finish(s, nil, c.withoutEndpoint(p, err))
 			return
 		}
 		tried = append(tried, a.picked.Endpoint.ID)
 		entry = a.picked.Endpoint.Entry
+		if move = a.move; move != nil {
+			p.runs++ // Without its memory, the run can't go on anywhere else.
+			c.recordAttempt(a, nextMove)
+			continue
+		}
 		step := c.nextStep(p, a)
 		c.recordAttempt(a, step)
 		if step != nextRetry && step != nextResume {
@@ -87,12 +93,20 @@
 	// content is the buffered body of an answer that isn't relayed as a stream.
 	content []byte
 	err     error
+	// move is set if the run goes on at another endpoint.
+	move *streamMove
 }
 
-// attempt picks an endpoint, makes one attempt there and records its end.
-func (c *call) attempt(ctx context.Context, p *progress, s *relay, tried []qf.EndpointID, entry qf.EntryName) (*attempt, error) {
+// attempt makes one attempt and records its end: at the endpoint to which the run was moved, or
+// else at one that it picks.
+func (c *call) attempt(ctx context.Context, p *progress, s *relay, tried []qf.EndpointID, entry qf.EntryName, move *streamMove) (*attempt, error) {
 	ports := &c.forwarder.ports
 	now := ports.Clock.Now()
+	if move != nil {
+		a := &attempt{picked: move.to, startedAt: now}
+		c.makeAttempt(ctx, p, s, a, move.memory)
+		return a, nil
+	}
 	picked, err := ports.Picker.PickEndpoint(&qf.PickQuery{
 		Now: now, Route: c.route, Organisation: c.organisation(), Prompt: c.request.Prompt,
 		Deadline: c.deadline, Excluded: tried, ResumeTokens: s.tokens, Entry: entry,
@@ -104,17 +118,23 @@
 		ports.Admission.CountRequest(now, picked.Endpoint.Entry)
 	}
 	a := &attempt{picked: picked, startedAt: now}
-	c.send(ctx, p, s, a)
+	c.makeAttempt(ctx, p, s, a, "")
+	return a, nil
+}
+
+// makeAttempt makes an attempt at the picked endpoint and records its end.
+func (c *call) makeAttempt(ctx context.Context, p *progress, s *relay, a *attempt, memory qf.RunMemory) {
+	ports := &c.forwarder.ports
+	c.send(ctx, p, s, a, memory)
 	at := ports.Clock.Now()
 	ports.Picker.RecordAttemptEnd(at, &a.picked, a.end)
 	if !errors.Is(a.err, errFirstByteTimeout) {
 		ports.PoisonFilter.RecordAttemptEnd(at, c.content(), &a.picked.Endpoint, a.end, a.err)
 	}
-	return a, nil
 }
 
 // send sends the request to the picked endpoint and reads or relays the answer.
-func (c *call) send(ctx context.Context, p *progress, s *relay, a *attempt) {
+func (c *call) send(ctx context.Context, p *progress, s *relay, a *attempt, memory qf.RunMemory) {
 	ports := &c.forwarder.ports
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -124,7 +144,7 @@
 		Host: c.incoming.Host, Body: c.body,
 		Header: ports.Protocol.BuildEndpointHeader(c.incoming.Header, &qf.ForwardInfo{
 			Endpoint: a.picked.Endpoint.ID, Organisation: c.organisation(), Urgency: c.priority(),
-			TimeLeft: c.deadline.Sub(ports.Clock.Now()), ResumeAfter: s.lastEvent,
+			TimeLeft: c.deadline.Sub(ports.Clock.Now()), ResumeAfter: s.lastEvent, Memory: memory,
 		}),
 	})
 	if err != nil {
@@ -138,13 +158,16 @@
 		ports.Picker.RecordLoad(ports.Clock.Now(), a.picked.Endpoint.ID, *load)
 	}
 	if a.end == qf.AttemptAnswered && c.route.Kind == qf.RouteStream && answer.Status == http.StatusOK {
-		err = s.relayStream(a, stopWatch)
+		a.move, err = c.relayMovable(ctx, s, a, stopWatch)
 	} else {
 		err = c.read(a, stopWatch)
 	}
 	if err != nil {
 		a.classifyFailure(ctx, err)
 	}
+	if a.move != nil {
+		a.end = qf.AttemptCancelled // The endpoint did nothing wrong.
+	}
 	p.delivered = s.headerSent
 }
 
--- a/internal/qf/protocol/qfforward/decide.go
+++ b/internal/qf/protocol/qfforward/decide.go
@@ -40,6 +40,8 @@
 	// nextResume makes another attempt that continues after the last delivered event.
 	// It takes a retry from the retry budget.
 	nextResume nextStep = "Resume"
+	// nextMove goes on at the endpoint to which the run was moved.
+	nextMove nextStep = "Move"
 	// nextDeliverFailure delivers the failure that the endpoint reported.
 	nextDeliverFailure nextStep = "Pass"
 	// nextRefuse answers that the request didn't run.
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -24,6 +24,9 @@
 	PoisonFilter  qf.PoisonFilter
 	Configuration *qfconfig.Current
 	Startup       Startup
+	Mover         qf.RunMover
+	// ObserveMove is called with the result of each move of a stream to another endpoint.
+	ObserveMove func(request qf.RequestID, from, to qf.EndpointID, certainty qf.Certainty, err error)
 	// Observe is called with the outcome of each request.
 	Observe func(*Outcome)
 	// IsLeaving reports whether the node is leaving, so that callers should open their
@@ -42,11 +45,12 @@
 
 // Forwarder is an http.Handler that forwards callers' requests to endpoints.
 type Forwarder struct {
-	ports Ports
+	ports   Ports
+	streams *streamTable
 }
 
 // New returns a forwarder.
-func New(ports Ports) *Forwarder { return &Forwarder{ports: ports} }
+func New(ports Ports) *Forwarder { return &Forwarder{ports: ports, streams: newStreamTable()} }
 
 // call is one request of a caller in progress.
 type call struct {
--- a/internal/qf/protocol/qfforward/relay.go
+++ b/internal/qf/protocol/qfforward/relay.go
@@ -28,6 +28,8 @@
 	// tokens estimates the length of the answer so far.
 	tokens  int
 	pending []byte
+	// stream is the present attempt in the table of streams.
+	stream *stream
 }
 
 var errEventTooLarge = errors.New("an event is too large")
@@ -71,6 +73,9 @@
 		return err
 	}
 	s.recordEvents(whole)
+	if s.lastEvent != "" {
+		s.stream.hasEvents.Store(true)
+	}
 	s.pending = append(s.pending[:0], s.pending[end:]...)
 	return nil
 }
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -122,6 +122,7 @@
 var (
 	ForwardEnded     = Event{260, info, "request forwarded", []string{FieldRequest, FieldRoute, FieldOrganisation, FieldRevision, FieldStatus, FieldAttempts, FieldFirst, FieldTook}, "Nothing; Attempts lists each endpoint, why it was chosen, how the attempt ended and what followed."}
 	ForwardFailed    = Event{261, warning, "request refused or failed", []string{FieldRequest, FieldRoute, FieldOrganisation, FieldRevision, FieldStatus, FieldAttempts, FieldFirst, FieldTook, FieldError}, "See OPERATIONS.md for how to find the cause of a request's failure."}
+	RunMoved         = Event{262, info, "a running request was to be moved from a leaving endpoint", []string{FieldRequest, FieldEndpoint, FieldPeer, FieldOutcome, FieldError}, "Nothing; Peer is the endpoint at which it goes on if Outcome is Done. Otherwise it ends where it runs."}
 	RequestsLeftOut  = Event{108, warning, "log lines of requests were dropped", []string{FieldPlain, FieldNotable}, "Nothing; the load is high. Metrics count all requests."}
 	LinesLeftOut     = Event{106, warning, "log lines were dropped", []string{FieldCount}, "Nothing; the log's reader is too slow or the load is high."}
 	SettingsReloaded = Event{107, info, "settings were read again", []string{FieldOutcome}, "Nothing, unless Outcome names a fault; then the settings in use stay."}
@@ -194,6 +195,7 @@
 		RequestsLeftOut,
 		ForwardEnded,
 		ForwardFailed,
+		RunMoved,
 		LinesLeftOut,
 		SettingsReloaded,
 		FeedLost,
--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -69,10 +69,18 @@
 	EventCount int
 	// EventInterval is the delay before each event.
 	EventInterval time.Duration
+	// moved holds the requests whose runs were stopped by a move.
+	moved map[string]bool
+	// isStopped is set once the replica has stopped.
+	isStopped bool
+	// MoveTakes is how long the copy of a run's memory takes.
+	MoveTakes time.Duration
 }
 
 // New returns a replica without faults.
-func New(id string, clock qf.Clock) *Replica { return &Replica{ID: id, clock: clock, EventCount: 4} }
+func New(id string, clock qf.Clock) *Replica {
+	return &Replica{ID: id, clock: clock, EventCount: 4, moved: map[string]bool{}}
+}
 
 // SetNextBehaviours sets one behaviour for each of the next requests and replaces those set
 // before.
@@ -127,6 +135,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if request.URL.Path == pathMove {
+		r.serveMove(w, request)
+		return
+	}
 	run, behaviour := r.begin(request)
 	w.Header().Set("X-Request-Id", run.ID)
 	w.Header().Set("X-Replica-Load", "1,0,8")
@@ -184,6 +196,9 @@
 			r.markCancelled(run)
 			return
 		}
+		if r.isMoved(run.ID) || r.hasStopped() {
+			panic(http.ErrAbortHandler) // The stream is closed without its end.
+		}
 		event := StreamEvent(run.ID, number)
 		if behaviour == Truncates && number == first+2 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
