qfforward: cut a stream whose continuation fails

The failure can't be delivered after a part of the answer, deliver() returned silently, and the server ended the body as if it were whole. Streams that were resumed by a new run had the same fault. Change: a failure after a part was delivered is resumed again if the route allows, and cuts the answer otherwise; so does any answer but 200 to a continuation. Ruled out: the move itself (the source had stopped, the event numbers were right).

--- a/internal/entry/evacuate_test.go
+++ b/internal/entry/evacuate_test.go
@@ -90,3 +90,39 @@
 		w.t.Errorf("%d of %d streams were cut", cut, len(answers))
 	}
 }
+
+// TestFailedResumeIsCut fails if a stream whose continuation fails at another endpoint ends as
+// if it were complete.
+func TestFailedResumeIsCut(t *testing.T) {
+	tests := []struct {
+		name string
+		next standreplica.Behaviour
+	}{
+		{"the other endpoint fails", standreplica.Fails},
+		{"the other endpoint doesn't state whether it ran", standreplica.Busy},
+		{"the other endpoint rejects it", standreplica.Rejects},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runFleet(t, 1, func(w *testFleet) {
+				cut := 0
+				for range 12 {
+					w.replicas["chat-1"].SetNextBehaviours(standreplica.Truncates)
+					w.replicas["chat-2"].SetNextBehaviours(repeated(tt.next, 4)...)
+					a := w.call(w.t.Context(), 1, http.MethodPost, "/ask/1", "body", "X-Token-Counts", "500,100")
+					if a.err != nil {
+						cut++
+					}
+					isWhole := strings.Contains(a.body, standreplica.StreamEvent(a.id, 4))
+					if a.status == http.StatusOK && a.err == nil && !isWhole {
+						t.Errorf("a stream of %q looks complete", a.body)
+					}
+					w.sleep(2 * time.Second)
+				}
+				if cut == 0 {
+					t.Error("no stream was resumed at the other endpoint")
+				}
+			})
+		})
+	}
+}
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -70,7 +70,7 @@
 	isRetry := step == nextRetry || step == nextResume
 	if isRetry && !c.forwarder.ports.Admission.TakeRetry(now, a.picked.Endpoint.Entry) {
 		if a.end == qf.AttemptFailed {
-			return nextDeliverFailure
+			return p.deliverFailure()
 		}
 		return p.giveUp()
 	}
@@ -154,6 +154,9 @@
 	}
 	defer answer.Body.Close() //nolint:errcheck // An error on close changes nothing.
 	a.answer, a.end = answer, attemptEndOf(answer)
+	if s.headerSent && a.end == qf.AttemptAnswered && answer.Status != http.StatusOK {
+		a.end = qf.AttemptFailed // It isn't the rest of the stream.
+	}
 	if load := answer.Traits.Load; load != nil {
 		ports.Picker.RecordLoad(ports.Clock.Now(), a.picked.Endpoint.ID, *load)
 	}
--- a/internal/qf/protocol/qfforward/decide.go
+++ b/internal/qf/protocol/qfforward/decide.go
@@ -67,10 +67,10 @@
 		}
 		return p.giveUp()
 	case qf.AttemptFailed:
-		if p.mayRetry() && p.hasTime() && !p.delivered {
-			return nextRetry
+		if p.mayRetry() && p.hasTime() {
+			return p.retryStep()
 		}
-		return nextDeliverFailure
+		return p.deliverFailure()
 	default:
 		if p.mayRetry() && p.hasTime() {
 			return p.retryStep()
@@ -90,6 +90,15 @@
 	return nextRetry
 }
 
+// deliverFailure returns the final step of a request whose endpoint reported a failure. A
+// caller that has a part of the answer can't be given the failure any more.
+func (p *progress) deliverFailure() nextStep {
+	if p.delivered {
+		return nextAbort
+	}
+	return nextDeliverFailure
+}
+
 // giveUp returns the final step of a request that got no answer from an endpoint.
 func (p *progress) giveUp() nextStep {
 	switch {
--- a/internal/qf/protocol/qfforward/decide_test.go
+++ b/internal/qf/protocol/qfforward/decide_test.go
@@ -35,6 +35,9 @@
 		{"repeatable, rejected after a run", progress{route: repeatable, runs: 2, notRun: 1, end: qf.AttemptNotRun, timeLeft: second}, nextFail},
 		{"resumable, broken midway", progress{route: resumable, runs: 1, delivered: true, end: qf.AttemptBroken, timeLeft: second}, nextResume},
 		{"resumable, attempts used up midway", progress{route: resumable, runs: 2, delivered: true, end: qf.AttemptBroken, timeLeft: second}, nextAbort},
+		{"resumable, failed midway", progress{route: resumable, runs: 1, delivered: true, end: qf.AttemptFailed, timeLeft: second}, nextResume},
+		{"resumable, attempts used up, failed midway", progress{route: resumable, runs: 2, delivered: true, end: qf.AttemptFailed, timeLeft: second}, nextAbort},
+		{"stream, failed midway", progress{route: stream, runs: 2, delivered: true, end: qf.AttemptFailed, timeLeft: second}, nextAbort},
 		{"the caller disconnected", progress{route: repeatable, runs: 1, end: qf.AttemptCancelled, timeLeft: second}, nextFail},
 		{"out of time before any run", progress{route: onceOnly, end: qf.AttemptCancelled}, nextRefuse},
 	}
--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -29,6 +29,8 @@
 	// Busy responds with status 503 without X-Not-Executed, so that the caller can't exclude
 	// that the request was executed.
 	Busy Behaviour = "Busy"
+	// Rejects responds with status 400.
+	Rejects Behaviour = "Rejects"
 	// Truncates closes the connection in the middle of its response, for a stream in the
 	// middle of an event.
 	Truncates Behaviour = "Cuts"
@@ -151,6 +153,9 @@
 	case Fails:
 		w.Header().Set("X-Response-Stamp", "stamp-"+run.ID)
 		w.WriteHeader(http.StatusInternalServerError)
+	case Rejects:
+		w.Header().Set("X-Response-Stamp", "stamp-"+run.ID)
+		w.WriteHeader(http.StatusBadRequest)
 	case Hangs:
 		<-request.Context().Done()
 		r.markCancelled(run)
