qffleet: replace at once what is lost right after an order

Change: a pool that has fewer endpoints than were there since its last order is ordered again at once; ZonalView.OnDemandOnly rules out reclaimable ones, for a holder whose lease has expired. The new case of TestZonalPlanner fails on the old code (7 of 9 endpoints).

--- a/internal/qf/coordination/qffleet/zonal.go
+++ b/internal/qf/coordination/qffleet/zonal.go
@@ -40,6 +40,9 @@
 	Needed, Minimum int
 	// Endpoints holds the registered endpoints, including those that are leaving.
 	Endpoints []qf.RegisteredEndpoint
+	// OnDemandOnly rules out orders of reclaimable endpoints, because the refusal of one
+	// can't be told from that of a holder whose lease another node has taken.
+	OnDemandOnly bool
 
 	// present holds the counts of Endpoints by zone.
 	present map[qf.AvailabilityZone]*zoneCounts
@@ -85,6 +88,8 @@
 	isUnconfirmed bool
 	// exhaustedUntil is when the pool may be ordered from again.
 	exhaustedUntil time.Time
+	// most is the highest number of endpoints that were there since the last order.
+	most int
 }
 
 // ZonalOrder is the desired number of endpoints of one class in one zone.
@@ -231,7 +236,7 @@
 
 // mayBuyReclaimable reports whether reclaimable endpoints can be ordered in a zone.
 func (p *ZonalPlanner) mayBuyReclaimable(view *ZonalView, zone qf.AvailabilityZone) bool {
-	return view.Scaling.ReclaimablePrice > 0 && !view.Now.Before(p.pool(zone, qf.ClassReclaimable).exhaustedUntil)
+	return view.Scaling.ReclaimablePrice > 0 && !view.OnDemandOnly && !view.Now.Before(p.pool(zone, qf.ClassReclaimable).exhaustedUntil)
 }
 
 // spread adds endpoints one by one in the zone with the fewest, up to each zone's
@@ -282,14 +287,17 @@
 func (p *ZonalPlanner) orderFor(view *ZonalView, zone qf.AvailabilityZone, class qf.VMClass, plan, present *zoneCounts) *ZonalOrder {
 	c := p.pool(zone, class)
 	desired, actual := plan.of(class), present.of(class)
-	if class == qf.ClassReclaimable && view.Now.Before(c.exhaustedUntil) {
+	if class == qf.ClassReclaimable && (view.OnDemandOnly || view.Now.Before(c.exhaustedUntil)) {
 		return nil
 	}
 	effect := p.settings.SettleTime
 	if desired > actual {
 		effect += view.Scaling.StartTakes
 	}
-	isDue := c.ordered != desired && (c.ordered >= 0 || desired != actual) ||
+	c.most = max(c.most, actual)
+	// Endpoints that were there after the order aren't on their way: they are lost.
+	hasLost := actual < c.most && actual < desired
+	isDue := c.ordered != desired && (c.ordered >= 0 || desired != actual) || hasLost ||
 		(c.isUnconfirmed || actual != desired) && view.Now.Sub(c.orderedAt) >= effect
 	if !isDue || c.ordered == desired && actual == desired && !c.isUnconfirmed {
 		return nil
@@ -301,7 +309,7 @@
 // RecordOrderResult records the outcome of an order.
 func (p *ZonalPlanner) RecordOrderResult(now time.Time, order *ZonalOrder, certainty qf.Certainty, isRefused bool) {
 	c := p.pool(order.Zone, order.Class)
-	c.orderedAt = now
+	c.orderedAt, c.most = now, 0
 	c.isUnconfirmed = certainty == qf.Unknown
 	switch {
 	case certainty == qf.Done || certainty == qf.Unknown:
--- a/internal/qf/coordination/qffleet/zonal_test.go
+++ b/internal/qf/coordination/qffleet/zonal_test.go
@@ -26,6 +26,10 @@
 	minimum        int
 	// lostOrders is the number of orders that will be lost: they get no response and have no effect.
 	lostOrders int
+	// onDemandOnly rules out orders of reclaimable endpoints.
+	onDemandOnly bool
+	// orderedReclaimable counts the orders that ask for more reclaimable endpoints.
+	orderedReclaimable int
 }
 
 type zonalEndpoint struct {
@@ -75,6 +79,17 @@
 	w.exhaustedUntil = w.now.Add(exhaustedFor)
 }
 
+// lose removes a number of endpoints without notice.
+func (w *zonalWorld) lose(class qf.VMClass, zone qf.AvailabilityZone, count int) {
+	for i := range w.endpoints {
+		e := &w.endpoints[i]
+		if count > 0 && e.Class == class && e.AvailabilityZone == zone && e.goneAt.IsZero() {
+			e.goneAt = w.now
+			count--
+		}
+	}
+}
+
 func (w *zonalWorld) step() {
 	w.now = w.now.Add(300 * time.Millisecond)
 	var listed []qf.RegisteredEndpoint
@@ -90,7 +105,7 @@
 	}
 	w.endpoints = kept
 	for range 4 {
-		order, ok := w.planner.NextOrder(&ZonalView{Now: w.now, Scaling: zonalScaling, Needed: 9, Minimum: w.minimum, Endpoints: listed})
+		order, ok := w.planner.NextOrder(&ZonalView{Now: w.now, Scaling: zonalScaling, Needed: 9, Minimum: w.minimum, Endpoints: listed, OnDemandOnly: w.onDemandOnly})
 		if !ok {
 			return
 		}
@@ -100,6 +115,9 @@
 
 func (w *zonalWorld) carryOut(order *ZonalOrder) {
 	w.orders++
+	if order.Class == qf.ClassReclaimable {
+		w.orderedReclaimable++
+	}
 	if w.lostOrders > 0 {
 		w.lostOrders--
 		w.planner.RecordOrderResult(w.now, order, qf.Unknown, false)
@@ -174,6 +192,29 @@
 			t.Errorf("only %d endpoints served at the lowest point", least)
 		}
 	})
+	t.Run("replaces at once what is lost right after an order", func(t *testing.T) {
+		w := newZonalWorld(9)
+		w.run(20 * time.Second)
+		w.lose(qf.ClassReclaimable, "a", 1)
+		w.run(5 * time.Second) // The replacement has just started.
+		w.lose(qf.ClassReclaimable, "a", 2)
+		w.run(zonalScaling.StartTakes + 600*time.Millisecond)
+		if all := w.ready(""); all < 9 {
+			t.Errorf("%d endpoints serve once replacements can have started", all)
+		}
+	})
+	t.Run("orders no reclaimable endpoints where a refusal would be ambiguous", func(t *testing.T) {
+		w := newZonalWorld(9)
+		w.run(20 * time.Second)
+		w.onDemandOnly, w.orderedReclaimable = true, 0
+		w.reclaim("b")
+		w.run(8 * time.Second)
+		w.reclaim("c")
+		w.run(8 * time.Second)
+		if all := w.ready(""); w.orderedReclaimable > 0 || all < 6 {
+			t.Errorf("%d orders of reclaimable endpoints, %d endpoints serve", w.orderedReclaimable, all)
+		}
+	})
 	t.Run("uses on-demand endpoints when all zones are reclaimed", func(t *testing.T) {
 		w := newZonalWorld(9)
 		w.run(20 * time.Second)
