qffleet, entry: order three tenths more endpoints than the operator started with

Change: SizeWithSpare adds three tenths where reclaimable endpoints are offered. TestSpareEndpointsServeABurst: in time without spare endpoints below 0.95.

--- a/internal/entry/overload_internal_test.go
+++ b/internal/entry/overload_internal_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qffleet"
 	"quetzalfront/internal/qf/coordination/qfroute"
 )
 
@@ -35,7 +36,7 @@
 	overloadTimeout   = 6 * time.Second
 )
 
-func newOverloadSimulation() *overloadSimulation {
+func newOverloadSimulation(count int) *overloadSimulation {
 	w := &overloadSimulation{now: time.Unix(1_800_000_000, 0), busyUntil: map[qf.EndpointID]time.Time{}}
 	random := rand.New(rand.NewPCG(3, 4))
 	w.picker = &endpointPicker{
@@ -43,7 +44,7 @@
 		random: random, versions: newVersionSelector(),
 		router: qfroute.NewPredictive(routeConfig(), random, w.now),
 	}
-	endpoints := make([]qf.Endpoint, overloadEndpoints)
+	endpoints := make([]qf.Endpoint, count)
 	for i := range endpoints {
 		id := fmt.Sprintf("chat-%d", i)
 		endpoints[i] = qf.Endpoint{
@@ -154,7 +155,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got := newOverloadSimulation().play(t, tt.demand)
+			got := newOverloadSimulation(overloadEndpoints).play(t, tt.demand)
 			served := float64(got.inTime+got.late) / float64(got.sent)
 			if refused := float64(got.refused) / float64(got.sent); refused > tt.mostRefused {
 				t.Errorf("%.2f refused, want at most %.2f", refused, tt.mostRefused)
@@ -171,3 +172,20 @@
 		})
 	}
 }
+
+// TestSpareEndpointsServeABurst fails if a burst that exceeds what the operator started with
+// isn't served in time by the spare endpoints. Without them it can't be.
+func TestSpareEndpointsServeABurst(t *testing.T) {
+	const burst, leastInTime = 1.2, 0.95
+	scaling := &qf.ScalingSettings{Max: 4, ReclaimablePrice: 0.2, Prices: map[qf.AvailabilityZone]float64{"north-a": 1}}
+	inTime := func(endpoints int) float64 {
+		got := newOverloadSimulation(endpoints).play(t, burst)
+		return float64(got.inTime) / float64(got.sent)
+	}
+	if got := inTime(qffleet.SizeWithSpare(overloadEndpoints, scaling)); got < leastInTime {
+		t.Errorf("%.2f of the burst were served in time, want %.2f", got, leastInTime)
+	}
+	if got := inTime(overloadEndpoints); got >= leastInTime {
+		t.Errorf("%.2f are served in time without spare endpoints: the burst proves nothing", got)
+	}
+}
--- a/internal/entry/scaling.go
+++ b/internal/entry/scaling.go
@@ -59,13 +59,16 @@
 		planner = qffleet.NewZonalPlanner(qffleet.DefaultZonalSettings())
 		d.planners[settings.Entry] = planner
 	}
-	order, ok := planner.NextOrder(&qffleet.ZonalView{
-		Now: e.now(), Scaling: settings.Scaling, Needed: size, Minimum: d.minimumSize(size), Endpoints: e.listEndpoints(settings.Entry),
-	})
+	holder, ok := d.orderHolder()
 	if !ok {
 		return false
 	}
-	holder, ok := d.orderHolder()
+	_, isHeld := d.leaseHolder()
+	order, ok := planner.NextOrder(&qffleet.ZonalView{
+		Now: e.now(), Scaling: settings.Scaling, Needed: qffleet.SizeWithSpare(size, settings.Scaling), Minimum: d.minimumSize(size),
+		Endpoints:    e.listEndpoints(settings.Entry),
+		OnDemandOnly: !isHeld,
+	})
 	if !ok {
 		return false
 	}
@@ -104,7 +107,7 @@
 	return listed
 }
 
-// desiredSize returns how many endpoints an entry needs: as many as the operator started with.
+// desiredSize returns how many endpoints the operator started an entry with.
 // The first lease holder stores that number for its successors. It is 0 while unknown.
 func (d *duties) desiredSize(ctx context.Context, entry qf.EntryName) (int, error) {
 	if size := d.desiredSizes[entry]; size > 0 && d.storedSizes[entry] {
