qfforward: release the endpoint of a move that its caller no longer needs

Cause: reading the diff: if the caller's request ended while its run was being moved, the endpoint picked for the run stayed reserved in the router for ever. Change: streamTable.settle and abandon decide under one lock who releases it.

--- a/internal/qf/protocol/qfforward/evacuate.go
+++ b/internal/qf/protocol/qfforward/evacuate.go
@@ -38,12 +38,15 @@
 
 // streamMove is the last move of a stream's run to another endpoint.
 type streamMove struct {
-	// known is closed once the fields below are set.
-	known chan struct{}
-	to    qf.PickedEndpoint
-	// certainty is Done if the run goes on at the other endpoint.
+	to qf.PickedEndpoint
+	// known is closed once certainty and memory are set. The run goes on at the other endpoint
+	// if certainty is Done.
+	known     chan struct{}
 	certainty qf.Certainty
 	memory    qf.RunMemory
+	// isAbandoned is set if the caller's request ended before the result was known. The
+	// table's lock guards it.
+	isAbandoned bool
 }
 
 func newStreamTable() *streamTable {
@@ -83,6 +86,29 @@
 	return true
 }
 
+// settle sets the result of a move, and reports whether the run goes on at the other endpoint.
+func (t *streamTable) settle(move *streamMove, certainty qf.Certainty, memory qf.RunMemory) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	move.certainty, move.memory = certainty, memory
+	close(move.known)
+	return certainty == qf.Done && !move.isAbandoned
+}
+
+// abandon gives up a move because the caller's request has ended. It reports whether the move
+// had succeeded before, so that the other endpoint is still reserved.
+func (t *streamTable) abandon(move *streamMove) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	move.isAbandoned = true
+	select {
+	case <-move.known:
+		return move.certainty == qf.Done
+	default:
+		return false
+	}
+}
+
 func (t *streamTable) at(endpoint qf.EndpointID) []*stream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -126,40 +152,46 @@
 		f.ports.ObserveMove(c.request.ID, from.ID, "", qf.NotDone, err)
 		return
 	}
-	move := &streamMove{known: make(chan struct{}), to: to, certainty: qf.NotDone}
-	err = f.copyRun(ctx, s, move)
-	if move.certainty != qf.Done {
-		f.ports.Picker.RecordAttemptEnd(f.ports.Clock.Now(), &move.to, qf.AttemptCancelled)
+	move := &streamMove{known: make(chan struct{}), to: to}
+	moved := f.copyRun(ctx, s, move)
+	if !f.streams.settle(move, moved.Certainty, moved.Value) {
+		f.releaseMove(move)
 	}
-	close(move.known)
-	f.ports.ObserveMove(c.request.ID, from.ID, to.Endpoint.ID, move.certainty, err)
+	f.ports.ObserveMove(c.request.ID, from.ID, to.Endpoint.ID, moved.Certainty, moved.Err)
+}
+
+// releaseMove ends the reservation of an endpoint to which no run was moved.
+func (f *Forwarder) releaseMove(move *streamMove) {
+	f.ports.Picker.RecordAttemptEnd(f.ports.Clock.Now(), &move.to, qf.AttemptCancelled)
 }
 
 var errOtherVersion = errors.New("no endpoint of the same version may get the run")
 
-// copyRun makes the calls of a move and sets its result.
-func (f *Forwarder) copyRun(ctx context.Context, s *stream, move *streamMove) error {
+// copyRun makes the calls of a move. The result is NotDone if the run goes on or has ended where
+// it is.
+func (f *Forwarder) copyRun(ctx context.Context, s *stream, move *streamMove) qf.Result[qf.RunMemory] {
 	from, to := &s.picked.Endpoint, &move.to.Endpoint
 	if to.Version != from.Version {
-		return errOtherVersion
+		return qf.NotDoneFor[qf.RunMemory](errOtherVersion)
 	}
 	step := &qf.RunMove{Request: s.call.request.ID, From: from.Address, To: to.Address}
 	if copied := f.ports.Mover.MoveRun(ctx, step); copied.Certainty != qf.Done {
-		return copied.Err
+		return qf.NotDoneFor[qf.RunMemory](copied.Err)
 	}
 	if !f.ports.Admission.TakeRetry(f.ports.Clock.Now(), from.Entry) {
-		return errNoRetry
+		return qf.NotDoneFor[qf.RunMemory](errNoRetry)
 	}
 	if !f.streams.beginMove(s, move) {
-		return nil // The stream has ended.
+		return qf.NotDoneFor[qf.RunMemory](errStreamEnded)
 	}
 	step.IsLast = true
-	moved := f.ports.Mover.MoveRun(ctx, step)
-	move.certainty, move.memory = moved.Certainty, moved.Value
-	return moved.Err
+	return f.ports.Mover.MoveRun(ctx, step)
 }
 
-var errNoRetry = errors.New("the retry budget is used up")
+var (
+	errNoRetry     = errors.New("the retry budget is used up")
+	errStreamEnded = errors.New("the stream has ended")
+)
 
 // relayMovable relays a stream that may be moved meanwhile. The move is nil if the stream ended
 // where it began.
@@ -176,6 +208,9 @@
 	select {
 	case <-move.known:
 	case <-ctx.Done():
+		if table.abandon(move) {
+			c.forwarder.releaseMove(move)
+		}
 		return nil, ctx.Err()
 	}
 	switch move.certainty {
