entry, qfmirror: a relay without answers doesn't hide leaving endpoints

Change: polls of the endpoints take 1.5 s instead of 3; a relay passes endpoints on for 2.3 s after the store's last answer instead of 6, and ends the calls of waiting members then; they read at the store. Ruled out: the moves of streams (a plain request), the store's era (not sent there). Measured: TestLeavingIsInForceBehindACutRelay fails before (3.02 s).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -151,6 +151,7 @@
 	e.poisonFilter = newPoisonFilter(e)
 	e.logLimiter = qflog.NewLimiter()
 	e.mirror = qfmirror.New(platform.Clock)
+	e.mirror.SetStaleAfter(qf.FeedEndpoints, endpointsStaleAfter)
 	e.exchanger = qfexchange.NewClient(platform.Clock, platform.Network.Dial, platform.Protocol)
 	e.forwarder = qfforward.New(qfforward.Ports{
 		Clock: platform.Clock, Protocol: platform.Protocol, Endpoints: e.exchanger, Picker: e.picker, Admission: e.admission, PoisonFilter: e.poisonFilter,
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -12,10 +12,15 @@
 // The timings of the feeds. A dead connection is detected when the poll times out.
 var (
 	operatorTiming  = qffollow.Timing{PollTimeout: MaxPollTimeout, PollDelay: 200 * time.Millisecond, MinRetryDelay: 100 * time.Millisecond, MaxRetryDelay: time.Second}
-	endpointsTiming = qffollow.Timing{PollTimeout: MaxPollTimeout, PollDelay: 300 * time.Millisecond, MinRetryDelay: 100 * time.Millisecond, MaxRetryDelay: 300 * time.Millisecond}
+	endpointsTiming = qffollow.Timing{PollTimeout: 1500 * time.Millisecond, PollDelay: 300 * time.Millisecond, MinRetryDelay: 100 * time.Millisecond, MaxRetryDelay: 300 * time.Millisecond}
 	nodesTiming     = qffollow.Timing{PollTimeout: MaxPollTimeout, PollDelay: time.Second, MinRetryDelay: 200 * time.Millisecond, MaxRetryDelay: 2 * time.Second}
 )
 
+// endpointsStaleAfter is how long after the store's last answer a relay passes on the endpoints:
+// slightly longer than the time between two answers. With it, a leaving endpoint gets no new work
+// in time from the members of a relay that no longer gets the store's answers.
+const endpointsStaleAfter = 2300 * time.Millisecond
+
 // endpointsInterval is the time between two checks for expired registrations. Together with
 // the timing of the feed it bounds how long a leaving endpoint still gets requests.
 const endpointsInterval = 100 * time.Millisecond
--- a/internal/qf/state/qfmirror/mirror.go
+++ b/internal/qf/state/qfmirror/mirror.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// staleAfter is how long after the platform's last response a feed is still served to
-	// peers.
-	staleAfter = 6 * time.Second
+	// defaultStaleAfter is how long after the platform's last response a feed is still served
+	// to peers, if nothing else is set.
+	defaultStaleAfter = 6 * time.Second
 	// maxRemoved bounds the removed rows that are kept for each feed.
 	maxRemoved = 4096
 )
@@ -25,6 +25,8 @@
 
 	mu    sync.Mutex
 	feeds map[qf.FeedName]*feed
+	// staleAfter holds the feeds with another limit than defaultStaleAfter.
+	staleAfter map[qf.FeedName]time.Duration
 }
 
 // feed is the copy of one feed.
@@ -42,20 +44,29 @@
 	// answeredAt is when the platform last answered this node; it is zero after a failed
 	// call, or while the node reads the feed from another source.
 	answeredAt time.Time
+	// staleAfter is how long after answeredAt the feed is served to peers.
+	staleAfter time.Duration
 	// changed is closed and replaced when the version increases.
 	changed chan struct{}
 }
 
 // New returns an empty mirror.
 func New(clock qf.Clock) *Mirror {
-	return &Mirror{clock: clock, feeds: map[qf.FeedName]*feed{}}
+	return &Mirror{clock: clock, feeds: map[qf.FeedName]*feed{}, staleAfter: map[qf.FeedName]time.Duration{}}
 }
 
+// SetStaleAfter sets how long after the platform's last response a feed is still served to
+// peers. It must be called before the feed is used.
+func (m *Mirror) SetStaleAfter(name qf.FeedName, limit time.Duration) { m.staleAfter[name] = limit }
+
 // feed returns the copy of a feed, and creates it if there is none.
 func (m *Mirror) feed(name qf.FeedName) *feed {
 	f := m.feeds[name]
 	if f == nil {
-		f = &feed{rows: map[string]qf.FeedRow{}, changed: make(chan struct{})}
+		f = &feed{rows: map[string]qf.FeedRow{}, changed: make(chan struct{}), staleAfter: defaultStaleAfter}
+		if limit, isSet := m.staleAfter[name]; isSet {
+			f.staleAfter = limit
+		}
 		m.feeds[name] = f
 	}
 	return f
@@ -157,42 +168,49 @@
 
 // isFresh reports whether the feed may be served to peers.
 func (f *feed) isFresh(now time.Time) bool {
-	return !f.answeredAt.IsZero() && now.Sub(f.answeredAt) < staleAfter
+	return !f.answeredAt.IsZero() && now.Sub(f.answeredAt) < f.staleAfter
 }
 
 // WaitForChanges returns the changes after a position, for a peer. If there are none yet, it
-// waits for one until the wait has passed.
+// waits for one until the wait has passed, or the copy is too old: a node that no longer gets
+// the platform's answers must not let its peers believe that nothing changes.
 func (m *Mirror) WaitForChanges(ctx context.Context, name qf.FeedName, after qf.StorePosition, wait time.Duration) (qf.FeedPage, error) {
 	timeout := m.clock.After(wait)
 	defer timeout.Stop()
 	for {
-		page, changed, err := m.changesSince(name, after)
+		page, changed, freshFor, err := m.changesSince(name, after)
 		if err != nil || len(page.Rows) > 0 {
 			return page, err
 		}
+		stale := m.clock.After(freshFor)
 		select {
 		case <-changed:
+			stale.Stop()
+		case <-stale.C():
 		case <-timeout.C():
+			stale.Stop()
 			return page, nil
 		case <-ctx.Done():
+			stale.Stop()
 			return page, ctx.Err()
 		}
 	}
 }
 
-// changesSince returns the changes after a position, and a channel that is closed at the next
-// change.
-func (m *Mirror) changesSince(name qf.FeedName, after qf.StorePosition) (qf.FeedPage, <-chan struct{}, error) {
+// changesSince returns the changes after a position, a channel that is closed at the next
+// change, and how long the copy may still be served.
+func (m *Mirror) changesSince(name qf.FeedName, after qf.StorePosition) (page qf.FeedPage, changed <-chan struct{}, freshFor time.Duration, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f := m.feed(name)
-	if !f.isFresh(m.clock.Now()) || after.Era > f.era {
-		return qf.FeedPage{}, nil, staleError(name)
+	now := m.clock.Now()
+	if !f.isFresh(now) || after.Era > f.era {
+		return page, nil, 0, staleError(name)
 	}
 	if !f.hasSnapshot || after.Era < f.era || after.Version < f.floor {
-		return qf.FeedPage{}, nil, &qf.Error{Code: qf.CodeStaleRevision, Step: qf.StepTableRead, Reason: "this node lacks the history from that version on"}
+		return page, nil, 0, &qf.Error{Code: qf.CodeStaleRevision, Step: qf.StepTableRead, Reason: "this node lacks the history from that version on"}
 	}
-	page := qf.FeedPage{Version: max(f.version, after.Version), Era: f.era}
+	page = qf.FeedPage{Version: max(f.version, after.Version), Era: f.era}
 	for _, row := range f.rows {
 		if row.Version > after.Version {
 			page.Rows = append(page.Rows, row)
@@ -209,5 +227,5 @@
 		}
 		return 1
 	})
-	return page, f.changed, nil
+	return page, f.changed, f.answeredAt.Add(f.staleAfter).Sub(now), nil
 }
