entry, qftelemetry: show how feeds and configurations are transferred

Change: events 328 (large and failed reads: source, peer, bytes, time, reads in progress, error) and 329 (a feed is read at another source, with its age); 331 holds the row's version; counters of reads and bytes by source and outcome, gauges of the revision in force and of nodes; the runtime's metrics are apart, at /metrics/runtime. Nothing decides differently.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,7 +114,9 @@
 	loadedOnce sync.Once
 
 	inProgress atomic.Int64
-	isLeaving  atomic.Bool
+	// transfers is the number of reads of feeds and configurations in progress.
+	transfers atomic.Int64
+	isLeaving atomic.Bool
 	// background tracks the node's background goroutines.
 	background sync.WaitGroup
 	// stopLoops stops the feeds, the exchanges, the duties and the other loops.
@@ -188,6 +190,9 @@
 	if err := e.listen(ctx); err != nil {
 		return err
 	}
+	if err := e.observeState(); err != nil {
+		return err
+	}
 	loops, stop := context.WithCancel(context.Background())
 	e.stopLoops, e.loops = stop, loops
 	e.followFeeds(loops)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -121,7 +121,9 @@
 
 // fetchConfiguration gets a newer configuration from a peer.
 func (e *Entry) fetchConfiguration(ctx context.Context, from qf.Node) {
+	t := e.beginTransfer(nameConfiguration, sourcePeer, from.ID)
 	encoded, revision, err := e.platform.Peer.FetchCatalogue(ctx, from.PeerAddress, e.configuration.Revision())
+	e.endTransfer(&t, len(encoded), err)
 	if err != nil {
 		qfevent.PeerFailed.Log(&e.platform.Logger, from.PeerAddress, err)
 		return
--- a/internal/entry/feedreader.go
+++ b/internal/entry/feedreader.go
@@ -35,6 +35,9 @@
 	entry *Entry
 	// hasTriedStore is set once the first read at the store was tried.
 	hasTriedStore bool
+	// source is where the feed was last read, and answeredAt when.
+	source     transferSource
+	answeredAt time.Time
 }
 
 // ReadSnapshot implements qf.FeedReader.
@@ -46,8 +49,7 @@
 	s.waitForNodeList(ctx, feed)
 	page, isDone, err := s.readRelaySnapshot(ctx, feed)
 	if !isDone {
-		page, err = e.platform.Feed.ReadSnapshot(ctx, feed)
-		e.mirror.RecordRead(feed, err)
+		page, err = s.readStore(feed, err, func() (qf.FeedPage, error) { return e.platform.Feed.ReadSnapshot(ctx, feed) })
 	}
 	if err == nil {
 		e.mirror.ApplySnapshot(feed, &page)
@@ -63,8 +65,7 @@
 	}
 	s.hasTriedStore = true
 	e := s.entry
-	page, err := e.platform.Feed.ReadSnapshot(ctx, feed)
-	e.mirror.RecordRead(feed, err)
+	page, err := s.readStore(feed, nil, func() (qf.FeedPage, error) { return e.platform.Feed.ReadSnapshot(ctx, feed) })
 	if err != nil {
 		qfevent.FirstReadFailed.Log(&e.platform.Logger, feed, err)
 		return page, false
@@ -80,7 +81,7 @@
 	began := e.now()
 	for {
 		relays := e.feedRelays()
-		page, isDone, err = s.readRelay(func(address netip.AddrPort) (qf.FeedPage, error) {
+		page, isDone, err = s.readRelay(feed, func(address netip.AddrPort) (qf.FeedPage, error) {
 			return e.platform.PeerFeed.ReadPeerSnapshot(ctx, address, feed)
 		})
 		isOlder := isDone && err == nil && page.Era < e.platform.Eras.Era()
@@ -110,12 +111,11 @@
 	if e.platform.Eras.Era() > after.Era {
 		return qf.FeedPage{}, qf.NewError(qf.CodeStaleRevision, qf.StepTableRead, string(feed), "the store is in a later era")
 	}
-	page, isDone, err := s.readRelay(func(address netip.AddrPort) (qf.FeedPage, error) {
+	page, isDone, err := s.readRelay(feed, func(address netip.AddrPort) (qf.FeedPage, error) {
 		return e.platform.PeerFeed.ReadPeerChanges(ctx, address, feed, after, peerPollTimeout)
 	})
 	if !isDone {
-		page, err = e.platform.Feed.ReadChanges(ctx, feed, after, wait)
-		e.mirror.RecordRead(feed, err)
+		page, err = s.readStore(feed, err, func() (qf.FeedPage, error) { return e.platform.Feed.ReadChanges(ctx, feed, after, wait) })
 	}
 	if err == nil {
 		e.mirror.ApplyChanges(feed, after, &page)
@@ -136,17 +136,44 @@
 	})
 }
 
+// readStore reads at the store. The argument relayErr is why the relay isn't read, if it failed.
+func (s *relayFeedReader) readStore(feed qf.FeedName, relayErr error, read func() (qf.FeedPage, error)) (qf.FeedPage, error) {
+	e := s.entry
+	t := e.beginTransfer(string(feed), sourceStore, "")
+	page, err := read()
+	e.endTransfer(&t, sizeOf(&page), err)
+	e.mirror.RecordRead(feed, err)
+	if err == nil {
+		s.recordAnswer(feed, sourceStore, "", relayErr)
+	}
+	return page, err
+}
+
+// recordAnswer records where the feed was read, and logs a change of the source.
+func (s *relayFeedReader) recordAnswer(feed qf.FeedName, source transferSource, peer qf.NodeID, relayErr error) {
+	now := s.entry.now()
+	if s.source != "" && s.source != source {
+		qfevent.FeedMoved.Log(&s.entry.platform.Logger, feed, source, peer, now.Sub(s.answeredAt).String(), relayErr)
+	}
+	s.source, s.answeredAt = source, now
+}
+
 // readRelay reads at the relay, unless that is this node. isDone is false if the store must
 // be read; err is then the relay's error, or nil if the node itself is the relay.
-func (s *relayFeedReader) readRelay(ask func(netip.AddrPort) (qf.FeedPage, error)) (page qf.FeedPage, isDone bool, err error) {
+func (s *relayFeedReader) readRelay(feed qf.FeedName, ask func(netip.AddrPort) (qf.FeedPage, error)) (page qf.FeedPage, isDone bool, err error) {
 	e := s.entry
 	relays := e.feedRelays()
 	if relays.IsSelf || relays.Own.ID == e.deployment.Self.ID {
 		return page, false, nil
 	}
+	t := e.beginTransfer(string(feed), sourceRelay, relays.Own.ID)
 	page, err = ask(relays.Own.PeerAddress)
+	e.endTransfer(&t, sizeOf(&page), err)
 	switch {
-	case err == nil, errors.Is(err, &qf.Error{Code: qf.CodeStaleRevision}):
+	case err == nil:
+		s.recordAnswer(feed, sourceRelay, relays.Own.ID, nil)
+		return page, true, nil
+	case errors.Is(err, &qf.Error{Code: qf.CodeStaleRevision}):
 		return page, true, err
 	case errors.Is(err, &qf.Error{Code: qf.CodeNotYetKnown}):
 		if now := e.now(); now.Sub(e.startedAt) >= relayStartupTime {
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -204,7 +204,7 @@
 	e := h.entry
 	id := qf.EndpointID(row.Key)
 	if row.Removed {
-		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "its entry was removed")
+		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "its entry was removed", row.Version)
 		return true
 	}
 	listed, err := e.platform.RowDecoder.DecodeEndpoint(row)
@@ -217,7 +217,7 @@
 		qfevent.EndpointListed.Log(&e.platform.Logger, id, listed.Entry, listed.Version, listed.AvailabilityZone, listed.Address)
 	}
 	if !wasLeaving && e.isLeavingEndpoint(id) {
-		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "it registered as draining")
+		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "it registered as draining", row.Version)
 		e.evacuate(&listed)
 	}
 	return false
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -11,6 +11,7 @@
 	"quetzalfront/internal/qf/protocol/qfforward"
 	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/state/qflog"
+	"quetzalfront/internal/qf/transport/qftelemetry"
 )
 
 // droppedLogInterval is the time between two lines that report the number of dropped lines.
@@ -33,6 +34,23 @@
 	qfevent.ForwardFailed.Log(&e.platform.Logger, o.Request, o.Route, o.Organisation, o.Revision, o.Status, attempts, o.First.String(), o.Took.String(), o.Err)
 }
 
+// observeState registers the node's state for the scrapes of its metrics.
+func (e *Entry) observeState() error {
+	if e.platform.Telemetry == nil {
+		return nil
+	}
+	return e.platform.Telemetry.ObserveState(func() qftelemetry.State {
+		nodes := map[qf.NodeState]int{}
+		now := e.now()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, peer := range e.membership.Peers(now) {
+			nodes[peer.State]++
+		}
+		return qftelemetry.State{Active: int(e.inProgress.Load()), Revision: e.configuration.Revision(), Nodes: nodes}
+	})
+}
+
 // observeMove logs the result of a move of a running request to another endpoint.
 func (e *Entry) observeMove(request qf.RequestID, from, to qf.EndpointID, certainty qf.Certainty, err error) {
 	if e.logLimiter.Allow(e.now(), qflog.ClassNotable) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -79,6 +79,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", e.platform.Telemetry.MetricsHandler())
+	mux.Handle("GET /metrics/runtime", e.platform.Telemetry.RuntimeMetricsHandler())
 	return mux
 }
 
--- a/internal/node/telemetry.go
+++ b/internal/node/telemetry.go
@@ -51,6 +51,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", qfhttp.NewOperatorHandler(n))
 	mux.Handle("GET "+qfapi.PathMetrics, n.telemetry.MetricsHandler())
+	mux.Handle("GET "+qfapi.PathRuntimeMetrics, n.telemetry.RuntimeMetricsHandler())
 	mux.HandleFunc("GET "+qfapi.PathProfiles, pprof.Index)
 	mux.HandleFunc("GET "+qfapi.PathProfiles+"cmdline", pprof.Cmdline)
 	mux.HandleFunc("GET "+qfapi.PathProfiles+"profile", pprof.Profile)
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -54,6 +54,9 @@
 	FieldWindow           = "Window"
 	FieldPlain            = "Plain"
 	FieldNotable          = "Notable"
+	FieldSource           = "Source"
+	FieldBytes            = "Bytes"
+	FieldInProgress       = "InProgress"
 )
 
 const (
@@ -134,8 +137,10 @@
 	FeedRestored     = Event{326, info, "a feed was read anew after the store came back from an older copy", []string{FieldFeed, FieldEra, FieldVersion, FieldBefore, FieldCount}, "Nothing; Before is the version that was read last, Count the number of rows."}
 	RowRewritten     = Event{327, info, "a row that the store has lost is written again", []string{FieldName, FieldEra}, "Nothing."}
 	ConfigInForce    = Event{323, info, "configuration in force", []string{FieldRevision, FieldPeer, FieldCount}, "Nothing; Peer is empty if it came from the store."}
+	TransferEnded    = Event{328, info, "rows of a feed or a configuration were read", []string{FieldName, FieldSource, FieldPeer, FieldBytes, FieldTook, FieldInProgress, FieldOutcome, FieldError}, "Nothing if it is rare; only large and failed reads are logged. InProgress counts the other reads of the node. See OPERATIONS.md if a node stays at an old revision."}
+	FeedMoved        = Event{329, info, "a feed is read from another source", []string{FieldFeed, FieldSource, FieldPeer, FieldAge, FieldError}, "Nothing; Age is the time since the feed's last answer, Error why the relay wasn't used."}
 	EndpointListed   = Event{330, info, "an endpoint is listed", []string{FieldEndpoint, FieldEntry, FieldVersion, FieldAvailabilityZone, FieldAddress}, "Nothing."}
-	EndpointLeaving  = Event{331, info, "an endpoint leaves", []string{FieldEndpoint, FieldReason}, "Nothing; it gets no new work."}
+	EndpointLeaving  = Event{331, info, "an endpoint leaves", []string{FieldEndpoint, FieldReason, FieldVersion}, "Nothing; it gets no new work. Version is the row's at the store, the same at all nodes."}
 	PeerLost         = Event{420, warning, "heartbeats of a peer are missing", []string{FieldPeer, FieldAge}, "Look at the peer if it lasts."}
 	PeerRegained     = Event{421, info, "heartbeats of a peer are received", []string{FieldPeer, FieldAddress}, "Nothing."}
 	UsageReported    = Event{520, info, "usage reported", []string{FieldWindow, FieldFencing, FieldOutcome, FieldError}, "Nothing; a window whose Outcome isn't Done is tried again."}
@@ -206,6 +211,8 @@
 		FeedRestored,
 		RowRewritten,
 		ConfigInForce,
+		TransferEnded,
+		FeedMoved,
 		EndpointListed,
 		EndpointLeaving,
 		PeerLost,
--- a/internal/qf/transport/qftelemetry/forward.go
+++ b/internal/qf/transport/qftelemetry/forward.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/protocol/qfforward"
 )
 
@@ -16,6 +17,8 @@
 	keyKind   = attribute.Key("kind")
 	keyStatus = attribute.Key("status")
 	keyEnd    = attribute.Key("end")
+	keyName   = attribute.Key("name")
+	keySource = attribute.Key("source")
 )
 
 // forwardInstruments are the instruments of forwarded requests.
@@ -26,11 +29,14 @@
 	took        metric.Float64Histogram
 	// restores counts how often the platform's store came back from an older copy.
 	restores metric.Int64Counter
+	// transfers counts reads of feeds and configurations, transferBytes the bytes of their rows.
+	transfers     metric.Int64Counter
+	transferBytes metric.Int64Counter
 }
 
 func newForwardInstruments(m metric.Meter) (forwardInstruments, error) {
 	var i forwardInstruments
-	var errs [5]error
+	var errs [7]error
 	i.forwarded, errs[0] = m.Int64Counter("quetzalfront.forward.requests", metric.WithUnit("{request}"),
 		metric.WithDescription("Forwarded requests that ended, by kind of route and status."))
 	i.forwardEnds, errs[1] = m.Int64Counter("quetzalfront.forward.attempts", metric.WithUnit("{attempt}"),
@@ -43,9 +49,23 @@
 		metric.WithExplicitBucketBoundaries(firstTokenBounds...))
 	i.restores, errs[4] = m.Int64Counter("quetzalfront.store.restores", metric.WithUnit("{restore}"),
 		metric.WithDescription("Times the platform's store came back from an older copy, as seen by this node."))
+	i.transfers, errs[5] = m.Int64Counter("quetzalfront.feed.reads", metric.WithUnit("{read}"),
+		metric.WithDescription("Reads of feeds and configurations that ended, by source and outcome."))
+	i.transferBytes, errs[6] = m.Int64Counter("quetzalfront.feed.bytes", metric.WithUnit("By"),
+		metric.WithDescription("Bytes of the rows of feeds and of configurations that were read, by source."))
 	return i, errors.Join(errs[:]...)
 }
 
+// RecordTransfer counts a read of a feed or of a configuration. The name is the feed's.
+func (t *Telemetry) RecordTransfer(name, source string, outcome qf.Certainty, bytes int) {
+	ctx := context.Background()
+	from := metric.WithAttributes(keyName.String(name), keySource.String(source))
+	t.transfers.Add(ctx, 1, from, metric.WithAttributes(keyOutcome.String(string(outcome))))
+	if bytes > 0 {
+		t.transferBytes.Add(ctx, int64(bytes), from)
+	}
+}
+
 // RecordStoreRestore counts one return of the platform's store from an older copy.
 func (t *Telemetry) RecordStoreRestore() { t.restores.Add(context.Background(), 1) }
 
--- a/internal/qf/transport/qftelemetry/telemetry.go
+++ b/internal/qf/transport/qftelemetry/telemetry.go
@@ -46,15 +46,17 @@
 	tracerProvider *sdktrace.TracerProvider
 	meterProvider  *metric.MeterProvider
 	registry       *prometheus.Registry
-	propagator     propagation.TextMapPropagator
+	// runtime holds the metrics of the Go runtime and of the process.
+	runtime    *prometheus.Registry
+	propagator propagation.TextMapPropagator
 	instruments
 	forwardInstruments
 }
 
 // New returns the telemetry of a node. The caller must call Shutdown after use.
 func New(config Config) (*Telemetry, error) {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry, runtime := prometheus.NewRegistry(), prometheus.NewRegistry()
+	runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	reader, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
 	if err != nil {
 		return nil, err
@@ -65,6 +67,7 @@
 	)
 	t := &Telemetry{
 		registry:      registry,
+		runtime:       runtime,
 		meterProvider: metric.NewMeterProvider(metric.WithReader(reader), metric.WithResource(nodeResource)),
 		propagator:    propagation.TraceContext{},
 	}
@@ -92,7 +95,13 @@
 	return errors.Join(t.tracerProvider.Shutdown(ctx), t.meterProvider.Shutdown(ctx))
 }
 
-// MetricsHandler serves the metrics in the Prometheus format.
+// MetricsHandler serves the node's own metrics in the Prometheus format. Those of the runtime
+// are apart, so that a scraper that limits what it reads gets the node's own.
 func (t *Telemetry) MetricsHandler() http.Handler {
 	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
 }
+
+// RuntimeMetricsHandler serves the metrics of the Go runtime and of the process.
+func (t *Telemetry) RuntimeMetricsHandler() http.Handler {
+	return promhttp.HandlerFor(t.runtime, promhttp.HandlerOpts{})
+}
--- a/pkg/qfapi/qfapi.go
+++ b/pkg/qfapi/qfapi.go
@@ -27,6 +27,7 @@
 	PathHealth           = "/healthz"
 	PathReady            = "/readyz"
 	PathMetrics          = "/metrics"
+	PathRuntimeMetrics   = "/metrics/runtime"
 	PathProfiles         = "/debug/pprof/"
 	// PathCatalogueEdits is followed by an edit's identifier. A POST determines
 	// finally whether the edit was accepted.
