entry: a failing test of large configurations behind slow links

Its signature is reproduced in the fleet on virtual time, with links of 10 Mbit/s (standnet.LimitRate) and 0.94 MB of configuration. Measured: go test ./internal/entry -run TestLargeConfiguration fails on this code: 6 and 18 nodes, 404 for a new route 3 s after its acknowledgement at most nodes, up to 12.0 MB received for three revisions. Change: the fleet's peers get the timeout of production (entry.PeerTimeout), 0.8 s in place of 1 s.

--- a/cmd/quetzalfront/entry.go
+++ b/cmd/quetzalfront/entry.go
@@ -28,8 +28,6 @@
 	// logBufferLines is the number of log lines that are buffered for a slow reader of
 	// standard output.
 	logBufferLines = 4096
-	// peerTimeout bounds a call to a peer; the longest round trip is 60 ms.
-	peerTimeout = 800 * time.Millisecond
 	// unackedTimeout is how long sent data may stay unacknowledged before the connection
 	// is closed.
 	unackedTimeout = 2 * time.Second
@@ -117,7 +115,7 @@
 func newPlatform(settings *platform.Settings, timer qf.Clock, logger zerolog.Logger) entry.Platform {
 	network := keepAliveNetwork()
 	store := platform.NewStore(settings.Store, entry.MaxPollTimeout, network.Dial)
-	peers := qfrpc.NewClient(timer, peerTimeout, network.Dial, nil)
+	peers := qfrpc.NewClient(timer, entry.PeerTimeout, network.Dial, nil)
 	seed := uint64(time.Now().UnixNano()) //nolint:gosec // Any bits will do.
 	return entry.Platform{
 		Clock: timer, Network: network, Feed: store, Table: store, Eras: store, Rollouts: store,
--- a/internal/entry/feedreader.go
+++ b/internal/entry/feedreader.go
@@ -11,6 +11,9 @@
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
+// PeerTimeout bounds a call to a peer; the longest round trip is 60 ms.
+const PeerTimeout = 800 * time.Millisecond
+
 // peerPollTimeout is how long a peer may hold a call for changes. It is short, so that a hung
 // peer is detected before a change must be in force.
 const peerPollTimeout = time.Second
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -214,7 +214,7 @@
 		},
 	}
 	store := platform.NewStore(storeAddress, entry.MaxPollTimeout, network.Dial)
-	peers := qfrpc.NewClient(w.clock, time.Second, network.Dial, nil)
+	peers := qfrpc.NewClient(w.clock, entry.PeerTimeout, network.Dial, nil)
 	node := entry.New(deployment, entry.Platform{
 		Clock: w.clock, Network: network, Feed: store, Table: store, Eras: store, Rollouts: store, Duties: platform.NewDutyClient(cloudAddress, network.Dial),
 		RowDecoder: platform.RowDecoder{Regions: regions}, Protocol: platform.Protocol{}, Mover: platform.NewMoveClient(network.Dial), Peer: peers, PeerFeed: peers,
--- a/internal/standin/standnet/conn.go
+++ b/internal/standin/standnet/conn.go
@@ -89,6 +89,7 @@
 	net.Conn
 	connection    *connection
 	local, remote netip.AddrPort
+	sendBuffer    sendBuffer
 }
 
 // Write implements net.Conn. Data written to a blackholed connection is lost.
@@ -96,6 +97,9 @@
 	if e.connection.blackholed.Load() {
 		return len(b), nil
 	}
+	if e.connection.network.isLimited(e.local.Addr(), e.remote.Addr()) {
+		return e.sendBuffer.add(e, b)
+	}
 	return e.Conn.Write(b)
 }
 
@@ -109,6 +113,9 @@
 		return e.SetDeadline(past)
 	}
 	e.connection.unregister()
+	if e.sendBuffer.closeWhenSent() {
+		return e.SetReadDeadline(past)
+	}
 	return e.Conn.Close()
 }
 
--- a/internal/standin/standnet/network.go
+++ b/internal/standin/standnet/network.go
@@ -28,6 +28,8 @@
 	partition Link
 	// partitionChanged is closed and replaced whenever partition changes.
 	partitionChanged chan struct{}
+	// rates holds the limited links by address.
+	rates map[netip.Addr]*rate
 }
 
 // basePort is the port below the first one that is assigned to a client or for port 0.
@@ -40,6 +42,7 @@
 		connections:      map[*connection]struct{}{},
 		nextPort:         basePort,
 		partitionChanged: make(chan struct{}),
+		rates:            map[netip.Addr]*rate{},
 	}
 }
 
