--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -76,16 +77,18 @@
 	startedAt  time.Time
 
 	configuration qfconfig.Current
-	picker        *endpointPicker
-	admission     *admissionController
-	poisonFilter  *poisonFilter
-	fleetClock    *fleetClock
-	mirror        *qfmirror.Mirror
-	exchanger     *qfexchange.Client
-	forwarder     *qfforward.Forwarder
-	duties        *duties
-	storeEra      *eraWatcher
-	logLimiter    *qflog.Limiter
+	// configurationFetcher reads configurations from peers while the feed doesn't bring them.
+	configurationFetcher configurationFetcher
+	picker               *endpointPicker
+	admission            *admissionController
+	poisonFilter         *poisonFilter
+	fleetClock           *fleetClock
+	mirror               *qfmirror.Mirror
+	exchanger            *qfexchange.Client
+	forwarder            *qfforward.Forwarder
+	duties               *duties
+	storeEra             *eraWatcher
+	logLimiter           *qflog.Limiter
 
 	// endpointsMu serialises updates of the router's endpoints.
 	endpointsMu sync.Mutex
@@ -136,6 +139,7 @@
 		relayFailedAt: map[qf.NodeID]time.Time{}, relayStaleAt: map[qf.NodeID]time.Time{}, loaded: make(chan struct{}), nodesRead: make(chan struct{}),
 		registerAgain: make(chan struct{}, 1),
 	}
+	e.configurationFetcher.entry = e
 	e.fleetClock = newFleetClock(now)
 	e.registry = qfregistry.New()
 	e.membership = qfmember.New(deployment.Self, qfmember.Timing{
@@ -187,14 +191,12 @@
 
 // Start opens the listeners and starts following the store.
 func (e *Entry) Start(ctx context.Context) error {
-	if err := e.listen(ctx); err != nil {
-		return err
-	}
-	if err := e.observeState(); err != nil {
-		return err
-	}
 	loops, stop := context.WithCancel(context.Background())
 	e.stopLoops, e.loops = stop, loops
+	if err := errors.Join(e.observeState(), e.listen(ctx)); err != nil {
+		stop()
+		return err
+	}
 	e.followFeeds(loops)
 	e.background.Go(func() { e.updateEndpointsLoop(loops) })
 	e.background.Go(func() { e.exchangeLoop(loops) })
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -72,7 +72,7 @@
 		qfevent.PeerFailed.Log(&e.platform.Logger, address, err)
 		return
 	}
-	e.applyDigest(ctx, &answer)
+	e.applyDigest(&answer)
 }
 
 // buildDigest builds the digest for a peer.
@@ -99,7 +99,7 @@
 }
 
 // applyDigest applies a peer's digest.
-func (e *Entry) applyDigest(ctx context.Context, d *qf.Digest) {
+func (e *Entry) applyDigest(d *qf.Digest) {
 	now := e.now()
 	e.mu.Lock()
 	e.membership.ApplyDigest(now, d)
@@ -114,28 +114,12 @@
 	if d.Tally.Scope != "" {
 		e.mergeTally(now, &d.From, &d.Tally)
 	}
-	if d.From.CatalogueRevision > e.configuration.Revision() {
-		e.background.Go(func() { e.fetchConfiguration(ctx, d.From) })
-	}
-}
-
-// fetchConfiguration gets a newer configuration from a peer.
-func (e *Entry) fetchConfiguration(ctx context.Context, from qf.Node) {
-	t := e.beginTransfer(nameConfiguration, sourcePeer, from.ID)
-	encoded, revision, err := e.platform.Peer.FetchCatalogue(ctx, from.PeerAddress, e.configuration.Revision())
-	e.endTransfer(&t, len(encoded), err)
-	if err != nil {
-		qfevent.PeerFailed.Log(&e.platform.Logger, from.PeerAddress, err)
-		return
-	}
-	if revision > e.configuration.Revision() {
-		e.applyConfiguration(encoded, from.ID)
-	}
+	e.configurationFetcher.offer(&d.From)
 }
 
 // Exchange implements qfrpc.Handler.
 func (e *Entry) Exchange(digest qf.Digest) qf.Digest {
-	e.applyDigest(context.Background(), &digest)
+	e.applyDigest(&digest)
 	if digest.Tally.Scope != "" && e.isGrouped() {
 		return e.buildTallyDigest(&digest.From)
 	}
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -39,7 +39,7 @@
 		e.recordRelayFailure(to.ID, err)
 		return
 	}
-	e.applyDigest(ctx, &answer)
+	e.applyDigest(&answer)
 }
 
 // buildTallyDigest builds a digest of only the tally and the changes that are urgent for all nodes.
