qfplatform, platform: don't cut off answers that are still arriving

Cause: a call to the store had to end within its timeout with its whole answer: 1.5 s for a read, 1 s after the end of the wait for a poll. A large answer on a slow link is cut off, begins again, and never ends. Change: a timeout bounds the time until the answer begins, then its pauses (1 s); a call that keeps arriving ends after 15 s. Evidence: TestAnswersThatArriveAreNotCutOff, 0.5 MB at 100 KB/s with a timeout of 1.5 s: fails with the old client, passes now; no answer still ends after 1.5 s, one that stops within 2.2 s.

--- a/internal/qf/state/qfplatform/client.go
+++ b/internal/qf/state/qfplatform/client.go
@@ -15,6 +15,7 @@
 	"github.com/dghubble/sling"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
 )
 
 // maxIdleConnections is the number of idle connections kept to one service.
@@ -62,11 +63,13 @@
 	http    *http.Client
 }
 
-// NewClient returns a client of the service at the address. The timeout applies to
-// each call.
+// NewClient returns a client of the service at the address. The timeout bounds the time until
+// the answer of a call begins; a body may take longer while it keeps arriving.
 func NewClient(address netip.AddrPort, timeout time.Duration, dial qf.Dial) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DialContext: dial}
-	return &Client{address: address, http: &http.Client{Timeout: timeout, Transport: transport}}
+	return &Client{address: address, http: &http.Client{
+		Timeout: max(timeout, maxCallDuration), Transport: &stallTransport{base: transport, clock: qftimer.NewWall(), timeout: timeout},
+	}}
 }
 
 // NewRequest returns an empty request to the service.
