qfrpc: large replies get connections and timeouts of their own

Cause: a call to a peer ended 0.8 s (a poll: 0.8 s after its wait) after its start, with its whole reply, and closed the connection that exchanges, tallies and the feeds of endpoints share: 1 MB takes 0.8 s on 10 Mbit/s, and all else waited behind it.

--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -98,7 +98,8 @@
 	}
 }
 
-// Client calls peers. It implements qf.PeerClient and keeps one connection to each peer.
+// Client calls peers. It implements qf.PeerClient and keeps a connection to each peer, and more
+// to those from which it reads feeds and catalogues.
 type Client struct {
 	clock   qf.Clock
 	timeout time.Duration
@@ -107,15 +108,15 @@
 	tls *tls.Config
 
 	mu          sync.Mutex
-	connections map[netip.AddrPort]*rpc.Client
+	connections map[connectionKey]*connection
 }
 
-// NewClient returns a client. The timeout bounds each call; a connection on which a
-// call times out is closed, because it may never deliver data again.
+// NewClient returns a client. The timeout bounds each call, and each pause of a large reply; a
+// connection on which a call times out is closed, because it may never deliver data again.
 func NewClient(clock qf.Clock, timeout time.Duration, dial qf.Dial, config *tls.Config) *Client {
 	return &Client{
 		clock: clock, timeout: timeout, dial: dial, tls: config,
-		connections: map[netip.AddrPort]*rpc.Client{},
+		connections: map[connectionKey]*connection{},
 	}
 }
 
@@ -123,95 +124,12 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, connection := range c.connections {
-		_ = connection.Close() // The connection is abandoned either way.
-		delete(c.connections, address)
+	for key, open := range c.connections {
+		_ = open.Close() // The connection is abandoned either way.
+		delete(c.connections, key)
 	}
 }
 
-// getConnection returns the connection to a peer and dials it if there is none.
-func (c *Client) getConnection(ctx context.Context, address netip.AddrPort) (*rpc.Client, error) {
-	c.mu.Lock()
-	existing := c.connections[address]
-	c.mu.Unlock()
-	if existing != nil {
-		return existing, nil
-	}
-	raw, err := c.connect(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if existing := c.connections[address]; existing != nil {
-		_ = raw.Close() // A concurrent call has connected first.
-		return existing, nil
-	}
-	connection := rpc.NewClient(raw)
-	c.connections[address] = connection
-	return connection, nil
-}
-
-func (c *Client) connect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	raw, err := c.dial(ctx, "tcp", address.String())
-	if err != nil || c.tls == nil {
-		return raw, err
-	}
-	secured := tls.Client(raw, c.tls)
-	if err := secured.HandshakeContext(ctx); err != nil {
-		_ = raw.Close() // The handshake's error is the one to report.
-		return nil, err
-	}
-	return secured, nil
-}
-
-// drop closes a connection on which a call failed.
-func (c *Client) drop(address netip.AddrPort, connection *rpc.Client) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.connections[address] == connection {
-		delete(c.connections, address)
-	}
-	_ = connection.Close() // The connection is abandoned either way.
-}
-
-// call makes one call with the client's timeout. sent is false only if the call
-// certainly wasn't sent. After an error out must not be read: a late reply may still be
-// written to it.
-func (c *Client) call(ctx context.Context, address netip.AddrPort, method string, in, out any) (sent bool, err error) {
-	return c.callWithTimeout(ctx, address, method, in, out, c.timeout)
-}
-
-// callWithTimeout is call with a timeout of its own.
-func (c *Client) callWithTimeout(ctx context.Context, address netip.AddrPort, method string, in, out any, timeout time.Duration) (sent bool, err error) {
-	connection, err := c.getConnection(ctx, address)
-	if err != nil {
-		return false, peerError(address, "no connection", err)
-	}
-	timer := c.clock.After(timeout)
-	defer timer.Stop()
-	call := connection.Go(serviceName+"."+method, in, out, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		if call.Error != nil {
-			c.drop(address, connection)
-			return true, peerError(address, "the call failed", call.Error)
-		}
-		return true, nil
-	case <-timer.C():
-		c.drop(address, connection)
-		return true, peerError(address, "the call timed out", nil)
-	case <-ctx.Done():
-		return true, peerError(address, "the call was cancelled", ctx.Err())
-	}
-}
-
-func peerError(address netip.AddrPort, reason string, cause error) error {
-	return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepPeer, Peer: address.String(), Reason: reason, Cause: cause}
-}
-
 // ExchangeDigests implements qf.PeerClient.
 func (c *Client) ExchangeDigests(ctx context.Context, address netip.AddrPort, digest qf.Digest) (qf.Digest, error) {
 	var out ExchangeOut
@@ -259,7 +177,7 @@
 // FetchCatalogue implements qf.PeerClient.
 func (c *Client) FetchCatalogue(ctx context.Context, address netip.AddrPort, newerThan qf.Revision) ([]byte, qf.Revision, error) {
 	var out CatalogueOut
-	if _, err := c.call(ctx, address, "Catalogue", CatalogueIn{NewerThan: newerThan}, &out); err != nil {
+	if _, err := c.callOn(ctx, connectionKey{address, laneCatalogue}, "Catalogue", CatalogueIn{NewerThan: newerThan}, &out, c.timeout); err != nil {
 		return nil, 0, err // A late reply may still be written to out.
 	}
 	return out.Snapshot, out.Revision, nil
@@ -277,7 +195,7 @@
 
 func (c *Client) feed(ctx context.Context, address netip.AddrPort, in *FeedIn) (qf.FeedPage, error) {
 	var out FeedOut
-	if _, err := c.callWithTimeout(ctx, address, "Feed", in, &out, c.timeout+in.Wait); err != nil {
+	if _, err := c.callOn(ctx, connectionKey{address, laneOf(in.Feed)}, "Feed", in, &out, c.timeout+in.Wait); err != nil {
 		return qf.FeedPage{}, err // A late reply may still be written to out.
 	}
 	if out.Code != "" {
