qfrpc: send large values compressed

Cause: a relay with 10 Mbit/s sends a configuration of 0.94 MB to each of its members: 8 of them take 6 s, whatever the timeouts are. Change: values from 16 KB on are compressed for peers that say that they accept it; a reply is compressed once for all of them. Peers of earlier builds get what they got. TestLargeValuesAreSentCompressed holds the exchange with an earlier build.

--- /dev/null
+++ b/internal/qf/transport/qfrpc/deflate.go
@@ -0,0 +1,69 @@
+package qfrpc
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"io"
+	"sync"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+const (
+	// minDeflateBytes is the size from which on a value is compressed.
+	minDeflateBytes = 16 * 1024
+	// maxInflatedBytes bounds a value that was compressed.
+	maxInflatedBytes = 64 * 1024 * 1024
+	// cachedValues is the number of compressed values that are kept, each for many peers.
+	cachedValues = 3
+)
+
+// errInflatedTooLarge is the error for a value above maxInflatedBytes.
+var errInflatedTooLarge = errors.New("a compressed value is too large")
+
+// deflater compresses values. It keeps the latest results by the address of the value's first
+// byte: values are never changed, and one that is kept isn't freed.
+type deflater struct {
+	mu     sync.Mutex
+	writer *flate.Writer
+	cache  *lru.Cache[*byte, []byte]
+}
+
+func newDeflater() (*deflater, error) {
+	writer, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	cache, err := lru.New[*byte, []byte](cachedValues)
+	return &deflater{writer: writer, cache: cache}, err
+}
+
+// deflate returns the compressed value.
+func (d *deflater) deflate(value []byte) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if compressed, isCached := d.cache.Get(&value[0]); isCached {
+		return compressed, nil
+	}
+	var b bytes.Buffer
+	d.writer.Reset(&b)
+	if _, err := d.writer.Write(value); err != nil {
+		return nil, err
+	}
+	if err := d.writer.Close(); err != nil {
+		return nil, err
+	}
+	d.cache.Add(&value[0], b.Bytes())
+	return b.Bytes(), nil
+}
+
+// inflate returns the value that was compressed.
+func inflate(compressed []byte) ([]byte, error) {
+	reader := flate.NewReader(bytes.NewReader(compressed))
+	value, err := io.ReadAll(io.LimitReader(reader, maxInflatedBytes+1))
+	if err == nil && len(value) > maxInflatedBytes {
+		err = errInflatedTooLarge
+	}
+	return value, err
+}
--- a/internal/qf/transport/qfrpc/messages.go
+++ b/internal/qf/transport/qfrpc/messages.go
@@ -35,13 +35,19 @@
 }
 
 // CatalogueIn is the argument of Catalogue.
-type CatalogueIn struct{ NewerThan qf.Revision }
+type CatalogueIn struct {
+	NewerThan qf.Revision
+	// AcceptsDeflate means that the snapshot may be compressed.
+	AcceptsDeflate bool
+}
 
 // CatalogueOut is the reply of Catalogue.
 type CatalogueOut struct {
 	// Snapshot is empty unless the node has a newer revision.
 	Snapshot []byte
 	Revision qf.Revision
+	// IsDeflated means that the snapshot is compressed.
+	IsDeflated bool
 }
 
 // FeedIn is the argument of Feed.
@@ -55,10 +61,14 @@
 	Era qf.StoreEra
 	// Wait is how long the peer may wait for a change.
 	Wait time.Duration
+	// AcceptsDeflate means that the rows' values may be compressed.
+	AcceptsDeflate bool
 }
 
 // FeedOut is the reply of Feed. Code is set if the peer can't serve the feed.
 type FeedOut struct {
 	Page qf.FeedPage
 	Code qf.Code
+	// Deflated lists the indices of the rows whose values are compressed.
+	Deflated []int
 }
--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -30,7 +30,8 @@
 
 // Server adapts a Handler to the method signatures that net/rpc requires.
 type Server struct {
-	handler Handler
+	handler  Handler
+	deflater *deflater
 }
 
 // Exchange receives a peer's digest and returns the node's own.
@@ -62,7 +63,13 @@
 // Catalogue returns the catalogue if it is newer than the caller's.
 func (s *Server) Catalogue(in CatalogueIn, out *CatalogueOut) error {
 	out.Snapshot, out.Revision = s.handler.CatalogueNewerThan(in.NewerThan)
-	return nil
+	if !in.AcceptsDeflate || len(out.Snapshot) < minDeflateBytes {
+		return nil
+	}
+	out.IsDeflated = true
+	var err error
+	out.Snapshot, err = s.deflater.deflate(out.Snapshot)
+	return err
 }
 
 // Feed returns rows of a feed that the node reads.
@@ -74,6 +81,26 @@
 		out.Page, err = s.handler.FeedSince(in.Feed, qf.StorePosition{Era: in.Era, Version: in.After}, min(in.Wait, maxFeedWait))
 	}
 	out.Code = qf.CodeOf(err)
+	if !in.AcceptsDeflate {
+		return nil
+	}
+	return s.deflateRows(out)
+}
+
+// deflateRows compresses the large values of a page.
+func (s *Server) deflateRows(out *FeedOut) error {
+	for i := range out.Page.Rows {
+		row := &out.Page.Rows[i]
+		if len(row.Value) < minDeflateBytes {
+			continue
+		}
+		compressed, err := s.deflater.deflate(row.Value)
+		if err != nil {
+			return err
+		}
+		row.Value = compressed
+		out.Deflated = append(out.Deflated, i)
+	}
 	return nil
 }
 
@@ -82,8 +109,12 @@
 
 // Serve serves peers on the listener until it is closed.
 func Serve(listener net.Listener, handler Handler) error {
+	deflater, err := newDeflater()
+	if err != nil {
+		return err
+	}
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Server{handler: handler}); err != nil {
+	if err := server.RegisterName(serviceName, &Server{handler: handler, deflater: deflater}); err != nil {
 		return err
 	}
 	for {
@@ -177,20 +208,27 @@
 // FetchCatalogue implements qf.PeerClient.
 func (c *Client) FetchCatalogue(ctx context.Context, address netip.AddrPort, newerThan qf.Revision) ([]byte, qf.Revision, error) {
 	var out CatalogueOut
-	if _, err := c.callOn(ctx, connectionKey{address, laneCatalogue}, "Catalogue", CatalogueIn{NewerThan: newerThan}, &out, c.timeout); err != nil {
+	if _, err := c.callOn(ctx, connectionKey{address, laneCatalogue}, "Catalogue", CatalogueIn{NewerThan: newerThan, AcceptsDeflate: true}, &out, c.timeout); err != nil {
 		return nil, 0, err // A late reply may still be written to out.
 	}
-	return out.Snapshot, out.Revision, nil
+	if !out.IsDeflated {
+		return out.Snapshot, out.Revision, nil
+	}
+	snapshot, err := inflate(out.Snapshot)
+	if err != nil {
+		return nil, 0, peerError(address, "the catalogue can't be decompressed", err)
+	}
+	return snapshot, out.Revision, nil
 }
 
 // ReadPeerSnapshot implements qf.PeerClient.
 func (c *Client) ReadPeerSnapshot(ctx context.Context, address netip.AddrPort, feed qf.FeedName) (qf.FeedPage, error) {
-	return c.feed(ctx, address, &FeedIn{Feed: feed, Whole: true})
+	return c.feed(ctx, address, &FeedIn{Feed: feed, Whole: true, AcceptsDeflate: true})
 }
 
 // ReadPeerChanges implements qf.PeerClient.
 func (c *Client) ReadPeerChanges(ctx context.Context, address netip.AddrPort, feed qf.FeedName, after qf.StorePosition, wait time.Duration) (qf.FeedPage, error) {
-	return c.feed(ctx, address, &FeedIn{Feed: feed, After: after.Version, Era: after.Era, Wait: wait})
+	return c.feed(ctx, address, &FeedIn{Feed: feed, After: after.Version, Era: after.Era, Wait: wait, AcceptsDeflate: true})
 }
 
 func (c *Client) feed(ctx context.Context, address netip.AddrPort, in *FeedIn) (qf.FeedPage, error) {
@@ -201,5 +239,16 @@
 	if out.Code != "" {
 		return qf.FeedPage{}, qf.NewError(out.Code, qf.StepTableRead, address.String(), "the peer can't serve the feed")
 	}
+	for _, i := range out.Deflated {
+		if i < 0 || i >= len(out.Page.Rows) {
+			return qf.FeedPage{}, peerError(address, "the reply names a row that it doesn't have", nil)
+		}
+		row := &out.Page.Rows[i]
+		value, err := inflate(row.Value)
+		if err != nil {
+			return qf.FeedPage{}, peerError(address, "the row "+row.Key+" can't be decompressed", err)
+		}
+		row.Value = value
+	}
 	return out.Page, nil
 }
