--- a/internal/qf/state/qfplatform/stall.go
+++ b/internal/qf/state/qfplatform/stall.go
@@ -104,7 +104,7 @@
 
 // fail ends the call and adds the cause to its error.
 func (b *stallBody) fail(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); errors.Is(cause, errStalled) {
+	if cause := context.Cause(ctx); errors.Is(cause, errStalled) && !errors.Is(err, errStalled) {
 		err = errors.Join(cause, err)
 	}
 	b.cancel(nil)
