qflimit: count what was used around a change of relays

Cause: what a sender had used before its first tally isn't counted. When the relay of a zone changes, its members' first tallies to the new relay, and its first one to all others, hold all that was used since the last tally of the old one; with relays that restart in turn that is a part of every second. Change: tallies hold what was used in the last 2 s; of a sender without an earlier tally that is counted in the window. It may be counted twice then, for 8 s at most.

--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -68,7 +68,7 @@
 	e.admission.mu.Lock()
 	defer e.admission.mu.Unlock()
 	tally.Covers = e.admission.quotas.CountCoveredNodes(now, tally.Scope, to.ID)
-	tally.Quotas = e.admission.quotas.ReportUses(tally.Scope, to.ID)
+	tally.Quotas = e.admission.quotas.ReportUses(now, tally.Scope, to.ID)
 	tally.Usage = e.admission.usage.BuildTally(since, tally.Scope, to.ID)
 	e.picker.mu.Lock()
 	defer e.picker.mu.Unlock()
--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -30,6 +30,9 @@
 	quotaLateAfter = 600 * time.Millisecond
 	// tallyDelay is how long it takes at most, as a rule, until a use is known at all nodes.
 	tallyDelay = 500 * time.Millisecond
+	// recentPeriod is the time for which uses are reported as recent. It covers the time without
+	// tallies while nodes change over to another relay.
+	recentPeriod = 2 * time.Second
 	// shareBurst is how much of its unused share a node may save, as time at its rate.
 	shareBurst = time.Second
 	// leastReturn and mostReturn bound the delay after which a refused caller should retry.
@@ -73,6 +76,8 @@
 	// unreported is this node's use in the time that a tally takes. The others are assumed
 	// to have used as much, which isn't known yet.
 	unreported slidingSum
+	// lately is this node's use in the last recentPeriod.
+	lately slidingSum
 }
 
 // addUse counts units that this node or another one used.
@@ -83,6 +88,14 @@
 	}
 }
 
+// addRecent counts units that another node used before its first tally. It does nothing for an
+// organisation without a quota.
+func (b *quota) addRecent(now time.Time, units float64) {
+	if b != nil && b.recent.window > 0 {
+		b.recent.add(now, units)
+	}
+}
+
 // resetWindow begins to count the use of a window anew.
 func (b *quota) resetWindow(window time.Duration) {
 	b.recent, b.unreported = slidingSum{window: window}, slidingSum{window: tallyDelay}
@@ -95,6 +108,8 @@
 	// reported holds the totals that the source last reported, counted the increases since
 	// its first tally.
 	reported, counted map[qf.Organisation]float64
+	// recent holds what the source last reported as used recently.
+	recent map[qf.Organisation]float64
 }
 
 // NewQuotas returns quotas without organisations. They hold over the window, or over any time if
@@ -114,7 +129,7 @@
 		}
 		b := known[o.Organisation]
 		if b == nil {
-			b = &quota{level: o.Burst * firstLevel / float64(q.nodes), at: now, filledTo: now}
+			b = &quota{lately: slidingSum{window: recentPeriod}, level: o.Burst * firstLevel / float64(q.nodes), at: now, filledTo: now}
 		}
 		q.fill(now, b)
 		if b.rate != o.UnitsPerSecond || b.burst != max(o.Burst, o.UnitsPerSecond) {
@@ -219,6 +234,7 @@
 	b.used += units
 	b.own += units
 	b.unreported.add(now, units)
+	b.lately.add(now, units)
 	b.addUse(now, units)
 	return qf.QuotaDecision{IsAdmitted: true}
 }
@@ -259,28 +275,32 @@
 // boundReturn bounds the delay after which a refused caller should retry.
 func boundReturn(wait time.Duration) time.Duration { return min(max(wait, leastReturn), mostReturn) }
 
-// RecordTally records a tally that arrived. What a source had used before its first tally
-// isn't taken from the buckets, which no longer hold those units.
+// RecordTally records a tally that arrived. Of what a source had used before its first tally only
+// the recent part is counted, and only in the window: it may have been reported through another
+// node, and the buckets may no longer hold those units.
 func (q *Quotas) RecordTally(now time.Time, from qf.TallySource, uses []qf.QuotaUse) {
 	s := q.sources[from.Node]
 	if s == nil || s.Incarnation != from.Incarnation || s.Scope != from.Scope {
-		s = &quotaSource{reported: map[qf.Organisation]float64{}, counted: map[qf.Organisation]float64{}}
+		s = &quotaSource{reported: map[qf.Organisation]float64{}, counted: map[qf.Organisation]float64{}, recent: map[qf.Organisation]float64{}}
 		q.sources[from.Node] = s
 	}
 	isFirstReport := s.reportedAt.IsZero()
 	s.TallySource, s.reportedAt = from, now
 	q.reportedAt = now
 	for _, use := range uses {
+		b := q.buckets[use.Organisation]
+		s.recent[use.Organisation] = use.Recent
 		more := use.Units - s.reported[use.Organisation]
 		if more <= 0 {
 			continue
 		}
 		s.reported[use.Organisation] = use.Units
 		if isFirstReport {
+			b.addRecent(now, use.Recent)
 			continue
 		}
 		s.counted[use.Organisation] += more
-		if b := q.buckets[use.Organisation]; b != nil {
+		if b != nil {
 			q.fill(now, b)
 			b.level -= more
 			b.addUse(now, more)
@@ -301,17 +321,21 @@
 }
 
 // ReportUses returns the uses of the nodes that a tally to a node covers.
-func (q *Quotas) ReportUses(scope qf.TallyScope, to qf.NodeID) []qf.QuotaUse {
+func (q *Quotas) ReportUses(now time.Time, scope qf.TallyScope, to qf.NodeID) []qf.QuotaUse {
 	uses := make([]qf.QuotaUse, 0, len(q.buckets))
 	for organisation, b := range q.buckets {
-		units := b.used
+		use := qf.QuotaUse{Organisation: organisation, Units: b.used, Recent: b.lately.sum(now)}
 		for id, s := range q.sources {
-			if scope.Includes(s.Scope) && id != to {
-				units += s.counted[organisation]
+			if !scope.Includes(s.Scope) || id == to {
+				continue
+			}
+			use.Units += s.counted[organisation]
+			if now.Sub(s.reportedAt) <= quotaSilentAfter {
+				use.Recent += s.recent[organisation]
 			}
 		}
-		if units > 0 {
-			uses = append(uses, qf.QuotaUse{Organisation: organisation, Units: units})
+		if use.Units > 0 {
+			uses = append(uses, use)
 		}
 	}
 	return uses
--- a/internal/qf/coordination/qflimit/quota_test.go
+++ b/internal/qf/coordination/qflimit/quota_test.go
@@ -56,7 +56,7 @@
 		for j, to := range f.nodes {
 			if i != j && !f.cut[i] && !f.cut[j] {
 				to.RecordTally(f.now, qf.TallySource{Node: nodeName(i), Incarnation: incarnation, Scope: qf.TallyOwn, Covers: 1},
-					from.ReportUses(qf.TallyOwn, nodeName(j)))
+					from.ReportUses(f.now, qf.TallyOwn, nodeName(j)))
 			}
 		}
 	}
@@ -69,9 +69,9 @@
 			continue
 		}
 		relay.RecordTally(f.now, qf.TallySource{Node: nodeName(i), Incarnation: incarnation, Scope: qf.TallyOwn, Covers: 1},
-			f.nodes[i].ReportUses(qf.TallyOwn, nodeName(0)))
+			f.nodes[i].ReportUses(f.now, qf.TallyOwn, nodeName(0)))
 		f.nodes[i].RecordTally(f.now, qf.TallySource{Node: nodeName(0), Incarnation: incarnation, Scope: qf.TallyRest, Covers: len(f.nodes) - 1},
-			relay.ReportUses(qf.TallyRest, nodeName(i)))
+			relay.ReportUses(f.now, qf.TallyRest, nodeName(i)))
 	}
 }
 
@@ -236,9 +236,9 @@
 		f.nodes[i].SetNodes(len(f.nodes))
 		f.nodes[relay].SetNodes(len(f.nodes))
 		f.nodes[relay].RecordTally(f.now, qf.TallySource{Node: nodeName(i), Incarnation: 1, Scope: qf.TallyOwn, Covers: 1},
-			f.nodes[i].ReportUses(qf.TallyOwn, nodeName(relay)))
+			f.nodes[i].ReportUses(f.now, qf.TallyOwn, nodeName(relay)))
 		f.nodes[i].RecordTally(f.now, qf.TallySource{Node: nodeName(relay), Incarnation: 1, Scope: qf.TallyRest, Covers: len(alive) - 1},
-			f.nodes[relay].ReportUses(qf.TallyRest, nodeName(i)))
+			f.nodes[relay].ReportUses(f.now, qf.TallyRest, nodeName(i)))
 	}
 }
 
--- a/internal/qf/coordination/qflimit/window_test.go
+++ b/internal/qf/coordination/qflimit/window_test.go
@@ -37,7 +37,7 @@
 		for j, to := range f.nodes {
 			if i != j {
 				to.RecordTally(f.now, qf.TallySource{Node: nodeName(i), Incarnation: f.incarnations[i], Scope: qf.TallyOwn, Covers: 1},
-					from.ReportUses(qf.TallyOwn, nodeName(j)))
+					from.ReportUses(f.now, qf.TallyOwn, nodeName(j)))
 			}
 		}
 	}
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -102,6 +102,9 @@
 type QuotaUse struct {
 	Organisation Organisation
 	Units        float64
+	// Recent is the part of the units that was used in the last seconds. A receiver that has no
+	// earlier tally of the sender counts it, because Units alone doesn't show what is new.
+	Recent float64
 }
 
 // UsageCount counts the requests of an organisation that started to run in a window at
