qflimit: nodes start with less of a quota's burst

Cause: KNOWN-RED, TestQuotaOverWindow/all_nodes_killed: nodes that start again don't know what was used before, and each starts with half of its even share of the burst: 10,152,994 units in one window of 10,010,000 allowed; with seed 4 10,727,647. Change: a fifth of the even share.

--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -13,7 +13,7 @@
 	quotaSilentAfter = 1500 * time.Millisecond
 	// firstLevel is the part of its even share of a burst that a node starts with, because
 	// the burst may have been spent before a restart.
-	firstLevel = 0.5
+	firstLevel = 0.2
 	// unknownNodes is the number of nodes assumed until SetNodes is called: all may have
 	// started together, each with its share of every quota.
 	unknownNodes = 64
--- a/internal/qf/coordination/qflimit/window_test.go
+++ b/internal/qf/coordination/qflimit/window_test.go
@@ -22,9 +22,9 @@
 	burst        float64
 }
 
-func newWindowFleet(size int, burst float64) *windowFleet {
+func newWindowFleet(seed uint64, size int, burst float64) *windowFleet {
 	f := &windowFleet{
-		quotaFleet: newQuotaFleet(size, false), random: rand.New(rand.NewPCG(1, 2)), incarnations: make([]qf.Incarnation, size), burst: burst,
+		quotaFleet: newQuotaFleet(size, false), random: rand.New(rand.NewPCG(seed, 2)), incarnations: make([]qf.Incarnation, size), burst: burst,
 	}
 	f.replace(size)
 	return f
@@ -138,13 +138,15 @@
 		t.Run(tt.name, func(t *testing.T) {
 			burst := max(tt.burst, fleetBurst)
 			limit := fleetRate*quotaWindow.Seconds() + burst
-			f := newWindowFleet(6, burst)
-			tt.play(f)
-			if _, most := f.windows(0); most > limit*1.1+110_000 {
-				t.Errorf("%.0f units in one window, want at most %.0f", most, limit*1.1+110_000)
-			}
-			if least, _ := f.windows(tt.steadyFrom); tt.steadyFrom > 0 && least < tt.least*fleetRate*quotaWindow.Seconds() {
-				t.Errorf("%.0f units in one window, want at least %.2f times what the rate alone allows", least, tt.least)
+			for seed := range uint64(5) {
+				f := newWindowFleet(seed+1, 6, burst)
+				tt.play(f)
+				if _, most := f.windows(0); most > limit*1.1+110_000 {
+					t.Errorf("seed %d: %.0f units in one window, want at most %.0f", seed+1, most, limit*1.1+110_000)
+				}
+				if least, _ := f.windows(tt.steadyFrom); seed == 0 && tt.steadyFrom > 0 && least < tt.least*fleetRate*quotaWindow.Seconds() {
+					t.Errorf("%.0f units in one window, want at least %.2f times what the rate alone allows", least, tt.least)
+				}
 			}
 		})
 	}
@@ -154,7 +156,7 @@
 // higher one blocks the organisation, or the higher one still fills its bucket.
 func TestLowerQuotaAppliesAtOnce(t *testing.T) {
 	const lower, step = fleetRate / 10.0, 100 * time.Millisecond
-	f := newWindowFleet(1, fleetBurst)
+	f := newWindowFleet(1, 1, fleetBurst)
 	f.play(2, 20*time.Second)
 	f.nodes[0].SetOrganisations(f.now, []qf.OrganisationSettings{{Organisation: "north", UnitsPerSecond: lower, Burst: lower}})
 	f.admitted = nil
@@ -167,3 +169,27 @@
 		t.Errorf("%.0f units in %.0f s after the quota was lowered to %.0f a second", sum, seconds, lower)
 	}
 }
+
+// TestSteadyDemandGetsItsRate fails if, with some seed, a window gets less than nine tenths of what
+// the rate alone allows though three times as much is asked for all the time.
+func TestSteadyDemandGetsItsRate(t *testing.T) {
+	const least = 0.9 * fleetRate * 8
+	tests := []struct {
+		name  string
+		burst float64
+	}{
+		{"small burst", fleetBurst},
+		{"large burst", 4 * fleetBurst},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				f := newWindowFleet(seed+1, 6, tt.burst)
+				f.play(3, 40*time.Second)
+				if got, _ := f.windows(20 * time.Second); got < least {
+					t.Errorf("seed %d: %.0f units in one window, want at least %.0f", seed+1, got, float64(least))
+				}
+			}
+		})
+	}
+}
