--- a/internal/qf/coordination/qflimit/quota_test.go
+++ b/internal/qf/coordination/qflimit/quota_test.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// checkWindows fails the test if a window of the quota holds more than the quota and the allowed
+// excess. The argument holds the units that were admitted in each tenth of a second.
+func checkWindows(t *testing.T, admitted []float64) {
+	t.Helper()
+	const (
+		steps = 80
+		bound = (fleetRate*8+fleetBurst)*1.1 + 110_000
+	)
+	for first := 0; first+steps <= len(admitted); first++ {
+		sum := 0.0
+		for _, units := range admitted[first : first+steps] {
+			sum += units
+		}
+		if sum > bound {
+			t.Fatalf("%.0f units from step %d, want at most %.0f", sum, first, bound)
+		}
+	}
+}
+
 // TestQuotasHoldAcrossNodes checks that no window admits more than the quota and the
 // allowed excess, and that the quota can be used. Late tallies could let several nodes
 // admit the same units.
@@ -108,16 +127,7 @@
 				f.cut[i] = true
 			}
 			admitted := f.run(tt.demand, tt.restartAt)
-			const window = 80 // Steps of a tenth of a second.
-			for first := 0; first+window <= len(admitted); first++ {
-				sum := 0.0
-				for _, units := range admitted[first : first+window] {
-					sum += units
-				}
-				if bound := (fleetRate*8+fleetBurst)*1.1 + 110_000; sum > bound {
-					t.Fatalf("%.0f units from step %d, want at most %.0f", sum, first, bound)
-				}
-			}
+			checkWindows(t, admitted)
 			last := 0.0
 			for _, units := range admitted[len(admitted)-50:] {
 				last += units
@@ -178,17 +188,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			const window = 80 // Steps of a tenth of a second.
-			admitted := runKill(tt.before, tt.after)
-			for first := 0; first+window <= len(admitted); first++ {
-				sum := 0.0
-				for _, units := range admitted[first : first+window] {
-					sum += units
-				}
-				if bound := (fleetRate*8+fleetBurst)*1.1 + 110_000; sum > bound {
-					t.Fatalf("%.0f units from step %d, want at most %.0f", sum, first, bound)
-				}
-			}
+			checkWindows(t, runKill(tt.before, tt.after))
 		})
 	}
 }
--- a/internal/qf/coordination/qflimit/relaychange_test.go
+++ b/internal/qf/coordination/qflimit/relaychange_test.go
@@ -12,9 +12,8 @@
 // excess while the relays of a large fleet change, which hides what was used around each change.
 func TestQuotaHoldsWhileRelaysChange(t *testing.T) {
 	const (
-		size, steps, window = 66, 300, 80
-		step                = 100 * time.Millisecond
-		bound               = (fleetRate*8+fleetBurst)*1.1 + 110_000
+		size, steps = 66, 300
+		step        = 100 * time.Millisecond
 	)
 	all := make([]int, size)
 	for i := range all {
@@ -45,15 +44,7 @@
 						}
 					}
 				}
-				for first := 0; first+window <= len(admitted); first++ {
-					sum := 0.0
-					for _, units := range admitted[first : first+window] {
-						sum += units
-					}
-					if sum > bound {
-						t.Fatalf("%.0f units from step %d, want at most %.0f", sum, first, bound)
-					}
-				}
+				checkWindows(t, admitted)
 			})
 		}
 	}
