qflimit: keep what was counted of nodes that restart

Cause: when a node starts again, its relay forgets what it had counted of it, and the sum that it passes on falls. Receivers count only what exceeds the highest sum that they have seen, so they miss as much of what all others use next. Evidence: TestQuotaHoldsWhileNodesRestartInTurn, 66 nodes, one restarted each 1.3 s at 7.5 times the quota: 10.03 million of 10.01 before, below 9.01 now. Ruled out: that new nodes lack the others' window and debt: taking these over at the start changed nothing in that test (10.0 to 10.2 million), and was taken out again. Usage counts are kept by incarnation and don't have the fault.

--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -55,6 +55,9 @@
 	nodes int
 	// reportedAt is when the last tally of any node arrived.
 	reportedAt time.Time
+	// departed holds what was counted of nodes that no longer report in a scope, so that the sums
+	// for others don't fall: of a sum that has fallen, receivers don't count what is used next.
+	departed map[qf.TallyScope]map[qf.Organisation]float64
 }
 
 // quota is an organisation's bucket.
@@ -115,7 +118,7 @@
 // NewQuotas returns quotas without organisations. They hold over the window, or over any time if
 // it is 0.
 func NewQuotas(window time.Duration) *Quotas {
-	return &Quotas{window: window, buckets: map[qf.Organisation]*quota{}, sources: map[qf.NodeID]*quotaSource{}, nodes: unknownNodes}
+	return &Quotas{window: window, buckets: map[qf.Organisation]*quota{}, sources: map[qf.NodeID]*quotaSource{}, nodes: unknownNodes, departed: map[qf.TallyScope]map[qf.Organisation]float64{}}
 }
 
 // SetOrganisations replaces the quotas. The state of organisations that stay is kept.
@@ -159,6 +162,7 @@
 		if silent <= quotaSilentAfter {
 			count += s.Covers
 		} else if silent > 2*quotaSilentAfter+shareWindow {
+			q.keepCounted(s)
 			delete(q.sources, id)
 		}
 	}
@@ -281,13 +285,14 @@
 func (q *Quotas) RecordTally(now time.Time, from qf.TallySource, uses []qf.QuotaUse) {
 	s := q.sources[from.Node]
 	if s == nil || s.Incarnation != from.Incarnation || s.Scope != from.Scope {
-		s = &quotaSource{reported: map[qf.Organisation]float64{}, counted: map[qf.Organisation]float64{}, recent: map[qf.Organisation]float64{}}
+		s = q.replaceSource(s, &from)
 		q.sources[from.Node] = s
 	}
 	isFirstReport := s.reportedAt.IsZero()
 	s.TallySource, s.reportedAt = from, now
 	q.reportedAt = now
-	for _, use := range uses {
+	for i := range uses {
+		use := &uses[i]
 		b := q.buckets[use.Organisation]
 		s.recent[use.Organisation] = use.Recent
 		more := use.Units - s.reported[use.Organisation]
@@ -308,6 +313,32 @@
 	}
 }
 
+// replaceSource returns the source for a sender that is new, has started again or reports in
+// another scope. What was counted of it before stays in the sums.
+func (q *Quotas) replaceSource(before *quotaSource, from *qf.TallySource) *quotaSource {
+	s := &quotaSource{reported: map[qf.Organisation]float64{}, counted: map[qf.Organisation]float64{}, recent: map[qf.Organisation]float64{}}
+	switch {
+	case before == nil:
+	case before.Scope == from.Scope:
+		s.counted = before.counted
+	default:
+		q.keepCounted(before)
+	}
+	return s
+}
+
+// keepCounted adds what was counted of a source to departed.
+func (q *Quotas) keepCounted(s *quotaSource) {
+	kept := q.departed[s.Scope]
+	if kept == nil {
+		kept = map[qf.Organisation]float64{}
+		q.departed[s.Scope] = kept
+	}
+	for organisation, units := range s.counted {
+		kept[organisation] += units
+	}
+}
+
 // CountCoveredNodes returns the number of nodes whose uses are in a tally to a node and
 // which reported recently, this node included.
 func (q *Quotas) CountCoveredNodes(now time.Time, scope qf.TallyScope, to qf.NodeID) int {
@@ -325,6 +356,11 @@
 	uses := make([]qf.QuotaUse, 0, len(q.buckets))
 	for organisation, b := range q.buckets {
 		use := qf.QuotaUse{Organisation: organisation, Units: b.used, Recent: b.lately.sum(now)}
+		for kept, units := range q.departed {
+			if scope.Includes(kept) {
+				use.Units += units[organisation]
+			}
+		}
 		for id, s := range q.sources {
 			if !scope.Includes(s.Scope) || id == to {
 				continue
--- a/internal/qf/coordination/qflimit/quota_test.go
+++ b/internal/qf/coordination/qflimit/quota_test.go
@@ -89,7 +89,8 @@
 			sum += units
 		}
 		if sum > bound {
-			t.Fatalf("%.0f units from step %d, want at most %.0f", sum, first, bound)
+			t.Errorf("%.0f units from step %d, want at most %.0f", sum, first, bound)
+			return
 		}
 	}
 }
