entry, qfsuspect: record and log which parts of prompts were in progress at deaths of endpoints

Change: qfsuspect.PartTracker records the shared parts of attempts that end without an answer, the deaths, and answers; event 209 names the endpoint, the proof and the parts.

--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -193,7 +193,7 @@
 	e.registry.Remove(now, gone, qf.StorePosition{Era: page.Era, Version: newest})
 	e.mu.Unlock()
 	for i := range dead {
-		e.poisonFilter.recordDeath(now, &dead[i])
+		e.poisonFilter.recordDeath(now, &dead[i], "its row is gone")
 	}
 	e.updateEndpoints(now)
 }
--- a/internal/qf/admission.go
+++ b/internal/qf/admission.go
@@ -49,6 +49,10 @@
 	Method, Host string
 	Target       string
 	Body         []byte
+	// Entries are those to which the request's route may send it.
+	Entries []WeightedEntry
+	// SharedParts are the parts of the prompt that other requests may have too: all but the last.
+	SharedParts []PromptPart
 }
 
 // PoisonFilter detects and blocks requests that crash the endpoints they run at. It is safe
@@ -58,4 +62,6 @@
 	CheckRequest(now time.Time, content *RequestContent) error
 	// RecordAttemptEnd records how an attempt ended.
 	RecordAttemptEnd(now time.Time, content *RequestContent, endpoint *Endpoint, end AttemptEnd, err error)
+	// RecordAnswer records that an endpoint is answering the request, or has answered it.
+	RecordAnswer(now time.Time, content *RequestContent, endpoint *Endpoint)
 }
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -97,6 +97,25 @@
 	Age time.Duration
 }
 
+// DeathID identifies the end of one incarnation of an endpoint.
+type DeathID uint32
+
+// PartSuspicion reports that requests with a part of a prompt were in progress at endpoints
+// that died.
+type PartSuspicion struct {
+	// Part is the fingerprint of the part at an entry.
+	Part uint64
+	// Deaths lists the deaths that count against the part, Cleared those that don't, because an
+	// answer on the part was received.
+	Deaths, Cleared []DeathID
+	// FirstAge and Age are the times since the first and the latest death that counts.
+	FirstAge, Age time.Duration
+	// TrialAge is the time since a request with the part was last tried although the part is
+	// refused; 0 means never. Trials counts those that ended with another death.
+	TrialAge time.Duration
+	Trials   int
+}
+
 // QuotaUse is how much of an organisation's quota was used at the nodes that a tally
 // covers. It only rises during one run of the sender.
 type QuotaUse struct {
@@ -192,6 +211,7 @@
 	LimitUses       []LimitUse
 	SentLoads       []InFlightLoad
 	Suspicions      []Suspicion
+	PartSuspicions  []PartSuspicion
 	// Tally holds the sums of quota use, usage and attempts by version.
 	Tally Tally
 	// SentAt is the sender's wall-clock time at sending: the wall clock at the start of
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -95,6 +95,9 @@
 	err     error
 	// move is set if the run goes on at another endpoint.
 	move *streamMove
+	// firstEventAt is when the attempt's first event was relayed, answerRecordedAt when it was
+	// last recorded that the answer goes on.
+	firstEventAt, answerRecordedAt time.Time
 }
 
 // attempt makes one attempt and records its end: at the endpoint to which the run was moved, or
@@ -128,8 +131,13 @@
 	c.send(ctx, p, s, a, memory)
 	at := ports.Clock.Now()
 	ports.Picker.RecordAttemptEnd(at, &a.picked, a.end)
-	if !errors.Is(a.err, errFirstByteTimeout) {
-		ports.PoisonFilter.RecordAttemptEnd(at, c.content(), &a.picked.Endpoint, a.end, a.err)
+	end := a.end
+	if end == qf.AttemptBroken && errors.Is(a.err, errFirstByteTimeout) {
+		end = qf.AttemptCancelled // The node itself ended it.
+	}
+	ports.PoisonFilter.RecordAttemptEnd(at, c.content(), &a.picked.Endpoint, end, a.err)
+	if end == qf.AttemptAnswered && a.answer.Status < http.StatusMultipleChoices {
+		ports.PoisonFilter.RecordAnswer(at, c.content(), &a.picked.Endpoint)
 	}
 }
 
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -122,12 +122,16 @@
 	return c.admit()
 }
 
-// content returns the content from which the request's fingerprint is made.
+// content returns the content by which requests that crash endpoints are found.
 func (c *call) content() *qf.RequestContent {
-	return &qf.RequestContent{
+	content := &qf.RequestContent{
 		ID: c.request.ID, Organisation: c.organisation(), Method: c.incoming.Method, Host: c.request.Host,
-		Target: c.incoming.RequestURI, Body: c.body,
+		Target: c.incoming.RequestURI, Body: c.body, Entries: c.route.Entries,
 	}
+	if prompt := c.request.Prompt; prompt != nil && len(prompt.Parts) > 0 {
+		content.SharedParts = prompt.Parts[:len(prompt.Parts)-1]
+	}
+	return content
 }
 
 // identify looks up the organisation of the caller's key.
--- a/internal/qf/protocol/qfforward/relay.go
+++ b/internal/qf/protocol/qfforward/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 )
 
 const (
@@ -73,6 +74,7 @@
 		return err
 	}
 	s.recordEvents(whole)
+	s.recordAnswer(a)
 	if s.lastEvent != "" {
 		s.stream.hasEvents.Store(true)
 	}
@@ -80,6 +82,28 @@
 	return nil
 }
 
+const (
+	// soundAfter is how long an answer goes on after its first event until it shows that the
+	// request doesn't crash the endpoint.
+	soundAfter = 500 * time.Millisecond
+	// recordAnswerInterval is the time between two records that an answer goes on.
+	recordAnswerInterval = time.Second
+)
+
+// recordAnswer records that an answer goes on, so that nothing in the request is suspected while
+// long answers are written.
+func (s *relay) recordAnswer(a *attempt) {
+	now := s.call.forwarder.ports.Clock.Now()
+	if a.firstEventAt.IsZero() {
+		a.firstEventAt = now
+	}
+	if now.Sub(a.firstEventAt) < soundAfter || now.Sub(a.answerRecordedAt) < recordAnswerInterval {
+		return
+	}
+	a.answerRecordedAt = now
+	s.call.forwarder.ports.PoisonFilter.RecordAnswer(now, s.call.content(), &a.picked.Endpoint)
+}
+
 // sendHeader sends the header of the first attempt that has an event.
 func (s *relay) sendHeader(a *attempt) {
 	if s.headerSent {
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -57,6 +57,7 @@
 	FieldSource           = "Source"
 	FieldBytes            = "Bytes"
 	FieldInProgress       = "InProgress"
+	FieldParts            = "Parts"
 )
 
 const (
@@ -82,6 +83,7 @@
 	LedgerSwept     = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
 	SuspectTried    = Event{207, warning, "a request suspected of crashing endpoints is tried in isolation", []string{FieldRequest, FieldEntry}, "Run report explain with the request."}
 	SuspectRefused  = Event{208, warning, "a request suspected of crashing endpoints is refused", []string{FieldRequest, FieldEntry}, "Find its caller; look at the endpoints' logs."}
+	EndpointDied    = Event{209, warning, "an endpoint died with requests in progress", []string{FieldEndpoint, FieldReason, FieldCount, FieldParts}, "Nothing if it is rare. Parts are the fingerprints of the shared prompt parts in progress there, Count their number; a part that stands in the lines of all endpoints and in no answer crashes them."}
 	ShadowAdopted   = Event{220, info, "request taken over from its replica", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
 	ShadowFailed    = Event{221, warning, "replication of requests to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
 	NodeAborted     = Event{225, warning, "node ended at a second signal", []string{FieldNode}, "Answers in progress were cut; unset Node.SecondSignalAborts if that isn't wanted."}
@@ -164,6 +166,7 @@
 		LedgerSwept,
 		SuspectTried,
 		SuspectRefused,
+		EndpointDied,
 		ShadowAdopted,
 		ShadowFailed,
 		NodeAborted,
