--- /dev/null
+++ b/internal/entry/crashingpart_test.go
@@ -0,0 +1,283 @@
+package entry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/standin/standreplica"
+)
+
+// crashEnd is what the connections of a crashed endpoint show.
+type crashEnd string
+
+const (
+	// endsWithReset breaks all connections, and refuses new ones.
+	endsWithReset crashEnd = "Reset"
+	// endsSilently leaves all connections open without an answer, and drops new ones.
+	endsSilently crashEnd = "Silence"
+)
+
+const (
+	// contact is the time that a node has to apply what it knows, enoughCrashes the number of
+	// crashes after which a part must be known.
+	contact       = 4 * time.Second
+	enoughCrashes = 5
+	// mostAfter is the number of requests with a crashing part that may still reach endpoints.
+	mostAfter = 3
+	// restartAfter is the time after which a crashed endpoint is back, rowLapsesAfter that after
+	// which its row is removed.
+	restartAfter   = 3 * time.Second
+	rowLapsesAfter = 3600 * time.Millisecond
+	sharedPart     = "a0"
+)
+
+// crashDay is a day on which prompts with some parts crash the endpoints.
+type crashDay struct {
+	name             string
+	nodes, endpoints int
+	// prompts are the parts of the requests with a crashing part; a last part is added.
+	prompts [][]string
+	// crashing are the parts that crash endpoints.
+	crashing   []string
+	afterEvent int
+	end        crashEnd
+	// keepsIdentity makes endpoints come back under the identity that they had.
+	keepsIdentity bool
+	// pause interrupts the requests with a crashing part.
+	pause time.Duration
+	// others crashes so many endpoints at once for another reason, before the part comes.
+	others int
+	seed   uint64
+}
+
+// crashWorld plays a crashDay.
+type crashWorld struct {
+	*testFleet
+	day    crashDay
+	random *rand.Rand
+
+	mu sync.Mutex
+	// all holds the endpoints, those that have crashed included; dark the addresses that are silent.
+	all     []*standreplica.Replica
+	dark    map[netip.Addr]bool
+	crashes []time.Time
+	born    int
+}
+
+func isCrashing(parts []string, header string) bool {
+	return slices.ContainsFunc(parts, func(part string) bool { return strings.Contains(","+header, ","+part+":") })
+}
+
+func (w *crashWorld) startEndpoint(id string, number int) {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 8, 1, byte(number)}), 80)
+	replica := standreplica.New(id, w.clock)
+	replica.EventCount, replica.EventInterval = 6, 80*time.Millisecond
+	server := w.serve(address, replica)
+	replica.Crash = &standreplica.Crash{
+		IsCause: func(run *standreplica.ExecutedRequest) bool {
+			return isCrashing(w.day.crashing, run.Header.Get("X-Prompt-Prefix"))
+		},
+		AfterEvent: w.day.afterEvent,
+		End:        sync.OnceFunc(func() { w.crash(id, number, address.Addr(), server) }),
+	}
+	w.mu.Lock()
+	w.all = append(w.all, replica)
+	w.born++
+	born := w.born
+	delete(w.dark, address.Addr())
+	w.mu.Unlock()
+	zone := []string{"north-a", "south-a"}[number%2]
+	w.store.Put("servers", id, fmt.Appendf(nil,
+		`{"service":"chat","address":%q,"zone":%q,"version":"v1","slots":16,"state":"ready","cold-left-ms":0,"seq":1,"born":%d}`, address, zone, born))
+}
+
+// crash ends an endpoint, and starts it again after some seconds.
+func (w *crashWorld) crash(id string, number int, address netip.Addr, server *http.Server) {
+	w.mu.Lock()
+	w.crashes = append(w.crashes, w.clock.Now())
+	generation := len(w.crashes)
+	if w.day.end == endsSilently {
+		w.dark[address] = true
+		w.network.Blackhole(func(a, _ netip.Addr) bool { return a == address })
+	}
+	w.mu.Unlock()
+	_ = server.Close() // All connections and the listener are closed.
+	next := fmt.Sprintf("again-%d", generation)
+	if w.day.keepsIdentity {
+		next = id
+	}
+	go func() {
+		w.sleep(restartAfter)
+		w.startEndpoint(next, number)
+		if next != id {
+			w.sleep(rowLapsesAfter - restartAfter)
+			w.store.Remove("servers", id)
+		}
+	}()
+}
+
+func (w *crashWorld) isDark(a, b netip.Addr) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dark[a] || w.dark[b]
+}
+
+// prompt returns the header that names the parts of a prompt.
+func prompt(parts []string, last int) string {
+	var b strings.Builder
+	for _, part := range parts {
+		b.WriteString(part + ":200,")
+	}
+	return b.String() + fmt.Sprintf("%x:100", 0xf0000000+last)
+}
+
+// play sends sound requests and requests with crashing parts for some time.
+func (w *crashWorld) play(length time.Duration) (sound []sentRequest) {
+	const step = 25 * time.Millisecond
+	const soundSteps, crashingSteps = 1, 12
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	began := w.clock.Now()
+	for i := 0; w.clock.Now().Sub(began) < length; i++ {
+		node := w.random.IntN(w.day.nodes) + 1
+		elapsed := w.clock.Now().Sub(began)
+		isPaused := w.day.pause > 0 && elapsed > length/3 && elapsed < length/3+w.day.pause
+		if i%soundSteps == 0 {
+			parts := []string{sharedPart, fmt.Sprintf("b%d", w.random.IntN(40))}
+			wait.Go(func() {
+				at := w.clock.Now()
+				a := w.call(w.t.Context(), node, http.MethodPost, "/talk/1", fmt.Sprint("sound ", i), "X-Token-Counts", "500,20", "X-Prompt-Prefix", prompt(parts, 2*i))
+				mu.Lock()
+				defer mu.Unlock()
+				sound = append(sound, sentRequest{at: at, hasRun: w.hasRun(a.id), isWhole: a.status == http.StatusOK && a.err == nil})
+			})
+		}
+		if i%crashingSteps == 0 && len(w.day.prompts) > 0 && !isPaused && elapsed > time.Second {
+			parts := w.day.prompts[w.random.IntN(len(w.day.prompts))]
+			other := w.random.IntN(w.day.nodes) + 1
+			wait.Go(func() {
+				w.call(w.t.Context(), other, http.MethodPost, "/ask/1", fmt.Sprint("crash ", i), "X-Token-Counts", "500,20", "X-Prompt-Prefix", prompt(parts, 2*i+1))
+			})
+		}
+		w.sleep(step)
+	}
+	wait.Wait()
+	return sound
+}
+
+// sentRequest is a sound request and what became of it.
+type sentRequest struct {
+	at              time.Time
+	hasRun, isWhole bool
+}
+
+func (w *crashWorld) hasRun(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, replica := range w.all {
+		if replica.HasRun(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// crashingRuns returns when requests with a crashing part began to run.
+func (w *crashWorld) crashingRuns() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var runs []time.Time
+	for _, replica := range w.all {
+		for _, run := range replica.Runs() {
+			if isCrashing(w.day.crashing, run.Header.Get("X-Prompt-Prefix")) {
+				runs = append(runs, run.At)
+			}
+		}
+	}
+	slices.SortFunc(runs, time.Time.Compare)
+	return runs
+}
+
+func runCrashDay(t *testing.T, day crashDay, check func(w *crashWorld)) {
+	t.Helper()
+	runFleet(t, day.nodes, func(f *testFleet) {
+		w := &crashWorld{testFleet: f, day: day, random: rand.New(rand.NewPCG(day.seed, 28)), dark: map[netip.Addr]bool{}}
+		w.store.Remove("servers", "chat-1")
+		w.store.Remove("servers", "chat-2")
+		w.network.Partition(w.isDark)
+		for i := range day.endpoints {
+			w.startEndpoint(fmt.Sprintf("engine-%d", i), i+1)
+		}
+		w.sleep(2 * time.Second)
+		check(w)
+	})
+}
+
+// startShare returns the share of sound requests from a time on that began to run.
+func startShare(sent []sentRequest, from time.Time) (share float64, count int) {
+	began := 0
+	for _, s := range sent {
+		if s.at.Before(from) {
+			continue
+		}
+		count++
+		if s.hasRun {
+			began++
+		}
+	}
+	return float64(began) / float64(max(count, 1)), count
+}
+
+// TestCrashingPartIsStoppedOnAllNodes fails if requests with a part that crashes endpoints
+// still reach them once it must be known, or if sound requests with the other parts don't.
+func TestCrashingPartIsStoppedOnAllNodes(t *testing.T) {
+	const length = 25 * time.Second
+	middle := [][]string{{sharedPart, "bad001", "b1"}}
+	tests := []crashDay{
+		{name: "first part", prompts: [][]string{{"bad001", sharedPart, "b1"}}, crashing: []string{"bad001"}},
+		{name: "middle part", prompts: middle, crashing: []string{"bad001"}},
+		{name: "next to last part", prompts: [][]string{{sharedPart, "b1", "bad001"}}, crashing: []string{"bad001"}},
+		{name: "two parts", prompts: [][]string{{"bad001"}}, crashing: []string{"bad001"}},
+		{name: "five parts", prompts: [][]string{{sharedPart, "b1", "b2", "bad001"}, {sharedPart, "b3", "bad001", "b4"}}, crashing: []string{"bad001"}},
+		{name: "two crashing parts in one request", prompts: [][]string{{sharedPart, "bad001", "bad002"}}, crashing: []string{"bad001", "bad002"}},
+		{name: "two crashing parts in several requests", prompts: [][]string{{sharedPart, "bad001"}, {sharedPart, "bad002", "b1"}}, crashing: []string{"bad001", "bad002"}},
+		{name: "crash after the first event", prompts: middle, crashing: []string{"bad001"}, afterEvent: 1},
+		{name: "silence", prompts: middle, crashing: []string{"bad001"}, end: endsSilently},
+		{name: "same identity", prompts: middle, crashing: []string{"bad001"}, keepsIdentity: true},
+		{name: "seven nodes, few endpoints", nodes: 7, endpoints: 5, prompts: middle, crashing: []string{"bad001"}},
+		{name: "relays", nodes: 20, prompts: middle, crashing: []string{"bad001"}},
+		{name: "comes back after a pause", prompts: middle, crashing: []string{"bad001"}, pause: 8 * time.Second},
+	}
+	for _, day := range tests {
+		day.nodes, day.endpoints = max(day.nodes, 6), max(day.endpoints, 9)
+		t.Run(day.name, func(t *testing.T) {
+			runCrashDay(t, day, func(w *crashWorld) {
+				sound := w.play(length)
+				if len(w.crashes) == 0 {
+					t.Fatal("no endpoint crashed")
+				}
+				known := w.crashes[min(len(w.crashes), enoughCrashes)-1]
+				after, runs := 0, w.crashingRuns()
+				for _, at := range runs {
+					if len(w.crashes) >= enoughCrashes && at.Sub(known) > contact {
+						after++
+					}
+				}
+				if after > mostAfter {
+					t.Errorf("%d requests reached endpoints more than %v after crash number %d, want at most %d", after, contact, enoughCrashes, mostAfter)
+				}
+				if share, count := startShare(sound, known.Add(2*contact)); count < 20 || share < 0.9 {
+					t.Errorf("%.2f of %d sound requests began", share, count)
+				}
+				t.Logf("%d crashes, %d runs, %d of them late; last run %v after the first crash", len(w.crashes), len(runs), after, runs[len(runs)-1].Sub(w.crashes[0]))
+			})
+		})
+	}
+}
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -153,7 +153,7 @@
 
 func (w *testFleet) sleep(d time.Duration) { <-w.clock.After(d).C() }
 
-func (w *testFleet) serve(address netip.AddrPort, handler http.Handler) {
+func (w *testFleet) serve(address netip.AddrPort, handler http.Handler) *http.Server {
 	listener, err := w.network.From(address.Addr()).Listen(w.t.Context(), address)
 	if err != nil {
 		w.t.Fatal(err)
@@ -161,6 +161,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
 	w.servers = append(w.servers, server)
+	return server
 }
 
 func (w *testFleet) addReplica(id, entryName string, number int) {
--- a/internal/standin/standreplica/move.go
+++ b/internal/standin/standreplica/move.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 )
 
 const pathMove = "/quetzalfront/kv-move"
@@ -58,3 +59,10 @@
 	defer r.mu.Unlock()
 	return r.isStopped
 }
+
+// HasRun reports whether the replica started to execute a request.
+func (r *Replica) HasRun(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.runs, func(run *ExecutedRequest) bool { return run.ID == id })
+}
--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -77,6 +77,18 @@
 	isStopped bool
 	// MoveTakes is how long the copy of a run's memory takes.
 	MoveTakes time.Duration
+	// Crash makes the replica crash at some requests; nil means that it never does.
+	Crash *Crash
+}
+
+// Crash says at which requests a replica crashes, and when.
+type Crash struct {
+	// IsCause reports whether a request crashes the replica.
+	IsCause func(request *ExecutedRequest) bool
+	// AfterEvent is the number of events that are written before the crash.
+	AfterEvent int
+	// End ends the replica's process: its connections break, or fall silent.
+	End func()
 }
 
 // New returns a replica without faults.
@@ -204,6 +216,12 @@
 		if r.isMoved(run.ID) || r.hasStopped() {
 			panic(http.ErrAbortHandler) // The stream is closed without its end.
 		}
+		if number == first+1+r.crashAfter(run) {
+			r.Crash.End()
+			r.Stop()
+			<-request.Context().Done()
+			return
+		}
 		event := StreamEvent(run.ID, number)
 		if behaviour == Truncates && number == first+2 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
@@ -215,6 +233,14 @@
 	}
 }
 
+// crashAfter returns after how many events a request crashes the replica, or -1 if it doesn't.
+func (r *Replica) crashAfter(run *ExecutedRequest) int {
+	if r.Crash == nil || !r.Crash.IsCause(run) {
+		return -1
+	}
+	return r.Crash.AfterEvent
+}
+
 // waitForEvent waits for EventInterval and reports whether the caller is still connected.
 func (r *Replica) waitForEvent(request *http.Request) bool {
 	if r.EventInterval <= 0 {
