qfsuspect, entry: refuse requests with a part of a prompt that crashes endpoints

Callers of all routes of a service got 502, 503 and cut streams while 54 endpoints ended one after the other: requests with one part in their prompts crashed each endpoint that began to answer them, and the node's own retries crashed more. The suspicion was kept by a hash of the whole request, and no two requests were alike. Change: suspicions are kept by part (at an entry), for all parts but the last. A part is refused from three deaths on if no answer on it came since and no other part was in progress at all of these deaths and more. Answers clear parts, also while they are still written; a part that was answered in the last 4 s isn't blamed at all. Nodes exchange the suspicions (Digest.PartSuspicions), new ones at once. A request whose attempt broke isn't sent to another endpoint if an endpoint died with one of its parts before. A refused part is tried by single requests: after 2 s while another cause is as likely, after a minute otherwise, then four times as rarely after each failure. Events 210, 211.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -120,6 +120,10 @@
 	// transfers is the number of reads of feeds and configurations in progress.
 	transfers atomic.Int64
 	isLeaving atomic.Bool
+	// isRelay is true while the node is its zone's relay in a large fleet.
+	isRelay atomic.Bool
+	// isPushing is true from a change of suspicions until it is sent to peers.
+	isPushing atomic.Bool
 	// background tracks the node's background goroutines.
 	background sync.WaitGroup
 	// stopLoops stops the feeds, the exchanges, the duties and the other loops.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qfevent"
@@ -47,6 +48,7 @@
 	relays := e.membership.Relays(now, e.hasRelayFailed(now))
 	e.relays = relays
 	e.mu.Unlock()
+	e.isRelay.Store(isGrouped && relays.IsSelf)
 	if e.hasNodes.Load() || now.Sub(e.startedAt) > nodeListFallback {
 		e.admission.setNodes(relays.Nodes)
 	}
@@ -66,6 +68,52 @@
 	}
 }
 
+// pushDelay is the time in which suspicions are gathered before they are sent to peers ahead of
+// the next exchange.
+const pushDelay = 20 * time.Millisecond
+
+// pushSuspicions sends the suspicions to peers at once: to all in a small fleet, in a large one
+// to the relays. It doesn't block.
+func (e *Entry) pushSuspicions() {
+	if e.isPushing.Swap(true) {
+		return // Those that were added meanwhile are sent too.
+	}
+	e.background.Go(func() {
+		delay := e.platform.Clock.After(pushDelay)
+		defer delay.Stop()
+		select {
+		case <-delay.C():
+		case <-e.loops.Done():
+			return
+		}
+		e.isPushing.Store(false)
+		now := e.now()
+		e.mu.Lock()
+		relays, isGrouped := e.relays, e.membership.IsGrouped()
+		peers := e.membership.Peers(now)
+		e.mu.Unlock()
+		switch {
+		case isGrouped && relays.IsSelf:
+			for _, relay := range relays.Others {
+				e.background.Go(func() { e.exchangeTally(e.loops, &relay) })
+			}
+		case isGrouped:
+			e.exchangeTally(e.loops, &relays.Own)
+		default:
+			e.pushToPeers(peers)
+		}
+	})
+}
+
+// pushToPeers exchanges digests with all peers that are live.
+func (e *Entry) pushToPeers(peers []qf.Node) {
+	for i := range peers {
+		if peer := peers[i]; peer.State == qf.NodeLive {
+			e.background.Go(func() { e.exchangeWith(e.loops, &peer, peer.PeerAddress) })
+		}
+	}
+}
+
 func (e *Entry) exchangeWith(ctx context.Context, to *qf.Node, address netip.AddrPort) {
 	answer, err := e.platform.Peer.ExchangeDigests(ctx, address, e.buildDigest(to, nil))
 	if err != nil {
@@ -78,8 +126,8 @@
 // buildDigest builds the digest for a peer.
 func (e *Entry) buildDigest(to *qf.Node, wants []qf.AvailabilityZone) qf.Digest {
 	now := e.now()
-	d := qf.Digest{SentAt: e.fleetClock.localTime(now), RolloutPlans: e.picker.rolloutPlans(), Suspicions: e.poisonFilter.listSuspicions(now)}
-	d.Store = e.storeEra.get()
+	d := qf.Digest{SentAt: e.fleetClock.localTime(now), RolloutPlans: e.picker.rolloutPlans(), Store: e.storeEra.get()}
+	e.poisonFilter.fillDigest(now, &d)
 	e.mu.Lock()
 	d.From = e.membership.Self()
 	d.From.CatalogueRevision = e.configuration.Revision()
@@ -106,7 +154,7 @@
 	e.mu.Unlock()
 	e.fleetClock.recordPeerTime(now, d.From.ID, d.SentAt)
 	e.picker.recordPeerLoads(d.From.ID, d.SentLoads)
-	e.poisonFilter.mergeSuspicions(now, d.Suspicions)
+	e.poisonFilter.mergeDigest(now, d)
 	e.storeEra.applyPeer(d.Store)
 	for i := range d.RolloutPlans {
 		e.applyRolloutPlan(&d.RolloutPlans[i])
--- a/internal/entry/poisonfilter.go
+++ b/internal/entry/poisonfilter.go
@@ -1,14 +1,13 @@
 package entry
 
 import (
-	"context"
 	"errors"
-	"fmt"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qfsuspect"
 	"quetzalfront/internal/qf/state/qfevent"
@@ -22,21 +21,6 @@
 	suspicionExpiry = 40 * time.Second
 )
 
-// partConfig holds the settings for parts of prompts. Three deaths are the least that tell a
-// crashing part from one that was in progress by chance.
-var partConfig = qfsuspect.PartConfig{
-	MaxDeaths: 3, SoundFor: 4 * time.Second, UnclearTrialAfter: 2 * time.Second, TrialAfter: time.Minute,
-}
-
-const (
-	// deathCheckTimeout bounds the calls that find out whether an endpoint died, and
-	// deathCheckInterval is the time between two of them: a process that is ending may accept
-	// a connection before it refuses the next one.
-	deathCheckTimeout  = 700 * time.Millisecond
-	deathCheckInterval = 20 * time.Millisecond
-	maxDeathChecks     = 3
-)
-
 // poisonFilter implements qf.PoisonFilter: it refuses requests that crash endpoints, and those
 // with a part of a prompt that does.
 type poisonFilter struct {
@@ -47,12 +31,15 @@
 	parts    *qfsuspect.PartTracker
 	// checking holds the endpoints whose death is being checked.
 	checking map[qf.DeathID]bool
+	// loggedAt holds when the refusal of a part was last logged.
+	loggedAt *simplelru.LRU[uint64, time.Time]
 }
 
 func newPoisonFilter(e *Entry) *poisonFilter {
+	loggedAt, _ := simplelru.NewLRU[uint64, time.Time](maxLoggedParts, nil) // Fails only for a size below 1.
 	return &poisonFilter{
 		entry: e, suspects: qfsuspect.New(qfsuspect.Config{MaxDeaths: maxDeaths, ExpireAfter: suspicionExpiry}),
-		parts: qfsuspect.NewPartTracker(partConfig), checking: map[qf.DeathID]bool{},
+		parts: qfsuspect.NewPartTracker(partConfig), checking: map[qf.DeathID]bool{}, loggedAt: loggedAt,
 	}
 }
 
@@ -64,19 +51,13 @@
 	})
 }
 
-// partFingerprints identifies the parts that a request shares with others, at an entry.
-func partFingerprints(content *qf.RequestContent, entry qf.EntryName) []uint64 {
-	parts := make([]uint64, len(content.SharedParts))
-	for i := range content.SharedParts {
-		parts[i] = qfsuspect.PartFingerprint(entry, content.SharedParts[i].ID)
-	}
-	return parts
-}
-
 // CheckRequest implements qf.PoisonFilter.
 func (f *poisonFilter) CheckRequest(now time.Time, content *qf.RequestContent) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.checkParts(now, content); err != nil {
+		return err
+	}
 	if !f.suspects.HasSuspects() {
 		return nil
 	}
@@ -113,63 +94,6 @@
 	}
 }
 
-// recordUnanswered records the parts of a request that got no answer.
-func (f *poisonFilter) recordUnanswered(now time.Time, content *qf.RequestContent, endpoint *qf.Endpoint) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.parts.RecordBrokenAttempt(now, partFingerprints(content, endpoint.Entry), qfsuspect.IdentifyDeath(endpoint))
-}
-
-// RecordAnswer implements qf.PoisonFilter.
-func (f *poisonFilter) RecordAnswer(now time.Time, content *qf.RequestContent, endpoint *qf.Endpoint) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.parts.RecordAnswer(now, partFingerprints(content, endpoint.Entry))
-}
-
-// checkDeath finds out whether an endpoint at which an attempt broke has died. Without it, the
-// death would show only once the endpoint's row lapses.
-func (f *poisonFilter) checkDeath(endpoint *qf.Endpoint) {
-	death := qfsuspect.IdentifyDeath(endpoint)
-	f.mu.Lock()
-	isChecking := f.checking[death]
-	f.checking[death] = true
-	f.mu.Unlock()
-	if isChecking {
-		return
-	}
-	target := *endpoint
-	f.entry.background.Go(func() {
-		isRefused := f.refusesConnections(&target)
-		f.mu.Lock()
-		delete(f.checking, death)
-		f.mu.Unlock()
-		if isRefused {
-			f.recordDeath(f.entry.now(), &target, "it refuses connections")
-		}
-	})
-}
-
-// refusesConnections reports whether an endpoint refuses connections.
-func (f *poisonFilter) refusesConnections(endpoint *qf.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(f.entry.loops, deathCheckTimeout)
-	defer cancel()
-	for range maxDeathChecks {
-		connection, err := f.entry.platform.Network.Dial(ctx, "tcp", endpoint.Address.String())
-		if err != nil {
-			return errors.Is(err, syscall.ECONNREFUSED) // Any other error proves nothing.
-		}
-		_ = connection.Close() // Nothing was sent on it.
-		pause := f.entry.platform.Clock.After(deathCheckInterval)
-		select {
-		case <-pause.C():
-		case <-ctx.Done():
-		}
-		pause.Stop()
-	}
-	return false
-}
-
 // recordDeath records the death of an endpoint, unless its leaving was announced.
 func (f *poisonFilter) recordDeath(now time.Time, endpoint *qf.Endpoint, reason string) {
 	death := qfsuspect.IdentifyDeath(endpoint)
@@ -187,35 +111,28 @@
 	if hadBroken {
 		f.suspects.RecordDeath(now, qfsuspect.Death{Endpoint: endpoint.ID, AvailabilityZone: endpoint.AvailabilityZone})
 	}
+	if len(blamed) > 0 {
+		f.entry.pushSuspicions()
+	}
 	if hadBroken || len(blamed) > 0 {
 		qfevent.EndpointDied.Log(&f.entry.platform.Logger, endpoint.ID, reason, len(blamed), formatParts(blamed))
 	}
 }
 
-// maxLoggedParts bounds the parts in a log line.
-const maxLoggedParts = 16
-
-func formatParts(parts []uint64) string {
-	var b strings.Builder
-	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
-		fmt.Fprintf(&b, "%016x ", part)
-	}
-	return strings.TrimSpace(b.String())
-}
-
-// listSuspicions returns the suspicions to send to peers.
-func (f *poisonFilter) listSuspicions(now time.Time) []qf.Suspicion {
+// fillDigest adds the suspicions to a digest.
+func (f *poisonFilter) fillDigest(now time.Time, d *qf.Digest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.suspects.ListSuspicions(now)
+	d.Suspicions, d.PartSuspicions = f.suspects.ListSuspicions(now), f.parts.ListSuspicions(now)
 }
 
-// mergeSuspicions merges a peer's suspicions.
-func (f *poisonFilter) mergeSuspicions(now time.Time, suspicions []qf.Suspicion) {
-	if len(suspicions) == 0 {
+// mergeDigest merges a peer's suspicions.
+func (f *poisonFilter) mergeDigest(now time.Time, d *qf.Digest) {
+	if len(d.Suspicions) == 0 && len(d.PartSuspicions) == 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.suspects.MergeSuspicions(now, suspicions)
+	f.suspects.MergeSuspicions(now, d.Suspicions)
+	f.mergeParts(now, d.PartSuspicions)
 }
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -45,10 +45,12 @@
 // buildTallyDigest builds a digest of only the tally and the changes that are urgent for all nodes.
 func (e *Entry) buildTallyDigest(to *qf.Node) qf.Digest {
 	now := e.now()
-	return qf.Digest{
+	d := qf.Digest{
 		From: e.self(), SentAt: e.fleetClock.localTime(now), Tally: e.buildTally(to), RolloutPlans: e.picker.rolloutPlans(),
-		Suspicions: e.poisonFilter.listSuspicions(now), Store: e.storeEra.get(),
+		Store: e.storeEra.get(),
 	}
+	e.poisonFilter.fillDigest(now, &d)
+	return d
 }
 
 // buildTally returns the tally for a peer.
--- a/internal/qf/admission.go
+++ b/internal/qf/admission.go
@@ -62,6 +62,9 @@
 	CheckRequest(now time.Time, content *RequestContent) error
 	// RecordAttemptEnd records how an attempt ended.
 	RecordAttemptEnd(now time.Time, content *RequestContent, endpoint *Endpoint, end AttemptEnd, err error)
+	// MayRetry reports whether a request whose attempt broke at an entry may be sent to
+	// another endpoint.
+	MayRetry(content *RequestContent, entry EntryName) bool
 	// RecordAnswer records that an endpoint is answering the request, or has answered it.
 	RecordAnswer(now time.Time, content *RequestContent, endpoint *Endpoint)
 }
--- a/internal/qf/coordination/qfsuspect/parts.go
+++ b/internal/qf/coordination/qfsuspect/parts.go
@@ -58,7 +58,7 @@
 // suspectPart holds what is known of one part.
 type suspectPart struct {
 	// counted holds the deaths with the part in progress that no answer has cleared since, and
-	// cleared the others. No death is in both.
+	// cleared the others. No death is in both. Both are at most maxPartDeaths long.
 	counted, cleared []qf.DeathID
 	// firstAt and lastAt are the times of the first and the latest counted death.
 	firstAt, lastAt time.Time
@@ -88,7 +88,8 @@
 	sound  *simplelru.LRU[uint64, time.Time]
 	broken []brokenParts
 	// dead holds the deaths of the last breakWindow.
-	dead map[qf.DeathID]time.Time
+	dead        map[qf.DeathID]time.Time
+	forgottenAt time.Time
 }
 
 // NewPartTracker returns a tracker that suspects no part.
@@ -117,11 +118,7 @@
 // RecordDeath records that an endpoint died, and blames the parts of the attempts that broke
 // there. It returns the parts that got another death.
 func (p *PartTracker) RecordDeath(now time.Time, death qf.DeathID) (blamed []uint64) {
-	for d, at := range p.dead {
-		if now.Sub(at) > breakWindow {
-			delete(p.dead, d)
-		}
-	}
+	p.forgetOldDeaths(now)
 	if _, isKnown := p.dead[death]; !isKnown {
 		p.dead[death] = now
 	}
@@ -138,6 +135,19 @@
 	return blamed
 }
 
+// forgetOldDeaths forgets the deaths for which no attempt will break any more.
+func (p *PartTracker) forgetOldDeaths(now time.Time) {
+	if now.Sub(p.forgottenAt) < time.Second {
+		return
+	}
+	p.forgottenAt = now
+	for d, at := range p.dead {
+		if now.Sub(at) > breakWindow {
+			delete(p.dead, d)
+		}
+	}
+}
+
 // RecordAnnouncedStop records that the end of an endpoint was announced, so that no part is
 // blamed for it.
 func (p *PartTracker) RecordAnnouncedStop(death qf.DeathID) {
--- a/internal/qf/coordination/qfsuspect/suspects_test.go
+++ b/internal/qf/coordination/qfsuspect/suspects_test.go
@@ -39,7 +39,7 @@
 	return step{do: func(s *Tracker, now time.Time) { s.RecordAnswer(now, f) }}
 }
 
-func received(suspicion qf.Suspicion) step {
+func receivedRequest(suspicion qf.Suspicion) step {
 	return step{do: func(s *Tracker, now time.Time) { s.MergeSuspicions(now, []qf.Suspicion{suspicion}) }}
 }
 
@@ -80,10 +80,10 @@
 		{"an answer after a death", []step{breaks("e", 1), dies("e", "z"), answered(1)}, TreatNormally, 0},
 		{"a death after an answer", []step{breaks("e", 1), dies("e", "z"), answered(1), later(time.Minute, breaks("f", 1)), dies("f", "z")}, TreatIsolated, 1},
 		{"expired", []step{breaks("e", 1), dies("e", "z"), later(11*time.Minute, breaks("f", 2))}, TreatNormally, 0},
-		{"a peer's suspicion", []step{received(qf.Suspicion{Fingerprint: 1, Deaths: []qf.EndpointID{"e", "f", "g"}})}, TreatRefused, 3},
-		{"a peer's cleared death", []step{breaks("e", 1), dies("e", "z"), received(qf.Suspicion{Fingerprint: 1, Cleared: []qf.EndpointID{"e"}})}, TreatNormally, 0},
-		{"a peer's expired suspicion", []step{received(qf.Suspicion{Fingerprint: 1, Deaths: []qf.EndpointID{"e"}, Age: 11 * time.Minute})}, TreatNormally, 0},
-		{"a death that both saw", []step{breaks("e", 1), dies("e", "z"), received(qf.Suspicion{Fingerprint: 1, Deaths: []qf.EndpointID{"e"}})}, TreatIsolated, 1},
+		{"a peer's suspicion", []step{receivedRequest(qf.Suspicion{Fingerprint: 1, Deaths: []qf.EndpointID{"e", "f", "g"}})}, TreatRefused, 3},
+		{"a peer's cleared death", []step{breaks("e", 1), dies("e", "z"), receivedRequest(qf.Suspicion{Fingerprint: 1, Cleared: []qf.EndpointID{"e"}})}, TreatNormally, 0},
+		{"a peer's expired suspicion", []step{receivedRequest(qf.Suspicion{Fingerprint: 1, Deaths: []qf.EndpointID{"e"}, Age: 11 * time.Minute})}, TreatNormally, 0},
+		{"a death that both saw", []step{breaks("e", 1), dies("e", "z"), receivedRequest(qf.Suspicion{Fingerprint: 1, Deaths: []qf.EndpointID{"e"}})}, TreatIsolated, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -68,6 +68,9 @@
 	}
 	step := decide(p)
 	isRetry := step == nextRetry || step == nextResume
+	if isRetry && a.end == qf.AttemptBroken && !c.forwarder.ports.PoisonFilter.MayRetry(c.content(), a.picked.Endpoint.Entry) {
+		return p.giveUp()
+	}
 	if isRetry && !c.forwarder.ports.Admission.TakeRetry(now, a.picked.Endpoint.Entry) {
 		if a.end == qf.AttemptFailed {
 			return p.deliverFailure()
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -84,6 +84,8 @@
 	SuspectTried    = Event{207, warning, "a request suspected of crashing endpoints is tried in isolation", []string{FieldRequest, FieldEntry}, "Run report explain with the request."}
 	SuspectRefused  = Event{208, warning, "a request suspected of crashing endpoints is refused", []string{FieldRequest, FieldEntry}, "Find its caller; look at the endpoints' logs."}
 	EndpointDied    = Event{209, warning, "an endpoint died with requests in progress", []string{FieldEndpoint, FieldReason, FieldCount, FieldParts}, "Nothing if it is rare. Parts are the fingerprints of the shared prompt parts in progress there, Count their number; a part that stands in the lines of all endpoints and in no answer crashes them."}
+	PartRefused     = Event{210, warning, "requests with a part of a prompt are refused", []string{FieldRequest, FieldParts, FieldCount, FieldAge}, "Find its caller; look at the endpoints' logs. Count endpoints died with the part in progress and no answer on it came since; Age is the time until a request with it is tried."}
+	PartTried       = Event{211, warning, "a request is tried although requests with one of its parts are refused", []string{FieldRequest, FieldParts, FieldCount}, "Nothing; if it is answered the part is allowed again."}
 	ShadowAdopted   = Event{220, info, "request taken over from its replica", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
 	ShadowFailed    = Event{221, warning, "replication of requests to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
 	NodeAborted     = Event{225, warning, "node ended at a second signal", []string{FieldNode}, "Answers in progress were cut; unset Node.SecondSignalAborts if that isn't wanted."}
@@ -167,6 +169,8 @@
 		SuspectTried,
 		SuspectRefused,
 		EndpointDied,
+		PartRefused,
+		PartTried,
 		ShadowAdopted,
 		ShadowFailed,
 		NodeAborted,
