qffleet, entry: leave the endpoints that a rollout has started where they are

The planner counted the endpoints of the new version as surplus on-demand ones and ordered the usual number 0.46 s after they had started; the platform drained 11 of 12 within a second, and the new version got 3 of 1,604 requests, none after 7.5 s. Ruled out: ejection (no event 240 of such an endpoint), the canary's share (0.06 would give 21). Change: endpoints of a version that isn't in use don't count, and an order includes them. TestZonalPlanner/keeps_the_endpoints_that_a_rollout_has_started: 0 of 9 of the new version -> 9.

--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -167,6 +167,13 @@
 	return p.versions.plans[order.Entry], p.versions.timedInput(now, order)
 }
 
+// servingVersion returns the version in use of an entry.
+func (p *endpointPicker) servingVersion(entry qf.EntryName) qf.Version {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.versions.servingVersion(entry)
+}
+
 // rolloutPlan returns the plan in force for an entry, or nil.
 func (p *endpointPicker) rolloutPlan(entry qf.EntryName) *qf.RolloutPlan {
 	p.mu.Lock()
--- a/internal/entry/scaling.go
+++ b/internal/entry/scaling.go
@@ -67,7 +67,7 @@
 	order, ok := planner.NextOrder(&qffleet.ZonalView{
 		Now: e.now(), Scaling: settings.Scaling, Needed: qffleet.SizeWithSpare(size, settings.Scaling), Minimum: d.minimumSize(size),
 		Endpoints:    e.listEndpoints(settings.Entry),
-		OnDemandOnly: !isHeld,
+		OnDemandOnly: !isHeld, Serving: e.picker.servingVersion(settings.Entry),
 	})
 	if !ok {
 		return false
@@ -151,6 +151,7 @@
 // less than listSettleTime ago.
 func (e *Entry) countSettledEndpoints(entry qf.EntryName) int {
 	now := e.now()
+	serving := e.picker.servingVersion(entry)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	count := 0
@@ -158,7 +159,7 @@
 		if now.Sub(known.FirstSeenAt) < listSettleTime {
 			return 0
 		}
-		if known.Entry == entry && !known.Leaving {
+		if known.Entry == entry && !known.Leaving && (serving == "" || known.Version == serving) {
 			count++
 		}
 	}
--- a/internal/entry/versionselector.go
+++ b/internal/entry/versionselector.go
@@ -93,6 +93,23 @@
 	return majority
 }
 
+// servingVersion returns the version that an entry's requests use but for those that judge
+// another one. It is empty if none is known.
+func (v *versionSelector) servingVersion(entry qf.EntryName) qf.Version {
+	plan, order := v.plans[entry], v.orders[entry]
+	switch {
+	case plan == nil || plan.Generation < order.Stamp:
+		if majority := v.majorityVersion(entry, order.To); majority != "" {
+			return majority
+		}
+		return order.To
+	case plan.Phase == qf.RolloutDone:
+		return plan.To
+	default:
+		return plan.From
+	}
+}
+
 // chooseVersion returns the version to use, or an empty one if any will do. A version without
 // an order gets no requests.
 func (v *versionSelector) chooseVersion(entry qf.EntryName, random *rand.Rand) qf.Version {
--- a/internal/qf/coordination/qffleet/zonal.go
+++ b/internal/qf/coordination/qffleet/zonal.go
@@ -43,6 +43,9 @@
 	// OnDemandOnly rules out orders of reclaimable endpoints, because the refusal of one
 	// can't be told from that of a holder whose lease another node has taken.
 	OnDemandOnly bool
+	// Serving is the version in use. Endpoints of other versions were started for a rollout:
+	// they don't count, and orders leave them where they are. If it is empty, all count.
+	Serving qf.Version
 
 	// present holds the counts of Endpoints by zone.
 	present map[qf.AvailabilityZone]*zoneCounts
@@ -80,7 +83,7 @@
 
 // pool is the state of one class of endpoints in one zone.
 type pool struct {
-	// ordered is the desired number of the last order, made at orderedAt; it is negative
+	// ordered is the planned number of the last order, made at orderedAt; it is negative
 	// before the first order.
 	ordered   int
 	orderedAt time.Time
@@ -96,8 +99,9 @@
 type ZonalOrder struct {
 	Zone    qf.AvailabilityZone
 	Class   qf.VMClass
-	Desired int
-	Reason  string
+	// Desired includes the endpoints of versions that aren't in use, planned doesn't.
+	Desired, planned int
+	Reason           string
 }
 
 // NewZonalPlanner returns a planner without orders.
@@ -118,6 +122,8 @@
 	reclaimable, onDemand int
 	// leaving is the number of reclaimable endpoints that are being reclaimed.
 	leaving int
+	// others are the numbers of endpoints of versions that aren't in use.
+	others map[qf.VMClass]int
 }
 
 // NextOrder returns the order to give now, if one is due. Orders that add endpoints
@@ -147,7 +153,7 @@
 
 // addsEndpoints reports whether an order adds endpoints.
 func addsEndpoints(order *ZonalOrder, present map[qf.AvailabilityZone]*zoneCounts) bool {
-	return order.Desired > present[order.Zone].of(order.Class)
+	return order.planned > present[order.Zone].of(order.Class)
 }
 
 func (c *zoneCounts) of(class qf.VMClass) int {
@@ -180,7 +186,7 @@
 func (p *ZonalPlanner) count(view *ZonalView) map[qf.AvailabilityZone]*zoneCounts {
 	present := map[qf.AvailabilityZone]*zoneCounts{}
 	for zone := range view.Scaling.Prices {
-		present[zone] = &zoneCounts{}
+		present[zone] = &zoneCounts{others: map[qf.VMClass]int{}}
 	}
 	for i := range view.Endpoints {
 		e := &view.Endpoints[i]
@@ -190,6 +196,8 @@
 		case e.Leaving && e.LeavesIn > 0 && e.Class == qf.ClassReclaimable:
 			c.leaving++
 		case e.Leaving:
+		case view.Serving != "" && e.Version != view.Serving:
+			c.others[e.Class]++
 		case e.Class == qf.ClassReclaimable:
 			c.reclaimable++
 		default:
@@ -302,8 +310,12 @@
 	if !isDue || c.ordered == desired && actual == desired && !c.isUnconfirmed {
 		return nil
 	}
-	return &ZonalOrder{Zone: zone, Class: class, Desired: desired, Reason: fmt.Sprintf(
-		"%d needed; %d of %d planned are there", p.needed.value, actual, desired)}
+	others := present.others[class]
+	if others > 0 && desired+others > view.Scaling.Max {
+		return nil // The order would take the others away.
+	}
+	return &ZonalOrder{Zone: zone, Class: class, Desired: desired + others, planned: desired, Reason: fmt.Sprintf(
+		"%d needed; %d of %d planned are there, and %d of other versions", p.needed.value, actual, desired, others)}
 }
 
 // RecordOrderResult records the outcome of an order.
@@ -313,7 +325,7 @@
 	c.isUnconfirmed = certainty == qf.Unknown
 	switch {
 	case certainty == qf.Done || certainty == qf.Unknown:
-		c.ordered = order.Desired
+		c.ordered = order.planned
 	case isRefused && order.Class == qf.ClassReclaimable:
 		// A refusal follows a reclaim, after which no zone offers any for a while.
 		for key, other := range p.pools {
--- a/internal/qf/coordination/qffleet/zonal_test.go
+++ b/internal/qf/coordination/qffleet/zonal_test.go
@@ -28,6 +28,8 @@
 	lostOrders int
 	// onDemandOnly rules out orders of reclaimable endpoints.
 	onDemandOnly bool
+	// serving is the version in use; endpoints of others were started for a rollout.
+	serving qf.Version
 	// orderedReclaimable counts the orders that ask for more reclaimable endpoints.
 	orderedReclaimable int
 }
@@ -49,7 +51,7 @@
 	w.number++
 	w.endpoints = append(w.endpoints, zonalEndpoint{
 		RegisteredEndpoint: qf.RegisteredEndpoint{Endpoint: qf.Endpoint{
-			ID: qf.EndpointID(fmt.Sprint(w.number)), AvailabilityZone: zone, Class: class,
+			ID: qf.EndpointID(fmt.Sprint(w.number)), AvailabilityZone: zone, Class: class, Version: "v1",
 		}},
 		readyAt: w.now.Add(after),
 	})
@@ -67,6 +69,18 @@
 	return count
 }
 
+// readyOf counts the serving endpoints of a version.
+func (w *zonalWorld) readyOf(version qf.Version) int {
+	count := 0
+	for i := range w.endpoints {
+		e := &w.endpoints[i]
+		if e.Version == version && !e.Leaving && e.goneAt.IsZero() && !w.now.Before(e.readyAt) {
+			count++
+		}
+	}
+	return count
+}
+
 // reclaim gives notice to the reclaimable endpoints of a zone.
 func (w *zonalWorld) reclaim(zone qf.AvailabilityZone) {
 	const notice, exhaustedFor = 2500 * time.Millisecond, 14 * time.Second
@@ -105,7 +119,7 @@
 	}
 	w.endpoints = kept
 	for range 4 {
-		order, ok := w.planner.NextOrder(&ZonalView{Now: w.now, Scaling: zonalScaling, Needed: 9, Minimum: w.minimum, Endpoints: listed, OnDemandOnly: w.onDemandOnly})
+		order, ok := w.planner.NextOrder(&ZonalView{Now: w.now, Scaling: zonalScaling, Needed: 9, Minimum: w.minimum, Endpoints: listed, OnDemandOnly: w.onDemandOnly, Serving: w.serving})
 		if !ok {
 			return
 		}
@@ -252,6 +266,22 @@
 			t.Errorf("%d reclaimable and %d on demand", r, o)
 		}
 	})
+	t.Run("keeps the endpoints that a rollout has started", func(t *testing.T) {
+		w := newZonalWorld(9)
+		w.serving = "v1"
+		w.run(20 * time.Second)
+		for i := range 9 {
+			w.add([]qf.AvailabilityZone{"a", "b", "c"}[i%3], qf.ClassOnDemand, 0)
+			w.endpoints[len(w.endpoints)-1].Version = "v2"
+		}
+		w.run(3 * time.Second)
+		w.lose(qf.ClassOnDemand, "a", 1) // Of the version in use.
+		w.run(17 * time.Second)
+		old, started := w.readyOf("v1"), w.readyOf("v2")
+		if old != 9 || started != 9 {
+			t.Errorf("%d endpoints of the version in use and %d of the new one, want 9 of each", old, started)
+		}
+	})
 	t.Run("stays within the bounds of each zone", func(t *testing.T) {
 		w := newZonalWorld(3)
 		w.minimum = 30
