qfrollout, entry: a verdict on each rollout by its deadline

Change: what isn't shown to be good by the deadline is rolled back. If traffic is low the share is raised, up to a half, for 16 judged requests; 4 without a bad one are enough to pass. An attempt counts when its answer starts, or is overdue; events three times as far apart as usual count as bad while the stream goes on. A version passes only if no route exceeds what is expected by 3 deviations.

--- a/internal/entry/endpointpicker.go
+++ b/internal/entry/endpointpicker.go
@@ -67,6 +67,7 @@
 		Endpoint: choice.Endpoint, StartedAt: query.Now, Tokens: max(choice.Prediction.PrefillTokens, 1),
 		FirstToken: choice.FirstToken, Reason: choice.Reason, Objective: query.Route.Objective, Route: query.Route.Name,
 	}
+	picked.Judgement = p.versions.judge.start(&picked)
 	p.router.RecordStart(query.Now, picked.Endpoint.ID, picked.Tokens)
 	return picked, nil
 }
@@ -102,7 +103,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	picked.Began = at.Sub(picked.StartedAt)
-	p.versions.recordFirstToken(picked)
+	p.versions.judge.recordFirstToken(picked)
 	p.router.RecordFirstToken(at, picked.Endpoint.ID, at.Sub(picked.StartedAt))
 	if picked.Endpoint.Kind == qf.KindModelEngine {
 		p.pressure.RecordFirstToken(at, picked.Began, picked.Objective)
@@ -110,12 +111,19 @@
 	}
 }
 
+// RecordProgress implements qf.EndpointPicker.
+func (p *endpointPicker) RecordProgress(at time.Time, picked *qf.PickedEndpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.versions.judge.recordProgress(at, picked)
+}
+
 // RecordAttemptEnd implements qf.EndpointPicker.
 func (p *endpointPicker) RecordAttemptEnd(at time.Time, picked *qf.PickedEndpoint, end qf.AttemptEnd) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.router.RecordEnd(at, picked.Endpoint.ID, picked.Tokens, end == qf.AttemptAnswered || end == qf.AttemptCancelled)
-	p.versions.recordAttemptEnd(picked, end)
+	p.versions.judge.recordAttemptEnd(at, picked, end)
 }
 
 // RecordLoad implements qf.EndpointPicker.
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -49,7 +49,7 @@
 	if err := r.loadPlan(ctx, order.Entry); err != nil {
 		return err
 	}
-	plan, input := e.picker.rolloutInput(e.fleetClock.fleetTime(e.now()), order)
+	plan, input := e.picker.rolloutInput(e.now(), e.fleetClock.fleetTime(e.now()), order)
 	if next := qfrollout.StepTimed(plan, input); next != nil {
 		if next.Phase == qf.RolloutRolledBack {
 			e.applyRolloutPlan(next) // A rollback takes effect before it is stored.
@@ -160,11 +160,12 @@
 	return orders
 }
 
-// rolloutInput returns the plan in force and the input of its next step.
-func (p *endpointPicker) rolloutInput(now time.Time, order qf.RolloutOrder) (*qf.RolloutPlan, *qfrollout.TimedInput) {
+// rolloutInput returns the plan in force and the input of its next step. The nodes agree on
+// fleetNow only.
+func (p *endpointPicker) rolloutInput(now, fleetNow time.Time, order qf.RolloutOrder) (*qf.RolloutPlan, *qfrollout.TimedInput) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.versions.plans[order.Entry], p.versions.timedInput(now, order)
+	return p.versions.plans[order.Entry], p.versions.timedInput(now, fleetNow, order)
 }
 
 // servingVersion returns the version in use of an entry.
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -74,7 +74,7 @@
 	tally.Usage = e.admission.usage.BuildTally(since, tally.Scope, to.ID)
 	e.picker.mu.Lock()
 	defer e.picker.mu.Unlock()
-	tally.Versions = e.picker.versions.listCounts(tally.Scope, to.ID)
+	tally.Versions = e.picker.versions.listCounts(now, tally.Scope, to.ID)
 	return tally
 }
 
--- a/internal/entry/versionselector.go
+++ b/internal/entry/versionselector.go
@@ -9,15 +9,6 @@
 	"quetzalfront/internal/qf/state/qftally"
 )
 
-const (
-	// An answer counts as bad if it starts later than slowFactor times the baseline plus
-	// slowMargin.
-	slowFactor = 3
-	slowMargin = 60 * time.Millisecond
-	// baselineSamples is the inverse of the weight of a new sample in the baseline.
-	baselineSamples = 16
-)
-
 // versionSelector selects the version of an entry for a request, and counts the results of
 // versions during rollouts. The endpointPicker's lock guards it.
 type versionSelector struct {
@@ -27,18 +18,18 @@
 	history orderHistory
 	// endpointCounts holds the number of usable endpoints of each version.
 	endpointCounts map[qf.EntryName]map[qf.Version]int
-	// baselines holds each route's usual time to the start of an answer, from the versions
-	// that aren't under judgement.
-	baselines map[string]time.Duration
-	counters  *qftally.Counters[qf.VersionKey]
+	// judge counts the results of attempts while versions are compared.
+	judge    *versionJudge
+	counters *qftally.Counters[qf.VersionKey]
 }
 
 func newVersionSelector() *versionSelector {
-	return &versionSelector{
+	v := &versionSelector{
 		orders: map[qf.EntryName]qf.RolloutOrder{}, plans: map[qf.EntryName]*qf.RolloutPlan{}, history: orderHistory{},
-		endpointCounts: map[qf.EntryName]map[qf.Version]int{}, baselines: map[string]time.Duration{},
-		counters: qftally.New[qf.VersionKey](),
+		endpointCounts: map[qf.EntryName]map[qf.Version]int{}, counters: qftally.New[qf.VersionKey](),
 	}
+	v.judge = newVersionJudge(v.plans, v.counters)
+	return v
 }
 
 func (v *versionSelector) setEndpoints(endpoints []qf.Endpoint) {
@@ -134,37 +125,9 @@
 	return chosen
 }
 
-// recordFirstToken updates the route's baseline of the time to the start of an answer.
-func (v *versionSelector) recordFirstToken(p *qf.PickedEndpoint) {
-	if plan := v.plans[p.Endpoint.Entry]; plan != nil && plan.To == p.Endpoint.Version && plan.Phase != qf.RolloutDone {
-		return
-	}
-	baseline := v.baselines[p.Route]
-	if baseline == 0 {
-		baseline = p.Began
-	}
-	v.baselines[p.Route] = baseline + (p.Began-baseline)/baselineSamples
-}
-
-// recordAttemptEnd counts an attempt while a rollout of its entry is under way.
-func (v *versionSelector) recordAttemptEnd(p *qf.PickedEndpoint, end qf.AttemptEnd) {
-	plan := v.plans[p.Endpoint.Entry]
-	isJudged := end == qf.AttemptAnswered || end == qf.AttemptFailed || end == qf.AttemptBroken
-	if plan == nil || !isJudged || plan.Phase == qf.RolloutDone || plan.Phase == qf.RolloutRolledBack {
-		return
-	}
-	key := qf.VersionKey{Generation: plan.Generation, Entry: plan.Entry, Version: p.Endpoint.Version, Route: p.Route}
-	v.counters.Add(key, 1)
-	usual := v.baselines[p.Route]
-	isSlow := usual > 0 && p.Began > slowFactor*usual+slowMargin
-	if end != qf.AttemptAnswered || isSlow {
-		key.Bad = true
-		v.counters.Add(key, 1)
-	}
-}
-
 // listCounts returns the counters for a peer.
-func (v *versionSelector) listCounts(scope qf.TallyScope, to qf.NodeID) []qf.VersionCount {
+func (v *versionSelector) listCounts(now time.Time, scope qf.TallyScope, to qf.NodeID) []qf.VersionCount {
+	v.judge.countOverdue(now)
 	var counts []qf.VersionCount
 	v.counters.EachCount(scope, to, func(key qf.VersionKey, count uint64) {
 		counts = append(counts, qf.VersionCount{VersionKey: key, Count: count})
@@ -180,9 +143,10 @@
 }
 
 // timedInput returns the input of the next step of an entry's rollout.
-func (v *versionSelector) timedInput(now time.Time, order qf.RolloutOrder) *qfrollout.TimedInput {
+func (v *versionSelector) timedInput(now, fleetNow time.Time, order qf.RolloutOrder) *qfrollout.TimedInput {
+	v.judge.countOverdue(now)
 	input := &qfrollout.TimedInput{
-		Now: now, Order: order, Current: v.majorityVersion(order.Entry, order.To), HasNew: v.endpointCounts[order.Entry][order.To] > 0,
+		Now: fleetNow, Order: order, Current: v.majorityVersion(order.Entry, order.To), HasNew: v.endpointCounts[order.Entry][order.To] > 0,
 		Old: make([]qfrollout.VersionCounts, 1), New: make([]qfrollout.VersionCounts, 1),
 	}
 	routes := map[string]int{}
--- a/internal/qf/coordination/qffleet/zonal.go
+++ b/internal/qf/coordination/qffleet/zonal.go
@@ -97,8 +97,8 @@
 
 // ZonalOrder is the desired number of endpoints of one class in one zone.
 type ZonalOrder struct {
-	Zone    qf.AvailabilityZone
-	Class   qf.VMClass
+	Zone  qf.AvailabilityZone
+	Class qf.VMClass
 	// Desired includes the endpoints of versions that aren't in use, planned doesn't.
 	Desired, planned int
 	Reason           string
--- a/internal/qf/coordination/qfrollout/timed.go
+++ b/internal/qf/coordination/qfrollout/timed.go
@@ -18,14 +18,25 @@
 	// stopped, at most maxMovePart of a rollout's time.
 	moveFor     = 2500 * time.Millisecond
 	maxMovePart = 0.25
-	// minJudged is the least number of requests after which a version may pass.
-	minJudged = 8
+	// minJudged is the least number of requests after which a version may pass, and
+	// minFlawless the least if none of them was bad.
+	minJudged, minFlawless = 8, 4
+	// wantJudged is the number of requests that the share is raised for if traffic is low, up
+	// to maxCanaryShare: few requests are exposed in any case.
+	wantJudged     = 16
+	maxCanaryShare = 0.5
+	// shareRaise is the least factor of a raise, measureFor the fraction of a rollout's time
+	// after which the rate of requests is known.
+	shareRaise = 1.5
+	measureFor = 0.15
 	// minBad is the least number of bad responses after which a version may count as
 	// bad.
 	minBad = 4
 	// badDeviations is the number of standard deviations by which the bad responses must
 	// exceed the number expected from the old version.
 	badDeviations = 3.5
+	// passDeviations is the number by which they may exceed it if the version is to pass.
+	passDeviations = 3
 	// minBadRate is the rate of bad responses that is tolerated in any case.
 	minBadRate = 0.01
 )
@@ -54,7 +65,8 @@
 // StepTimed returns the next plan of a rollout with a deadline of seconds, or nil if
 // nothing changes. The new version gets a small constant share of the requests while
 // it is judged; then all requests go to it while the old version finishes its own;
-// then the rollout is done. A bad version is rolled back as soon as it is detected.
+// then the rollout is done. A bad version is rolled back as soon as it is detected, and one
+// that can't be shown to be good by the deadline is rolled back then.
 func StepTimed(plan *qf.RolloutPlan, input *TimedInput) *qf.RolloutPlan {
 	if plan == nil || plan.Generation < input.Order.Stamp {
 		return startTimed(plan, input)
@@ -68,13 +80,50 @@
 	left := plan.MoveBy.Sub(input.Now)
 	move := min(moveFor, time.Duration(float64(plan.Within)*maxMovePart))
 	switch {
-	case plan.Phase == qf.RolloutRamping && left <= move && input.HasNew && input.New[0].Judged >= minJudged:
-		return withPhase(plan, qf.RolloutWatching, 1, fmt.Sprintf("nothing bad was seen in %d requests", input.New[0].Judged))
 	case plan.Phase == qf.RolloutWatching && left <= 0:
 		return withPhase(plan, qf.RolloutDone, 1, "the old version has finished its requests")
+	case plan.Phase == qf.RolloutWatching:
+		return nil
+	case left <= move && input.HasNew && hasPassed(input):
+		return withPhase(plan, qf.RolloutWatching, 1, fmt.Sprintf("%d of %d requests were bad", input.New[0].Bad, input.New[0].Judged))
+	case left <= 0:
+		return withPhase(plan, qf.RolloutRolledBack, 0, fmt.Sprintf("it isn't shown to be good: %d of %d requests were bad", input.New[0].Bad, input.New[0].Judged))
 	default:
+		return raiseShare(plan, input, left-move)
+	}
+}
+
+// hasPassed reports whether enough requests were judged and none of the routes looks bad.
+func hasPassed(input *TimedInput) bool {
+	all := &input.New[0]
+	if all.Judged < minJudged && (all.Judged < minFlawless || all.Bad > 0) {
+		return false
+	}
+	for i := range input.New {
+		if exceeds(&input.New[i], &input.Old[i], passDeviations) {
+			return false
+		}
+	}
+	return true
+}
+
+// raiseShare returns the plan with a larger share if too few requests would be judged in the
+// time that is left for it, or nil.
+func raiseShare(plan *qf.RolloutPlan, input *TimedInput, left time.Duration) *qf.RolloutPlan {
+	elapsed := time.Duration(float64(plan.Within)*settlePart) - plan.MoveBy.Sub(input.Now)
+	if left <= 0 || !input.HasNew || elapsed < time.Duration(float64(plan.Within)*measureFor) {
+		return nil
+	}
+	missing := wantJudged - float64(input.New[0].Judged)
+	expected := float64(input.New[0].Judged+input.Old[0].Judged) * left.Seconds() / elapsed.Seconds()
+	share := maxCanaryShare
+	if expected > 0 {
+		share = min(missing/expected, maxCanaryShare)
+	}
+	if missing <= 0 || share < plan.RestShare*shareRaise {
 		return nil
 	}
+	return withPhase(plan, qf.RolloutRamping, share, fmt.Sprintf("%.0f requests are expected until it is judged", expected))
 }
 
 // startTimed returns the first plan of a rollout. A rollout to the version in use is
@@ -107,15 +156,18 @@
 func findBadReason(input *TimedInput) string {
 	for i := range input.New {
 		n, o := &input.New[i], &input.Old[i]
-		if n.Bad < minBad {
-			continue
-		}
-		rate := max(float64(o.Bad)/float64(max(o.Judged, 1)), minBadRate)
-		expected := float64(n.Judged) * rate
-		deviation := math.Sqrt(expected*(1-min(rate, 1)) + 0.25)
-		if float64(n.Bad) > expected+badDeviations*deviation {
+		if n.Bad >= minBad && exceeds(n, o, badDeviations) {
 			return fmt.Sprintf("%d of %d requests were bad, against %d of %d before", n.Bad, n.Judged, o.Bad, o.Judged)
 		}
 	}
 	return ""
 }
+
+// exceeds reports whether the bad responses of the new version exceed the number expected from
+// the old one by more than a number of standard deviations.
+func exceeds(n, o *VersionCounts, deviations float64) bool {
+	rate := max(float64(o.Bad)/float64(max(o.Judged, 1)), minBadRate)
+	expected := float64(n.Judged) * rate
+	deviation := math.Sqrt(expected*(1-min(rate, 1)) + 0.25)
+	return float64(n.Bad) > expected+deviations*deviation
+}
--- a/internal/qf/placement.go
+++ b/internal/qf/placement.go
@@ -37,6 +37,10 @@
 	// service; it is 0 until then.
 	Began  time.Duration
 	Reason Reason
+	// Judgement identifies the attempt while a rollout compares versions; it is 0 otherwise.
+	Judgement uint64
+	// Events is the number of a stream's events that were relayed.
+	Events int
 }
 
 // AttemptEnd is how an attempt at an endpoint ended.
@@ -64,6 +68,8 @@
 	PickEndpoint(query *PickQuery) (PickedEndpoint, error)
 	// RecordFirstToken records the first token, or the answer of a plain service.
 	RecordFirstToken(at time.Time, placement *PickedEndpoint)
+	// RecordProgress records that the attempt's stream goes on.
+	RecordProgress(at time.Time, picked *PickedEndpoint)
 	// RecordAttemptEnd records the end of the attempt.
 	RecordAttemptEnd(at time.Time, placement *PickedEndpoint, end AttemptEnd)
 	// RecordLoad records the load that an endpoint reported with an answer.
--- a/internal/qf/protocol/qfforward/relay.go
+++ b/internal/qf/protocol/qfforward/relay.go
@@ -73,7 +73,7 @@
 	if err := http.NewResponseController(s.call.writer).Flush(); err != nil {
 		return err
 	}
-	s.recordEvents(whole)
+	s.recordEvents(a, whole)
 	s.recordAnswer(a)
 	if s.lastEvent != "" {
 		s.stream.hasEvents.Store(true)
@@ -90,8 +90,8 @@
 	recordAnswerInterval = time.Second
 )
 
-// recordAnswer records that an answer goes on, so that nothing in the request is suspected while
-// long answers are written.
+// recordAnswer records that an answer goes on, so that nothing in the request is suspected, and
+// slow versions show, while long answers are written.
 func (s *relay) recordAnswer(a *attempt) {
 	now := s.call.forwarder.ports.Clock.Now()
 	if a.firstEventAt.IsZero() {
@@ -101,7 +101,9 @@
 		return
 	}
 	a.answerRecordedAt = now
-	s.call.forwarder.ports.PoisonFilter.RecordAnswer(now, s.call.content(), &a.picked.Endpoint)
+	ports := &s.call.forwarder.ports
+	ports.PoisonFilter.RecordAnswer(now, s.call.content(), &a.picked.Endpoint)
+	ports.Picker.RecordProgress(now, &a.picked)
 }
 
 // sendHeader sends the header of the first attempt that has an event.
@@ -125,12 +127,13 @@
 }
 
 // recordEvents counts the events that have an identifier and records the last one.
-func (s *relay) recordEvents(events []byte) {
+func (s *relay) recordEvents(a *attempt, events []byte) {
 	const field = "id:"
 	for line := range bytes.Lines(events) {
 		if rest, ok := bytes.CutPrefix(line, []byte(field)); ok {
 			s.lastEvent = strings.TrimSpace(string(rest))
 			s.tokens++
+			a.picked.Events++
 		}
 	}
 }
