qfexchange: bound the header of an endpoint's answer, and late answers that are skipped

The status line and the header fields were read without a limit, the body of a late answer as well. Change: at most 64 KiB of status lines and header fields for one request, at most 1 MiB of a late answer; beyond that the connection is closed and the attempt counts as broken.

--- a/internal/qf/transport/qfexchange/connection.go
+++ b/internal/qf/transport/qfexchange/connection.go
@@ -24,6 +24,10 @@
 	maxResponses = 4
 	// maxStaleResponses bounds the late responses to earlier requests that are skipped.
 	maxStaleResponses = 2
+	// maxHeaderBytes bounds the status lines and header fields of the responses to one request,
+	// and maxStaleBytes the bodies of late responses that are skipped.
+	maxHeaderBytes = 64 << 10
+	maxStaleBytes  = 1 << 20
 	// maxInlineBodyBytes is the size up to which a body is written before the response
 	// is read. Larger ones are written concurrently, because an endpoint may respond
 	// early.
@@ -35,8 +39,10 @@
 	client *Client
 	key    endpointKey
 	raw    net.Conn
-	reader *bufio.Reader
-	closed sync.Once
+	// limiter stands between the connection and its reader.
+	limiter *readLimiter
+	reader  *bufio.Reader
+	closed  sync.Once
 	// exchanges counts the responses received so far.
 	exchanges int
 	// mayHaveSent is set before the first byte of the request is written.
@@ -51,7 +57,32 @@
 }
 
 func newConnection(client *Client, key endpointKey, raw net.Conn) *connection {
-	return &connection{client: client, key: key, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), keepAlive: defaultKeepAlive}
+	limiter := &readLimiter{source: raw}
+	return &connection{
+		client: client, key: key, raw: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), keepAlive: defaultKeepAlive,
+	}
+}
+
+// readLimiter limits how much is read while it is on.
+type readLimiter struct {
+	source io.Reader
+	isOn   bool
+	left   int
+}
+
+var errHeaderTooLarge = errors.New("the response's header is too large")
+
+// Read implements io.Reader.
+func (l *readLimiter) Read(p []byte) (int, error) {
+	if !l.isOn {
+		return l.source.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // abort closes the connection at once. It may be called more than once.
@@ -144,8 +175,11 @@
 func (c *connection) receive(request *qf.EndpointRequest) (*http.Response, qf.ResponseInfo, error) {
 	sent := &http.Request{Method: request.Method}
 	stale := 0
+	c.limiter.left = maxHeaderBytes
 	for range maxResponses {
+		c.limiter.isOn = true
 		response, err := http.ReadResponse(c.reader, sent)
+		c.limiter.isOn = false
 		if err != nil {
 			return nil, qf.ResponseInfo{}, err
 		}
@@ -160,9 +194,13 @@
 		if stale > maxStaleResponses || info.ID == "" || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, qf.ResponseInfo{}, errors.New("received a response to another request")
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBytes+1))
+		if err != nil {
 			return nil, qf.ResponseInfo{}, err
 		}
+		if skipped > maxStaleBytes {
+			return nil, qf.ResponseInfo{}, errors.New("received a large response to another request")
+		}
 	}
 	return nil, qf.ResponseInfo{}, errors.New("received too many interim responses or responses to other requests")
 }
--- a/internal/qf/transport/qfexchange/exchange_test.go
+++ b/internal/qf/transport/qfexchange/exchange_test.go
@@ -25,12 +25,19 @@
 	return NewClient(qftimer.NewWall(), (&net.Dialer{}).DialContext, platform.Protocol{}), qf.Endpoint{ID: "e-1", Address: address}
 }
 
+// requestTo returns a request without a body.
+func requestTo(endpoint qf.Endpoint, id string) *qf.EndpointRequest {
+	return &qf.EndpointRequest{
+		ID: qf.RequestID(id), Endpoint: endpoint, Method: http.MethodPost, Target: "/a?b", Host: "h.example",
+		Header: http.Header{"X-Request-Id": {id}},
+	}
+}
+
 func send(t *testing.T, client *Client, endpoint qf.Endpoint, id string, body []byte) (*qf.EndpointResponse, string, error) {
 	t.Helper()
-	answer, err := client.SendRequest(t.Context(), &qf.EndpointRequest{
-		ID: qf.RequestID(id), Endpoint: endpoint, Method: http.MethodPost, Target: "/a?b", Host: "h.example", Body: body,
-		Header: http.Header{"X-Request-Id": {id}},
-	})
+	request := requestTo(endpoint, id)
+	request.Body = body
+	answer, err := client.SendRequest(t.Context(), request)
 	if err != nil {
 		return nil, "", err
 	}
