--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -25,6 +25,8 @@
 	// endpointBufferBytes is the size of the read and write buffers of a connection to an
 	// endpoint. It is small, because each stream holds a connection and its events are short.
 	endpointBufferBytes = 1 << 10
+	// maxEndpointHeaderBytes bounds the header of an endpoint's answer.
+	maxEndpointHeaderBytes = 64 << 10
 )
 
 // Connect returns clients of the platform services that the settings name.
@@ -34,7 +36,7 @@
 	cloud := qfcloud.NewClient(p.Cloud, p.VMList, p.Timeout.Value(), network.Dial)
 	endpoints := &http.Client{Transport: qftelemetry.NewTracingTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
-		ReadBufferSize: endpointBufferBytes, WriteBufferSize: endpointBufferBytes,
+		ReadBufferSize: endpointBufferBytes, WriteBufferSize: endpointBufferBytes, MaxResponseHeaderBytes: maxEndpointHeaderBytes,
 	})}
 	identity := newIdentity(&settings.Security, clock)
 	commitRate := &qfledger.CommitRate{PerSecond: settings.Request.LedgerCommitsPerSecond}
--- a/internal/qf/protocol/qfendpoint/clients.go
+++ b/internal/qf/protocol/qfendpoint/clients.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfresponse"
 )
 
 // clients holds the two HTTP clients for an endpoint.
@@ -18,9 +19,13 @@
 // unpooler is a transport that can return a variant of itself without a connection pool.
 type unpooler interface{ Unpooled() http.RoundTripper }
 
-func newClients(pooled *http.Client) clients {
-	fresh := *pooled
-	switch transport := pooled.Transport.(type) {
+// maxBodyBytes bounds the body of any answer of an endpoint. Those of streams and of plain
+// services have closer bounds.
+const maxBodyBytes = 64 << 20
+
+func newClients(client *http.Client) clients {
+	pooled, fresh := *client, *client
+	switch transport := client.Transport.(type) {
 	case *http.Transport:
 		unpooled := transport.Clone()
 		unpooled.DisableKeepAlives = true
@@ -28,7 +33,9 @@
 	case unpooler:
 		fresh.Transport = transport.Unpooled()
 	}
-	return clients{pooled: pooled, fresh: &fresh}
+	pooled.Transport = qfresponse.LimitBodies(pooled.Transport, maxBodyBytes)
+	fresh.Transport = qfresponse.LimitBodies(fresh.Transport, maxBodyBytes)
+	return clients{pooled: &pooled, fresh: &fresh}
 }
 
 // choose returns the client for an attempt.
--- a/internal/qf/state/qfplatform/client.go
+++ b/internal/qf/state/qfplatform/client.go
@@ -15,12 +15,17 @@
 	"github.com/dghubble/sling"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfresponse"
 	"quetzalfront/internal/qf/state/qftimer"
 )
 
 // maxIdleConnections is the number of idle connections kept to one service.
 const maxIdleConnections = 32
 
+// answerLimits bounds the answers of a service. The largest are pages of rows and objects, which
+// the platform limits to a few megabytes.
+var answerLimits = qfresponse.Limits{Header: 64 << 10, Body: 24 << 20}
+
 var statusByCode = map[qf.Code]int{
 	qf.CodeNotFound:    http.StatusNotFound,
 	qf.CodeConflict:    http.StatusPreconditionFailed,
@@ -68,7 +73,7 @@
 func NewClient(address netip.AddrPort, timeout time.Duration, dial qf.Dial) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, DialContext: dial}
 	return &Client{address: address, http: &http.Client{
-		Timeout: max(timeout, maxCallDuration), Transport: &stallTransport{base: transport, clock: qftimer.NewWall(), timeout: timeout},
+		Timeout: max(timeout, maxCallDuration), Transport: &stallTransport{base: qfresponse.Limit(transport, answerLimits), clock: qftimer.NewWall(), timeout: timeout},
 	}}
 }
 
