--- /dev/null
+++ b/internal/qf/transport/qfrpc/frames.go
@@ -0,0 +1,66 @@
+package qfrpc
+
+import (
+	"errors"
+	"io"
+	"net"
+)
+
+// maxMessageBytes bounds one encoded value of a message to or from a peer. The largest are
+// compressed configurations and pages of feeds.
+const maxMessageBytes = 32 << 20
+
+// errMessageTooLarge is the error for a longer message.
+var errMessageTooLarge = errors.New("a peer's message is larger than its limit")
+
+// boundedConn rejects messages above maxMessageBytes before they are decoded. Each message begins
+// with its length, as package gob defines it: one byte below 128, or else the negated number of
+// the bytes that follow it with the length, the most significant first.
+type boundedConn struct {
+	net.Conn
+	// left is the number of bytes left of the message, lengthLeft that of its length.
+	left, length uint64
+	lengthLeft   int
+}
+
+// Read implements net.Conn.
+func (c *boundedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if boundErr := c.follow(b[:n]); boundErr != nil {
+		return 0, boundErr
+	}
+	return n, err
+}
+
+// follow follows the lengths of the messages in the bytes that were read.
+func (c *boundedConn) follow(read []byte) error {
+	const maxShort, lengthBytes, bitsPerByte = 0x7f, 8, 8
+	for len(read) > 0 {
+		if c.left > 0 {
+			skipped := min(c.left, uint64(len(read)))
+			c.left -= skipped
+			read = read[skipped:]
+			continue
+		}
+		first := read[0]
+		read = read[1:]
+		switch {
+		case c.lengthLeft > 0:
+			c.length = c.length<<bitsPerByte | uint64(first)
+			if c.lengthLeft--; c.lengthLeft == 0 {
+				c.left = c.length
+			}
+		case first <= maxShort:
+			c.left = uint64(first)
+		default:
+			c.length, c.lengthLeft = 0, -int(int8(first)) //nolint:gosec // The encoding is that of a negative byte.
+		}
+		if c.lengthLeft > lengthBytes || c.left > maxMessageBytes {
+			return errMessageTooLarge
+		}
+	}
+	return nil
+}
+
+// bound returns a connection that rejects large messages.
+func bound(connection net.Conn) io.ReadWriteCloser { return &boundedConn{Conn: connection} }
--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -125,7 +125,7 @@
 		if err != nil {
 			return err
 		}
-		go server.ServeConn(connection)
+		go server.ServeConn(bound(connection))
 	}
 }
 
