qfforward: don't allocate what a caller only announces

Cause: a caller that states a Content-Length of 200 MB took 200 MB of the node's memory with one header, before its body was compared with the configuration's bound; a configuration without a bound had none at all. Change: a greater length is refused with 413 at once; at most 64 KiB are allocated ahead of the bytes; 16 MiB where the configuration has no bound.

--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -4,6 +4,7 @@
 package qfforward
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -37,8 +38,10 @@
 const (
 	// defaultTimeout bounds requests of routes without a timeout.
 	defaultTimeout = 30 * time.Second
-	// bodyTimeout bounds the reading of a request's body.
-	bodyTimeout = 10 * time.Second
+	// bodyTimeout bounds the reading of a request's body, and defaultMaxBodyBytes its size if
+	// the configuration doesn't.
+	bodyTimeout         = 10 * time.Second
+	defaultMaxBodyBytes = 16 << 20
 	// notReadyRetryAfter is the Retry-After of a node without a configuration.
 	notReadyRetryAfter = 500 * time.Millisecond
 )
@@ -176,13 +179,15 @@
 	if c.incoming.Body == nil || c.incoming.Body == http.NoBody {
 		return nil
 	}
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	if c.incoming.ContentLength > limit {
+		return errTooLarge()
+	}
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(c.arrivedAt.Add(bodyTimeout)) // Not every writer supports deadlines.
-	source := io.Reader(c.incoming.Body)
-	if limit > 0 {
-		source = http.MaxBytesReader(c.writer, c.incoming.Body, limit)
-	}
-	body, err := readAll(source, c.incoming.ContentLength)
+	body, err := readAll(http.MaxBytesReader(c.writer, c.incoming.Body, limit), c.incoming.ContentLength)
 	_ = control.SetReadDeadline(time.Time{}) // As above.
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -199,14 +204,17 @@
 	return refusal(qf.CodeTooLarge, "Body", "the body is larger than the configuration allows", 0)
 }
 
+// firstBodyBytes bounds what is allocated for a body before any of it has arrived.
+const firstBodyBytes = 64 << 10
+
 // readAll reads a body; a negative length means that its length is unknown.
 func readAll(source io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
 		return io.ReadAll(source)
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(source, body)
-	return body, err
+	body := bytes.NewBuffer(make([]byte, 0, min(length, firstBodyBytes)+bytes.MinRead))
+	_, err := body.ReadFrom(source)
+	return body.Bytes(), err
 }
 
 // admit takes the request's units from its organisation's quota, or refuses the request.
