entry: keep refused parts of prompts in the platform's store

Cause: what is known of a crashing part was in the nodes' memory only: when all nodes start anew it crashes as many endpoints again. Change: the holder of the duties' lease stores the refused parts when they change (row suspects/parts), and each node reads them once at its start. A write an incident, a read a start.

--- a/internal/entry/crashingpart_test.go
+++ b/internal/entry/crashingpart_test.go
@@ -52,6 +52,8 @@
 	keepsIdentity bool
 	// pause interrupts the requests with a crashing part.
 	pause time.Duration
+	// restarts stops all nodes in the middle of the day, and starts them again.
+	restarts bool
 	// others crashes so many endpoints at once for another reason, before the part comes.
 	others int
 	seed   uint64
@@ -69,6 +71,21 @@
 	dark    map[netip.Addr]bool
 	crashes []time.Time
 	born    int
+	// restartedAt is when all nodes were started again.
+	restartedAt time.Time
+}
+
+// crashesAfter returns the number of crashes after a time.
+func (w *crashWorld) crashesAfter(after time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for _, at := range w.crashes {
+		if at.After(after) {
+			count++
+		}
+	}
+	return count
 }
 
 func isCrashing(parts []string, header string) bool {
@@ -149,6 +166,9 @@
 		node := w.random.IntN(w.day.nodes) + 1
 		elapsed := w.clock.Now().Sub(began)
 		isPaused := w.day.pause > 0 && elapsed > length/3 && elapsed < length/3+w.day.pause
+		if w.day.restarts && elapsed > length/2 && elapsed <= length/2+step {
+			w.restartNodes()
+		}
 		if i%soundSteps == 0 {
 			parts := []string{sharedPart, fmt.Sprintf("b%d", w.random.IntN(40))}
 			wait.Go(func() {
@@ -178,6 +198,20 @@
 	hasRun, isWhole bool
 }
 
+// restartNodes stops all nodes at once and starts new ones in their places.
+func (w *crashWorld) restartNodes() {
+	var wait sync.WaitGroup
+	for _, node := range w.nodes {
+		wait.Go(func() { node.Stop(w.t.Context()) })
+	}
+	wait.Wait()
+	numbers := w.numbers
+	w.nodes, w.numbers, w.restartedAt = nil, nil, w.clock.Now()
+	for _, number := range numbers {
+		w.start(number)
+	}
+}
+
 func (w *crashWorld) hasRun(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -253,6 +287,7 @@
 		{name: "same identity", prompts: middle, crashing: []string{"bad001"}, keepsIdentity: true},
 		{name: "seven nodes, few endpoints", nodes: 7, endpoints: 5, prompts: middle, crashing: []string{"bad001"}},
 		{name: "relays", nodes: 20, prompts: middle, crashing: []string{"bad001"}},
+		{name: "all nodes start anew", prompts: middle, crashing: []string{"bad001"}, restarts: true},
 		{name: "comes back after a pause", prompts: middle, crashing: []string{"bad001"}, pause: 8 * time.Second},
 	}
 	for _, day := range tests {
@@ -273,6 +308,9 @@
 				if after > mostAfter {
 					t.Errorf("%d requests reached endpoints more than %v after crash number %d, want at most %d", after, contact, enoughCrashes, mostAfter)
 				}
+				if again := w.crashesAfter(w.restartedAt); day.restarts && again > mostAfter {
+					t.Errorf("%d endpoints crashed after all nodes had started anew, want at most %d", again, mostAfter)
+				}
 				if share, count := startShare(sound, known.Add(2*contact)); count < 20 || share < 0.9 {
 					t.Errorf("%.2f of %d sound requests began", share, count)
 				}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -205,6 +205,7 @@
 	e.background.Go(func() { e.updateEndpointsLoop(loops) })
 	e.background.Go(func() { e.exchangeLoop(loops) })
 	e.background.Go(func() { e.registerLoop(loops) })
+	e.background.Go(func() { e.loadRefusedParts(loops) })
 	e.background.Go(func() { e.duties.run(loops) })
 	e.background.Go(func() { e.storeEra.run(loops) })
 	e.background.Go(func() { e.runEvery(loops, droppedLogInterval, e.logDropped) })
--- a/internal/entry/partfilter.go
+++ b/internal/entry/partfilter.go
@@ -87,6 +87,28 @@
 	}
 }
 
+// mergeStored merges suspicions that were stored some time ago.
+func (f *poisonFilter) mergeStored(now time.Time, age time.Duration, suspicions []qf.PartSuspicion) {
+	for i := range suspicions {
+		n := &suspicions[i]
+		n.Age += age
+		n.FirstAge += age
+		if n.TrialAge > 0 {
+			n.TrialAge += age
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mergeParts(now, suspicions)
+}
+
+// listRefusedParts returns the suspicions of the parts that are refused.
+func (f *poisonFilter) listRefusedParts(now time.Time) []qf.PartSuspicion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.parts.ListRefused(now)
+}
+
 // recordUnanswered records the parts of a request that got no answer.
 func (f *poisonFilter) recordUnanswered(now time.Time, content *qf.RequestContent, endpoint *qf.Endpoint) {
 	f.mu.Lock()
--- a/internal/entry/recorded_internal_test.go
+++ b/internal/entry/recorded_internal_test.go
@@ -80,3 +80,9 @@
 	qftest.CheckPlainJSON[qf.Node](t, "node")
 	qftest.CheckLines(t, "keys", rolloutKeyPrefix, nodeKeyPrefix)
 }
+
+// TestRefusedPartsRowIsAsRecorded fails if builds can't read each other's refused parts.
+func TestRefusedPartsRowIsAsRecorded(t *testing.T) {
+	qftest.CheckPlainJSON[refusedParts](t, "refused-parts")
+	qftest.CheckLines(t, "refused-parts-key", refusedPartsKey)
+}
--- a/internal/qf/coordination/qfsuspect/parts.go
+++ b/internal/qf/coordination/qfsuspect/parts.go
@@ -312,10 +312,19 @@
 // ListSuspicions returns the suspicions to send to peers: those with the most deaths first, and
 // those that were cleared a short time ago.
 func (p *PartTracker) ListSuspicions(now time.Time) []qf.PartSuspicion {
+	return p.list(now, func(s *suspectPart) bool { return len(s.counted) > 0 || now.Sub(s.clearedAt) <= clearedFor })
+}
+
+// ListRefused returns the suspicions of the parts that are refused.
+func (p *PartTracker) ListRefused(now time.Time) []qf.PartSuspicion {
+	return p.list(now, func(s *suspectPart) bool { return len(s.counted) >= p.config.MaxDeaths && !p.isExplained(s) })
+}
+
+func (p *PartTracker) list(now time.Time, isListed func(s *suspectPart) bool) []qf.PartSuspicion {
 	var list []qf.PartSuspicion
 	for _, part := range p.parts.Keys() {
 		s, _ := p.parts.Peek(part)
-		if len(s.counted) == 0 && now.Sub(s.clearedAt) > clearedFor {
+		if !isListed(s) {
 			continue
 		}
 		n := qf.PartSuspicion{Part: part, Deaths: slices.Clone(s.counted), Cleared: slices.Clone(s.cleared), Trials: s.trials}
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -86,6 +86,7 @@
 	EndpointDied    = Event{209, warning, "an endpoint died with requests in progress", []string{FieldEndpoint, FieldReason, FieldCount, FieldParts}, "Nothing if it is rare. Parts are the fingerprints of the shared prompt parts in progress there, Count their number; a part that stands in the lines of all endpoints and in no answer crashes them."}
 	PartRefused     = Event{210, warning, "requests with a part of a prompt are refused", []string{FieldRequest, FieldParts, FieldCount, FieldAge}, "Find its caller; look at the endpoints' logs. Count endpoints died with the part in progress and no answer on it came since; Age is the time until a request with it is tried."}
 	PartTried       = Event{211, warning, "a request is tried although requests with one of its parts are refused", []string{FieldRequest, FieldParts, FieldCount}, "Nothing; if it is answered the part is allowed again."}
+	PartsNotKept    = Event{212, warning, "the refused parts of prompts could not be stored or read", []string{FieldName, FieldError}, "Nothing at once; nodes get them from each other. They are lost if all nodes start anew meanwhile."}
 	ShadowAdopted   = Event{220, info, "request taken over from its replica", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
 	ShadowFailed    = Event{221, warning, "replication of requests to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
 	NodeAborted     = Event{225, warning, "node ended at a second signal", []string{FieldNode}, "Answers in progress were cut; unset Node.SecondSignalAborts if that isn't wanted."}
@@ -171,6 +172,7 @@
 		EndpointDied,
 		PartRefused,
 		PartTried,
+		PartsNotKept,
 		ShadowAdopted,
 		ShadowFailed,
 		NodeAborted,
