entry, qfforward: send no requests to endpoints that refuse connections

Change: an endpoint that refused a connection gets no requests for a second, unless no other is left; its idle connections are closed. An attempt that no endpoint listened to takes no retry, and eight of them are allowed instead of three. qfexchange sees closed connections without a descriptor too.

--- a/internal/entry/crashingpart_test.go
+++ b/internal/entry/crashingpart_test.go
@@ -269,6 +269,33 @@
 	return float64(began) / float64(max(count, 1)), count
 }
 
+// TestCrashedEndpointsGetNoMoreRequests fails if requests are refused because they go to endpoints
+// that refuse connections, one after the other, while others could serve them. Six of nine endpoints
+// crash at once; their rows are removed 3.6 s later.
+func TestCrashedEndpointsGetNoMoreRequests(t *testing.T) {
+	day := crashDay{nodes: 6, endpoints: 9, others: 6}
+	runCrashDay(t, day, func(w *crashWorld) {
+		began := w.clock.Now()
+		var crash sync.WaitGroup
+		crash.Go(func() {
+			w.sleep(2 * time.Second)
+			for _, replica := range w.all[:day.others] {
+				replica.Crash.End()
+				replica.Stop()
+			}
+		})
+		sound := w.play(4 * time.Second)
+		crash.Wait()
+		share, count := startShare(sound, began.Add(2200*time.Millisecond))
+		if count < 20 || share < 0.99 {
+			t.Errorf("%.3f of %d requests began", share, count)
+		}
+		if tries := w.log.count(`"Event":26`, "connection refused"); tries > 2*day.nodes*day.others {
+			t.Errorf("%d requests were sent to crashed endpoints", tries)
+		}
+	})
+}
+
 // TestCrashingPartIsStoppedOnAllNodes fails if requests with a part that crashes endpoints
 // still reach them once it must be known, or if sound requests with the other parts don't.
 func TestCrashingPartIsStoppedOnAllNodes(t *testing.T) {
--- a/internal/entry/endpointpicker.go
+++ b/internal/entry/endpointpicker.go
@@ -19,6 +19,7 @@
 	router   qf.Router
 	random   *rand.Rand
 	versions *versionSelector
+	dead     deadEndpoints
 	// pressure and waitEstimator are updated with the times to first tokens.
 	pressure      qfadmit.Pressure
 	waitEstimator qfadmit.WaitEstimator
@@ -51,7 +52,12 @@
 		routeQuery.Affinity, routeQuery.AffinityTokens = affinityKey(query.Prompt)
 		request.MaxTokens = query.Prompt.MaxAnswerTokens
 	}
+	routeQuery.Excluded = p.dead.with(query.Now, query.Excluded)
 	choice, err := p.router.ChooseEndpoint(routeQuery)
+	if err != nil && len(routeQuery.Excluded) > len(query.Excluded) {
+		routeQuery.Excluded = query.Excluded
+		choice, err = p.router.ChooseEndpoint(routeQuery)
+	}
 	if err != nil {
 		return qf.PickedEndpoint{}, err
 	}
@@ -137,10 +143,18 @@
 func (p *endpointPicker) setEndpoints(endpoints []qf.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dead.keepListed(endpoints)
 	p.router.SetEndpoints(endpoints)
 	p.versions.setEndpoints(endpoints)
 }
 
+// recordDeath records that an endpoint refused a connection.
+func (p *endpointPicker) recordDeath(now time.Time, endpoint *qf.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dead.record(now, endpoint)
+}
+
 // setRolloutOrder sets the operator's order of a rollout.
 func (p *endpointPicker) setRolloutOrder(order qf.RolloutOrder) {
 	p.mu.Lock()
--- a/internal/entry/partfilter.go
+++ b/internal/entry/partfilter.go
@@ -145,7 +145,7 @@
 		delete(f.checking, death)
 		f.mu.Unlock()
 		if isRefused {
-			f.recordDeath(f.entry.now(), &target, "it refuses connections")
+			f.recordRefusal(f.entry.now(), &target)
 		}
 	})
 }
--- a/internal/entry/poisonfilter.go
+++ b/internal/entry/poisonfilter.go
@@ -84,7 +84,7 @@
 	case end == qf.AttemptCancelled:
 		f.recordUnanswered(now, content, endpoint)
 	case end == qf.AttemptNotRun && errors.Is(err, syscall.ECONNREFUSED):
-		f.recordDeath(now, endpoint, "it refuses connections")
+		f.recordRefusal(now, endpoint)
 	case end == qf.AttemptAnswered:
 		f.mu.Lock()
 		if f.suspects.HasSuspects() {
@@ -94,6 +94,13 @@
 	}
 }
 
+// recordRefusal records that an endpoint refused a connection.
+func (f *poisonFilter) recordRefusal(now time.Time, endpoint *qf.Endpoint) {
+	f.entry.picker.recordDeath(now, endpoint)
+	f.entry.exchanger.CloseIdleConnections(endpoint.ID)
+	f.recordDeath(now, endpoint, "it refuses connections")
+}
+
 // recordDeath records the death of an endpoint, unless its leaving was announced.
 func (f *poisonFilter) recordDeath(now time.Time, endpoint *qf.Endpoint, reason string) {
 	death := qfsuspect.IdentifyDeath(endpoint)
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -61,9 +62,13 @@
 func (c *call) nextStep(p *progress, a *attempt) nextStep {
 	now := c.forwarder.ports.Clock.Now()
 	p.end, p.timeLeft = a.end, c.deadline.Sub(now)
-	if a.end == qf.AttemptNotRun {
+	isUnreached := a.end == qf.AttemptNotRun && errors.Is(a.err, syscall.ECONNREFUSED)
+	switch {
+	case isUnreached:
+		p.unreached++
+	case a.end == qf.AttemptNotRun:
 		p.notRun++
-	} else {
+	default:
 		p.runs++
 	}
 	step := decide(p)
@@ -71,7 +76,7 @@
 	if isRetry && a.end == qf.AttemptBroken && !c.forwarder.ports.PoisonFilter.MayRetry(c.content(), a.picked.Endpoint.Entry) {
 		return p.giveUp()
 	}
-	if isRetry && !c.forwarder.ports.Admission.TakeRetry(now, a.picked.Endpoint.Entry) {
+	if isRetry && !isUnreached && !c.forwarder.ports.Admission.TakeRetry(now, a.picked.Endpoint.Entry) {
 		if a.end == qf.AttemptFailed {
 			return p.deliverFailure()
 		}
--- a/internal/qf/protocol/qfforward/decide.go
+++ b/internal/qf/protocol/qfforward/decide.go
@@ -11,6 +11,9 @@
 	// maxNotRunAttempts bounds the attempts of one request that endpoints reject
 	// without running them.
 	maxNotRunAttempts = 3
+	// maxUnreachedAttempts bounds those that endpoints refused to connect to, which takes no
+	// more than a round trip: an endpoint that has crashed stays listed for seconds.
+	maxUnreachedAttempts = 8
 	// minTimeForRetry is the least time left for which another attempt is worthwhile.
 	minTimeForRetry = 30 * time.Millisecond
 )
@@ -19,8 +22,9 @@
 // depends.
 type progress struct {
 	route *qf.CallerRoute
-	// runs counts the attempts that may have run, notRun those that provably didn't.
-	runs, notRun int
+	// runs counts the attempts that may have run, notRun those that endpoints rejected without
+	// running them, and unreached those to which no endpoint listened.
+	runs, notRun, unreached int
 	// end is how the last attempt ended.
 	end qf.AttemptEnd
 	// delivered is true once a part of the answer was sent to the caller.
@@ -62,7 +66,8 @@
 	case qf.AttemptCancelled:
 		return p.giveUp()
 	case qf.AttemptNotRun:
-		if p.notRun < maxNotRunAttempts && p.hasTime() && (p.runs == 0 || p.mayRetry()) {
+		isBounded := p.notRun < maxNotRunAttempts && p.unreached < maxUnreachedAttempts
+		if isBounded && p.hasTime() && (p.runs == 0 || p.mayRetry()) {
 			return p.retryStep()
 		}
 		return p.giveUp()
--- a/internal/qf/protocol/qfforward/decide_test.go
+++ b/internal/qf/protocol/qfforward/decide_test.go
@@ -25,6 +25,8 @@
 		{"once only, failed", progress{route: onceOnly, runs: 1, end: qf.AttemptFailed, timeLeft: second}, nextDeliverFailure},
 		{"once only, not run", progress{route: onceOnly, notRun: 1, end: qf.AttemptNotRun, timeLeft: second}, nextRetry},
 		{"once only, rejected by the last allowed endpoint", progress{route: onceOnly, notRun: maxNotRunAttempts, end: qf.AttemptNotRun, timeLeft: second}, nextRefuse},
+		{"once only, no endpoint listened", progress{route: onceOnly, unreached: maxNotRunAttempts + 1, end: qf.AttemptNotRun, timeLeft: second}, nextRetry},
+		{"once only, no endpoint listened many times", progress{route: onceOnly, unreached: maxUnreachedAttempts, end: qf.AttemptNotRun, timeLeft: second}, nextRefuse},
 		{"once only, no time", progress{route: onceOnly, notRun: 1, end: qf.AttemptNotRun}, nextRefuse},
 		{"stream, broken before its first event", progress{route: stream, runs: 1, end: qf.AttemptBroken, timeLeft: second}, nextFail},
 		{"stream, broken midway", progress{route: stream, runs: 1, delivered: true, end: qf.AttemptBroken, timeLeft: second}, nextAbort},
--- a/internal/qf/transport/qfexchange/connection.go
+++ b/internal/qf/transport/qfexchange/connection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -106,7 +107,7 @@
 	}
 	withFD, ok := c.raw.(syscall.Conn)
 	if !ok {
-		return true
+		return c.hasNothingToRead()
 	}
 	fd, err := withFD.SyscallConn()
 	if err != nil {
@@ -122,6 +123,17 @@
 	return err == nil && isOpen
 }
 
+// hasNothingToRead is isOpen for a connection without a file descriptor: a read whose deadline has
+// passed fails with another error if the connection is closed.
+func (c *connection) hasNothingToRead() bool {
+	if err := c.raw.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		return false
+	}
+	var one [1]byte
+	_, err := c.raw.Read(one[:])
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.raw.SetReadDeadline(time.Time{}) == nil
+}
+
 // exchange sends the request and reads the response's header.
 func (c *connection) exchange(request *qf.EndpointRequest) (*qf.EndpointResponse, error) {
 	c.mayHaveSent.Store(false)
