qfsuspect, entry: parts in progress among other deaths are tried early

A trial that ends with another death leads to the long delay at once. Peers' deaths count for that too.

--- a/internal/entry/crashingpart_test.go
+++ b/internal/entry/crashingpart_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -14,6 +15,9 @@
 	"quetzalfront/internal/standin/standreplica"
 )
 
+// crashSeed is added to the seeds of the days with crashes; others are played by hand.
+var crashSeed = flag.Int("crash-seed", 0, "the seed of days with crashing endpoints")
+
 // crashEnd is what the connections of a crashed endpoint show.
 type crashEnd string
 
@@ -36,6 +40,8 @@
 	restartAfter   = 3 * time.Second
 	rowLapsesAfter = 3600 * time.Millisecond
 	sharedPart     = "a0"
+	// troubleAfter is the time until the day's other trouble begins.
+	troubleAfter = 2 * time.Second
 )
 
 // crashDay is a day on which prompts with some parts crash the endpoints.
@@ -54,9 +60,9 @@
 	pause time.Duration
 	// restarts stops all nodes in the middle of the day, and starts them again.
 	restarts bool
-	// others crashes so many endpoints at once for another reason, before the part comes.
-	others int
-	seed   uint64
+	// trouble is what else happens from a few seconds on; nil stands for nothing.
+	trouble func(w *crashWorld)
+	seed    uint64
 }
 
 // crashWorld plays a crashDay.
@@ -72,7 +78,41 @@
 	crashes []time.Time
 	born    int
 	// restartedAt is when all nodes were started again.
-	restartedAt time.Time
+	restartedAt    time.Time
+	troubleEndedAt time.Time
+}
+
+// crashAtOnce crashes a number of the endpoints that run, for a reason of their own.
+func (w *crashWorld) crashAtOnce(count int) {
+	w.mu.Lock()
+	all := slices.Clone(w.all)
+	w.mu.Unlock()
+	for _, replica := range all {
+		if count > 0 && !replica.HasStopped() {
+			count--
+			replica.Crash.End()
+			replica.Stop()
+		}
+	}
+}
+
+// cutOff cuts a node off from all endpoints for some time.
+func (w *crashWorld) cutOff(node int, length time.Duration) {
+	address := netip.AddrFrom4([4]byte{10, 1, 0, byte(node)})
+	isEndpoint := func(a netip.Addr) bool { return netip.MustParsePrefix("10.8.0.0/16").Contains(a) }
+	w.network.Partition(func(a, b netip.Addr) bool {
+		return a == address && isEndpoint(b) || b == address && isEndpoint(a) || w.isDark(a, b)
+	})
+	w.sleep(length)
+	w.network.Partition(w.isDark)
+}
+
+// replaceNode ends a node and starts a new one in its place.
+func (w *crashWorld) replaceNode(index int) {
+	w.nodes[index].Stop(w.t.Context())
+	number := w.numbers[index]
+	w.nodes, w.numbers = slices.Delete(w.nodes, index, index+1), slices.Delete(w.numbers, index, index+1)
+	w.start(number)
 }
 
 // crashesAfter returns the number of crashes after a time.
@@ -162,6 +202,13 @@
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	began := w.clock.Now()
+	if w.day.trouble != nil {
+		wait.Go(func() {
+			w.sleep(troubleAfter)
+			w.day.trouble(w)
+			w.troubleEndedAt = w.clock.Now()
+		})
+	}
 	for i := 0; w.clock.Now().Sub(began) < length; i++ {
 		node := w.random.IntN(w.day.nodes) + 1
 		elapsed := w.clock.Now().Sub(began)
@@ -171,12 +218,15 @@
 		}
 		if i%soundSteps == 0 {
 			parts := []string{sharedPart, fmt.Sprintf("b%d", w.random.IntN(40))}
+			if i%2 == 0 {
+				parts[1] = fmt.Sprintf("c%d", i/8) // A part that only a few requests have.
+			}
 			wait.Go(func() {
 				at := w.clock.Now()
 				a := w.call(w.t.Context(), node, http.MethodPost, "/talk/1", fmt.Sprint("sound ", i), "X-Token-Counts", "500,20", "X-Prompt-Prefix", prompt(parts, 2*i))
 				mu.Lock()
 				defer mu.Unlock()
-				sound = append(sound, sentRequest{at: at, hasRun: w.hasRun(a.id), isWhole: a.status == http.StatusOK && a.err == nil})
+				sound = append(sound, sentRequest{at: at, hasRun: w.hasRun(a.id), isSuspected: strings.Contains(a.body, "a part of this prompt")})
 			})
 		}
 		if i%crashingSteps == 0 && len(w.day.prompts) > 0 && !isPaused && elapsed > time.Second {
@@ -194,8 +244,10 @@
 
 // sentRequest is a sound request and what became of it.
 type sentRequest struct {
-	at              time.Time
-	hasRun, isWhole bool
+	at     time.Time
+	hasRun bool
+	// isSuspected is true if it was refused because of a part.
+	isSuspected bool
 }
 
 // restartNodes stops all nodes at once and starts new ones in their places.
@@ -242,7 +294,7 @@
 func runCrashDay(t *testing.T, day crashDay, check func(w *crashWorld)) {
 	t.Helper()
 	runFleet(t, day.nodes, func(f *testFleet) {
-		w := &crashWorld{testFleet: f, day: day, random: rand.New(rand.NewPCG(day.seed, 28)), dark: map[netip.Addr]bool{}}
+		w := &crashWorld{testFleet: f, day: day, random: rand.New(rand.NewPCG(day.seed+uint64(*crashSeed), 28)), dark: map[netip.Addr]bool{}}
 		w.store.Remove("servers", "chat-1")
 		w.store.Remove("servers", "chat-2")
 		w.network.Partition(w.isDark)
@@ -273,24 +325,16 @@
 // that refuse connections, one after the other, while others could serve them. Six of nine endpoints
 // crash at once; their rows are removed 3.6 s later.
 func TestCrashedEndpointsGetNoMoreRequests(t *testing.T) {
-	day := crashDay{nodes: 6, endpoints: 9, others: 6}
+	const crashed = 6
+	day := crashDay{nodes: 6, endpoints: 9, trouble: func(w *crashWorld) { w.crashAtOnce(crashed) }}
 	runCrashDay(t, day, func(w *crashWorld) {
 		began := w.clock.Now()
-		var crash sync.WaitGroup
-		crash.Go(func() {
-			w.sleep(2 * time.Second)
-			for _, replica := range w.all[:day.others] {
-				replica.Crash.End()
-				replica.Stop()
-			}
-		})
 		sound := w.play(4 * time.Second)
-		crash.Wait()
 		share, count := startShare(sound, began.Add(2200*time.Millisecond))
 		if count < 20 || share < 0.99 {
 			t.Errorf("%.3f of %d requests began", share, count)
 		}
-		if tries := w.log.count(`"Event":26`, "connection refused"); tries > 2*day.nodes*day.others {
+		if tries := w.log.count(`"Event":26`, "connection refused"); tries > 2*day.nodes*crashed {
 			t.Errorf("%d requests were sent to crashed endpoints", tries)
 		}
 	})
@@ -299,7 +343,6 @@
 // TestCrashingPartIsStoppedOnAllNodes fails if requests with a part that crashes endpoints
 // still reach them once it must be known, or if sound requests with the other parts don't.
 func TestCrashingPartIsStoppedOnAllNodes(t *testing.T) {
-	const length = 25 * time.Second
 	middle := [][]string{{sharedPart, "bad001", "b1"}}
 	tests := []crashDay{
 		{name: "first part", prompts: [][]string{{"bad001", sharedPart, "b1"}}, crashing: []string{"bad001"}},
@@ -319,30 +362,110 @@
 	}
 	for _, day := range tests {
 		day.nodes, day.endpoints = max(day.nodes, 6), max(day.endpoints, 9)
+		t.Run(day.name, func(t *testing.T) { checkCrashDay(t, day) })
+	}
+}
+
+// checkCrashDay plays a day and checks that its crashing parts are stopped while sound requests
+// are served.
+func checkCrashDay(t *testing.T, day crashDay) {
+	t.Helper()
+	runCrashDay(t, day, func(w *crashWorld) {
+		sound := w.play(25 * time.Second)
+		if len(w.crashingRuns()) == 0 {
+			t.Fatal("no endpoint crashed")
+		}
+		after, runs := 0, w.crashingRuns()
+		known := runs[min(len(runs), enoughCrashes)-1]
+		for _, at := range runs {
+			if len(runs) >= enoughCrashes && at.Sub(known) > contact {
+				after++
+			}
+		}
+		if after > mostAfter {
+			t.Errorf("%d requests reached endpoints more than %v after crash number %d, want at most %d", after, contact, enoughCrashes, mostAfter)
+		}
+		if again := w.crashesAfter(w.restartedAt); day.restarts && again > mostAfter {
+			t.Errorf("%d endpoints crashed after all nodes had started anew, want at most %d", again, mostAfter)
+		}
+		if share, count := startShare(sound, known.Add(2*contact)); count < 20 || share < 0.9 {
+			t.Errorf("%.2f of %d sound requests began", share, count)
+		}
+		t.Logf("%d crashes, %d runs, %d of them late; last run %v after the first crash", len(w.crashes), len(runs), after, runs[len(runs)-1].Sub(w.crashes[0]))
+	})
+}
+
+// troubles are what may happen beside a crashing part, and without one. None of them is a reason to
+// refuse sound requests.
+func troubles() []crashDay {
+	return []crashDay{
+		{name: "a third of the endpoints crash", trouble: func(w *crashWorld) { w.crashAtOnce(3) }},
+		{name: "all endpoints crash", trouble: func(w *crashWorld) { w.crashAtOnce(9) }},
+		{name: "waves", trouble: func(w *crashWorld) {
+			for range 4 {
+				w.crashAtOnce(4)
+				w.sleep(1500 * time.Millisecond)
+			}
+		}},
+		{name: "one endpoint after the other", trouble: func(w *crashWorld) {
+			for range 12 {
+				w.crashAtOnce(1)
+				w.sleep(500 * time.Millisecond)
+			}
+		}},
+		{name: "silent crashes", end: endsSilently, trouble: func(w *crashWorld) {
+			w.crashAtOnce(4)
+			w.sleep(rowLapsesAfter) // Until then they don't show.
+		}},
+		{name: "a node is cut off and comes back", trouble: func(w *crashWorld) { w.cutOff(2, 6*time.Second) }},
+		{name: "nodes are replaced", trouble: func(w *crashWorld) {
+			for range 2 {
+				w.replaceNode(0)
+				w.crashAtOnce(1)
+				w.sleep(time.Second)
+			}
+		}},
+	}
+}
+
+// TestSoundPartsAreServedThroughTrouble fails if parts are blamed for longer than it takes to see
+// sound answers on them, when endpoints crash for reasons of their own, together or in turn, or
+// nodes are cut off or replaced.
+func TestSoundPartsAreServedThroughTrouble(t *testing.T) {
+	const length, recovery = 20 * time.Second, 4 * time.Second
+	for _, day := range troubles() {
+		day.nodes, day.endpoints = 6, 9
 		t.Run(day.name, func(t *testing.T) {
 			runCrashDay(t, day, func(w *crashWorld) {
 				sound := w.play(length)
-				if len(w.crashes) == 0 {
-					t.Fatal("no endpoint crashed")
-				}
-				known := w.crashes[min(len(w.crashes), enoughCrashes)-1]
-				after, runs := 0, w.crashingRuns()
-				for _, at := range runs {
-					if len(w.crashes) >= enoughCrashes && at.Sub(known) > contact {
-						after++
+				suspected, late := 0, 0
+				for _, s := range sound {
+					if !s.isSuspected {
+						continue
+					}
+					suspected++
+					if s.at.After(w.troubleEndedAt.Add(recovery)) {
+						late++
 					}
 				}
-				if after > mostAfter {
-					t.Errorf("%d requests reached endpoints more than %v after crash number %d, want at most %d", after, contact, enoughCrashes, mostAfter)
-				}
-				if again := w.crashesAfter(w.restartedAt); day.restarts && again > mostAfter {
-					t.Errorf("%d endpoints crashed after all nodes had started anew, want at most %d", again, mostAfter)
+				if share, count := startShare(sound, w.troubleEndedAt.Add(recovery)); count < 20 || share < 0.98 || late > 0 {
+					t.Errorf("%.3f of %d requests began after the trouble; %d were refused because of a part", share, count, late)
 				}
-				if share, count := startShare(sound, known.Add(2*contact)); count < 20 || share < 0.9 {
-					t.Errorf("%.2f of %d sound requests began", share, count)
+				if most := len(sound) / 50; suspected > most {
+					t.Errorf("%d of %d sound requests were refused because of a part, want at most %d", suspected, len(sound), most)
 				}
-				t.Logf("%d crashes, %d runs, %d of them late; last run %v after the first crash", len(w.crashes), len(runs), after, runs[len(runs)-1].Sub(w.crashes[0]))
+				t.Logf("%d of %d were refused because of a part", suspected, len(sound))
 			})
 		})
 	}
 }
+
+// TestCrashingPartIsStoppedInTrouble fails if a crashing part isn't stopped, or takes sound requests
+// with it, while endpoints crash for other reasons or nodes are cut off or replaced.
+func TestCrashingPartIsStoppedInTrouble(t *testing.T) {
+	for _, day := range troubles() {
+		day.nodes, day.endpoints = 6, 9
+		day.prompts, day.crashing = [][]string{{sharedPart, "bad001", "b1"}}, []string{"bad001"}
+		t.Run(day.name, func(t *testing.T) { checkCrashDay(t, day) })
+	}
+}
--- a/internal/qf/coordination/qfsuspect/parts.go
+++ b/internal/qf/coordination/qfsuspect/parts.go
@@ -20,8 +20,8 @@
 	// part doesn't turn from sound to crashing between two answers.
 	SoundFor time.Duration
 	// UnclearTrialAfter and TrialAfter are the times until one request with a refused part is
-	// tried: while other causes are as likely, and once they aren't. Each trial that ends
-	// with another death makes the time until the next one trialBackoff times as long.
+	// tried: while other causes are as likely and no trial has ended with another death, and
+	// else. Each trial that does makes the latter trialBackoff times as long.
 	UnclearTrialAfter, TrialAfter time.Duration
 }
 
@@ -68,6 +68,9 @@
 	trialAt time.Time
 	trials  int
 	onTrial bool
+	// hasOtherDeaths is true if, at the latest counted death, endpoints had died a short time
+	// before without the part in progress: they crash for another reason too.
+	hasOtherDeaths bool
 }
 
 // brokenParts holds the parts of an attempt that ended without its answer.
@@ -171,10 +174,21 @@
 			continue
 		}
 		s.count(now, death)
+		s.hasOtherDeaths = p.hasDeathsWithout(now, s)
 	}
 	return isNew
 }
 
+// hasDeathsWithout reports whether an endpoint died a short time ago without a part in progress.
+func (p *PartTracker) hasDeathsWithout(now time.Time, s *suspectPart) bool {
+	for d, at := range p.dead {
+		if now.Sub(at) <= breakWindow && !slices.Contains(s.counted, d) && !slices.Contains(s.cleared, d) {
+			return true
+		}
+	}
+	return false
+}
+
 // isSound reports whether an answer on a part was received recently.
 func (p *PartTracker) isSound(now time.Time, part uint64) bool {
 	answeredAt, ok := p.sound.Peek(part)
@@ -297,7 +311,8 @@
 // trialDue returns when a request with a refused part may be tried.
 func (p *PartTracker) trialDue(s *suspectPart) time.Time {
 	delay := p.config.TrialAfter
-	if s.lastAt.Sub(s.firstAt) < unclearSpan || p.isTied(s) {
+	isUnclear := s.lastAt.Sub(s.firstAt) < unclearSpan || s.hasOtherDeaths || p.isTied(s)
+	if s.trials == 0 && isUnclear {
 		delay = p.config.UnclearTrialAfter
 	}
 	for range s.trials {
@@ -346,6 +361,7 @@
 // death by it. It reports whether this node's own answers cleared any of them, so that peers
 // need an update.
 func (p *PartTracker) MergeSuspicions(now time.Time, suspicions []qf.PartSuspicion) (blamed []uint64, cleared bool) {
+	p.recordPeerDeaths(now, suspicions)
 	for i := range suspicions {
 		n := &suspicions[i]
 		s, ok := p.parts.Peek(n.Part)
@@ -357,6 +373,7 @@
 		s.merge(now, n)
 		if len(s.counted) > before {
 			blamed = append(blamed, n.Part)
+			s.hasOtherDeaths = p.hasDeathsWithout(now, s)
 		}
 		if len(s.counted) > 0 && p.isSound(now, n.Part) {
 			cleared = cleared || len(s.counted) >= p.config.MaxDeaths-1
@@ -366,6 +383,22 @@
 	return blamed, cleared
 }
 
+// recordPeerDeaths records the deaths that a peer reports, so that all nodes judge by the same.
+func (p *PartTracker) recordPeerDeaths(now time.Time, suspicions []qf.PartSuspicion) {
+	p.forgetOldDeaths(now)
+	for i := range suspicions {
+		n := &suspicions[i]
+		if n.Age > breakWindow {
+			continue
+		}
+		for _, d := range n.Deaths {
+			if _, isKnown := p.dead[d]; !isKnown {
+				p.dead[d] = now.Add(-n.Age)
+			}
+		}
+	}
+}
+
 func (s *suspectPart) merge(now time.Time, n *qf.PartSuspicion) {
 	s.clear(now, n.Cleared...)
 	first, last := now.Add(-n.FirstAge), now.Add(-n.Age)
--- a/internal/qf/coordination/qfsuspect/parts_test.go
+++ b/internal/qf/coordination/qfsuspect/parts_test.go
@@ -79,6 +79,7 @@
 		{"after a trial that crashed", append(slices.Clone(three), check(61*s, crashing), crash(s, 4, crashing)), 200 * s, []uint64{crashing}, TreatRefused},
 		{"a part that comes back after its trial is due", append(slices.Clone(three), check(600*s, crashing), crash(s, 4, crashing)), s, []uint64{crashing}, TreatRefused},
 		{"deaths close together have an early trial", []partEvent{crash(0, 1, rare), crash(0, 2, rare), crash(0, 3, rare)}, 3 * s, []uint64{rare}, TreatIsolated},
+		{"deaths among others have an early trial", []partEvent{crash(0, 1, rare), crash(s, 2, shared), crash(s, 3, rare), crash(s, 4, shared), crash(s, 5, rare)}, 3 * s, []uint64{rare}, TreatIsolated},
 		{"a peer's deaths", []partEvent{received(0, qf.PartSuspicion{Part: crashing, Deaths: []qf.DeathID{1, 2, 3}, FirstAge: 3 * s})}, s, []uint64{crashing}, TreatRefused},
 		{"a peer's and own deaths", []partEvent{crash(0, 1, crashing), received(s, qf.PartSuspicion{Part: crashing, Deaths: []qf.DeathID{1, 2, 3}, FirstAge: 3 * s})}, s, []uint64{crashing}, TreatRefused},
 		{"a peer cleared them", append(slices.Clone(three), received(s, qf.PartSuspicion{Part: crashing, Cleared: []qf.DeathID{1, 2, 3}})), 0, []uint64{crashing}, TreatNormally},
--- a/internal/standin/standreplica/move.go
+++ b/internal/standin/standreplica/move.go
@@ -54,7 +54,8 @@
 	r.isStopped = true
 }
 
-func (r *Replica) hasStopped() bool {
+// HasStopped reports whether the replica has stopped.
+func (r *Replica) HasStopped() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.isStopped
--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -216,7 +216,7 @@
 			r.markCancelled(run)
 			return
 		}
-		if r.isMoved(run.ID) || r.hasStopped() {
+		if r.isMoved(run.ID) || r.HasStopped() {
 			panic(http.ErrAbortHandler) // The stream is closed without its end.
 		}
 		if number == first+1+r.crashAfter(run) {
