--- a/internal/entry/crashingpart_test.go
+++ b/internal/entry/crashingpart_test.go
@@ -353,6 +353,7 @@
 		{name: "two crashing parts in one request", prompts: [][]string{{sharedPart, "bad001", "bad002"}}, crashing: []string{"bad001", "bad002"}},
 		{name: "two crashing parts in several requests", prompts: [][]string{{sharedPart, "bad001"}, {sharedPart, "bad002", "b1"}}, crashing: []string{"bad001", "bad002"}},
 		{name: "crash after the first event", prompts: middle, crashing: []string{"bad001"}, afterEvent: 1},
+		{name: "reset", prompts: middle, crashing: []string{"bad001"}, end: endsWithReset},
 		{name: "silence", prompts: middle, crashing: []string{"bad001"}, end: endsSilently},
 		{name: "same identity", prompts: middle, crashing: []string{"bad001"}, keepsIdentity: true},
 		{name: "seven nodes, few endpoints", nodes: 7, endpoints: 5, prompts: middle, crashing: []string{"bad001"}},
--- a/internal/entry/flood_test.go
+++ b/internal/entry/flood_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -125,7 +124,7 @@
 				if count := <-sent; count > mostBytes {
 					t.Errorf("%d bytes were accepted", count)
 				}
-				if a := w.call(w.t.Context(), 1, http.MethodPost, "/file/1", fmt.Sprint("body")); a.status != http.StatusOK {
+				if a := w.call(w.t.Context(), 1, http.MethodPost, "/file/1", "body"); a.status != http.StatusOK {
 					t.Errorf("another request gets %d", a.status)
 				}
 			})
