qfsuspect, entry: tell parts apart that are always in progress together

Cause: sound requests with a part that stands in the crashing requests too were refused for minutes (0 of 15 in 8 of 16 rows): both parts count the same deaths, each request with both that was tried counted against both, and requests with the sound part alone were never tried. Change: a request with a refused part, but without another refused one that explains so many of its deaths that too few are left, is tried a second after the last death; an answer clears its part, a death shows that it is to blame. Such trials have delays of their own.

--- a/internal/qf/coordination/qfsuspect/parts.go
+++ b/internal/qf/coordination/qfsuspect/parts.go
@@ -20,8 +20,8 @@
 	// part doesn't turn from sound to crashing between two answers.
 	SoundFor time.Duration
 	// UnclearTrialAfter and TrialAfter are the times until one request with a refused part is
-	// tried: while other causes are as likely and no trial has ended with another death, and
-	// else. Each trial that does makes the latter trialBackoff times as long.
+	// tried: the first while other causes are as likely and no trial has ended with another
+	// death. Each trial that does makes the latter trialBackoff times as long.
 	UnclearTrialAfter, TrialAfter time.Duration
 }
 
@@ -29,6 +29,9 @@
 	// trialBackoff and maxTrialDelay bound the trials of a part that keeps crashing endpoints.
 	trialBackoff  = 4
 	maxTrialDelay = time.Hour
+	// splitTrialDelay is the time until a request is tried that has only one of two refused parts
+	// which were in progress at the same deaths. By then those in progress have ended.
+	splitTrialDelay = time.Second
 	// unclearSpan is the time within which deaths may have one common cause, such as the loss of
 	// a zone.
 	unclearSpan = 2 * time.Second
@@ -71,6 +74,11 @@
 	// hasOtherDeaths is true if, at the latest counted death, endpoints had died a short time
 	// before without the part in progress: they crash for another reason too.
 	hasOtherDeaths bool
+	// splitAt, splits and onSplit are trialAt, trials and onTrial for requests without another
+	// refused part that may be to blame. They are this node's own.
+	splitAt time.Time
+	splits  int
+	onSplit bool
 }
 
 // brokenParts holds the parts of an attempt that ended without its answer.
@@ -204,6 +212,10 @@
 		s.onTrial = false
 		s.trials++
 	}
+	if s.onSplit {
+		s.onSplit = false
+		s.splits++
+	}
 }
 
 // clear moves deaths from the counted ones to the cleared ones.
@@ -217,6 +229,7 @@
 	s.counted = slices.DeleteFunc(s.counted, func(d qf.DeathID) bool { return slices.Contains(s.cleared, d) })
 	if len(s.counted) == 0 {
 		s.trials, s.onTrial = 0, false
+		s.splits, s.onSplit = 0, false
 	}
 }
 
@@ -269,23 +282,36 @@
 // request is the trial of a refused part; peers then need an update.
 func (p *PartTracker) CheckParts(now time.Time, parts []uint64) PartVerdict {
 	verdict := PartVerdict{Treatment: TreatNormally}
-	var due []*suspectPart
+	var due, split []*suspectPart
 	for _, part := range parts {
 		s, ok := p.parts.Get(part)
 		if !ok || len(s.counted) < p.config.MaxDeaths || p.isExplained(s) {
 			continue
 		}
 		verdict.Part, verdict.Deaths = part, len(s.counted)
-		if wait := p.trialDue(s).Sub(now); wait > 0 {
+		mayBeOther := p.mayBeOther(s, parts)
+		dueAt := p.trialDue(s)
+		if mayBeOther {
+			dueAt = s.splitDue()
+		}
+		if wait := dueAt.Sub(now); wait > 0 {
 			verdict.Treatment, verdict.RetryAfter = TreatRefused, wait
 			return verdict
 		}
-		due = append(due, s)
+		if mayBeOther {
+			split = append(split, s)
+		} else {
+			due = append(due, s)
+		}
 	}
 	for _, s := range due {
 		s.trialAt, s.onTrial = now, true
 		verdict.Treatment = TreatIsolated
 	}
+	for _, s := range split {
+		s.splitAt, s.onSplit = now, true
+		verdict.Treatment = TreatIsolated
+	}
 	return verdict
 }
 
@@ -304,24 +330,60 @@
 	})
 }
 
+// mayBeOther reports whether a refused part may be blamed for the deaths of another refused part
+// that isn't among the parts of a request: without them, too few count against it.
+func (p *PartTracker) mayBeOther(s *suspectPart, parts []uint64) bool {
+	return slices.ContainsFunc(p.parts.Keys(), func(part uint64) bool {
+		other, _ := p.parts.Peek(part)
+		if other == s || len(other.counted) < p.config.MaxDeaths || slices.Contains(parts, part) {
+			return false
+		}
+		left := 0
+		for _, d := range s.counted {
+			if !slices.Contains(other.counted, d) {
+				left++
+			}
+		}
+		return left < p.config.MaxDeaths
+	})
+}
+
 func containsAll(list, wanted []qf.DeathID) bool {
 	return !slices.ContainsFunc(wanted, func(d qf.DeathID) bool { return !slices.Contains(list, d) })
 }
 
+// splitDue returns when a request with a refused part, but without another one that may be to
+// blame, may be tried: its end tells the two apart.
+func (s *suspectPart) splitDue() time.Time {
+	return latest(s.lastAt, s.splitAt).Add(backOff(splitTrialDelay, s.splits))
+}
+
+// backOff returns the delay of a trial after a number of failed ones.
+func backOff(delay time.Duration, failed int) time.Duration {
+	for range failed {
+		delay = min(delay*trialBackoff, maxTrialDelay)
+	}
+	return delay
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // trialDue returns when a request with a refused part may be tried.
 func (p *PartTracker) trialDue(s *suspectPart) time.Time {
-	delay := p.config.TrialAfter
 	isUnclear := s.lastAt.Sub(s.firstAt) < unclearSpan || s.hasOtherDeaths || p.isTied(s)
-	if s.trials == 0 && isUnclear {
+	delay := backOff(p.config.TrialAfter, s.trials)
+	switch {
+	case isUnclear && s.trials == 0:
 		delay = p.config.UnclearTrialAfter
+	case isUnclear:
+		delay = backOff(p.config.TrialAfter, s.trials-1)
 	}
-	for range s.trials {
-		delay = min(delay*trialBackoff, maxTrialDelay)
-	}
-	if s.trialAt.After(s.lastAt) {
-		return s.trialAt.Add(delay)
-	}
-	return s.lastAt.Add(delay)
+	return latest(s.lastAt, s.trialAt).Add(delay)
 }
 
 // ListSuspicions returns the suspicions to send to peers: those with the most deaths first, and
--- a/internal/qf/coordination/qfsuspect/parts_test.go
+++ b/internal/qf/coordination/qfsuspect/parts_test.go
@@ -49,6 +49,7 @@
 func TestCheckParts(t *testing.T) {
 	const s = time.Second
 	three := []partEvent{crash(0, 1, shared, crashing), answer(s, shared), crash(s, 2, shared, crashing), answer(s, shared), crash(s, 3, shared, crashing)}
+	together := []partEvent{crash(0, 1, rare, crashing), crash(s, 2, rare, crashing), crash(s, 3, rare, crashing)}
 	tests := []struct {
 		name   string
 		events []partEvent
@@ -80,6 +81,11 @@
 		{"a part that comes back after its trial is due", append(slices.Clone(three), check(600*s, crashing), crash(s, 4, crashing)), s, []uint64{crashing}, TreatRefused},
 		{"deaths close together have an early trial", []partEvent{crash(0, 1, rare), crash(0, 2, rare), crash(0, 3, rare)}, 3 * s, []uint64{rare}, TreatIsolated},
 		{"deaths among others have an early trial", []partEvent{crash(0, 1, rare), crash(s, 2, shared), crash(s, 3, rare), crash(s, 4, shared), crash(s, 5, rare)}, 3 * s, []uint64{rare}, TreatIsolated},
+		{"a request with one of two parts that are always together", together, 1200 * time.Millisecond, []uint64{rare}, TreatIsolated},
+		{"a request with both parts that are always together", together, 1200 * time.Millisecond, []uint64{rare, crashing}, TreatRefused},
+		{"after a trial of one of them that was answered", append(slices.Clone(together), check(1200*time.Millisecond, rare), answer(s, rare)), 0, []uint64{rare}, TreatNormally},
+		{"the other after that", append(slices.Clone(together), check(1200*time.Millisecond, rare), answer(s, rare)), 0, []uint64{crashing}, TreatRefused},
+		{"one of them after a trial of the other that crashed", append(slices.Clone(together), check(1200*time.Millisecond, crashing), crash(s, 4, crashing)), 0, []uint64{rare}, TreatNormally},
 		{"a peer's deaths", []partEvent{received(0, qf.PartSuspicion{Part: crashing, Deaths: []qf.DeathID{1, 2, 3}, FirstAge: 3 * s})}, s, []uint64{crashing}, TreatRefused},
 		{"a peer's and own deaths", []partEvent{crash(0, 1, crashing), received(s, qf.PartSuspicion{Part: crashing, Deaths: []qf.DeathID{1, 2, 3}, FirstAge: 3 * s})}, s, []uint64{crashing}, TreatRefused},
 		{"a peer cleared them", append(slices.Clone(three), received(s, qf.PartSuspicion{Part: crashing, Cleared: []qf.DeathID{1, 2, 3}})), 0, []uint64{crashing}, TreatNormally},
