--- a/internal/qf/coordination/qfsuspect/parts_test.go
+++ b/internal/qf/coordination/qfsuspect/parts_test.go
@@ -1,6 +1,9 @@
 package qfsuspect
 
 import (
+	"bytes"
+	"encoding/gob"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -167,3 +170,38 @@
 		t.Errorf("the crashing part among thousands is %s", v.Treatment)
 	}
 }
+
+// BenchmarkSuspicions measures what suspicions of parts take at most: the heap of one tracker and
+// the encoded bytes of one list to a peer.
+func BenchmarkSuspicions(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	p := NewPartTracker(partConfig)
+	now := start
+	for i := range uint64(20_000) {
+		now = now.Add(time.Millisecond)
+		p.RecordAnswer(now, []uint64{1<<41 + i})
+		p.RecordBrokenAttempt(now, []uint64{i % maxParts, i / 2 % maxParts, i / 3 % maxParts}, qf.DeathID(i*2654435761))
+		p.RecordDeath(now, qf.DeathID(i*2654435761))
+		p.RecordBrokenAttempt(now, []uint64{1<<42 + i, 1<<43 + i, 1<<44 + i}, 1)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	var encoded bytes.Buffer
+	encoder := gob.NewEncoder(&encoded)
+	list := p.ListSuspicions(now)
+	for range 2 { // The first list carries the description of the type.
+		encoded.Reset()
+		if err := encoder.Encode(list); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ResetTimer()
+	for range b.N {
+		p.CheckParts(now, []uint64{1, 2, 3, 4})
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-B")
+	b.ReportMetric(float64(encoded.Len()), "list-B")
+	runtime.KeepAlive(p)
+}
