--- a/cmd/quetzalfront/soak_world_test.go
+++ b/cmd/quetzalfront/soak_world_test.go
@@ -135,14 +135,17 @@
 
 func (w *soakWorld) sleep(d time.Duration) { <-w.timer.After(d).C() }
 
-func (w *soakWorld) serve(address netip.AddrPort, handler http.Handler) {
+func (w *soakWorld) serve(address netip.AddrPort, handler http.Handler) *http.Server {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	w.mu.Lock()
 	w.servers = append(w.servers, server)
+	w.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
+	return server
 }
 
 func (w *soakWorld) proxy(address, target netip.AddrPort) {
@@ -169,9 +172,10 @@
 		{"name":"ask","host":%[2]q,"prefix":"/ask/","kind":"streaming","timeout-ms":3000,"slo-ms":1000,"service":"chat","attempts":2,"sticky":true,"resumable":true},
 		{"name":"talk","host":%[2]q,"prefix":"/talk/","kind":"streaming","timeout-ms":3000,"slo-ms":1000,"service":"chat","attempts":1,"sticky":true},
 		{"name":"file","host":%[2]q,"prefix":"/file/","kind":"unsafe","timeout-ms":2000,"slo-ms":200,"service":"books","attempts":1},
+		{"name":"part","host":%[2]q,"prefix":"/part/","kind":"streaming","timeout-ms":3000,"slo-ms":1000,"service":"parts","attempts":2,"sticky":true,"resumable":true},
 		{"name":"read","host":%[2]q,"prefix":"/read/","kind":"safe","timeout-ms":2000,"slo-ms":200,"service":"books","attempts":2},
 		{"name":"rev","host":%[2]q,"prefix":"/rev-%[1]d/","kind":"safe","timeout-ms":2000,"slo-ms":200,"service":"books","attempts":2}],
-		"services":[{"name":"chat"},{"name":"books"}],"limits":{"max-body-bytes":100000},
+		"services":[{"name":"chat"},{"name":"books"},{"name":"parts"}],"limits":{"max-body-bytes":100000},
 		"tenants":[{"name":"north","api-keys":[%[3]q],"unit":"generation","plain-tokens":1,"rate-per-s":1000000,"burst":1000000}]}`,
 		w.revision, soakHost, soakKey))
 }
--- a/internal/entry/crashingpart_test.go
+++ b/internal/entry/crashingpart_test.go
@@ -252,7 +252,7 @@
 
 // sentRequest is a sound request and what became of it.
 type sentRequest struct {
-	at     time.Time
+	at time.Time
 	// part is the part of its prompt that isn't shared by all.
 	part   string
 	hasRun bool
