--- a/internal/entry/crashingpart_test.go
+++ b/internal/entry/crashingpart_test.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	// contact is the time that a node has to apply what it knows, enoughCrashes the number of
+	// contact is the time within which a node must act on what it was sent, enoughCrashes the number of
 	// crashes after which a part must be known.
 	contact       = 4 * time.Second
 	enoughCrashes = 5
--- a/internal/entry/partfilter.go
+++ b/internal/entry/partfilter.go
@@ -13,8 +13,8 @@
 	"quetzalfront/internal/qf/state/qfevent"
 )
 
-// partConfig holds the settings for parts of prompts. Three deaths are the least that tell a
-// crashing part from one that was in progress by chance.
+// partConfig holds the settings for parts of prompts. Three deaths are the least that show a
+// crashing part rather than one that was in progress by chance.
 var partConfig = qfsuspect.PartConfig{
 	MaxDeaths: 3, SoundFor: 4 * time.Second, UnclearTrialAfter: 2 * time.Second, TrialAfter: time.Minute,
 }
--- a/internal/qf/coordination/qfsuspect/parts.go
+++ b/internal/qf/coordination/qfsuspect/parts.go
@@ -34,7 +34,7 @@
 	// unclearSpan is the time within which deaths may have one common cause, such as the loss of
 	// a zone.
 	unclearSpan = 2 * time.Second
-	// clearedFor is how long peers are told that a part was cleared.
+	// clearedFor is how long a cleared part is still listed to peers.
 	clearedFor = 10 * time.Second
 	// maxParts and maxSoundParts bound the memory, maxPartDeaths the lists of one part, and
 	// maxListedParts a message to a peer.
--- a/internal/qf/coordination/qfsuspect/partverdict.go
+++ b/internal/qf/coordination/qfsuspect/partverdict.go
@@ -104,7 +104,7 @@
 }
 
 // splitDue returns when a request with a refused part, but without another one that may be to
-// blame, may be tried: its end tells the two apart.
+// blame, may be tried: its end shows which of the two it is.
 func (s *suspectPart) splitDue() time.Time {
 	return latest(s.lastAt, s.splitAt).Add(backOff(splitTrialDelay, s.splits))
 }
