qflimit: take back the own shares of nodes in a small fleet

The limit refuses what the quota allows whenever demand moves between nodes, which callers feel more than windows of 7.16 instead of 7.2 million units under three times the rate. A smoother window must not refuse demand that moves; open.

--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -252,11 +252,10 @@
 }
 
 // isLimitedToShare reports whether this node may use no more than its own share: when
-// little is left, or the last tally is old, others may be spending the same units. Where nodes
-// report directly, little is what the others can spend until they have reported.
+// little is left, or the last tally is old, others may be spending the same units.
 func (q *Quotas) isLimitedToShare(now time.Time, b *quota) bool {
 	if !q.isRelayed() {
-		return b.level < b.rate*tallyDelay.Seconds()
+		return false
 	}
 	return b.level < scarceLevel*b.burst || now.Sub(q.reportedAt) > quotaLateAfter
 }
