--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -54,7 +54,7 @@
 	// log holds the log lines of all nodes.
 	log     logBuffer
 	servers []*http.Server
-	// mu guards requests.
+	// mu guards requests and servers.
 	mu       sync.Mutex
 	requests int
 }
@@ -160,7 +160,9 @@
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }()
+	w.mu.Lock()
 	w.servers = append(w.servers, server)
+	w.mu.Unlock()
 	return server
 }
 
