platform, entry: log the rates that endpoints state

Change: the adapter decodes the header into qf.StatedNumber (what is no sensible number is marked unreadable, and changes nothing); event 332 logs each change at a node, with the value before. No decision uses it yet. The header isn't passed on to callers, like the load that endpoints report to nodes.

--- a/internal/entry/endpointpicker.go
+++ b/internal/entry/endpointpicker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	random   *rand.Rand
 	versions *versionSelector
 	dead     deadEndpoints
+	// statedRates holds what endpoints last stated, observeRate is called with each change of it.
+	statedRates map[qf.EndpointID]qf.StatedNumber
+	observeRate func(endpoint qf.EndpointID, rate, before qf.StatedNumber)
 	// pressure and waitEstimator are updated with the times to first tokens.
 	pressure      qfadmit.Pressure
 	waitEstimator qfadmit.WaitEstimator
@@ -132,11 +136,22 @@
 	p.versions.judge.recordAttemptEnd(at, picked, end)
 }
 
-// RecordLoad implements qf.EndpointPicker.
-func (p *endpointPicker) RecordLoad(at time.Time, endpoint qf.EndpointID, load qf.ResponseLoad) {
+// RecordResponse implements qf.EndpointPicker.
+func (p *endpointPicker) RecordResponse(at time.Time, picked *qf.PickedEndpoint, answer *qf.EndpointResponse) {
+	endpoint := picked.Endpoint.ID
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.router.RecordLoadReport(at, qf.LoadReport{Endpoint: endpoint, At: at, Running: load.Running, Queued: load.Waiting})
+	if load := answer.Traits.Load; load != nil {
+		p.router.RecordLoadReport(at, qf.LoadReport{Endpoint: endpoint, At: at, Running: load.Running, Queued: load.Waiting})
+	}
+	before, rate := p.statedRates[endpoint], answer.Traits.Rate
+	hasChanged := rate != before && answer.Status != http.StatusMisdirectedRequest && (rate.Kind == qf.StatedNumeric || before.Kind == qf.StatedNumeric)
+	if hasChanged {
+		p.statedRates[endpoint] = rate
+	}
+	p.mu.Unlock()
+	if hasChanged {
+		p.observeRate(endpoint, rate, before)
+	}
 }
 
 // setEndpoints replaces the endpoints that may get work.
--- a/internal/qf/caller.go
+++ b/internal/qf/caller.go
@@ -61,6 +61,25 @@
 	Signed bool
 	// Load is nil if the endpoint didn't report it.
 	Load *ResponseLoad
+	// Rate is the number of requests a second that the endpoint takes from all nodes together.
+	Rate StatedNumber
+}
+
+// StatedKind says whether an endpoint states a number with an answer.
+type StatedKind string
+
+// The kinds of statements. An unreadable one changes nothing that is known.
+const (
+	StatedNone       StatedKind = "None"
+	StatedNumeric    StatedKind = "Numeric"
+	StatedUnreadable StatedKind = "Unreadable"
+)
+
+// StatedNumber is a number that an endpoint may state with an answer.
+type StatedNumber struct {
+	Kind StatedKind
+	// Value is finite and not negative; it is 0 unless Kind is StatedNumeric.
+	Value float64
 }
 
 // ResponseLoad is the load that an endpoint reports with an answer.
--- a/internal/qf/placement.go
+++ b/internal/qf/placement.go
@@ -72,6 +72,6 @@
 	RecordProgress(at time.Time, picked *PickedEndpoint)
 	// RecordAttemptEnd records the end of the attempt.
 	RecordAttemptEnd(at time.Time, placement *PickedEndpoint, end AttemptEnd)
-	// RecordLoad records the load that an endpoint reported with an answer.
-	RecordLoad(at time.Time, endpoint EndpointID, load ResponseLoad)
+	// RecordResponse records what the endpoint stated with the header of an answer.
+	RecordResponse(at time.Time, picked *PickedEndpoint, answer *EndpointResponse)
 }
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -173,9 +173,7 @@
 	if s.headerSent && a.end == qf.AttemptAnswered && answer.Status != http.StatusOK {
 		a.end = qf.AttemptFailed // It isn't the rest of the stream.
 	}
-	if load := answer.Traits.Load; load != nil {
-		ports.Picker.RecordLoad(ports.Clock.Now(), a.picked.Endpoint.ID, *load)
-	}
+	ports.Picker.RecordResponse(ports.Clock.Now(), &a.picked, answer)
 	if a.end == qf.AttemptAnswered && c.route.Kind == qf.RouteStream && answer.Status == http.StatusOK {
 		a.move, err = c.relayMovable(ctx, s, a, stopWatch)
 	} else {
