--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -82,6 +82,17 @@
 	MoveTakes time.Duration
 	// Crash makes the replica crash at some requests; nil means that it never does.
 	Crash *Crash
+	// statedRate is sent with each answer, unless it is empty.
+	statedRate string
+	arrivals   []Arrival
+}
+
+// Arrival is one request that reached the replica, whether it ran or not.
+type Arrival struct {
+	ID string
+	At time.Time
+	// From is the address of the node that sent it.
+	From string
 }
 
 // Crash says at which requests a replica crashes, and when.
@@ -118,6 +129,30 @@
 	return runs
 }
 
+// StateRate sets the rate of requests that the replica states with its answers; an empty text states
+// none.
+func (r *Replica) StateRate(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statedRate = text
+}
+
+// Arrivals returns the requests that reached the replica so far.
+func (r *Replica) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.arrivals)
+}
+
+// recordArrival records a request and returns the rate to state with its answer.
+func (r *Replica) recordArrival(request *http.Request) string {
+	from, _, _ := strings.Cut(request.RemoteAddr, ":")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, Arrival{ID: request.Header.Get("X-Request-Id"), At: r.clock.Now(), From: from})
+	return r.statedRate
+}
+
 // begin records a request, unless it is shed, and returns its behaviour.
 func (r *Replica) begin(request *http.Request) (*ExecutedRequest, Behaviour) {
 	body, _ := io.ReadAll(request.Body) // A truncated body is recorded as received.
@@ -147,14 +182,18 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == pathMove {
+		r.serveMove(w, request)
+		return
+	}
+	rate := r.recordArrival(request)
 	if want := request.Header.Get("X-Expect-Instance"); want != "" && want != r.ID {
 		w.Header().Set("X-Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if request.URL.Path == pathMove {
-		r.serveMove(w, request)
-		return
+	if rate != "" {
+		w.Header().Set("Server-Limit", rate)
 	}
 	run, behaviour := r.begin(request)
 	w.Header().Set("X-Request-Id", run.ID)
