qfrate, entry: hold the rates that endpoints state over all nodes

Ruled out: retries and moves (counts hold with none), and rates held by each node alone. Change: time is cut into turns, one for each request that an endpoint takes; of all members, a hash weighted by demand gives each turn to one node (qfrate). No message is needed for a turn; rates and, in a small fleet, demand travel with the exchanges, news at once. Unused turns are kept for a second and two turns, so that all nodes together send at most 5 times the rate and 2 requests in 4 s. From four requests a second on a node uses its share as a token bucket. All that picks an endpoint goes through it: first sends, retries, resumed and moved streams, trials. If nobody else can serve, the caller is refused at once with the time at which its turn comes.

--- a/internal/entry/crashingpart_test.go
+++ b/internal/entry/crashingpart_test.go
@@ -109,14 +109,6 @@
 	w.network.Partition(w.isDark)
 }
 
-// replaceNode ends a node and starts a new one in its place.
-func (w *crashWorld) replaceNode(index int) {
-	w.nodes[index].Stop(w.t.Context())
-	number := w.numbers[index]
-	w.nodes, w.numbers = slices.Delete(w.nodes, index, index+1), slices.Delete(w.numbers, index, index+1)
-	w.start(number)
-}
-
 // crashesAfter returns the number of crashes after a time.
 func (w *crashWorld) crashesAfter(after time.Time) int {
 	w.mu.Lock()
@@ -222,7 +214,7 @@
 		elapsed := w.clock.Now().Sub(began)
 		isPaused := w.day.pause > 0 && elapsed > length/3 && elapsed < length/3+w.day.pause
 		if w.day.restarts && elapsed > length/2 && elapsed <= length/2+step {
-			w.restartNodes()
+			w.restartedAt = w.restartNodes()
 		}
 		if i%soundSteps == 0 {
 			parts := []string{sharedPart, fmt.Sprintf("b%d", w.random.IntN(20))}
@@ -260,20 +252,6 @@
 	isSuspected bool
 }
 
-// restartNodes stops all nodes at once and starts new ones in their places.
-func (w *crashWorld) restartNodes() {
-	var wait sync.WaitGroup
-	for _, node := range w.nodes {
-		wait.Go(func() { node.Stop(w.t.Context()) })
-	}
-	wait.Wait()
-	numbers := w.numbers
-	w.nodes, w.numbers, w.restartedAt = nil, nil, w.clock.Now()
-	for _, number := range numbers {
-		w.start(number)
-	}
-}
-
 func (w *crashWorld) hasRun(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/entry/endpointpicker.go
+++ b/internal/entry/endpointpicker.go
@@ -9,6 +9,7 @@
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qfadmit"
+	"quetzalfront/internal/qf/coordination/qfrate"
 )
 
 // endpointPicker implements qf.EndpointPicker with a router. Its lock guards the router, which isn't
@@ -21,14 +22,31 @@
 	random   *rand.Rand
 	versions *versionSelector
 	dead     deadEndpoints
-	// statedRates holds what endpoints last stated, observeRate is called with each change of it.
-	statedRates map[qf.EndpointID]qf.StatedNumber
-	observeRate func(endpoint qf.EndpointID, rate, before qf.StatedNumber)
+	// rates holds the rates that endpoints state, in the time of clock. observeRates is called with
+	// changes of them, without the lock.
+	rates        *qfrate.Limiter
+	clock        *fleetClock
+	observeRates func(changes []qfrate.Change)
 	// pressure and waitEstimator are updated with the times to first tokens.
 	pressure      qfadmit.Pressure
 	waitEstimator qfadmit.WaitEstimator
 }
 
+// newEndpointPicker returns a picker without endpoints.
+func newEndpointPicker(self qf.Node, random *rand.Rand, router qf.Router, clock *fleetClock) *endpointPicker {
+	return &endpointPicker{
+		self: self, router: router, random: random, versions: newVersionSelector(), dead: deadEndpoints{},
+		rates: qfrate.NewLimiter(self.ID), clock: clock, observeRates: func([]qfrate.Change) {},
+	}
+}
+
+// hasRates reports whether any endpoint states a rate.
+func (p *endpointPicker) hasRates() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rates.HasRates()
+}
+
 // isPressureHigh reports whether first tokens are late.
 func (p *endpointPicker) isPressureHigh(now time.Time) bool {
 	p.mu.Lock()
@@ -57,13 +75,14 @@
 		request.MaxTokens = query.Prompt.MaxAnswerTokens
 	}
 	routeQuery.Excluded = p.dead.with(query.Now, query.Excluded)
+	withheld := p.applyRates(&routeQuery)
 	choice, err := p.router.ChooseEndpoint(routeQuery)
 	if err != nil && len(routeQuery.Excluded) > len(query.Excluded) {
 		routeQuery.Excluded = query.Excluded
 		choice, err = p.router.ChooseEndpoint(routeQuery)
 	}
 	if err != nil {
-		return qf.PickedEndpoint{}, err
+		return qf.PickedEndpoint{}, p.explainRefusal(&routeQuery, withheld, err)
 	}
 	if queue := choice.Prediction.Queue; routeQuery.MaxQueue > 0 && queue > routeQuery.MaxQueue {
 		return qf.PickedEndpoint{}, &qf.Error{
@@ -79,6 +98,9 @@
 	}
 	picked.Judgement = p.versions.judge.start(&picked)
 	p.router.RecordStart(query.Now, picked.Endpoint.ID, picked.Tokens)
+	if p.rates.HasRates() {
+		p.rates.RecordSend(p.clock.fleetTime(query.Now), picked.Endpoint.ID)
+	}
 	return picked, nil
 }
 
@@ -143,15 +165,15 @@
 	if load := answer.Traits.Load; load != nil {
 		p.router.RecordLoadReport(at, qf.LoadReport{Endpoint: endpoint, At: at, Running: load.Running, Queued: load.Waiting})
 	}
-	before, rate := p.statedRates[endpoint], answer.Traits.Rate
-	hasChanged := rate != before && answer.Status != http.StatusMisdirectedRequest && (rate.Kind == qf.StatedNumeric || before.Kind == qf.StatedNumeric)
-	if hasChanged {
-		p.statedRates[endpoint] = rate
+	var changes []qfrate.Change
+	if answer.Status != http.StatusMisdirectedRequest { // Another endpoint sent it.
+		sentAt := p.clock.fleetTime(picked.StartedAt)
+		if change, ok := p.rates.RecordAnswer(p.clock.fleetTime(at), sentAt, &picked.Endpoint, answer.Traits.Rate); ok {
+			changes = append(changes, change)
+		}
 	}
 	p.mu.Unlock()
-	if hasChanged {
-		p.observeRate(endpoint, rate, before)
-	}
+	p.observeRates(changes)
 }
 
 // setEndpoints replaces the endpoints that may get work.
@@ -161,6 +183,7 @@
 	p.dead.keepListed(endpoints)
 	p.router.SetEndpoints(endpoints)
 	p.versions.setEndpoints(endpoints)
+	p.rates.KeepListed(endpoints)
 }
 
 // recordDeath records that an endpoint refused a connection.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -149,9 +149,8 @@
 	e.membership = qfmember.New(deployment.Self, qfmember.Timing{
 		SuspectAfter: suspectAfter, DeadAfter: deadAfter, FullExchangeUpTo: fullExchangeUpTo,
 	})
-	e.picker = &endpointPicker{self: deployment.Self, random: e.newRandom(), versions: newVersionSelector(), dead: deadEndpoints{},
-		statedRates: map[qf.EndpointID]qf.StatedNumber{}, observeRate: e.observeRate}
-	e.picker.router = qfroute.NewPredictive(routeConfig(), e.newRandom(), now)
+	e.picker = newEndpointPicker(deployment.Self, e.newRandom(), qfroute.NewPredictive(routeConfig(), e.newRandom(), now), e.fleetClock)
+	e.picker.observeRates = e.observeRates
 	e.admission = &admissionController{
 		quotas: qflimit.NewQuotas(deployment.Bounds.QuotaWindow), clock: e.fleetClock,
 		retries: qfretry.NewFleetBudget(qfretry.FleetBounds{
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -49,6 +49,9 @@
 	e.relays = relays
 	e.mu.Unlock()
 	e.isRelay.Store(isGrouped && relays.IsSelf)
+	if e.picker.hasRates() {
+		e.updateRateMembers(now)
+	}
 	if e.hasNodes.Load() || now.Sub(e.startedAt) > nodeListFallback {
 		e.admission.setNodes(relays.Nodes)
 	}
@@ -68,13 +71,13 @@
 	}
 }
 
-// pushDelay is the time in which suspicions are gathered before they are sent to peers ahead of
+// pushDelay is the time in which urgent changes are gathered before they are sent to peers ahead of
 // the next exchange.
 const pushDelay = 20 * time.Millisecond
 
-// pushSuspicions sends the suspicions to peers at once: to all in a small fleet, in a large one
-// to the relays. It doesn't block.
-func (e *Entry) pushSuspicions() {
+// pushUrgent sends suspicions and stated rates to peers at once: to all in a small fleet, in a large
+// one to the relays. It doesn't block.
+func (e *Entry) pushUrgent() {
 	if e.isPushing.Swap(true) {
 		return // Those that were added meanwhile are sent too.
 	}
@@ -137,6 +140,7 @@
 	if !isGrouped && to != nil {
 		d.Tally = e.buildTally(to)
 	}
+	e.fillRates(now, &d, isGrouped)
 	if isGrouped && (to == nil || to.AvailabilityZone != d.From.AvailabilityZone) {
 		return d // Load in progress is sent only within the zone.
 	}
@@ -155,6 +159,7 @@
 	e.fleetClock.recordPeerTime(now, d.From.ID, d.SentAt)
 	e.picker.recordPeerLoads(d.From.ID, d.SentLoads)
 	e.poisonFilter.mergeDigest(now, d)
+	e.mergeRates(now, d)
 	e.storeEra.applyPeer(d.Store)
 	for i := range d.RolloutPlans {
 		e.applyRolloutPlan(&d.RolloutPlans[i])
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -231,6 +232,30 @@
 	return node
 }
 
+// replaceNode ends a node and starts a new one in its place.
+func (w *testFleet) replaceNode(index int) {
+	w.nodes[index].Stop(w.t.Context())
+	number := w.numbers[index]
+	w.nodes, w.numbers = slices.Delete(w.nodes, index, index+1), slices.Delete(w.numbers, index, index+1)
+	w.start(number)
+}
+
+// restartNodes stops all nodes at once and starts new ones in their places. It returns when the
+// first of them were started.
+func (w *testFleet) restartNodes() time.Time {
+	var wait sync.WaitGroup
+	for _, node := range w.nodes {
+		wait.Go(func() { node.Stop(w.t.Context()) })
+	}
+	wait.Wait()
+	numbers, startedAt := w.numbers, w.clock.Now()
+	w.nodes, w.numbers = nil, nil
+	for _, number := range numbers {
+		w.start(number)
+	}
+	return startedAt
+}
+
 // answer is the response that a caller got.
 type answer struct {
 	id     string
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -58,11 +58,6 @@
 	}
 }
 
-// observeRate logs a change of the rate that an endpoint states.
-func (e *Entry) observeRate(endpoint qf.EndpointID, rate, before qf.StatedNumber) {
-	qfevent.RateStated.Log(&e.platform.Logger, endpoint, rate.Kind, rate.Value, before.Value)
-}
-
 func isSuccess(o *qfforward.Outcome) bool {
 	return o.Err == nil && o.Status < http.StatusInternalServerError
 }
--- a/internal/entry/overload_internal_test.go
+++ b/internal/entry/overload_internal_test.go
@@ -39,11 +39,8 @@
 func newOverloadSimulation(count int) *overloadSimulation {
 	w := &overloadSimulation{now: time.Unix(1_800_000_000, 0), busyUntil: map[qf.EndpointID]time.Time{}}
 	random := rand.New(rand.NewPCG(3, 4))
-	w.picker = &endpointPicker{
-		self:   qf.Node{ID: "node-1", AvailabilityZone: "north-a", Region: "north"},
-		random: random, versions: newVersionSelector(),
-		router: qfroute.NewPredictive(routeConfig(), random, w.now),
-	}
+	self := qf.Node{ID: "node-1", AvailabilityZone: "north-a", Region: "north"}
+	w.picker = newEndpointPicker(self, random, qfroute.NewPredictive(routeConfig(), random, w.now), newFleetClock(w.now))
 	endpoints := make([]qf.Endpoint, count)
 	for i := range endpoints {
 		id := fmt.Sprintf("chat-%d", i)
--- a/internal/entry/partfilter.go
+++ b/internal/entry/partfilter.go
@@ -52,7 +52,7 @@
 	switch verdict.Treatment {
 	case qfsuspect.TreatIsolated:
 		qfevent.PartTried.Log(logger, content.ID, formatParts([]uint64{verdict.Part}), verdict.Deaths)
-		f.entry.pushSuspicions()
+		f.entry.pushUrgent()
 		return nil
 	case qfsuspect.TreatRefused:
 		if loggedAt, ok := f.loggedAt.Get(verdict.Part); !ok || now.Sub(loggedAt) >= refusalLogInterval {
@@ -83,7 +83,7 @@
 func (f *poisonFilter) mergeParts(now time.Time, suspicions []qf.PartSuspicion) {
 	blamed, cleared := f.parts.MergeSuspicions(now, suspicions)
 	if cleared || len(blamed) > 0 && f.entry.isRelay.Load() {
-		f.entry.pushSuspicions()
+		f.entry.pushUrgent()
 	}
 }
 
@@ -114,7 +114,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.parts.RecordBrokenAttempt(now, partFingerprints(content, endpoint.Entry), qfsuspect.IdentifyDeath(endpoint)) {
-		f.entry.pushSuspicions()
+		f.entry.pushUrgent()
 	}
 }
 
@@ -123,7 +123,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.parts.RecordAnswer(now, partFingerprints(content, endpoint.Entry)) {
-		f.entry.pushSuspicions()
+		f.entry.pushUrgent()
 	}
 }
 
--- a/internal/entry/poisonfilter.go
+++ b/internal/entry/poisonfilter.go
@@ -119,7 +119,7 @@
 		f.suspects.RecordDeath(now, qfsuspect.Death{Endpoint: endpoint.ID, AvailabilityZone: endpoint.AvailabilityZone})
 	}
 	if len(blamed) > 0 {
-		f.entry.pushSuspicions()
+		f.entry.pushUrgent()
 	}
 	if hadBroken || len(blamed) > 0 {
 		qfevent.EndpointDied.Log(&f.entry.platform.Logger, endpoint.ID, reason, len(blamed), formatParts(blamed))
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -50,6 +50,7 @@
 		Store: e.storeEra.get(),
 	}
 	e.poisonFilter.fillDigest(now, &d)
+	e.fillRates(now, &d, true)
 	return d
 }
 
--- /dev/null
+++ b/internal/qf/coordination/qfrate/limiter.go
@@ -0,0 +1,238 @@
+// Package qfrate keeps the nodes of a fleet together within the rates of requests that endpoints
+// state, without a message for each request. Time is cut into turns, one for each request that an
+// endpoint takes, and each turn belongs to one node: a hash of the endpoint, the turn and the node
+// decides, weighted by the nodes' demand. Nodes that differ about the members of the fleet for a
+// moment differ about the turns of those members only.
+package qfrate
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalfront/internal/qf"
+)
+
+const (
+	// minRate is the rate that is assumed for endpoints that state less, in requests a second:
+	// without any request, nobody would learn that an endpoint takes more again.
+	minRate = 0.05
+	// bucketRate is the node's share of a rate, in requests a second, from which on a token bucket
+	// replaces turns.
+	bucketRate = 4.0
+	// bucketDepth is the time for which a share is kept in the bucket.
+	bucketDepth = 250 * time.Millisecond
+	// turnsKept and turnsKeptFor bound how long a turn that hasn't been used is kept: for
+	// turnsKept turns and turnsKeptFor, at most maxTurnAge. All nodes together then send at most
+	// 5 times the rate and 2 requests in 4 s.
+	turnsKept    = 2
+	turnsKeptFor = time.Second
+	maxTurnAge   = 6 * time.Second
+)
+
+// Limiter decides when a node may send requests to endpoints that state a rate. All times are the
+// fleet's. It isn't safe for concurrent use.
+type Limiter struct {
+	self qf.NodeID
+	// members are empty until the members of the fleet are known: until then, the node has no turns.
+	members []member
+	// lostAt is when most of the members were missing at once, or zero.
+	lostAt    time.Time
+	endpoints map[qf.EndpointID]*endpoint
+	demands   demands
+	// shares holds the members' parts of the rates by entry. They are dropped when the members or
+	// their demand change.
+	shares map[qf.EntryName]*shares
+	// returns holds when the last caller that was refused should come back, by entry.
+	returns map[qf.EntryName]time.Time
+	// stated is the number of endpoints that state a rate.
+	stated int
+}
+
+// member is one node of the fleet.
+type member struct {
+	id   qf.NodeID
+	hash uint64
+}
+
+// endpoint is an endpoint that states a rate, or did so a short time ago.
+type endpoint struct {
+	entry       qf.EntryName
+	incarnation qf.Incarnation
+	hash        uint64
+	// rate is in requests a second; 0 means that the endpoint states none any more.
+	rate float64
+	// at is the time of the answer behind the rate, or of the request whose answer had none.
+	at time.Time
+	// changedAt is when this node changed the rate.
+	changedAt time.Time
+	// next is the first turn that hasn't been assigned yet, or 0.
+	next int64
+	// turns holds the ends of the node's own turns that it hasn't used.
+	turns []time.Time
+	// tokens is the level of the bucket at filledAt, which is zero while turns are used.
+	tokens   float64
+	filledAt time.Time
+}
+
+// NewLimiter returns a limiter of a node that knows of no rates.
+func NewLimiter(self qf.NodeID) *Limiter {
+	return &Limiter{
+		self: self, endpoints: map[qf.EndpointID]*endpoint{}, demands: newDemands(),
+		shares: map[qf.EntryName]*shares{}, returns: map[qf.EntryName]time.Time{},
+	}
+}
+
+// HasRates reports whether any endpoint states a rate.
+func (l *Limiter) HasRates() bool { return l.stated > 0 }
+
+// lossHold is how long a node that loses most of its peers at once keeps their shares free: it
+// may be cut off from peers that still send.
+const lossHold = time.Minute
+
+// SetMembers sets the nodes that share the rates, this one included, in the same order at all nodes.
+func (l *Limiter) SetMembers(now time.Time, nodes []qf.NodeID) {
+	if l.hasMembers(nodes) {
+		l.lostAt = time.Time{}
+		return
+	}
+	if 2*len(nodes) <= len(l.members) {
+		if l.lostAt.IsZero() {
+			l.lostAt = now
+		}
+		if now.Sub(l.lostAt) < lossHold {
+			return
+		}
+	}
+	l.lostAt = time.Time{}
+	l.members = make([]member, len(nodes))
+	for i, id := range nodes {
+		l.members[i] = member{id: id, hash: xxhash.Sum64String(string(id))}
+	}
+	clear(l.shares)
+}
+
+func (l *Limiter) hasMembers(nodes []qf.NodeID) bool {
+	if len(nodes) != len(l.members) {
+		return false
+	}
+	for i, id := range nodes {
+		if l.members[i].id != id {
+			return false
+		}
+	}
+	return true
+}
+
+// MaySend reports whether the node may send a request to an endpoint now.
+func (l *Limiter) MaySend(now time.Time, id qf.EndpointID) bool {
+	e := l.endpoints[id]
+	if e == nil || e.rate == 0 {
+		return true
+	}
+	l.advance(now, e)
+	return e.tokens >= 1 || len(e.turns) > 0
+}
+
+// RecordSend uses up one request of the endpoint's rate.
+func (l *Limiter) RecordSend(now time.Time, id qf.EndpointID) {
+	e := l.endpoints[id]
+	if e == nil || e.rate == 0 {
+		return
+	}
+	l.advance(now, e)
+	switch {
+	case len(e.turns) > 0:
+		e.turns = e.turns[1:]
+	case e.tokens >= 1:
+		e.tokens--
+	}
+}
+
+// advance assigns the turns that have begun, or fills the bucket.
+func (l *Limiter) advance(now time.Time, e *endpoint) {
+	s := l.sharesOf(now, e.entry)
+	if s == nil {
+		e.turns, e.tokens = nil, 0
+		return
+	}
+	if share := e.rate * s.own(); share >= bucketRate {
+		e.fill(now, share)
+		return
+	}
+	e.tokens, e.filledAt = 0, time.Time{}
+	e.assignTurns(now, s)
+}
+
+// fill adds to the bucket what the share allows since the last call.
+func (e *endpoint) fill(now time.Time, share float64) {
+	e.turns, e.next = nil, 0
+	depth := max(share*bucketDepth.Seconds(), 1)
+	if e.filledAt.IsZero() {
+		e.filledAt = now
+	}
+	if elapsed := now.Sub(e.filledAt); elapsed > 0 {
+		e.tokens = min(e.tokens+share*elapsed.Seconds(), depth)
+		e.filledAt = now
+	}
+}
+
+// assignTurns adds the node's own turns that have begun since the last call, and drops those that
+// are over.
+func (e *endpoint) assignTurns(now time.Time, s *shares) {
+	keptFor := min(turnsKeptFor+time.Duration(turnsKept/e.rate*float64(time.Second)), maxTurnAge)
+	present := e.turnAt(now)
+	if e.next == 0 {
+		e.next = present
+	}
+	e.next = max(e.next, e.turnAt(now.Add(-keptFor))+1)
+	for ; e.next <= present; e.next++ {
+		if s.isOwn(e.hash ^ uint64(e.next)) { //nolint:gosec // Any bits will do.
+			e.turns = append(e.turns, e.turnStart(e.next).Add(keptFor))
+		}
+	}
+	for len(e.turns) > 0 && !now.Before(e.turns[0]) {
+		e.turns = e.turns[1:]
+	}
+}
+
+// turnAt returns the number of the turn at a time. Endpoints' turns begin at different moments.
+func (e *endpoint) turnAt(at time.Time) int64 {
+	return int64(float64(at.UnixNano())/float64(time.Second)*e.rate + e.phase())
+}
+
+// turnStart returns when a turn begins.
+func (e *endpoint) turnStart(turn int64) time.Time {
+	return time.Unix(0, int64((float64(turn)-e.phase())/e.rate*float64(time.Second)))
+}
+
+func (e *endpoint) phase() float64 { return unit(e.hash) }
+
+// maxReturn bounds the time after which a caller is asked to return.
+const maxReturn = 10 * time.Second
+
+// RetryAfter returns when a caller that was refused because of stated rates should return. Callers
+// get different times, one for each request that the node may send, in the order of their refusals.
+func (l *Limiter) RetryAfter(now time.Time, entry qf.EntryName) time.Duration {
+	rate := 0.0
+	for _, e := range l.endpoints {
+		if e.entry == entry {
+			rate += e.rate
+		}
+	}
+	s := l.sharesOf(now, entry)
+	if s == nil || rate == 0 {
+		return time.Second
+	}
+	interval := min(time.Duration(float64(time.Second)/(rate*max(s.own(), 1e-6))), maxReturn)
+	at := l.returns[entry]
+	if at.Before(now) {
+		at = now
+	}
+	at = at.Add(interval)
+	if latest := now.Add(maxReturn); at.After(latest) {
+		at = latest
+	}
+	l.returns[entry] = at
+	return at.Sub(now)
+}
--- a/internal/qf/coordination/qfroute/baseline.go
+++ b/internal/qf/coordination/qfroute/baseline.go
@@ -30,6 +30,9 @@
 	if e.Entry != query.Request.Entry || slices.Contains(query.Excluded, e.ID) {
 		return false
 	}
+	if query.MayUse != nil && !query.MayUse(e.ID) {
+		return false
+	}
 	if query.Version != "" && e.Version != query.Version {
 		return false
 	}
--- a/internal/qf/coordination/qfroute/choose.go
+++ b/internal/qf/coordination/qfroute/choose.go
@@ -135,7 +135,8 @@
 	return list
 }
 
-// mayServe reports whether the endpoint is neither departing nor excluded.
+// mayServe reports whether the endpoint is neither departing nor excluded, and takes the request.
 func (e *endpoint) mayServe(query *qf.RouteQuery) bool {
-	return !e.departing && (len(query.Excluded) == 0 || !slices.Contains(query.Excluded, e.ID))
+	return !e.departing && (len(query.Excluded) == 0 || !slices.Contains(query.Excluded, e.ID)) &&
+		(query.MayUse == nil || query.MayUse(e.ID))
 }
--- a/internal/qf/decision.go
+++ b/internal/qf/decision.go
@@ -37,6 +37,8 @@
 	Version Version
 	// Excluded endpoints must not be chosen.
 	Excluded []EndpointID
+	// MayUse reports whether an endpoint takes another request; nil means that all do.
+	MayUse func(EndpointID) bool
 	// MaxQueue is the longest predicted queue at which the request can be served in time. An
 	// endpoint with a longer one is chosen only if all have longer ones. 0 means no bound.
 	MaxQueue time.Duration
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -226,6 +226,26 @@
 	Lists []ZoneList
 	// Store is the sender's view of the platform's store.
 	Store StoreSighting
+	// Rates holds rates that endpoints state, Demands the sender's demand for those entries.
+	Rates   []EndpointRate
+	Demands []EntryDemand
+}
+
+// EndpointRate is the rate of requests that an endpoint states to take from all nodes together.
+type EndpointRate struct {
+	Endpoint    EndpointID
+	Incarnation Incarnation
+	Entry       EntryName
+	// PerSecond is 0 if the endpoint states no rate any more.
+	PerSecond float64
+	// At orders reports on one incarnation, by the fleet's clock.
+	At time.Time
+}
+
+// EntryDemand is how many requests a second a node would send to the endpoints of an entry.
+type EntryDemand struct {
+	Entry     EntryName
+	PerSecond float64
 }
 
 // StoreSighting is what is known of the era of the platform's store.
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -147,7 +147,7 @@
 	FeedMoved        = Event{329, info, "a feed is read from another source", []string{FieldFeed, FieldSource, FieldPeer, FieldAge, FieldError}, "Nothing; Age is the time since the feed's last answer, Error why the relay wasn't used."}
 	EndpointListed   = Event{330, info, "an endpoint is listed", []string{FieldEndpoint, FieldEntry, FieldVersion, FieldAvailabilityZone, FieldAddress}, "Nothing."}
 	EndpointLeaving  = Event{331, info, "an endpoint leaves", []string{FieldEndpoint, FieldReason, FieldVersion}, "Nothing; it gets no new work. Version is the row's at the store, the same at all nodes."}
-	RateStated       = Event{332, info, "the rate that an endpoint states has changed", []string{FieldEndpoint, FieldOutcome, FieldRate, FieldBefore}, "Look at the endpoint if it lasts: it takes Rate requests a second from all nodes together. Outcome is None once it states no rate any more."}
+	RateStated       = Event{332, info, "the rate that an endpoint states has changed", []string{FieldEndpoint, FieldRate, FieldBefore}, "Look at the endpoint if it lasts: it takes Rate requests a second from all nodes together; 0 stands for no stated rate."}
 	PeerLost         = Event{420, warning, "heartbeats of a peer are missing", []string{FieldPeer, FieldAge}, "Look at the peer if it lasts."}
 	PeerRegained     = Event{421, info, "heartbeats of a peer are received", []string{FieldPeer, FieldAddress}, "Nothing."}
 	UsageReported    = Event{520, info, "usage reported", []string{FieldWindow, FieldFencing, FieldOutcome, FieldError}, "Nothing; a window whose Outcome isn't Done is tried again."}
