--- /dev/null
+++ b/internal/entry/cutoff_test.go
@@ -0,0 +1,172 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/standin/standnet"
+)
+
+// linkFault is what links between nodes and endpoints show while they are cut.
+type linkFault string
+
+const (
+	// linksHang hold up everything.
+	linksHang linkFault = "Hang"
+	// linksReset reset what is open and hold up new connections.
+	linksReset linkFault = "Reset"
+	// linksRefuse reset what is open and refuse new connections.
+	linksRefuse linkFault = "Refuse"
+	// linksStay carry what is open and refuse new connections.
+	linksStay linkFault = "Stay"
+	// linksStayAndHang carry what is open and hold up new connections.
+	linksStayAndHang linkFault = "StayAndHang"
+)
+
+// cutBegin is when links are cut on a day; cutLength is for how long.
+const (
+	cutBegin  = 2 * time.Second
+	cutLength = 12 * time.Second
+)
+
+// cutDay is a day on which some nodes are cut off from endpoints.
+type cutDay struct {
+	name  string
+	nodes int
+	// cut are the numbers of the cut nodes.
+	cut   []int
+	fault linkFault
+	// isCut reports whether an endpoint's address is behind the cut; nil stands for all.
+	isCut func(netip.Addr) bool
+	seed  uint64
+}
+
+func isEndpointAddress(a netip.Addr) bool { return netip.MustParsePrefix("10.8.0.0/16").Contains(a) }
+
+// link returns the links that are cut.
+func (d *cutDay) link() standnet.Link {
+	isNode := func(a netip.Addr) bool {
+		return slices.ContainsFunc(d.cut, func(node int) bool { return a == netip.AddrFrom4([4]byte{10, 1, 0, byte(node)}) })
+	}
+	isBehind := func(a netip.Addr) bool { return isEndpointAddress(a) && (d.isCut == nil || d.isCut(a)) }
+	return func(a, b netip.Addr) bool { return isNode(a) && isBehind(b) || isNode(b) && isBehind(a) }
+}
+
+// apply cuts the links.
+func (d *cutDay) apply(n *standnet.Network) {
+	link := d.link()
+	switch d.fault {
+	case linksReset:
+		n.Reset(link)
+		n.BlockDials(link)
+	case linksRefuse:
+		n.Reset(link)
+		n.RefuseDials(link)
+	case linksStay:
+		n.RefuseDials(link)
+	case linksStayAndHang:
+		n.BlockDials(link)
+	default:
+		n.Partition(link)
+	}
+}
+
+func heal(n *standnet.Network) {
+	n.RefuseDials(nil)
+	n.Heal()
+}
+
+// firstTries returns how many requests that were sent in a time at cut nodes, or at the others, were
+// served, and how many there were.
+func firstTries(answers []ratedAnswer, cut []int, isCut bool, from, to time.Time) (served, count int) {
+	for i := range answers {
+		a := &answers[i]
+		if a.at.Before(from) || !a.at.Before(to) || slices.Contains(cut, a.node) != isCut {
+			continue
+		}
+		count++
+		if a.status == http.StatusOK && a.err == nil {
+			served++
+		}
+	}
+	return served, count
+}
+
+// checkRunsOnce fails if a request that may not be repeated ran more than once, or ran although its
+// caller was told that it didn't.
+func (w *rateWorld) checkRunsOnce(answers []ratedAnswer) {
+	runs := map[string]int{}
+	for _, replica := range w.replicas {
+		for _, run := range replica.Runs() {
+			runs[run.ID]++
+		}
+	}
+	for i := range answers {
+		a := &answers[i]
+		if a.path != "/file/1" {
+			continue
+		}
+		if runs[a.id] > 1 {
+			w.t.Errorf("%s ran %d times", a.id, runs[a.id])
+		}
+		if impliesNotRun := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests; impliesNotRun && runs[a.id] > 0 {
+			w.t.Errorf("%s was refused as not run, and ran", a.id)
+		}
+	}
+}
+
+// TestCutNodesServeThroughPeers fails if callers of nodes that have lost their links to endpoints are
+// served worse than others, although peers reach the endpoints.
+func TestCutNodesServeThroughPeers(t *testing.T) {
+	tests := []cutDay{
+		{name: "one of six, hang", cut: []int{2}, fault: linksHang},
+		{name: "one of six, reset", cut: []int{2}, fault: linksReset},
+		{name: "three of six, hang", cut: []int{1, 2, 5}, fault: linksHang},
+		{name: "three of six, reset", cut: []int{1, 2, 5}, fault: linksReset},
+	}
+	for _, day := range tests {
+		t.Run(day.name, func(t *testing.T) {
+			t.Parallel()
+			playCutDay(t, day)
+		})
+	}
+}
+
+func playCutDay(t *testing.T, day cutDay) {
+	t.Helper()
+	load := rateDay{
+		nodes: max(day.nodes, 6), endpoints: 12, interval: 40 * time.Millisecond, length: cutBegin + cutLength + 4*time.Second, seed: day.seed,
+		paths: []string{"/ask/1", "/talk/1", "/file/1", "/read/1"},
+	}
+	load.trouble = func(w *rateWorld) { // 2 s after the begin
+		day.apply(w.network)
+		w.sleep(cutLength)
+		heal(w.network)
+	}
+	runRateDay(t, load, func(w *rateWorld, began time.Time, answers []ratedAnswer) {
+		w.checkRunsOnce(answers)
+		from, to := began.Add(cutBegin+contact), began.Add(cutBegin+cutLength)
+		for _, part := range []struct {
+			name     string
+			isCut    bool
+			from, to time.Time
+		}{
+			{"cut nodes", true, from, to},
+			{"other nodes", false, from, to},
+			{"all nodes afterwards", true, to.Add(2 * time.Second), to.Add(time.Minute)},
+		} {
+			served, count := firstTries(answers, day.cut, part.isCut, part.from, part.to)
+			if count == 0 || float64(served) < 0.98*float64(count) {
+				t.Errorf("%s served %d of %d first tries", part.name, served, count)
+			} else {
+				t.Logf("%s served %d of %d first tries", part.name, served, count)
+			}
+		}
+		early, count := firstTries(answers, day.cut, true, began.Add(cutBegin), from)
+		t.Log(fmt.Sprintf("cut nodes served %d of %d in the first %v", early, count, contact))
+	})
+}
--- a/internal/entry/statedrate_test.go
+++ b/internal/entry/statedrate_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -43,6 +44,8 @@
 	interval time.Duration
 	length   time.Duration
 	rates    []statedRate
+	// paths are those of the requests, in turn; nil stands for one kind.
+	paths []string
 	// allAtOneNode sends all requests to one node.
 	allAtOneNode bool
 	// trouble is what else happens 2 s after the first rate.
@@ -65,9 +68,11 @@
 	restartedAt time.Time
 }
 
-// ratedAnswer is an answer that a caller got, with the time of its request.
+// ratedAnswer is an answer that a caller got, with the path, the node and the time of its request.
 type ratedAnswer struct {
 	answer
+	path        string
+	node        int
 	at, endedAt time.Time
 }
 
@@ -101,6 +106,9 @@
 
 // firstRateAt is when the first rate is stated.
 func (d *rateDay) firstRateAt() time.Duration {
+	if len(d.rates) == 0 {
+		return 0
+	}
 	return slices.MinFunc(d.rates, func(a, b statedRate) int { return int(a.at - b.at) }).at
 }
 
@@ -131,11 +139,18 @@
 			at := w.clock.Now()
 			ctx, cancel := context.WithTimeout(w.t.Context(), callerPatience)
 			defer cancel()
-			a := w.call(ctx, node, http.MethodPost, "/ask/1", fmt.Sprint("request ", i), "X-Token-Counts", "500,20",
-				"X-Prompt-Prefix", prompt([]string{sharedPart, fmt.Sprintf("b%d", i%20)}, i))
+			path := "/ask/1"
+			if len(w.day.paths) > 0 {
+				path = w.day.paths[i%len(w.day.paths)]
+			}
+			headers := []string{"X-Deadline-Ms", strconv.Itoa(int(callerPatience.Milliseconds()))}
+			if !strings.HasPrefix(path, "/file") && !strings.HasPrefix(path, "/read") {
+				headers = append(headers, "X-Token-Counts", "500,20", "X-Prompt-Prefix", prompt([]string{sharedPart, fmt.Sprintf("b%d", i%20)}, i))
+			}
+			a := w.call(ctx, node, http.MethodPost, path, fmt.Sprint("request ", i), headers...)
 			mu.Lock()
 			defer mu.Unlock()
-			answers = append(answers, ratedAnswer{answer: a, at: at, endedAt: w.clock.Now()})
+			answers = append(answers, ratedAnswer{answer: a, path: path, node: node, at: at, endedAt: w.clock.Now()})
 		})
 		w.sleep(time.Duration(w.random.ExpFloat64() * float64(w.day.interval)))
 	}
--- a/internal/standin/standnet/network.go
+++ b/internal/standin/standnet/network.go
@@ -26,6 +26,8 @@
 	// partition matches the links on which a dial blocks. It is nil while every
 	// link works.
 	partition Link
+	// refused matches the links on which a dial is refused.
+	refused Link
 	// partitionChanged is closed and replaced whenever partition changes.
 	partitionChanged chan struct{}
 	// rates holds the limited links by address.
@@ -85,8 +87,9 @@
 	}
 	n.mu.Lock()
 	l := n.listeners[target]
+	isRefused := n.refused != nil && n.refused(source, target.Addr())
 	n.mu.Unlock()
-	if l == nil {
+	if l == nil || isRefused {
 		return nil, dialError(syscall.ECONNREFUSED)
 	}
 	c := n.connect(source, target)
@@ -138,6 +141,16 @@
 	n.partitionChanged = make(chan struct{})
 }
 
+// BlockDials blocks new dials over the links until Heal, and leaves open connections alone.
+func (n *Network) BlockDials(link Link) { n.setPartition(link) }
+
+// RefuseDials refuses new dials over the links, and leaves open connections alone. Nil ends it.
+func (n *Network) RefuseDials(link Link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused = link
+}
+
 // Blackhole makes the open connections on the links lose everything that is written
 // to them, without an error at either end. New connections work.
 func (n *Network) Blackhole(link Link) {
