entry, qfforward, qfreach: nodes that are cut off from endpoints serve through their peers

Change: qfreach finds out, by opening connections to up to four endpoints of an entry once an attempt couldn't connect, broke or is silent, that the node doesn't reach it, and twice in a row that it does again; a cut that comes and goes is left more slowly. Meanwhile, and for a request that found no connection, the request goes through a peer that reaches the endpoints: on the address of peers, as HTTP behind a first byte that the peer confirms. The first node keeps the quota, the deadline and the caller; the peer the attempts, usage and the retry budget. A request is passed on once. Refusals say whether it ran; what may not be repeated is passed to another peer only if it provably didn't run. Peers take a bounded number; nodes that reach nothing are left out of the directory. Endpoints of which nothing is received aren't the first choice; one that is silent for 1.5 s and accepts no connection while others do counts as dead. A refused connection blames no part of a prompt while the node reaches no other endpoint.

--- a/internal/entry/endpointpicker.go
+++ b/internal/entry/endpointpicker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,9 @@
 	random   *rand.Rand
 	versions *versionSelector
 	dead     deadEndpoints
+	// silent holds the endpoints of which nothing was received for a while, although attempts are
+	// in progress there.
+	silent map[qf.EndpointID]bool
 	// rates holds the rates that endpoints state, in the time of clock. observeRates is called with
 	// changes of them, without the lock.
 	rates        *qfrate.Limiter
@@ -75,6 +79,9 @@
 		request.MaxTokens = query.Prompt.MaxAnswerTokens
 	}
 	routeQuery.Excluded = p.dead.with(query.Now, query.Excluded)
+	for id := range p.silent {
+		routeQuery.Excluded = append(slices.Clip(routeQuery.Excluded), id)
+	}
 	withheld := p.applyRates(&routeQuery)
 	choice, err := p.router.ChooseEndpoint(routeQuery)
 	if err != nil && len(routeQuery.Excluded) > len(query.Excluded) {
@@ -186,8 +193,15 @@
 	p.rates.KeepListed(endpoints)
 }
 
-// recordDeath records that an endpoint refused a connection.
-func (p *endpointPicker) recordDeath(now time.Time, endpoint *qf.Endpoint) {
+// setSilent sets the endpoints that get no requests while others can serve them.
+func (p *endpointPicker) setSilent(endpoints map[qf.EndpointID]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = endpoints
+}
+
+// recordUnreached records that there was no connection to an endpoint.
+func (p *endpointPicker) recordUnreached(now time.Time, endpoint *qf.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dead.record(now, endpoint)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,7 @@
 	"quetzalfront/internal/qf/state/qfregistry"
 	"quetzalfront/internal/qf/state/qfusage"
 	"quetzalfront/internal/qf/transport/qfexchange"
+	"quetzalfront/internal/qf/transport/qfrpc"
 	"quetzalfront/internal/qf/transport/qftelemetry"
 )
 
@@ -86,6 +87,8 @@
 	mirror               *qfmirror.Mirror
 	exchanger            *qfexchange.Client
 	forwarder            *qfforward.Forwarder
+	monitor              *attemptMonitor
+	peerRouter           *peerRouter
 	duties               *duties
 	storeEra             *eraWatcher
 	logLimiter           *qflog.Limiter
@@ -163,10 +166,13 @@
 	e.mirror = qfmirror.New(platform.Clock)
 	e.mirror.SetStaleAfter(qf.FeedEndpoints, endpointsStaleAfter)
 	e.exchanger = qfexchange.NewClient(platform.Clock, platform.Network.Dial, platform.Protocol)
+	e.monitor, e.peerRouter = newAttemptMonitor(e), newPeerRouter(e)
+	toPeers := qfrpc.DialForward(platform.Network.Dial, PeerTimeout)
 	e.forwarder = qfforward.New(qfforward.Ports{
 		Clock: platform.Clock, Protocol: platform.Protocol, Endpoints: e.exchanger, Picker: e.picker, Admission: e.admission, PoisonFilter: e.poisonFilter,
 		Startup: qfforward.Startup{Ready: e.loaded, Until: now.Add(startupHold)}, Configuration: &e.configuration, Observe: e.observe, IsLeaving: e.isLeaving.Load,
 		Mover: platform.Mover, ObserveMove: e.observeMove,
+		Self: deployment.Self.ID, Peers: qfexchange.NewClient(platform.Clock, toPeers, platform.Protocol), Router: e.peerRouter, Monitor: e.monitor,
 	})
 	e.duties = newDuties(e)
 	e.storeEra = &eraWatcher{entry: e}
@@ -207,6 +213,7 @@
 	e.background.Go(func() { e.registerLoop(loops) })
 	e.background.Go(func() { e.loadRefusedParts(loops) })
 	e.background.Go(func() { e.duties.run(loops) })
+	e.background.Go(func() { e.runEvery(loops, monitorInterval, e.monitor.step) })
 	e.background.Go(func() { e.storeEra.run(loops) })
 	e.background.Go(func() { e.runEvery(loops, droppedLogInterval, e.logDropped) })
 	e.background.Go(func() { e.runEvery(loops, statusLogInterval, newStatusLogger(e).step) })
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -141,6 +141,7 @@
 		d.Tally = e.buildTally(to)
 	}
 	e.fillRates(now, &d, isGrouped)
+	d.CutOff, d.IsCutOff = e.monitor.listCutOff()
 	if isGrouped && (to == nil || to.AvailabilityZone != d.From.AvailabilityZone) {
 		return d // Load in progress is sent only within the zone.
 	}
@@ -160,6 +161,7 @@
 	e.picker.recordPeerLoads(d.From.ID, d.SentLoads)
 	e.poisonFilter.mergeDigest(now, d)
 	e.mergeRates(now, d)
+	e.peerRouter.recordReport(now, d)
 	e.storeEra.applyPeer(d.Store)
 	for i := range d.RolloutPlans {
 		e.applyRolloutPlan(&d.RolloutPlans[i])
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -267,5 +267,6 @@
 	e.mu.Unlock()
 	if isChanged {
 		e.picker.setEndpoints(usable)
+		e.monitor.setEndpoints(usable)
 	}
 }
--- a/internal/entry/observe.go
+++ b/internal/entry/observe.go
@@ -28,10 +28,10 @@
 	}
 	attempts := summariseAttempts(o.Attempts)
 	if isSuccess(o) {
-		qfevent.ForwardEnded.Log(&e.platform.Logger, o.Request, o.Route, o.Organisation, o.Revision, o.Status, attempts, o.First.String(), o.Took.String())
+		qfevent.ForwardEnded.Log(&e.platform.Logger, o.Request, o.Route, o.Organisation, o.Revision, o.Status, attempts, o.First.String(), o.Took.String(), o.FromPeer)
 		return
 	}
-	qfevent.ForwardFailed.Log(&e.platform.Logger, o.Request, o.Route, o.Organisation, o.Revision, o.Status, attempts, o.First.String(), o.Took.String(), o.Err)
+	qfevent.ForwardFailed.Log(&e.platform.Logger, o.Request, o.Route, o.Organisation, o.Revision, o.Status, attempts, o.First.String(), o.Took.String(), o.Err, o.FromPeer)
 }
 
 // observeState registers the node's state for the scrapes of its metrics.
@@ -76,6 +76,10 @@
 	}
 }
 
+// rulePeer is the rule of an attempt that is left to another node, whose name stands in place of the
+// endpoint's.
+const rulePeer = "ThroughPeer"
+
 // summariseAttempts writes the attempts of a request in one field: endpoint, version, rule with the
 // predicted time, end, status, time, error and next step.
 func summariseAttempts(attempts []qfforward.AttemptReport) string {
@@ -85,7 +89,11 @@
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		b.WriteString(string(a.Endpoint) + " " + string(a.Version) + " " + a.Rule)
+		if a.Peer != "" {
+			b.WriteString(string(a.Peer) + " - " + rulePeer)
+		} else {
+			b.WriteString(string(a.Endpoint) + " " + string(a.Version) + " " + a.Rule)
+		}
 		b.WriteString("(" + a.Predicted.Round(time.Millisecond).String() + ") " + string(a.End))
 		b.WriteString(" " + strconv.Itoa(a.Status) + " " + a.Took.String())
 		if a.Err != nil {
--- /dev/null
+++ b/internal/entry/peerrouter.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfreach"
+)
+
+const (
+	// cutOffReportExpiry is the age at which a peer's report that it doesn't reach endpoints is
+	// dropped: peers repeat it with each exchange.
+	cutOffReportExpiry = 3 * time.Second
+	// unusablePeerFor is how long a node gets no requests after it couldn't serve one.
+	unusablePeerFor = time.Second
+)
+
+// peerRouter implements qf.PeerRouter.
+type peerRouter struct {
+	entry *Entry
+	// fromPeers is the number of requests of peers in progress.
+	fromPeers atomic.Int64
+
+	mu     sync.Mutex
+	random *rand.Rand
+	peers  map[qf.NodeID]*peerReach
+}
+
+// peerReach is what is known of a peer as a way to endpoints.
+type peerReach struct {
+	// cutOff lists the entries that it doesn't reach, as of reportedAt.
+	cutOff     []qf.EntryName
+	isCutOff   bool
+	reportedAt time.Time
+	// unusableUntil is when it may get requests again.
+	unusableUntil time.Time
+	inProgress    int
+}
+
+func newPeerRouter(e *Entry) *peerRouter {
+	return &peerRouter{entry: e, random: e.newRandom(), peers: map[qf.NodeID]*peerReach{}}
+}
+
+// IsCutOff implements qf.PeerRouter.
+func (r *peerRouter) IsCutOff(entries []qf.WeightedEntry) bool {
+	for i := range entries {
+		if r.entry.monitor.isCutOff(entries[i].Entry) {
+			return true
+		}
+	}
+	return false
+}
+
+// MayAccept implements qf.PeerRouter.
+func (r *peerRouter) MayAccept() bool {
+	return qfreach.MayAcceptFromPeers(int(r.fromPeers.Load()), int(r.entry.inProgress.Load()))
+}
+
+// PickPeer implements qf.PeerRouter.
+func (r *peerRouter) PickPeer(now time.Time, entries []qf.WeightedEntry, excluded []qf.NodeID) (qf.Node, bool) {
+	e := r.entry
+	e.mu.Lock()
+	self, nodes := e.membership.Self(), e.membership.Peers(now)
+	e.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	candidates := make([]qfreach.Candidate, 0, len(nodes))
+	for i := range nodes {
+		node := &nodes[i]
+		if node.State != qf.NodeLive || node.CatalogueRevision == 0 || slices.Contains(excluded, node.ID) {
+			continue
+		}
+		known := r.peers[node.ID]
+		if known != nil && !known.isUsable(now, entries) {
+			continue
+		}
+		candidate := qfreach.Candidate{Node: *node}
+		if known != nil {
+			candidate.InProgress = known.inProgress
+		}
+		candidates = append(candidates, candidate)
+	}
+	node, ok := qfreach.ChoosePeer(r.random, &self, qfreach.PreferOtherZones(candidates, zonesOf(nodes, excluded)))
+	if ok {
+		r.get(node.ID).inProgress++
+	}
+	return node, ok
+}
+
+// zonesOf returns the availability zones of some nodes.
+func zonesOf(nodes []qf.Node, ids []qf.NodeID) map[qf.AvailabilityZone]bool {
+	zones := map[qf.AvailabilityZone]bool{}
+	for i := range nodes {
+		if slices.Contains(ids, nodes[i].ID) {
+			zones[nodes[i].AvailabilityZone] = true
+		}
+	}
+	return zones
+}
+
+// isUsable reports whether requests for the entries may be passed to the peer.
+func (p *peerReach) isUsable(now time.Time, entries []qf.WeightedEntry) bool {
+	if now.Before(p.unusableUntil) {
+		return false
+	}
+	if now.Sub(p.reportedAt) > cutOffReportExpiry {
+		return true
+	}
+	return !slices.ContainsFunc(entries, func(e qf.WeightedEntry) bool { return slices.Contains(p.cutOff, e.Entry) })
+}
+
+// get returns what is known of a peer. The caller must hold r.mu.
+func (r *peerRouter) get(id qf.NodeID) *peerReach {
+	if r.peers[id] == nil {
+		r.peers[id] = &peerReach{}
+	}
+	return r.peers[id]
+}
+
+// RecordPeerEnd implements qf.PeerRouter.
+func (r *peerRouter) RecordPeerEnd(now time.Time, node qf.NodeID, isUsable bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.get(node)
+	known.inProgress--
+	if !isUsable {
+		known.unusableUntil = now.Add(unusablePeerFor)
+	}
+}
+
+// recordReport records which entries a peer doesn't reach.
+func (r *peerRouter) recordReport(now time.Time, d *qf.Digest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(d.CutOff) == 0 && r.peers[d.From.ID] == nil {
+		return
+	}
+	known := r.get(d.From.ID)
+	known.cutOff, known.isCutOff, known.reportedAt = d.CutOff, d.IsCutOff, now
+}
+
+// listCutOff returns the peers that reach no endpoints.
+func (r *peerRouter) listCutOff(now time.Time) map[qf.NodeID]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := map[qf.NodeID]bool{}
+	for id, known := range r.peers {
+		if known.isCutOff && now.Sub(known.reportedAt) <= cutOffReportExpiry {
+			list[id] = true
+		}
+	}
+	return list
+}
--- a/internal/entry/poisonfilter.go
+++ b/internal/entry/poisonfilter.go
@@ -31,6 +31,8 @@
 	parts    *qfsuspect.PartTracker
 	// checking holds the endpoints whose death is being checked.
 	checking map[qf.DeathID]bool
+	// confirming holds the endpoints that refused connections and whose death isn't proven yet.
+	confirming map[qf.DeathID]bool
 	// loggedAt holds when the refusal of a part was last logged.
 	loggedAt *simplelru.LRU[uint64, time.Time]
 }
@@ -39,7 +41,7 @@
 	loggedAt, _ := simplelru.NewLRU[uint64, time.Time](maxLoggedParts, nil) // Fails only for a size below 1.
 	return &poisonFilter{
 		entry: e, suspects: qfsuspect.New(qfsuspect.Config{MaxDeaths: maxDeaths, ExpireAfter: suspicionExpiry}),
-		parts: qfsuspect.NewPartTracker(partConfig), checking: map[qf.DeathID]bool{}, loggedAt: loggedAt,
+		parts: qfsuspect.NewPartTracker(partConfig), checking: map[qf.DeathID]bool{}, confirming: map[qf.DeathID]bool{}, loggedAt: loggedAt,
 	}
 }
 
@@ -94,11 +96,51 @@
 	}
 }
 
-// recordRefusal records that an endpoint refused a connection.
+// recordRefusal records that an endpoint refused a connection. It has died if the node reaches others;
+// if it reaches none, its links may be cut. It doesn't block.
 func (f *poisonFilter) recordRefusal(now time.Time, endpoint *qf.Endpoint) {
-	f.entry.picker.recordDeath(now, endpoint)
+	f.entry.picker.recordUnreached(now, endpoint)
 	f.entry.exchanger.CloseIdleConnections(endpoint.ID)
-	f.recordDeath(now, endpoint, "it refuses connections")
+	death := qfsuspect.IdentifyDeath(endpoint)
+	f.mu.Lock()
+	isConfirming := f.confirming[death]
+	f.confirming[death] = true
+	f.mu.Unlock()
+	if isConfirming {
+		return
+	}
+	dead := *endpoint
+	f.entry.background.Go(func() {
+		isDead := f.confirmDeath(&dead)
+		f.mu.Lock()
+		delete(f.confirming, death)
+		f.mu.Unlock()
+		if isDead {
+			f.recordDeath(now, &dead, "it refuses connections")
+		}
+	})
+}
+
+const (
+	// confirmInterval is the time between two looks at whether the node reaches other endpoints than
+	// one that refused a connection, and maxConfirmations their number.
+	confirmInterval  = 200 * time.Millisecond
+	maxConfirmations = 10
+)
+
+// confirmDeath reports whether an endpoint that refused a connection has died. If all others refuse
+// connections too, they may all be starting again.
+func (f *poisonFilter) confirmDeath(endpoint *qf.Endpoint) bool {
+	for range maxConfirmations {
+		if f.entry.monitor.provesDeath(endpoint) {
+			return true
+		}
+		f.entry.sleep(f.entry.loops, confirmInterval)
+		if f.entry.loops.Err() != nil {
+			return false
+		}
+	}
+	return false
 }
 
 // recordDeath records the death of an endpoint, unless its leaving was announced.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -36,6 +36,8 @@
 	callers *http.Server
 	others  []*http.Server
 	peers   net.Listener
+	// forwards serves requests that other nodes pass on, on the listener of peers.
+	forwards *http.Server
 	// running counts the serving goroutines.
 	running sync.WaitGroup
 }
@@ -108,15 +110,29 @@
 	if err != nil {
 		return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepSettings, Peer: address.String(), Reason: "can't listen on the address", Cause: err}
 	}
-	e.servers.peers = listener
+	split := qfrpc.Split(e.platform.Clock, listener)
+	e.servers.peers = split.Calls()
 	e.servers.running.Go(func() {
-		if err := qfrpc.Serve(listener, e); err != nil {
+		if err := qfrpc.Serve(split.Calls(), e); err != nil {
+			qfevent.ServerFailed.Log(&e.platform.Logger, address, err)
+		}
+	})
+	e.servers.forwards = newServer(http.HandlerFunc(e.servePeer))
+	e.servers.running.Go(func() {
+		if err := e.servers.forwards.Serve(split.Forwards()); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			qfevent.ServerFailed.Log(&e.platform.Logger, address, err)
 		}
 	})
 	return nil
 }
 
+// servePeer serves a request that another node passes on.
+func (e *Entry) servePeer(w http.ResponseWriter, r *http.Request) {
+	e.peerRouter.fromPeers.Add(1)
+	defer e.peerRouter.fromPeers.Add(-1)
+	e.forwarder.ServePeer(w, r)
+}
+
 // callerAddresses returns the addresses of the nodes that a caller should use: those of its
 // zone, else of its region, else all. Traffic between regions costs money, and callers pick an
 // address at random.
@@ -125,13 +141,18 @@
 	e.mu.Lock()
 	nodes := e.membership.Nodes(now)
 	e.mu.Unlock()
-	var inZone, inRegion, all []netip.AddrPort
+	cutOff := e.listCutOff(now)
+	var inZone, inRegion, all, withoutLinks []netip.AddrPort
 	for i := range nodes {
 		n := &nodes[i]
 		isSelf := n.ID == e.deployment.Self.ID
 		if isSelf && !e.isReady() || !isSelf && (n.State != qf.NodeLive || n.CatalogueRevision == 0) {
 			continue
 		}
+		if cutOff[n.ID] {
+			withoutLinks = append(withoutLinks, n.CallerAddress)
+			continue
+		}
 		all = append(all, n.CallerAddress)
 		if n.Region == region {
 			inRegion = append(inRegion, n.CallerAddress)
@@ -144,12 +165,21 @@
 	if bound := e.deployment.Bounds.AddressesFor; bound > 0 {
 		keepFor = min(keepFor, bound)
 	}
-	for _, list := range [][]netip.AddrPort{inZone, inRegion} {
+	for _, list := range [][]netip.AddrPort{inZone, inRegion, all} {
 		if len(list) > 0 {
 			return list, keepFor
 		}
 	}
-	return all, keepFor
+	return withoutLinks, keepFor
+}
+
+// listCutOff returns the nodes that reach no endpoints. Requests at them take one more hop.
+func (e *Entry) listCutOff(now time.Time) map[qf.NodeID]bool {
+	cutOff := e.peerRouter.listCutOff(now)
+	if _, isAll := e.monitor.listCutOff(); isAll {
+		cutOff[e.deployment.Self.ID] = true
+	}
+	return cutOff
 }
 
 // Stop shuts the node down: it announces its leaving, lets callers move to other nodes and
@@ -168,9 +198,7 @@
 	left := e.deployment.Bounds.StopGrace - stopMargin - e.now().Sub(stopAt)
 	drain, cancel := context.WithTimeout(ctx, max(left, 0))
 	defer cancel()
-	if err := e.servers.callers.Shutdown(drain); err != nil {
-		_ = e.servers.callers.Close() // The grace is over.
-	}
+	e.drainServers(drain)
 	e.stopLoops()
 	for _, server := range e.servers.others {
 		_ = server.Close() // Nothing is in progress that must be finished.
@@ -178,3 +206,17 @@
 	_ = e.servers.peers.Close()
 	qfevent.NodeStopped.Log(&e.platform.Logger, e.deployment.Self.ID)
 }
+
+// drainServers waits for the requests in progress, of callers and of other nodes, and aborts those
+// that last longer than the context. The listener of peers stays open until the end.
+func (e *Entry) drainServers(ctx context.Context) {
+	var wait sync.WaitGroup
+	for _, server := range []*http.Server{e.servers.callers, e.servers.forwards} {
+		wait.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				_ = server.Close() // The grace is over.
+			}
+		})
+	}
+	wait.Wait()
+}
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -51,6 +51,7 @@
 	}
 	e.poisonFilter.fillDigest(now, &d)
 	e.fillRates(now, &d, true)
+	d.CutOff, d.IsCutOff = e.monitor.listCutOff()
 	return d
 }
 
--- a/internal/qf/caller.go
+++ b/internal/qf/caller.go
@@ -96,6 +96,10 @@
 	// BuildEndpointHeader returns the headers of a request that is forwarded to an
 	// endpoint.
 	BuildEndpointHeader(caller http.Header, dispatch *ForwardInfo) http.Header
+	// BuildPeerHeader returns the headers of a request that is passed on to another node: the
+	// caller's with the time that is left and, unless it is empty, the event after which a stream
+	// goes on.
+	BuildPeerHeader(caller http.Header, timeLeft time.Duration, resumeAfter string) http.Header
 	// DecodeResponse decodes an endpoint's headers.
 	DecodeResponse(header http.Header) ResponseInfo
 	// BuildCallerHeader returns the headers of an endpoint's answer that are passed on
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -229,6 +229,10 @@
 	// Rates holds rates that endpoints state, Demands the sender's demand for those entries.
 	Rates   []EndpointRate
 	Demands []EntryDemand
+	// CutOff lists the entries whose endpoints the sender doesn't reach. IsCutOff means that there are
+	// no others.
+	CutOff   []EntryName
+	IsCutOff bool
 }
 
 // EndpointRate is the rate of requests that an endpoint states to take from all nodes together.
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -31,17 +31,42 @@
 	ctx, cancel := c.context()
 	defer cancel()
 	p := &progress{route: c.route}
+	if c.hop != nil {
+		p.runs = c.hop.Runs
+	}
 	c.outcome.Kind = c.route.Kind
 	s := &relay{call: c}
 	var tried []qf.EndpointID
 	var entry qf.EntryName
+	if c.hop != nil {
+		entry = c.hop.Entry
+	}
 	var move *streamMove
 	for {
-		a, err := c.attempt(ctx, p, s, tried, entry, move)
-		if err != nil {
+		var a *attempt
+		if move == nil && c.shouldUsePeer(p) {
+			a = c.tryPeer(ctx, p, s, entry)
+		}
+		var err error
+		if a == nil {
+			a, err = c.attempt(ctx, p, s, tried, entry, move)
+		}
+		if err != nil && p.unreached > 0 && c.mayUsePeer(p) {
+			a = c.tryPeer(ctx, p, s, entry)
+		}
+		if a == nil {
 			c.finish(s, nil, c.withoutEndpoint(p, err))
 			return
 		}
+		if a.peer != "" {
+			step := c.nextAfterPeer(p, a)
+			c.recordAttempt(a, step)
+			if step != nextRetry && step != nextResume {
+				c.finish(s, a, step)
+				return
+			}
+			continue
+		}
 		tried = append(tried, a.picked.Endpoint.ID)
 		entry = a.picked.Endpoint.Entry
 		if move = a.move; move != nil {
@@ -62,7 +87,7 @@
 func (c *call) nextStep(p *progress, a *attempt) nextStep {
 	now := c.forwarder.ports.Clock.Now()
 	p.end, p.timeLeft = a.end, c.deadline.Sub(now)
-	isUnreached := a.end == qf.AttemptNotRun && errors.Is(a.err, syscall.ECONNREFUSED)
+	isUnreached := a.end == qf.AttemptNotRun && a.answer == nil // It had no connection.
 	switch {
 	case isUnreached:
 		p.unreached++
@@ -71,6 +96,10 @@
 	default:
 		p.runs++
 	}
+	if c.hop != nil && isUnreached && p.runs == c.hop.Runs && !errors.Is(a.err, syscall.ECONNREFUSED) {
+		a.refusal = errNoLink()
+		return nextPassRefusal // The node that passed the request on has time left for another one.
+	}
 	step := decide(p)
 	isRetry := step == nextRetry || step == nextResume
 	if isRetry && a.end == qf.AttemptBroken && !c.forwarder.ports.PoisonFilter.MayRetry(c.content(), a.picked.Endpoint.Entry) {
@@ -103,6 +132,12 @@
 	err     error
 	// move is set if the run goes on at another endpoint.
 	move *streamMove
+	// peer is the node that the request was passed to, refusal what it refused the request with.
+	// The endpoint isn't known then.
+	peer    qf.NodeID
+	refusal *qf.Error
+	// watch follows an attempt at an endpoint.
+	watch qf.AttemptWatch
 	// firstEventAt is when the attempt's first event was relayed, answerRecordedAt when it was
 	// last recorded that the answer goes on.
 	firstEventAt, answerRecordedAt time.Time
@@ -125,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(tried) == 0 {
+	if len(tried) == 0 && (c.hop == nil || c.hop.Runs == 0) {
 		ports.Admission.CountRequest(now, picked.Endpoint.Entry)
 	}
 	a := &attempt{picked: picked, startedAt: now}
@@ -140,7 +175,7 @@
 	at := ports.Clock.Now()
 	ports.Picker.RecordAttemptEnd(at, &a.picked, a.end)
 	end := a.end
-	if end == qf.AttemptBroken && errors.Is(a.err, errFirstByteTimeout) {
+	if end == qf.AttemptBroken && (errors.Is(a.err, errFirstByteTimeout) || errors.Is(a.err, errCutOff)) {
 		end = qf.AttemptCancelled // The node itself ended it.
 	}
 	ports.PoisonFilter.RecordAttemptEnd(at, c.content(), &a.picked.Endpoint, end, a.err)
@@ -154,6 +189,8 @@
 	ports := &c.forwarder.ports
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	c.beginWatch(a, cancel)
+	defer func() { a.watch.End(ports.Clock.Now(), a.contact()) }()
 	stopWatch := c.watchFirstByte(a, p, cancel)
 	answer, err := ports.Endpoints.SendRequest(ctx, &qf.EndpointRequest{
 		ID: c.request.ID, Endpoint: a.picked.Endpoint, Method: c.incoming.Method, Target: c.incoming.RequestURI,
@@ -169,6 +206,7 @@
 		return
 	}
 	defer answer.Body.Close() //nolint:errcheck // An error on close changes nothing.
+	a.watch.RecordBytes(ports.Clock.Now())
 	a.answer, a.end = answer, attemptEndOf(answer)
 	if s.headerSent && a.end == qf.AttemptAnswered && answer.Status != http.StatusOK {
 		a.end = qf.AttemptFailed // It isn't the rest of the stream.
@@ -191,19 +229,47 @@
 // classifyFailure sets the end of an attempt that got no complete answer.
 func (a *attempt) classifyFailure(ctx context.Context, err error) {
 	a.err = err
-	if cause := context.Cause(ctx); errors.Is(cause, errFirstByteTimeout) {
-		a.err = errors.Join(errFirstByteTimeout, err)
+	cause := context.Cause(ctx)
+	isOwn := errors.Is(cause, errFirstByteTimeout) || errors.Is(cause, errCutOff)
+	if isOwn {
+		a.err = errors.Join(cause, err)
 	}
-	switch cause := context.Cause(ctx); {
-	case a.answer == nil && qf.RanOf(err) == qf.RanNo && (cause == nil || errors.Is(cause, errFirstByteTimeout)):
+	switch {
+	case a.answer == nil && qf.RanOf(err) == qf.RanNo && (cause == nil || isOwn):
 		a.end = qf.AttemptNotRun
-	case cause == nil || errors.Is(cause, errFirstByteTimeout):
+	case cause == nil || isOwn:
 		a.end = qf.AttemptBroken
 	default:
 		a.end = qf.AttemptCancelled
 	}
 }
 
+// contact returns what the attempt shows of the link to its endpoint.
+func (a *attempt) contact() qf.Contact {
+	switch {
+	case a.answer != nil:
+		return qf.ContactMade
+	case a.end == qf.AttemptNotRun:
+		return qf.ContactNone
+	case a.end == qf.AttemptBroken && !errors.Is(a.err, errFirstByteTimeout):
+		return qf.ContactBroken
+	default:
+		return qf.ContactMade
+	}
+}
+
+// errCutOff cancels a silent attempt at an endpoint that the node doesn't reach any more.
+var errCutOff = errors.New("the node doesn't reach the endpoint any more")
+
+// beginWatch begins to follow an attempt. One that may be repeated is abandoned if the node is cut off.
+func (c *call) beginWatch(a *attempt, cancel context.CancelCauseFunc) {
+	var abandon func()
+	if c.route.MayRepeat() {
+		abandon = func() { cancel(errCutOff) }
+	}
+	a.watch = c.forwarder.ports.Monitor.BeginAttempt(a.startedAt, &a.picked, abandon)
+}
+
 // errFirstByteTimeout cancels an attempt that is retried at another endpoint.
 var errFirstByteTimeout = errors.New("the endpoint took too long to begin its answer")
 
@@ -214,6 +280,12 @@
 		return func() {}
 	}
 	timeout := max(time.Duration(float64(c.route.Objective)*firstByteTimeoutShare), predictedTimeFactor*a.picked.FirstToken, minFirstByteTimeout)
+	return c.cancelAfter(timeout, cancel)
+}
+
+// cancelAfter cancels an attempt after a time, unless the returned function is called before; it may
+// be called more than once.
+func (c *call) cancelAfter(timeout time.Duration, cancel context.CancelCauseFunc) func() {
 	subscription := c.forwarder.ports.Clock.After(timeout)
 	ended := make(chan struct{})
 	go func() {
@@ -255,9 +327,15 @@
 		return
 	}
 	now := c.forwarder.ports.Clock.Now()
-	c.forwarder.ports.Picker.RecordFirstToken(now, &a.picked)
-	if c.outcome.First == 0 {
+	isFirst := c.outcome.First == 0
+	if isFirst {
 		c.outcome.First = now.Sub(c.arrivedAt)
+	}
+	if a.peer != "" {
+		return // The peer counts it.
+	}
+	c.forwarder.ports.Picker.RecordFirstToken(now, &a.picked)
+	if isFirst {
 		c.forwarder.ports.Admission.CountRunStart(now, c.organisation())
 	}
 }
@@ -265,7 +343,7 @@
 // recordAttempt adds an attempt to the request's outcome, for the log.
 func (c *call) recordAttempt(a *attempt, step nextStep) {
 	r := AttemptReport{
-		Endpoint: a.picked.Endpoint.ID, Version: a.picked.Endpoint.Version, Rule: a.picked.Reason.Rule, Predicted: a.picked.FirstToken,
+		Endpoint: a.picked.Endpoint.ID, Peer: a.peer, Version: a.picked.Endpoint.Version, Rule: a.picked.Reason.Rule, Predicted: a.picked.FirstToken,
 		End: a.end, Next: string(step), Err: a.err, Took: c.forwarder.ports.Clock.Now().Sub(a.startedAt),
 	}
 	if a.answer != nil {
--- a/internal/qf/protocol/qfforward/decide.go
+++ b/internal/qf/protocol/qfforward/decide.go
@@ -11,8 +11,8 @@
 	// maxNotRunAttempts bounds the attempts of one request that endpoints reject
 	// without running them.
 	maxNotRunAttempts = 3
-	// maxUnreachedAttempts bounds those that endpoints refused to connect to, which takes no
-	// more than a round trip: an endpoint that has crashed stays listed for seconds.
+	// maxUnreachedAttempts bounds those without a connection. Most are refused within a round trip: an
+	// endpoint that has crashed stays listed for seconds.
 	maxUnreachedAttempts = 8
 	// minTimeForRetry is the least time left for which another attempt is worthwhile.
 	minTimeForRetry = 30 * time.Millisecond
@@ -23,8 +23,10 @@
 type progress struct {
 	route *qf.CallerRoute
 	// runs counts the attempts that may have run, notRun those that endpoints rejected without
-	// running them, and unreached those to which no endpoint listened.
+	// running them, and unreached those that had no connection.
 	runs, notRun, unreached int
+	// peers holds the nodes to which the request was passed.
+	peers []qf.NodeID
 	// end is how the last attempt ended.
 	end qf.AttemptEnd
 	// delivered is true once a part of the answer was sent to the caller.
@@ -50,6 +52,8 @@
 	nextDeliverFailure nextStep = "Pass"
 	// nextRefuse answers that the request didn't run.
 	nextRefuse nextStep = "Refuse"
+	// nextPassRefusal answers with the refusal of the node that the request was passed to.
+	nextPassRefusal nextStep = "PassRefusal"
 	// nextFail answers that it is unknown whether the request ran.
 	nextFail nextStep = "Fail"
 	// nextAbort aborts the connection of a partly delivered answer, so that the answer
--- a/internal/qf/protocol/qfforward/deliver.go
+++ b/internal/qf/protocol/qfforward/deliver.go
@@ -18,6 +18,8 @@
 	switch step {
 	case nextDone, nextDeliverFailure:
 		c.deliver(s, a)
+	case nextPassRefusal:
+		c.refuse(a.refusal)
 	case nextAbort:
 		c.outcome.Err = errors.Join(c.outcome.Err, errAborted)
 		c.abort()
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -26,6 +26,12 @@
 	Configuration *qfconfig.Current
 	Startup       Startup
 	Mover         qf.RunMover
+	// Peers sends requests through the nodes that Router chooses.
+	Peers   qf.EndpointClient
+	Router  qf.PeerRouter
+	Monitor qf.AttemptMonitor
+	// Self is this node.
+	Self qf.NodeID
 	// ObserveMove is called with the result of each move of a stream to another endpoint.
 	ObserveMove func(request qf.RequestID, from, to qf.EndpointID, certainty qf.Certainty, err error)
 	// Observe is called with the outcome of each request.
@@ -70,12 +76,19 @@
 	arrivedAt time.Time
 	deadline  time.Time
 	outcome   Outcome
+	// hop is set if another node has passed the request on.
+	hop *qf.PeerHop
 }
 
-// ServeHTTP implements http.Handler.
-func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP implements http.Handler for callers.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.serve(w, r, nil) }
+
+func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, hop *qf.PeerHop) {
 	now := f.ports.Clock.Now()
-	c := &call{forwarder: f, writer: w, incoming: r, arrivedAt: now, deadline: now.Add(defaultTimeout)}
+	c := &call{forwarder: f, writer: w, incoming: r, arrivedAt: now, deadline: now.Add(defaultTimeout), hop: hop}
+	if hop != nil {
+		c.outcome.FromPeer = hop.From
+	}
 	if f.ports.IsLeaving() {
 		w.Header().Set("Connection", "close")
 	}
@@ -122,6 +135,9 @@
 	if err := c.forwarder.ports.PoisonFilter.CheckRequest(c.forwarder.ports.Clock.Now(), c.content()); err != nil {
 		return err
 	}
+	if c.hop != nil {
+		return c.acceptFromPeer()
+	}
 	return c.admit()
 }
 
@@ -278,6 +294,9 @@
 	}
 	c.outcome.Status, c.outcome.Err = status, err
 	c.forwarder.ports.Protocol.SetRefusalHeader(c.writer.Header(), c.request.ID, known.RetryAfter)
+	if c.hop != nil {
+		setPeerRefusal(c.writer.Header(), known)
+	}
 	http.Error(c.writer, known.Reason, status)
 }
 
--- a/internal/qf/protocol/qfforward/outcome.go
+++ b/internal/qf/protocol/qfforward/outcome.go
@@ -16,6 +16,8 @@
 	Revision qf.Revision
 	Status   int
 	Attempts []AttemptReport
+	// FromPeer is the node that passed the request on; it is empty for a caller's.
+	FromPeer qf.NodeID
 	// Err is nil if an endpoint's answer was delivered completely.
 	Err error
 	// First is the time to the first byte of the answer, or 0 if there was none; Took is
@@ -26,7 +28,9 @@
 // AttemptReport describes one attempt.
 type AttemptReport struct {
 	Endpoint qf.EndpointID
-	Version  qf.Version
+	// Peer is the node that made the attempt's attempts instead of this one; Endpoint is empty then.
+	Peer    qf.NodeID
+	Version qf.Version
 	// Rule is the routing rule that chose the endpoint, Predicted the predicted time to
 	// the first token there; 0 means unknown.
 	Rule      string
--- a/internal/qf/protocol/qfforward/relay.go
+++ b/internal/qf/protocol/qfforward/relay.go
@@ -43,6 +43,9 @@
 	chunk := make([]byte, readBytes)
 	for {
 		n, err := a.answer.Body.Read(chunk)
+		if n > 0 && a.watch != nil {
+			a.watch.RecordBytes(s.call.forwarder.ports.Clock.Now())
+		}
 		s.pending = append(s.pending, chunk[:n]...)
 		if writeErr := s.relayEvents(a, stopWatch); writeErr != nil {
 			return writeErr
@@ -74,9 +77,11 @@
 		return err
 	}
 	s.recordEvents(a, whole)
-	s.recordAnswer(a)
-	if s.lastEvent != "" {
-		s.stream.hasEvents.Store(true)
+	if a.peer == "" {
+		s.recordAnswer(a)
+		if s.lastEvent != "" {
+			s.stream.hasEvents.Store(true)
+		}
 	}
 	s.pending = append(s.pending[:0], s.pending[end:]...)
 	return nil
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -129,8 +129,8 @@
 
 // The events of forwarding and of the feeds that a node follows.
 var (
-	ForwardEnded     = Event{260, info, "request forwarded", []string{FieldRequest, FieldRoute, FieldOrganisation, FieldRevision, FieldStatus, FieldAttempts, FieldFirst, FieldTook}, "Nothing; Attempts lists each endpoint, why it was chosen, how the attempt ended and what followed."}
-	ForwardFailed    = Event{261, warning, "request refused or failed", []string{FieldRequest, FieldRoute, FieldOrganisation, FieldRevision, FieldStatus, FieldAttempts, FieldFirst, FieldTook, FieldError}, "See OPERATIONS.md for how to find the cause of a request's failure."}
+	ForwardEnded     = Event{260, info, "request forwarded", []string{FieldRequest, FieldRoute, FieldOrganisation, FieldRevision, FieldStatus, FieldAttempts, FieldFirst, FieldTook, FieldPeer}, "Nothing; Attempts lists each endpoint, why it was chosen, how the attempt ended and what followed. Peer is the node that passed the request on, or empty."}
+	ForwardFailed    = Event{261, warning, "request refused or failed", []string{FieldRequest, FieldRoute, FieldOrganisation, FieldRevision, FieldStatus, FieldAttempts, FieldFirst, FieldTook, FieldError, FieldPeer}, "See OPERATIONS.md for how to find the cause of a request's failure."}
 	RunMoved         = Event{262, info, "a running request was to be moved from a leaving endpoint", []string{FieldRequest, FieldEndpoint, FieldPeer, FieldOutcome, FieldError}, "Nothing; Peer is the endpoint at which it goes on if Outcome is Done. Otherwise it ends where it runs."}
 	RequestsLeftOut  = Event{108, warning, "log lines of requests were dropped", []string{FieldPlain, FieldNotable}, "Nothing; the load is high. Metrics count all requests."}
 	LinesLeftOut     = Event{106, warning, "log lines were dropped", []string{FieldCount}, "Nothing; the log's reader is too slow or the load is high."}
@@ -148,6 +148,7 @@
 	EndpointListed   = Event{330, info, "an endpoint is listed", []string{FieldEndpoint, FieldEntry, FieldVersion, FieldAvailabilityZone, FieldAddress}, "Nothing."}
 	EndpointLeaving  = Event{331, info, "an endpoint leaves", []string{FieldEndpoint, FieldReason, FieldVersion}, "Nothing; it gets no new work. Version is the row's at the store, the same at all nodes."}
 	RateStated       = Event{332, info, "the rate that an endpoint states has changed", []string{FieldEndpoint, FieldRate, FieldBefore}, "Look at the endpoint if it lasts: it takes Rate requests a second from all nodes together; 0 stands for no stated rate."}
+	ReachChanged     = Event{333, warning, "the node reaches the endpoints of an entry no more, or again", []string{FieldEntry, FieldOutcome, FieldCount, FieldAge, FieldInProgress}, "Look at the node's links; until it reaches them again its requests go through other nodes. Count endpoints were checked, Age is how long the state before lasted, InProgress the silent attempts."}
 	PeerLost         = Event{420, warning, "heartbeats of a peer are missing", []string{FieldPeer, FieldAge}, "Look at the peer if it lasts."}
 	PeerRegained     = Event{421, info, "heartbeats of a peer are received", []string{FieldPeer, FieldAddress}, "Nothing."}
 	UsageReported    = Event{520, info, "usage reported", []string{FieldWindow, FieldFencing, FieldOutcome, FieldError}, "Nothing; a window whose Outcome isn't Done is tried again."}
@@ -227,6 +228,7 @@
 		EndpointListed,
 		EndpointLeaving,
 		RateStated,
+		ReachChanged,
 		PeerLost,
 		PeerRegained,
 		UsageReported,
--- /dev/null
+++ b/internal/qf/transport/qfrpc/split.go
@@ -0,0 +1,183 @@
+package qfrpc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"quetzalfront/internal/qf"
+)
+
+const (
+	// forwardPreface is the first byte of a connection that carries forwarded requests. No message of
+	// net/rpc begins with it. The server echoes it, so that a client never sends a request to a
+	// server that doesn't take them.
+	forwardPreface = 0
+	// prefaceTimeout bounds how long a new connection may take to send its first byte.
+	prefaceTimeout = 10 * time.Second
+)
+
+// SplitListener accepts connections of net/rpc and of forwarded requests on one address.
+type SplitListener struct {
+	clock    qf.Clock
+	listener net.Listener
+	calls    *splitQueue
+	forwards *splitQueue
+}
+
+// Split returns a listener whose connections are told apart by their first byte.
+func Split(clock qf.Clock, listener net.Listener) *SplitListener {
+	closed := make(chan struct{})
+	closeOnce := sync.OnceFunc(func() { close(closed) })
+	queue := func() *splitQueue {
+		return &splitQueue{listener: listener, accepted: make(chan net.Conn), closed: closed, close: closeOnce}
+	}
+	s := &SplitListener{clock: clock, listener: listener, calls: queue(), forwards: queue()}
+	go s.run()
+	return s
+}
+
+// Calls returns the listener of net/rpc connections, Forwards that of forwarded requests. Closing one
+// closes both.
+func (s *SplitListener) Calls() net.Listener { return s.calls }
+
+// Forwards returns the listener of forwarded requests.
+func (s *SplitListener) Forwards() net.Listener { return s.forwards }
+
+func (s *SplitListener) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			s.calls.fail(err)
+			return
+		}
+		go s.route(conn)
+	}
+}
+
+// route reads a connection's first byte and passes the connection on.
+func (s *SplitListener) route(conn net.Conn) {
+	var first [1]byte
+	_ = conn.SetReadDeadline(s.clock.Now().Add(prefaceTimeout)) // Without a deadline the read ends with the connection.
+	if _, err := io.ReadFull(conn, first[:]); err != nil {
+		_ = conn.Close() // Nothing was received.
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{}) // As above.
+	if first[0] != forwardPreface {
+		s.calls.put(&prefixedConn{Conn: conn, prefix: first[:]})
+		return
+	}
+	if _, err := conn.Write(first[:]); err != nil {
+		_ = conn.Close() // The client has gone.
+		return
+	}
+	s.forwards.put(conn)
+}
+
+// splitQueue is one of the two listeners.
+type splitQueue struct {
+	listener net.Listener
+	accepted chan net.Conn
+	closed   chan struct{}
+	close    func()
+
+	mu  sync.Mutex
+	err error
+}
+
+// fail ends the listeners with an error.
+func (q *splitQueue) fail(err error) {
+	q.mu.Lock()
+	q.err = err
+	q.mu.Unlock()
+	q.close()
+}
+
+func (q *splitQueue) put(conn net.Conn) {
+	select {
+	case q.accepted <- conn:
+	case <-q.closed:
+		_ = conn.Close() // Nobody accepts it any more.
+	}
+}
+
+// Accept implements net.Listener.
+func (q *splitQueue) Accept() (net.Conn, error) {
+	select {
+	case conn := <-q.accepted:
+		return conn, nil
+	case <-q.closed:
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.err == nil || errors.Is(q.err, net.ErrClosed) {
+		return nil, net.ErrClosed
+	}
+	return nil, q.err
+}
+
+// Close implements net.Listener.
+func (q *splitQueue) Close() error {
+	err := q.listener.Close()
+	q.close()
+	return err
+}
+
+// Addr implements net.Listener.
+func (q *splitQueue) Addr() net.Addr { return q.listener.Addr() }
+
+// prefixedConn is a connection of which a first part was read already.
+type prefixedConn struct {
+	net.Conn
+	prefix []byte
+}
+
+// Read implements net.Conn.
+func (c *prefixedConn) Read(b []byte) (int, error) {
+	if len(c.prefix) == 0 {
+		return c.Conn.Read(b)
+	}
+	n := copy(b, c.prefix)
+	c.prefix = c.prefix[n:]
+	return n, nil
+}
+
+// DialForward returns a dial of connections for forwarded requests. It fails if the server doesn't
+// confirm within the timeout that it takes them.
+func DialForward(dial qf.Dial, timeout time.Duration) qf.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		if err := confirmForward(conn); err != nil {
+			_ = conn.Close() // The handshake's error is the one to report.
+			peer, _ := netip.ParseAddrPort(address)
+			return nil, peerError(peer, "the peer takes no forwarded requests", err)
+		}
+		if !stop() {
+			return nil, context.Cause(ctx) // The connection was closed meanwhile.
+		}
+		return conn, nil
+	}
+}
+
+func confirmForward(conn net.Conn) error {
+	preface := [1]byte{forwardPreface}
+	if _, err := conn.Write(preface[:]); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, preface[:])
+	if err == nil && preface[0] != forwardPreface {
+		err = errors.New("unexpected byte")
+	}
+	return err
+}
