qfshare: the division among nodes as a package of its own

Cause: the shares of turns are needed for places at endpoints too. Change: members, demand and the weighted hash move from qfrate to qfshare; demand is rounded to steps of a quarter when it is reported, so that small changes of it move no shares. Turns and their tests are as before.

--- a/internal/entry/endpointpicker.go
+++ b/internal/entry/endpointpicker.go
@@ -11,6 +11,7 @@
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qfadmit"
 	"quetzalfront/internal/qf/coordination/qfrate"
+	"quetzalfront/internal/qf/coordination/qfshare"
 )
 
 // endpointPicker implements qf.EndpointPicker with a router. Its lock guards the router, which isn't
@@ -26,8 +27,9 @@
 	// silent holds the endpoints of which nothing was received for a while, although attempts are
 	// in progress there.
 	silent map[qf.EndpointID]bool
-	// rates holds the rates that endpoints state, in the time of clock. observeRates is called with
+	// shares are the nodes' shares of what endpoints take, rates holds the rates that they state, in the time of clock. observeRates is called with
 	// changes of them, without the lock.
+	shares       *qfshare.Table
 	rates        *qfrate.Limiter
 	clock        *fleetClock
 	observeRates func(changes []qfrate.Change)
@@ -38,9 +40,10 @@
 
 // newEndpointPicker returns a picker without endpoints.
 func newEndpointPicker(self qf.Node, random *rand.Rand, router qf.Router, clock *fleetClock) *endpointPicker {
+	shares := qfshare.NewTable(self.ID)
 	return &endpointPicker{
-		self: self, router: router, random: random, versions: newVersionSelector(), dead: deadEndpoints{},
-		rates: qfrate.NewLimiter(self.ID), clock: clock, observeRates: func([]qfrate.Change) {},
+		self: self, shares: shares, router: router, random: random, versions: newVersionSelector(), dead: deadEndpoints{},
+		rates: qfrate.NewLimiter(shares), clock: clock, observeRates: func([]qfrate.Change) {},
 	}
 }
 
--- a/internal/entry/rates.go
+++ b/internal/entry/rates.go
@@ -18,7 +18,7 @@
 		return withheld
 	}
 	now := p.clock.fleetTime(query.Now)
-	p.rates.RecordDemand(now, query.Request.Entry)
+	p.shares.RecordDemand(now, query.Request.Entry)
 	query.MayUse = func(id qf.EndpointID) bool {
 		maySend := p.rates.MaySend(now, id)
 		if !maySend {
@@ -72,7 +72,7 @@
 	slices.Sort(ids)
 	e.picker.mu.Lock()
 	defer e.picker.mu.Unlock()
-	e.picker.rates.SetMembers(e.fleetClock.fleetTime(now), ids)
+	e.picker.shares.SetMembers(e.fleetClock.fleetTime(now), ids)
 }
 
 // fillRates adds the rates that endpoints state to a digest, and in a small fleet this node's demand.
@@ -82,7 +82,7 @@
 	defer e.picker.mu.Unlock()
 	d.Rates = e.picker.rates.ReportRates(at)
 	if !isGrouped && e.picker.rates.HasRates() {
-		d.Demands = e.picker.rates.ReportDemands(at)
+		d.Demands = e.picker.shares.ReportDemands(at, e.picker.rates.ListEntries())
 	}
 }
 
@@ -94,7 +94,7 @@
 	at := e.fleetClock.fleetTime(now)
 	e.picker.mu.Lock()
 	changes := e.picker.rates.MergeRates(at, d.Rates)
-	e.picker.rates.MergeDemands(at, d.From.ID, d.Demands)
+	e.picker.shares.MergeDemands(at, d.From.ID, d.Demands)
 	e.picker.mu.Unlock()
 	if len(changes) == 0 {
 		return
--- a/internal/qf/coordination/qfrate/limiter.go
+++ b/internal/qf/coordination/qfrate/limiter.go
@@ -1,16 +1,13 @@
 // Package qfrate keeps the nodes of a fleet together within the rates of requests that endpoints
 // state, without a message for each request. Time is cut into turns, one for each request that an
-// endpoint takes, and each turn belongs to one node: a hash of the endpoint, the turn and the node
-// decides, weighted by the nodes' demand. Nodes that differ about the members of the fleet for a
-// moment differ about the turns of those members only.
+// endpoint takes, and each turn belongs to one node (qfshare).
 package qfrate
 
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfshare"
 )
 
 const (
@@ -33,28 +30,15 @@
 // Limiter decides when a node may send requests to endpoints that state a rate. All times are the
 // fleet's. It isn't safe for concurrent use.
 type Limiter struct {
-	self qf.NodeID
-	// members are empty until the members of the fleet are known: until then, the node has no turns.
-	members []member
-	// lostAt is when most of the members were missing at once, or zero.
-	lostAt    time.Time
+	// shares are the nodes' shares of the turns.
+	shares    *qfshare.Table
 	endpoints map[qf.EndpointID]*endpoint
-	demands   demands
-	// shares holds the members' parts of the rates by entry. They are dropped when the members or
-	// their demand change.
-	shares map[qf.EntryName]*shares
 	// returns holds when the last caller that was refused should come back, by entry.
 	returns map[qf.EntryName]time.Time
 	// stated is the number of endpoints that state a rate.
 	stated int
 }
 
-// member is one node of the fleet.
-type member struct {
-	id   qf.NodeID
-	hash uint64
-}
-
 // endpoint is an endpoint that states a rate, or did so a short time ago.
 type endpoint struct {
 	entry       qf.EntryName
@@ -75,55 +59,14 @@
 	filledAt time.Time
 }
 
-// NewLimiter returns a limiter of a node that knows of no rates.
-func NewLimiter(self qf.NodeID) *Limiter {
-	return &Limiter{
-		self: self, endpoints: map[qf.EndpointID]*endpoint{}, demands: newDemands(),
-		shares: map[qf.EntryName]*shares{}, returns: map[qf.EntryName]time.Time{},
-	}
+// NewLimiter returns a limiter that knows of no rates.
+func NewLimiter(shares *qfshare.Table) *Limiter {
+	return &Limiter{shares: shares, endpoints: map[qf.EndpointID]*endpoint{}, returns: map[qf.EntryName]time.Time{}}
 }
 
 // HasRates reports whether any endpoint states a rate.
 func (l *Limiter) HasRates() bool { return l.stated > 0 }
 
-// lossHold is how long a node that loses most of its peers at once keeps their shares free: it
-// may be cut off from peers that still send.
-const lossHold = time.Minute
-
-// SetMembers sets the nodes that share the rates, this one included, in the same order at all nodes.
-func (l *Limiter) SetMembers(now time.Time, nodes []qf.NodeID) {
-	if l.hasMembers(nodes) {
-		l.lostAt = time.Time{}
-		return
-	}
-	if 2*len(nodes) <= len(l.members) {
-		if l.lostAt.IsZero() {
-			l.lostAt = now
-		}
-		if now.Sub(l.lostAt) < lossHold {
-			return
-		}
-	}
-	l.lostAt = time.Time{}
-	l.members = make([]member, len(nodes))
-	for i, id := range nodes {
-		l.members[i] = member{id: id, hash: xxhash.Sum64String(string(id))}
-	}
-	clear(l.shares)
-}
-
-func (l *Limiter) hasMembers(nodes []qf.NodeID) bool {
-	if len(nodes) != len(l.members) {
-		return false
-	}
-	for i, id := range nodes {
-		if l.members[i].id != id {
-			return false
-		}
-	}
-	return true
-}
-
 // MaySend reports whether the node may send a request to an endpoint now.
 func (l *Limiter) MaySend(now time.Time, id qf.EndpointID) bool {
 	e := l.endpoints[id]
@@ -151,12 +94,12 @@
 
 // advance assigns the turns that have begun, or fills the bucket.
 func (l *Limiter) advance(now time.Time, e *endpoint) {
-	s := l.sharesOf(now, e.entry)
+	s := l.shares.Of(now, e.entry)
 	if s == nil {
 		e.turns, e.tokens = nil, 0
 		return
 	}
-	if share := e.rate * s.own(); share >= bucketRate {
+	if share := e.rate * s.Own(); share >= bucketRate {
 		e.fill(now, share)
 		return
 	}
@@ -179,7 +122,7 @@
 
 // assignTurns adds the node's own turns that have begun since the last call, and drops those that
 // are over.
-func (e *endpoint) assignTurns(now time.Time, s *shares) {
+func (e *endpoint) assignTurns(now time.Time, s *qfshare.Shares) {
 	keptFor := min(turnsKeptFor+time.Duration(turnsKept/e.rate*float64(time.Second)), maxTurnAge)
 	present := e.turnAt(now)
 	if e.next == 0 {
@@ -187,7 +130,7 @@
 	}
 	e.next = max(e.next, e.turnAt(now.Add(-keptFor))+1)
 	for ; e.next <= present; e.next++ {
-		if s.isOwn(e.hash ^ uint64(e.next)) { //nolint:gosec // Any bits will do.
+		if s.IsOwn(e.hash ^ uint64(e.next)) { //nolint:gosec // Any bits will do.
 			e.turns = append(e.turns, e.turnStart(e.next).Add(keptFor))
 		}
 	}
@@ -206,7 +149,7 @@
 	return time.Unix(0, int64((float64(turn)-e.phase())/e.rate*float64(time.Second)))
 }
 
-func (e *endpoint) phase() float64 { return unit(e.hash) }
+func (e *endpoint) phase() float64 { return qfshare.Fraction(e.hash) }
 
 // maxReturn bounds the time after which a caller is asked to return.
 const maxReturn = 10 * time.Second
@@ -220,11 +163,11 @@
 			rate += e.rate
 		}
 	}
-	s := l.sharesOf(now, entry)
+	s := l.shares.Of(now, entry)
 	if s == nil || rate == 0 {
 		return time.Second
 	}
-	interval := min(time.Duration(float64(time.Second)/(rate*max(s.own(), 1e-6))), maxReturn)
+	interval := min(time.Duration(float64(time.Second)/(rate*max(s.Own(), 1e-6))), maxReturn)
 	at := l.returns[entry]
 	if at.Before(now) {
 		at = now
--- a/internal/qf/coordination/qfrate/limiter_test.go
+++ b/internal/qf/coordination/qfrate/limiter_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfshare"
 )
 
 // fleetModel is a fleet of limiters that send to one endpoint which states a rate, with the exchanges
@@ -34,8 +35,9 @@
 		m.names = append(m.names, qf.NodeID(fmt.Sprintf("node-%03d", i)))
 	}
 	for _, name := range m.names {
-		l := NewLimiter(name)
-		l.SetMembers(modelBegin, m.names)
+		shares := qfshare.NewTable(name)
+		shares.SetMembers(modelBegin, m.names)
+		l := NewLimiter(shares)
 		m.nodes = append(m.nodes, l)
 	}
 	return m
@@ -153,22 +155,22 @@
 	}{
 		{"half of the nodes miss one", func(m *fleetModel) {
 			for _, l := range m.nodes[:len(m.nodes)/2] {
-				l.SetMembers(modelBegin, slices.DeleteFunc(slices.Clone(m.names), func(id qf.NodeID) bool { return id == m.names[len(m.names)-1] }))
+				l.shares.SetMembers(modelBegin, slices.DeleteFunc(slices.Clone(m.names), func(id qf.NodeID) bool { return id == m.names[len(m.names)-1] }))
 			}
 		}},
 		{"half of the nodes count one that is gone", func(m *fleetModel) {
 			for _, l := range m.nodes[:len(m.nodes)/2] {
-				l.SetMembers(modelBegin, append(slices.Clone(m.names), "node-999"))
+				l.shares.SetMembers(modelBegin, append(slices.Clone(m.names), "node-999"))
 			}
 		}},
-		{"one node is alone", func(m *fleetModel) { m.nodes[0].SetMembers(modelBegin, m.names[:1]) }},
+		{"one node is alone", func(m *fleetModel) { m.nodes[0].shares.SetMembers(modelBegin, m.names[:1]) }},
 		{"two halves", func(m *fleetModel) {
 			half := len(m.names) / 2
 			for i, l := range m.nodes {
 				if i < half {
-					l.SetMembers(modelBegin, m.names[:half])
+					l.shares.SetMembers(modelBegin, m.names[:half])
 				} else {
-					l.SetMembers(modelBegin, m.names[half:])
+					l.shares.SetMembers(modelBegin, m.names[half:])
 				}
 			}
 		}},
@@ -194,7 +196,7 @@
 // TestNoTurnsWithoutMembers fails if a node that doesn't know the other nodes yet takes all of the
 // rate for itself.
 func TestNoTurnsWithoutMembers(t *testing.T) {
-	l := NewLimiter("node-1")
+	l := NewLimiter(qfshare.NewTable("node-1"))
 	l.RecordAnswer(modelBegin, modelBegin, &modelEndpoint, qf.StatedNumber{Kind: qf.StatedNumeric, Value: 50})
 	for i := range 100 {
 		if l.MaySend(modelBegin.Add(time.Duration(i)*100*time.Millisecond), modelEndpoint.ID) {
@@ -213,7 +215,7 @@
 			if j == 0 {
 				demand = 20
 			}
-			l.MergeDemands(modelBegin, name, []qf.EntryDemand{{Entry: "chat", PerSecond: demand}})
+			l.shares.MergeDemands(modelBegin, name, []qf.EntryDemand{{Entry: "chat", PerSecond: demand}})
 		}
 	}
 	sent := 0
@@ -261,7 +263,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			l := NewLimiter("node-1")
+			l := NewLimiter(qfshare.NewTable("node-1"))
 			for _, s := range tt.statements {
 				l.RecordAnswer(at(s.now), at(s.sentAt), &modelEndpoint, s.stated)
 			}
@@ -272,7 +274,7 @@
 			if rate != tt.want || l.HasRates() != (tt.want > 0) {
 				t.Errorf("the rate is %v, want %v", rate, tt.want)
 			}
-			peer := NewLimiter("node-2")
+			peer := NewLimiter(qfshare.NewTable("node-2"))
 			peer.MergeRates(at(5), l.ReportRates(at(5)))
 			if peer.HasRates() != l.HasRates() {
 				t.Error("a peer that gets the report doesn't know the rate")
--- a/internal/qf/coordination/qfrate/stated.go
+++ b/internal/qf/coordination/qfrate/stated.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/coordination/qfshare"
 )
 
 // Change is a change of what is known of an endpoint's rate. Rates are in requests a second; 0
@@ -65,7 +66,7 @@
 		if rate.PerSecond == 0 {
 			return Change{}, false
 		}
-		e = &endpoint{entry: rate.Entry, incarnation: rate.Incarnation, hash: mix(xxhash.Sum64String(string(rate.Endpoint)))}
+		e = &endpoint{entry: rate.Entry, incarnation: rate.Incarnation, hash: qfshare.Mix(xxhash.Sum64String(string(rate.Endpoint)))}
 		l.endpoints[rate.Endpoint] = e
 	}
 	e.at = rate.At
@@ -138,9 +139,21 @@
 	if len(rest) <= maxRepeated {
 		return append(recent, rest...)
 	}
-	first := int(now.UnixNano()/int64(sharesRefresh)) * maxRepeated % len(rest)
+	first := int(now.UnixNano()/int64(qfshare.Refresh)) * maxRepeated % len(rest)
 	for i := range maxRepeated {
 		recent = append(recent, rest[(first+i)%len(rest)])
 	}
 	return recent
 }
+
+// ListEntries returns the entries whose endpoints state rates.
+func (l *Limiter) ListEntries() []qf.EntryName {
+	var names []qf.EntryName
+	for _, e := range l.endpoints {
+		if e.rate > 0 && !slices.Contains(names, e.entry) {
+			names = append(names, e.entry)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/qf/coordination/qfrate/demands.go
+++ b/internal/qf/coordination/qfshare/demands.go
@@ -1,4 +1,4 @@
-package qfrate
+package qfshare
 
 import (
 	"math"
@@ -64,49 +64,46 @@
 }
 
 // RecordDemand counts a request that is to be sent to an endpoint of an entry.
-func (l *Limiter) RecordDemand(now time.Time, entry qf.EntryName) {
-	d := l.demands.own[entry]
+func (t *Table) RecordDemand(now time.Time, entry qf.EntryName) {
+	d := t.demands.own[entry]
 	if d == nil {
 		d = &ownDemand{at: now}
-		l.demands.own[entry] = d
+		t.demands.own[entry] = d
 	}
 	d.perSecond = d.decayed(now) + 1/demandMemory.Seconds()
 	d.at = now
 }
 
-// ReportDemands returns the node's own demand for the entries whose endpoints state rates.
-func (l *Limiter) ReportDemands(now time.Time) []qf.EntryDemand {
-	var list []qf.EntryDemand
-	for _, e := range l.endpoints {
-		if e.rate == 0 || hasDemand(list, e.entry) {
-			continue
+// ReportDemands returns the node's own demand for entries. The node counts with it from now on, like at the
+// others.
+func (t *Table) ReportDemands(now time.Time, entries []qf.EntryName) []qf.EntryDemand {
+	list := make([]qf.EntryDemand, len(entries))
+	for i, name := range entries {
+		list[i].Entry = name
+		if d := t.demands.own[name]; d != nil {
+			list[i].PerSecond = rounded(d.decayed(now))
 		}
-		report := qf.EntryDemand{Entry: e.entry}
-		if d := l.demands.own[e.entry]; d != nil {
-			report.PerSecond = d.decayed(now)
-		}
-		list = append(list, report)
 	}
-	l.MergeDemands(now, l.self, list)
+	t.MergeDemands(now, t.self, list)
 	return list
 }
 
-func hasDemand(list []qf.EntryDemand, entry qf.EntryName) bool {
-	for i := range list {
-		if list[i].Entry == entry {
-			return true
-		}
+// rounded rounds a demand such that small changes of it move no shares.
+func rounded(perSecond float64) float64 {
+	const step = 1.25
+	if perSecond <= 0 {
+		return 0
 	}
-	return false
+	return math.Pow(step, math.Round(math.Log(perSecond)/math.Log(step)))
 }
 
 // MergeDemands records a node's report.
-func (l *Limiter) MergeDemands(now time.Time, node qf.NodeID, list []qf.EntryDemand) {
+func (t *Table) MergeDemands(now time.Time, node qf.NodeID, list []qf.EntryDemand) {
 	for i := range list {
 		entry := list[i].Entry
-		if l.demands.reported[entry] == nil {
-			l.demands.reported[entry] = map[qf.NodeID]reportedDemand{}
+		if t.demands.reported[entry] == nil {
+			t.demands.reported[entry] = map[qf.NodeID]reportedDemand{}
 		}
-		l.demands.reported[entry][node] = reportedDemand{perSecond: max(list[i].PerSecond, 0), at: now}
+		t.demands.reported[entry][node] = reportedDemand{perSecond: max(list[i].PerSecond, 0), at: now}
 	}
 }
