qfroom, entry: send brittle endpoints no more than they have places for

Cause: endpoints that fall over when they reject many requests in a second got the whole load at once whenever one came back, fell again, and a fleet in that state didn't recover. Nothing read their statement; parts of prompts that were in progress at the falls were blamed and refused. Change: the places of a brittle endpoint are divided among the nodes (qfshare.Portion: the whole part of a node's share, and the rest by a weighted hash); a node sends no more requests at once than it has places, or than all nodes could send at once. A place that comes to a node from another stays unused while that one may have requests there. A request waits for up to 0.4 of its objective while fewer wait than the node has places; nodes without a place pass requests to one that has. A rejection isn't a failure of the endpoint's health then. A death while brittle endpoints reject requests, at any node, blames no part.

--- a/internal/entry/endpointpicker.go
+++ b/internal/entry/endpointpicker.go
@@ -11,6 +11,7 @@
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/coordination/qfadmit"
 	"quetzalfront/internal/qf/coordination/qfrate"
+	"quetzalfront/internal/qf/coordination/qfroom"
 	"quetzalfront/internal/qf/coordination/qfshare"
 )
 
@@ -29,10 +30,16 @@
 	silent map[qf.EndpointID]bool
 	// shares are the nodes' shares of what endpoints take, rates holds the rates that they state, in the time of clock. observeRates is called with
 	// changes of them, without the lock.
-	shares       *qfshare.Table
-	rates        *qfrate.Limiter
+	shares *qfshare.Table
+	rates  *qfrate.Limiter
+	// rooms holds the places at brittle endpoints.
+	rooms *qfroom.Limiter
+	// waiting counts the requests that wait for a place, by the first entry of their routes.
+	waiting      map[qf.EntryName]int
 	clock        *fleetClock
 	observeRates func(changes []qfrate.Change)
+	// observeBrittle is called without the lock when the endpoints of an entry become brittle.
+	observeBrittle func(entry qf.EntryName, rejections float64)
 	// pressure and waitEstimator are updated with the times to first tokens.
 	pressure      qfadmit.Pressure
 	waitEstimator qfadmit.WaitEstimator
@@ -43,15 +50,16 @@
 	shares := qfshare.NewTable(self.ID)
 	return &endpointPicker{
 		self: self, shares: shares, router: router, random: random, versions: newVersionSelector(), dead: deadEndpoints{},
-		rates: qfrate.NewLimiter(shares), clock: clock, observeRates: func([]qfrate.Change) {},
+		rates: qfrate.NewLimiter(shares), rooms: qfroom.NewLimiter(shares), waiting: map[qf.EntryName]int{}, clock: clock, observeRates: func([]qfrate.Change) {},
+		observeBrittle: func(qf.EntryName, float64) {},
 	}
 }
 
-// hasRates reports whether any endpoint states a rate.
-func (p *endpointPicker) hasRates() bool {
+// hasLimits reports whether any endpoint states a rate or is brittle.
+func (p *endpointPicker) hasLimits(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.rates.HasRates()
+	return p.rates.HasRates() || len(p.rooms.ListBrittle(p.clock.fleetTime(now))) > 0
 }
 
 // isPressureHigh reports whether first tokens are late.
@@ -85,7 +93,7 @@
 	for id := range p.silent {
 		routeQuery.Excluded = append(slices.Clip(routeQuery.Excluded), id)
 	}
-	withheld := p.applyRates(&routeQuery)
+	withheld := p.applyLimits(&routeQuery, query.IsRecheck)
 	choice, err := p.router.ChooseEndpoint(routeQuery)
 	if err != nil && len(routeQuery.Excluded) > len(query.Excluded) {
 		routeQuery.Excluded = query.Excluded
@@ -111,6 +119,7 @@
 	if p.rates.HasRates() {
 		p.rates.RecordSend(p.clock.fleetTime(query.Now), picked.Endpoint.ID)
 	}
+	p.rooms.RecordStart(&picked.Endpoint)
 	return picked, nil
 }
 
@@ -164,8 +173,10 @@
 func (p *endpointPicker) RecordAttemptEnd(at time.Time, picked *qf.PickedEndpoint, end qf.AttemptEnd) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.router.RecordEnd(at, picked.Endpoint.ID, picked.Tokens, end == qf.AttemptAnswered || end == qf.AttemptCancelled)
+	isFull := end == qf.AttemptNotRun && p.rooms.HasRejected(p.clock.fleetTime(at), &picked.Endpoint)
+	p.router.RecordEnd(at, picked.Endpoint.ID, picked.Tokens, end == qf.AttemptAnswered || end == qf.AttemptCancelled || isFull)
 	p.versions.judge.recordAttemptEnd(at, picked, end)
+	p.rooms.RecordEnd(&picked.Endpoint, at.Sub(picked.StartedAt))
 }
 
 // RecordResponse implements qf.EndpointPicker.
@@ -176,14 +187,19 @@
 		p.router.RecordLoadReport(at, qf.LoadReport{Endpoint: endpoint, At: at, Running: load.Running, Queued: load.Waiting})
 	}
 	var changes []qfrate.Change
+	isBrittle := false
 	if answer.Status != http.StatusMisdirectedRequest { // Another endpoint sent it.
 		sentAt := p.clock.fleetTime(picked.StartedAt)
 		if change, ok := p.rates.RecordAnswer(p.clock.fleetTime(at), sentAt, &picked.Endpoint, answer.Traits.Rate); ok {
 			changes = append(changes, change)
 		}
+		isBrittle = p.rooms.RecordAnswer(p.clock.fleetTime(at), &picked.Endpoint, &answer.Traits)
 	}
 	p.mu.Unlock()
 	p.observeRates(changes)
+	if isBrittle {
+		p.observeBrittle(picked.Endpoint.Entry, answer.Traits.Brittle.Value)
+	}
 }
 
 // setEndpoints replaces the endpoints that may get work.
@@ -194,6 +210,7 @@
 	p.router.SetEndpoints(endpoints)
 	p.versions.setEndpoints(endpoints)
 	p.rates.KeepListed(endpoints)
+	p.rooms.KeepListed(endpoints)
 }
 
 // setSilent sets the endpoints that get no requests while others can serve them.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -153,7 +153,7 @@
 		SuspectAfter: suspectAfter, DeadAfter: deadAfter, FullExchangeUpTo: fullExchangeUpTo,
 	})
 	e.picker = newEndpointPicker(deployment.Self, e.newRandom(), qfroute.NewPredictive(routeConfig(), e.newRandom(), now), e.fleetClock)
-	e.picker.observeRates = e.observeRates
+	e.picker.observeRates, e.picker.observeBrittle = e.observeRates, e.observeBrittle
 	e.admission = &admissionController{
 		quotas: qflimit.NewQuotas(deployment.Bounds.QuotaWindow), clock: e.fleetClock,
 		retries: qfretry.NewFleetBudget(qfretry.FleetBounds{
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -49,8 +49,8 @@
 	e.relays = relays
 	e.mu.Unlock()
 	e.isRelay.Store(isGrouped && relays.IsSelf)
-	if e.picker.hasRates() {
-		e.updateRateMembers(now)
+	if e.picker.hasLimits(now) {
+		e.updateMembers(now)
 	}
 	if e.hasNodes.Load() || now.Sub(e.startedAt) > nodeListFallback {
 		e.admission.setNodes(relays.Nodes)
@@ -140,7 +140,7 @@
 	if !isGrouped && to != nil {
 		d.Tally = e.buildTally(to)
 	}
-	e.fillRates(now, &d, isGrouped)
+	e.fillLimits(now, &d, isGrouped)
 	d.CutOff, d.IsCutOff = e.monitor.listCutOff()
 	if isGrouped && (to == nil || to.AvailabilityZone != d.From.AvailabilityZone) {
 		return d // Load in progress is sent only within the zone.
@@ -160,7 +160,7 @@
 	e.fleetClock.recordPeerTime(now, d.From.ID, d.SentAt)
 	e.picker.recordPeerLoads(d.From.ID, d.SentLoads)
 	e.poisonFilter.mergeDigest(now, d)
-	e.mergeRates(now, d)
+	e.mergeLimits(now, d)
 	e.peerRouter.recordReport(now, d)
 	e.storeEra.applyPeer(d.Store)
 	for i := range d.RolloutPlans {
--- a/internal/entry/peerrouter.go
+++ b/internal/entry/peerrouter.go
@@ -91,6 +91,33 @@
 	return node, ok
 }
 
+// PickHolder implements qf.PeerRouter.
+func (r *peerRouter) PickHolder(now time.Time, entries []qf.WeightedEntry) (qf.Node, bool) {
+	r.mu.Lock()
+	drawn := r.random.Uint64()
+	r.mu.Unlock()
+	holder, ok := r.entry.picker.findHolder(now, entries, drawn)
+	if !ok || holder == r.entry.deployment.Self.ID {
+		return qf.Node{}, false
+	}
+	e := r.entry
+	e.mu.Lock()
+	nodes := e.membership.Peers(now)
+	e.mu.Unlock()
+	index := slices.IndexFunc(nodes, func(n qf.Node) bool { return n.ID == holder && n.State == qf.NodeLive })
+	if index < 0 {
+		return qf.Node{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.get(holder)
+	if !known.isUsable(now, entries) {
+		return qf.Node{}, false
+	}
+	known.inProgress++
+	return nodes[index], true
+}
+
 // zonesOf returns the availability zones of some nodes.
 func zonesOf(nodes []qf.Node, ids []qf.NodeID) map[qf.AvailabilityZone]bool {
 	zones := map[qf.AvailabilityZone]bool{}
--- a/internal/entry/poisonfilter.go
+++ b/internal/entry/poisonfilter.go
@@ -112,6 +112,9 @@
 	dead := *endpoint
 	f.entry.background.Go(func() {
 		isDead := f.confirmDeath(&dead)
+		if isDead && f.entry.picker.isBrittle(now, dead.Entry) {
+			f.entry.sleep(f.entry.loops, rejectionNewsDelay)
+		}
 		f.mu.Lock()
 		delete(f.confirming, death)
 		f.mu.Unlock()
@@ -128,6 +131,10 @@
 	maxConfirmations = 10
 )
 
+// rejectionNewsDelay is the time in which peers report that a brittle endpoint rejected their requests,
+// which may be why it has died.
+const rejectionNewsDelay = 150 * time.Millisecond
+
 // confirmDeath reports whether an endpoint that refused a connection has died. If all others refuse
 // connections too, they may all be starting again.
 func (f *poisonFilter) confirmDeath(endpoint *qf.Endpoint) bool {
@@ -143,15 +150,17 @@
 	return false
 }
 
-// recordDeath records the death of an endpoint, unless its leaving was announced.
+// recordDeath records the death of an endpoint, unless its leaving was announced or it may have been
+// overloaded.
 func (f *poisonFilter) recordDeath(now time.Time, endpoint *qf.Endpoint, reason string) {
 	death := qfsuspect.IdentifyDeath(endpoint)
 	f.entry.mu.Lock()
 	isAnnounced := f.entry.isLeavingEndpoint(endpoint.ID)
 	f.entry.mu.Unlock()
+	isExplained := isAnnounced || f.entry.picker.mayHaveFallen(now, endpoint.Entry)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if isAnnounced {
+	if isExplained {
 		f.parts.RecordAnnouncedStop(death)
 		return
 	}
--- a/internal/entry/statedrate_test.go
+++ b/internal/entry/statedrate_test.go
@@ -78,10 +78,7 @@
 
 func runRateDay(t *testing.T, day rateDay, check func(w *rateWorld, began time.Time, answers []ratedAnswer)) {
 	t.Helper()
-	runFleet(t, day.nodes, func(f *testFleet) {
-		w := &rateWorld{testFleet: f, day: day, random: rand.New(rand.NewPCG(day.seed, 31)), isolated: map[netip.Addr]bool{}}
-		w.store.Remove("servers", "chat-1")
-		w.store.Remove("servers", "chat-2")
+	runRateFleet(t, day, func(w *rateWorld) {
 		for i := range day.endpoints {
 			w.addEndpoint(i)
 		}
@@ -91,10 +88,26 @@
 	})
 }
 
+// runRateFleet runs a fleet without endpoints of the chat service.
+func runRateFleet(t *testing.T, day rateDay, run func(w *rateWorld)) {
+	t.Helper()
+	runFleet(t, day.nodes, func(f *testFleet) {
+		w := &rateWorld{testFleet: f, day: day, random: rand.New(rand.NewPCG(day.seed, 31)), isolated: map[netip.Addr]bool{}}
+		w.store.Remove("servers", "chat-1")
+		w.store.Remove("servers", "chat-2")
+		run(w)
+	})
+}
+
+// endpointAddress returns the address of an endpoint of the chat service.
+func endpointAddress(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 8, 1, byte(number + 1)}), 80)
+}
+
 // addEndpoint starts an endpoint of the chat service.
 func (w *rateWorld) addEndpoint(number int) {
 	id := fmt.Sprintf("engine-%d", number)
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 8, 1, byte(number + 1)}), 80)
+	address := endpointAddress(number)
 	replica := standreplica.New(id, w.clock)
 	replica.EventCount, replica.EventInterval = 4, 50*time.Millisecond
 	w.serve(address, replica)
--- a/internal/entry/tally.go
+++ b/internal/entry/tally.go
@@ -50,7 +50,7 @@
 		Store: e.storeEra.get(),
 	}
 	e.poisonFilter.fillDigest(now, &d)
-	e.fillRates(now, &d, true)
+	e.fillLimits(now, &d, true)
 	d.CutOff, d.IsCutOff = e.monitor.listCutOff()
 	return d
 }
--- a/internal/qf/caller.go
+++ b/internal/qf/caller.go
@@ -63,6 +63,9 @@
 	Load *ResponseLoad
 	// Rate is the number of requests a second that the endpoint takes from all nodes together.
 	Rate StatedNumber
+	// Brittle is the number of rejections in a second, for want of room, above which the endpoint
+	// fails.
+	Brittle StatedNumber
 }
 
 // StatedKind says whether an endpoint states a number with an answer.
--- a/internal/qf/coordination/qfshare/demands.go
+++ b/internal/qf/coordination/qfshare/demands.go
@@ -14,6 +14,8 @@
 	demandExpiry = 6 * time.Second
 	// leastDemand is the demand, as a part of the average, with which each member counts at least.
 	leastDemand = 0.02
+	// reportStep is the factor by which a demand changes until it is reported anew.
+	reportStep = 1.5
 )
 
 // demands holds how many requests a second the nodes would send to an entry's endpoints.
@@ -28,6 +30,8 @@
 	// perSecond decays with demandMemory since at.
 	perSecond float64
 	at        time.Time
+	// reported is the demand that was last reported.
+	reported float64
 }
 
 type reportedDemand struct {
@@ -81,20 +85,21 @@
 	for i, name := range entries {
 		list[i].Entry = name
 		if d := t.demands.own[name]; d != nil {
-			list[i].PerSecond = rounded(d.decayed(now))
+			list[i].PerSecond = d.reportable(now)
 		}
 	}
 	t.MergeDemands(now, t.self, list)
 	return list
 }
 
-// rounded rounds a demand such that small changes of it move no shares.
-func rounded(perSecond float64) float64 {
-	const step = 1.25
-	if perSecond <= 0 {
-		return 0
+// reportable returns the demand to report: the last one, until it has changed by more than
+// reportStep. Small changes move no shares.
+func (d *ownDemand) reportable(now time.Time) float64 {
+	present := d.decayed(now)
+	if present > d.reported*reportStep || present < d.reported/reportStep {
+		d.reported = present
 	}
-	return math.Pow(step, math.Round(math.Log(perSecond)/math.Log(step)))
+	return d.reported
 }
 
 // MergeDemands records a node's report.
--- a/internal/qf/coordination/qfshare/shares.go
+++ b/internal/qf/coordination/qfshare/shares.go
@@ -34,6 +34,49 @@
 	return true
 }
 
+// Portion returns how many of the units of a thing belong to the node: the whole part of its share, and
+// one of those that are left over if its score for the thing is among the best.
+func (s *Shares) Portion(thing uint64, units int) int {
+	whole := func(index int) float64 { return math.Floor(s.weights[index] / s.total * float64(units)) }
+	left := float64(units)
+	for i := range s.members {
+		left -= whole(i)
+	}
+	own, better := s.remainderScore(s.ownIndex, thing, units), 0.0
+	for i := range s.members {
+		if i != s.ownIndex && s.remainderScore(i, thing, units) > own {
+			better++
+		}
+	}
+	portion := int(whole(s.ownIndex))
+	if better < left {
+		portion++
+	}
+	return portion
+}
+
+// remainderScore is a member's score for a unit that is left over; it is higher the larger the
+// fraction is by which its whole units fall short of its share.
+func (s *Shares) remainderScore(index int, thing uint64, units int) float64 {
+	share := s.weights[index] / s.total * float64(units)
+	fraction := max(share-math.Floor(share), minFraction)
+	return math.Log(Fraction(Mix(thing^s.members[index].hash))) / fraction
+}
+
+// minFraction keeps scores finite.
+const minFraction = 1e-9
+
+// Owner returns the member that owns a unit.
+func (s *Shares) Owner(unit uint64) qf.NodeID {
+	best := 0
+	for i := range s.members {
+		if s.score(i, unit) > s.score(best, unit) {
+			best = i
+		}
+	}
+	return s.members[best].id
+}
+
 // score is distributed such that the highest one belongs to a member with a probability
 // proportional to its weight.
 func (s *Shares) score(index int, unit uint64) float64 {
--- a/internal/qf/coordination/qfshare/table.go
+++ b/internal/qf/coordination/qfshare/table.go
@@ -63,6 +63,9 @@
 	clear(t.shares)
 }
 
+// CountMembers returns the number of members, this node included.
+func (t *Table) CountMembers() int { return len(t.members) }
+
 func (t *Table) hasMembers(nodes []qf.NodeID) bool {
 	if len(nodes) != len(t.members) {
 		return false
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -229,6 +229,10 @@
 	// Rates holds rates that endpoints state, Demands the sender's demand for those entries.
 	Rates   []EndpointRate
 	Demands []EntryDemand
+	// Brittle lists the entries whose endpoints fail if they have to reject many requests.
+	Brittle []EntryName
+	// Rejecting lists those of them whose endpoints rejected requests of the sender a short time ago.
+	Rejecting []EntryName
 	// CutOff lists the entries whose endpoints the sender doesn't reach. IsCutOff means that there are
 	// no others.
 	CutOff   []EntryName
--- a/internal/qf/peerhop.go
+++ b/internal/qf/peerhop.go
@@ -23,6 +23,9 @@
 	// PickPeer picks a node and counts the request there, or returns false if no other is known that
 	// reaches the endpoints.
 	PickPeer(now time.Time, entries []WeightedEntry, excluded []NodeID) (Node, bool)
+	// PickHolder picks a node that may use endpoints at which this one may not, and counts the request
+	// there. It returns false if there is no reason to, or none is known.
+	PickHolder(now time.Time, entries []WeightedEntry) (Node, bool)
 	// RecordPeerEnd records the end of a request at a picked node. It is unusable for a while if it
 	// doesn't answer, or can't serve.
 	RecordPeerEnd(now time.Time, node NodeID, isUsable bool)
--- a/internal/qf/placement.go
+++ b/internal/qf/placement.go
@@ -20,6 +20,8 @@
 	// Entry is the entry that was drawn for an earlier attempt, which retries keep; it
 	// is empty for a first attempt.
 	Entry EntryName
+	// IsRecheck means that the request has asked before and waits for a place.
+	IsRecheck bool
 }
 
 // PickedEndpoint is the endpoint picked for an attempt, and the reason.
@@ -66,6 +68,10 @@
 	// PickEndpoint picks an endpoint and counts the attempt there, or returns an *Error
 	// with the time after which to retry.
 	PickEndpoint(query *PickQuery) (PickedEndpoint, error)
+	// AwaitPlace reports whether a request for which no endpoint was found should wait for a moment,
+	// because a place will soon be free. EndWait must be called after it.
+	AwaitPlace(now time.Time, entries []WeightedEntry) bool
+	EndWait(entries []WeightedEntry)
 	// RecordFirstToken records the first token, or the answer of a plain service.
 	RecordFirstToken(at time.Time, placement *PickedEndpoint)
 	// RecordProgress records that the attempt's stream goes on.
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -51,8 +51,8 @@
 		if a == nil {
 			a, err = c.attempt(ctx, p, s, tried, entry, move)
 		}
-		if err != nil && p.unreached > 0 && c.mayUsePeer(p) {
-			a = c.tryPeer(ctx, p, s, entry)
+		if err != nil && c.mayUsePeer(p) {
+			a = c.tryOtherNode(ctx, p, s, entry, err)
 		}
 		if a == nil {
 			c.finish(s, nil, c.withoutEndpoint(p, err))
@@ -153,13 +153,14 @@
 		c.makeAttempt(ctx, p, s, a, move.memory)
 		return a, nil
 	}
-	picked, err := ports.Picker.PickEndpoint(&qf.PickQuery{
+	picked, err := c.pick(&qf.PickQuery{
 		Now: now, Route: c.route, Organisation: c.organisation(), Prompt: c.request.Prompt,
 		Deadline: c.deadline, Excluded: tried, ResumeTokens: s.tokens, Entry: entry,
 	})
 	if err != nil {
 		return nil, err
 	}
+	now = ports.Clock.Now()
 	if len(tried) == 0 && (c.hop == nil || c.hop.Runs == 0) {
 		ports.Admission.CountRequest(now, picked.Endpoint.Entry)
 	}
@@ -168,6 +169,30 @@
 	return a, nil
 }
 
+const (
+	// placeWaitShare is the part of its objective for which a request waits for a place, and
+	// placeRecheckInterval is the time between two looks.
+	placeWaitShare       = 0.4
+	placeRecheckInterval = 20 * time.Millisecond
+)
+
+// pick picks an endpoint. If none takes the request now but a place will soon be free, it waits for one.
+func (c *call) pick(query *qf.PickQuery) (qf.PickedEndpoint, error) {
+	picker, clock := c.forwarder.ports.Picker, c.forwarder.ports.Clock
+	picked, err := picker.PickEndpoint(query)
+	if err == nil || !picker.AwaitPlace(query.Now, c.route.Entries) {
+		return picked, err
+	}
+	defer picker.EndWait(c.route.Entries)
+	until := earlier(c.arrivedAt.Add(time.Duration(float64(c.route.Objective)*placeWaitShare)), c.deadline)
+	for err != nil && clock.Now().Before(until) && c.incoming.Context().Err() == nil {
+		c.wait(placeRecheckInterval, nil)
+		query.Now, query.IsRecheck = clock.Now(), true
+		picked, err = picker.PickEndpoint(query)
+	}
+	return picked, err
+}
+
 // makeAttempt makes an attempt at the picked endpoint and records its end.
 func (c *call) makeAttempt(ctx context.Context, p *progress, s *relay, a *attempt, memory qf.RunMemory) {
 	ports := &c.forwarder.ports
--- a/internal/qf/protocol/qfforward/peer.go
+++ b/internal/qf/protocol/qfforward/peer.go
@@ -82,17 +82,38 @@
 // mayUsePeer reports whether the request may be passed to another node.
 func (c *call) mayUsePeer(p *progress) bool { return c.hop == nil && len(p.peers) < maxPeers }
 
-// tryPeer passes the request to another node. It returns nil if there is none.
+// tryOtherNode passes a request for which this node has no endpoint to one that may have, if there is a
+// reason to expect it. It returns nil otherwise.
+func (c *call) tryOtherNode(ctx context.Context, p *progress, s *relay, entry qf.EntryName, err error) *attempt {
+	if p.unreached > 0 && qf.CodeOf(err) != qf.CodeOverloaded {
+		return c.tryPeer(ctx, p, s, entry)
+	}
+	if len(p.peers) > 0 {
+		return nil
+	}
+	node, ok := c.forwarder.ports.Router.PickHolder(c.forwarder.ports.Clock.Now(), c.route.Entries)
+	if !ok {
+		return nil
+	}
+	return c.passTo(ctx, p, s, &node, entry)
+}
+
+// tryPeer passes the request to a node that reaches the endpoints. It returns nil if there is none.
 func (c *call) tryPeer(ctx context.Context, p *progress, s *relay, entry qf.EntryName) *attempt {
-	ports := &c.forwarder.ports
-	now := ports.Clock.Now()
-	node, ok := ports.Router.PickPeer(now, c.route.Entries, p.peers)
+	node, ok := c.forwarder.ports.Router.PickPeer(c.forwarder.ports.Clock.Now(), c.route.Entries, p.peers)
 	if !ok {
 		return nil
 	}
+	return c.passTo(ctx, p, s, &node, entry)
+}
+
+// passTo passes the request to a node.
+func (c *call) passTo(ctx context.Context, p *progress, s *relay, node *qf.Node, entry qf.EntryName) *attempt {
+	ports := &c.forwarder.ports
+	now := ports.Clock.Now()
 	p.peers = append(p.peers, node.ID)
 	a := &attempt{peer: node.ID, startedAt: now}
-	c.sendToPeer(ctx, p, s, a, &node, entry)
+	c.sendToPeer(ctx, p, s, a, node, entry)
 	isUsable := a.end != qf.AttemptBroken && (a.end != qf.AttemptNotRun || a.refusal != nil && a.refusal.Code != qf.CodeUnavailable)
 	ports.Router.RecordPeerEnd(ports.Clock.Now(), node.ID, isUsable)
 	return a
--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -85,6 +85,23 @@
 	// statedRate is sent with each answer, unless it is empty.
 	statedRate string
 	arrivals   []Arrival
+	// room makes the replica reject requests and fall over; nil means that it has room for all.
+	room *Room
+}
+
+// Room is what a brittle replica takes.
+type Room struct {
+	// Places is the number of requests at once; more are rejected.
+	Places int
+	// Rejections is the number of rejections in a second above which the replica falls over. It states
+	// this number with its answers.
+	Rejections int
+	// Fall ends the replica's process.
+	Fall func()
+
+	running   int
+	rejected  []time.Time
+	hasFallen bool
 }
 
 // Arrival is one request that reached the replica, whether it ran or not.
@@ -137,6 +154,47 @@
 	r.statedRate = text
 }
 
+// SetRoom makes the replica brittle.
+func (r *Replica) SetRoom(room *Room) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.room = room
+}
+
+// enter takes a place, or reports that there is none. The replica falls over if it has rejected too
+// many requests within a second.
+func (r *Replica) enter(header http.Header) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	room := r.room
+	if room == nil {
+		return true
+	}
+	header.Set("Server-Brittle", strconv.Itoa(room.Rejections))
+	if room.running < room.Places {
+		room.running++
+		header.Set("X-Replica-Load", fmt.Sprintf("%d,0,%d", room.running, room.Places))
+		return true
+	}
+	header.Set("X-Replica-Load", fmt.Sprintf("%d,0,%d", room.running, room.Places))
+	now := r.clock.Now()
+	room.rejected = slices.DeleteFunc(append(room.rejected, now), func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	if len(room.rejected) > room.Rejections && !room.hasFallen {
+		room.hasFallen = true
+		go room.Fall()
+	}
+	return false
+}
+
+// leave frees a place.
+func (r *Replica) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.room != nil {
+		r.room.running--
+	}
+}
+
 // Arrivals returns the requests that reached the replica so far.
 func (r *Replica) Arrivals() []Arrival {
 	r.mu.Lock()
@@ -195,9 +253,16 @@
 	if rate != "" {
 		w.Header().Set("Server-Limit", rate)
 	}
+	w.Header().Set("X-Replica-Load", "1,0,8")
+	if !r.enter(w.Header()) {
+		w.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.leave()
 	run, behaviour := r.begin(request)
 	w.Header().Set("X-Request-Id", run.ID)
-	w.Header().Set("X-Replica-Load", "1,0,8")
 	switch behaviour {
 	case Sheds:
 		w.Header().Set("X-Not-Executed", "1")
