--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -85,6 +85,8 @@
 	// statedRate is sent with each answer, unless it is empty.
 	statedRate string
 	arrivals   []Arrival
+	// silentUntil is when the replica goes on after a silence.
+	silentUntil time.Time
 	// room makes the replica reject requests and fall over; nil means that it has room for all.
 	room *Room
 }
@@ -154,6 +156,23 @@
 	r.statedRate = text
 }
 
+// FallSilent makes the replica send nothing for some time, and then go on where it was.
+func (r *Replica) FallSilent(length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silentUntil = r.clock.Now().Add(length)
+}
+
+// awaitVoice waits until the replica isn't silent.
+func (r *Replica) awaitVoice() {
+	r.mu.Lock()
+	left := r.silentUntil.Sub(r.clock.Now())
+	r.mu.Unlock()
+	if left > 0 {
+		<-r.clock.After(left).C()
+	}
+}
+
 // SetRoom makes the replica brittle.
 func (r *Replica) SetRoom(room *Room) {
 	r.mu.Lock()
@@ -262,6 +281,7 @@
 	}
 	defer r.leave()
 	run, behaviour := r.begin(request)
+	r.awaitVoice()
 	w.Header().Set("X-Request-Id", run.ID)
 	switch behaviour {
 	case Sheds:
@@ -357,6 +377,7 @@
 	defer subscription.Stop()
 	select {
 	case <-subscription.C():
+		r.awaitVoice()
 		return true
 	case <-request.Context().Done():
 		return false
