qfforward, qfrpc: a stream that goes on through a peer counts as begun once; tests of the split listener

Cause: a stream that had begun at a node that was cut off and went on through a peer was counted in usage by both. Change: the request that is passed on says whether it was counted. TestSplitTellsConnectionsApart and TestDialForwardNeedsConfirmation: a server that doesn't confirm gets no request. Measured: the tests pass; no run shows the double count, which was found by reading.

--- a/internal/qf/peerhop.go
+++ b/internal/qf/peerhop.go
@@ -9,6 +9,8 @@
 	From NodeID
 	// Runs is the number of attempts that may have run there.
 	Runs int
+	// IsCounted means that the request was counted as begun.
+	IsCounted bool
 	// Entry is the one that was drawn for an earlier attempt; it is empty for a first one.
 	Entry EntryName
 }
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -360,7 +360,7 @@
 		return // The peer counts it.
 	}
 	c.forwarder.ports.Picker.RecordFirstToken(now, &a.picked)
-	if isFirst {
+	if isFirst && (c.hop == nil || !c.hop.IsCounted) {
 		c.forwarder.ports.Admission.CountRunStart(now, c.organisation())
 	}
 }
--- a/internal/qf/protocol/qfforward/peer.go
+++ b/internal/qf/protocol/qfforward/peer.go
@@ -11,9 +11,10 @@
 
 // The headers that nodes add to the requests and answers that they pass to each other.
 const (
-	headerFrom  = "X-Quetzalfront-From"
-	headerRuns  = "X-Quetzalfront-Runs"
-	headerEntry = "X-Quetzalfront-Entry"
+	headerFrom    = "X-Quetzalfront-From"
+	headerRuns    = "X-Quetzalfront-Runs"
+	headerEntry   = "X-Quetzalfront-Entry"
+	headerCounted = "X-Quetzalfront-Counted"
 	// headerRan and headerCode are set in refusals of the node itself, and never in an endpoint's
 	// answer.
 	headerRan  = "X-Quetzalfront-Ran"
@@ -21,7 +22,7 @@
 )
 
 // peerHeaders are all headers that only nodes may set.
-var peerHeaders = []string{headerFrom, headerRuns, headerEntry, headerRan, headerCode}
+var peerHeaders = []string{headerFrom, headerRuns, headerEntry, headerCounted, headerRan, headerCode}
 
 const (
 	// maxPeers bounds the nodes to which one request is passed.
@@ -38,7 +39,7 @@
 
 // ServePeer serves requests that other nodes pass on because they don't reach the endpoints.
 func (f *Forwarder) ServePeer(w http.ResponseWriter, r *http.Request) {
-	info := &qf.PeerHop{From: qf.NodeID(r.Header.Get(headerFrom)), Entry: qf.EntryName(r.Header.Get(headerEntry))}
+	info := &qf.PeerHop{From: qf.NodeID(r.Header.Get(headerFrom)), Entry: qf.EntryName(r.Header.Get(headerEntry)), IsCounted: r.Header.Get(headerCounted) != ""}
 	info.Runs, _ = strconv.Atoi(r.Header.Get(headerRuns)) // Missing means none.
 	for _, name := range peerHeaders {
 		r.Header.Del(name)
@@ -129,6 +130,9 @@
 	header.Set(headerFrom, string(ports.Self))
 	header.Set(headerRuns, strconv.Itoa(p.runs))
 	header.Set(headerEntry, string(entry))
+	if c.outcome.First != 0 {
+		header.Set(headerCounted, "1")
+	}
 	answer, err := ports.Peers.SendRequest(ctx, &qf.EndpointRequest{
 		ID: c.request.ID, Method: c.incoming.Method, Target: c.incoming.RequestURI, Host: c.incoming.Host, Body: c.body, Header: header,
 		Endpoint: qf.Endpoint{ID: qf.EndpointID(node.ID), Address: node.PeerAddress, Incarnation: node.Incarnation},
--- /dev/null
+++ b/internal/qf/transport/qfrpc/split_test.go
@@ -0,0 +1,107 @@
+package qfrpc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/standin/standnet"
+)
+
+var splitAddress = netip.MustParseAddrPort("10.1.0.1:7")
+
+// TestSplitTellsConnectionsApart fails if calls and forwarded requests don't reach their servers on one
+// address, or if closing one listener leaves the other open.
+func TestSplitTellsConnectionsApart(t *testing.T) {
+	network := standnet.New().From(netip.MustParseAddr("10.1.0.2"))
+	listener, err := network.Listen(t.Context(), splitAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	split := Split(qftimer.NewWall(), listener)
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "forwarded")
+	})}
+	go func() { _ = server.Serve(split.Forwards()) }()
+	first := make(chan byte, 1)
+	go func() {
+		conn, err := split.Calls().Accept()
+		if err != nil {
+			return
+		}
+		var got [1]byte
+		_, _ = io.ReadFull(conn, got[:]) // A missing byte is reported below.
+		first <- got[0]
+	}()
+	client := &http.Client{Transport: &http.Transport{DialContext: DialForward(network.Dial, time.Second)}}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+splitAddress.String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if string(body) != "forwarded" {
+		t.Errorf("the forwarded request got %q", body)
+	}
+	conn, err := network.Dial(t.Context(), "tcp", splitAddress.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte{42}); err != nil || <-first != 42 {
+		t.Error("the call's first byte was lost")
+	}
+	_ = conn.Close()
+	_ = split.Calls().Close()
+	if _, err := split.Forwards().Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("after the close, accept returns %v", err)
+	}
+	_ = server.Close()
+}
+
+// TestDialForwardNeedsConfirmation fails if a request could be sent to a server that doesn't take forwarded
+// requests: one that closes the connection, answers something else, or nothing.
+func TestDialForwardNeedsConfirmation(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(conn net.Conn)
+	}{
+		{"closes", func(conn net.Conn) { _ = conn.Close() }},
+		{"answers something else", func(conn net.Conn) { _, _ = conn.Write([]byte{7}) }},
+		{"answers nothing", func(net.Conn) {}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			network := standnet.New().From(netip.MustParseAddr("10.1.0.2"))
+			listener, err := network.Listen(t.Context(), splitAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				var preface [1]byte
+				_, _ = io.ReadFull(conn, preface[:]) // The dial has its own end.
+				tt.answer(conn)
+			}()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if conn, err := DialForward(network.Dial, 20*time.Millisecond)(ctx, "tcp", splitAddress.String()); err == nil {
+				_ = conn.Close()
+				t.Error("the connection is usable")
+			}
+		})
+	}
+}
