qflimit: a node counts what the others use at the same time

All nodes of a small fleet see the same units in the bucket after an exchange and spend them together; the debt is paid in the next windows, so that the sum swings. Change: admission takes off what the others are likely to have used and not reported: this node's own use in the time that a report takes, times the ratio of the others' recent use to its own. A node that alone has callers takes off nothing. With relays, where each node is limited to its own share, nothing changes. With relays too, TestQuotasHoldAcrossNodes/many_nodes fell to 2.68 of 2.75 million: so not there. Ruled out: own shares in small fleets: those refuse while demand moves, also when nobody else spends.

--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -178,6 +178,15 @@
 	return b.rate*q.window.Seconds() + b.burst - b.recent.sum(now) - unreported
 }
 
+// othersUse estimates what the other nodes have used and not reported yet: in proportion to what this
+// node used in that time, as in the last seconds. With relays each node is limited to its own share instead.
+func (q *Quotas) othersUse(now time.Time, b *quota) float64 {
+	if b.unreported.window <= 0 || q.isRelayed() {
+		return 0
+	}
+	return b.unreported.sum(now) * (1/b.localShare(q.nodes) - 1)
+}
+
 func (q *Quotas) fill(now time.Time, b *quota) {
 	fillRate := b.rate * q.reportedPart(now)
 	if until := q.fillsUntil(now); until.After(b.filledTo) {
@@ -224,8 +233,8 @@
 	}
 	q.fill(now, b)
 	rate, needed := b.rate*q.reportedPart(now), min(units, b.burst)
-	if b.level < needed {
-		return q.refuse(now, b, returnAfter(needed-b.level, rate))
+	if level := b.level - q.othersUse(now, b); level < needed {
+		return q.refuse(now, b, returnAfter(needed-level, rate))
 	}
 	if left := q.windowLeft(now, b); left < needed {
 		return q.refuse(now, b, boundReturn(b.recent.fallsBy(now, needed-left)))
--- a/internal/qf/coordination/qflimit/window_test.go
+++ b/internal/qf/coordination/qflimit/window_test.go
@@ -183,7 +183,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			for seed := range uint64(5) {
+			for seed := range uint64(20) {
 				f := newWindowFleet(seed+1, 6, tt.burst)
 				f.play(3, 40*time.Second)
 				if got, _ := f.windows(20 * time.Second); got < least {
