qflimit: of the others' use, only what isn't reported yet is taken off

All of the others' use in the time of a tally was taken off, although half of it is reported by then. Change: half of it.

--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -178,13 +178,17 @@
 	return b.rate*q.window.Seconds() + b.burst - b.recent.sum(now) - unreported
 }
 
+// unreportedShare is the part of the others' use in the time that a tally takes which isn't known yet,
+// on average: their tallies arrive all along.
+const unreportedShare = 0.5
+
 // othersUse estimates what the other nodes have used and not reported yet: in proportion to what this
 // node used in that time, as in the last seconds. With relays each node is limited to its own share instead.
 func (q *Quotas) othersUse(now time.Time, b *quota) float64 {
 	if b.unreported.window <= 0 || q.isRelayed() {
 		return 0
 	}
-	return b.unreported.sum(now) * (1/b.localShare(q.nodes) - 1)
+	return unreportedShare * b.unreported.sum(now) * (1/b.localShare(q.nodes) - 1)
 }
 
 func (q *Quotas) fill(now time.Time, b *quota) {
