qfrpc, entry: a node that drains stays reachable for its peers

Cause: found by reading: the server of forwarded requests closed the address of peers when it began to drain, so that calls of peers to a leaving node failed for the rest of its grace; before the split the address stayed open to the end. Change: each of the two listeners closes itself only, SplitListener.Close the address. Measured: TestSplitTellsConnectionsApart fails with the close as it was (the address is closed), and passes.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -35,7 +36,7 @@
 type servers struct {
 	callers *http.Server
 	others  []*http.Server
-	peers   net.Listener
+	peers   io.Closer
 	// forwards serves requests that other nodes pass on, on the listener of peers.
 	forwards *http.Server
 	// running counts the serving goroutines.
@@ -111,7 +112,7 @@
 		return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepSettings, Peer: address.String(), Reason: "can't listen on the address", Cause: err}
 	}
 	split := qfrpc.Split(e.platform.Clock, listener)
-	e.servers.peers = split.Calls()
+	e.servers.peers = split
 	e.servers.running.Go(func() {
 		if err := qfrpc.Serve(split.Calls(), e); err != nil {
 			qfevent.ServerFailed.Log(&e.platform.Logger, address, err)
--- a/internal/qf/transport/qfrpc/split.go
+++ b/internal/qf/transport/qfrpc/split.go
@@ -31,28 +31,27 @@
 
 // Split returns a listener whose connections are told apart by their first byte.
 func Split(clock qf.Clock, listener net.Listener) *SplitListener {
-	closed := make(chan struct{})
-	closeOnce := sync.OnceFunc(func() { close(closed) })
-	queue := func() *splitQueue {
-		return &splitQueue{listener: listener, accepted: make(chan net.Conn), closed: closed, close: closeOnce}
-	}
-	s := &SplitListener{clock: clock, listener: listener, calls: queue(), forwards: queue()}
+	s := &SplitListener{clock: clock, listener: listener, calls: newSplitQueue(listener.Addr()), forwards: newSplitQueue(listener.Addr())}
 	go s.run()
 	return s
 }
 
-// Calls returns the listener of net/rpc connections, Forwards that of forwarded requests. Closing one
-// closes both.
+// Calls returns the listener of net/rpc connections, Forwards that of forwarded requests. A server that
+// stops closes its own; Close ends both.
 func (s *SplitListener) Calls() net.Listener { return s.calls }
 
 // Forwards returns the listener of forwarded requests.
 func (s *SplitListener) Forwards() net.Listener { return s.forwards }
 
+// Close closes the address.
+func (s *SplitListener) Close() error { return s.listener.Close() }
+
 func (s *SplitListener) run() {
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
 			s.calls.fail(err)
+			s.forwards.fail(err)
 			return
 		}
 		go s.route(conn)
@@ -81,16 +80,22 @@
 
 // splitQueue is one of the two listeners.
 type splitQueue struct {
-	listener net.Listener
+	address  net.Addr
 	accepted chan net.Conn
-	closed   chan struct{}
-	close    func()
+	// closed is closed by close, which may be called more than once.
+	closed chan struct{}
+	close  func()
 
 	mu  sync.Mutex
 	err error
 }
 
-// fail ends the listeners with an error.
+func newSplitQueue(address net.Addr) *splitQueue {
+	closed := make(chan struct{})
+	return &splitQueue{address: address, accepted: make(chan net.Conn), closed: closed, close: sync.OnceFunc(func() { close(closed) })}
+}
+
+// fail ends the listener with an error.
 func (q *splitQueue) fail(err error) {
 	q.mu.Lock()
 	q.err = err
@@ -123,13 +128,12 @@
 
 // Close implements net.Listener.
 func (q *splitQueue) Close() error {
-	err := q.listener.Close()
 	q.close()
-	return err
+	return nil
 }
 
 // Addr implements net.Listener.
-func (q *splitQueue) Addr() net.Addr { return q.listener.Addr() }
+func (q *splitQueue) Addr() net.Addr { return q.address }
 
 // prefixedConn is a connection of which a first part was read already.
 type prefixedConn struct {
