qfroom, entry: nodes report to peers only what endpoints have stated to themselves

Cause: found by reading: a node that was told by a peer that endpoints are brittle reported it on, so that two nodes could keep each other believing it after the endpoints had stopped stating it. TestBrittleEndpointsKeepStanding passes.

--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -146,8 +146,8 @@
 	at := e.fleetClock.fleetTime(now)
 	e.picker.mu.Lock()
 	defer e.picker.mu.Unlock()
-	d.Rates, d.Brittle, d.Rejecting = e.picker.rates.ReportRates(at), e.picker.rooms.ListBrittle(at), e.picker.rooms.ListRejecting(at)
-	if entries := append(e.picker.rates.ListEntries(), d.Brittle...); !isGrouped && len(entries) > 0 {
+	d.Rates, d.Brittle, d.Rejecting = e.picker.rates.ReportRates(at), e.picker.rooms.ListStated(at), e.picker.rooms.ListRejecting(at)
+	if entries := append(e.picker.rates.ListEntries(), e.picker.rooms.ListBrittle(at)...); !isGrouped && len(entries) > 0 {
 		slices.Sort(entries)
 		d.Demands = e.picker.shares.ReportDemands(at, slices.Compact(entries))
 	}
--- a/internal/qf/coordination/qfroom/limiter.go
+++ b/internal/qf/coordination/qfroom/limiter.go
@@ -45,8 +45,9 @@
 
 // entry is an entry whose endpoints have been seen.
 type entry struct {
-	// statedAt is when an answer last stated that the endpoints are brittle.
-	statedAt time.Time
+	// statedAt is when an answer to this node last stated that the endpoints are brittle, and
+	// peerStatedAt when a peer last reported such an answer.
+	statedAt, peerStatedAt time.Time
 	// slots is the number of places that an endpoint of the entry last reported, or 0.
 	slots int
 	// rejectedAt is when an endpoint of the entry last rejected a request of this node, and
@@ -83,14 +84,30 @@
 // IsBrittle reports whether the endpoints of an entry are brittle.
 func (l *Limiter) IsBrittle(now time.Time, name qf.EntryName) bool {
 	e := l.entries[name]
-	return e != nil && !e.statedAt.IsZero() && now.Sub(e.statedAt) < brittleFor
+	return e != nil && (e.isStated(now) || !e.peerStatedAt.IsZero() && now.Sub(e.peerStatedAt) < brittleFor)
+}
+
+// isStated reports whether answers to this node state that the endpoints are brittle.
+func (e *entry) isStated(now time.Time) bool {
+	return !e.statedAt.IsZero() && now.Sub(e.statedAt) < brittleFor
 }
 
 // ListBrittle returns the entries whose endpoints are brittle.
 func (l *Limiter) ListBrittle(now time.Time) []qf.EntryName {
+	return l.list(func(name qf.EntryName, _ *entry) bool { return l.IsBrittle(now, name) })
+}
+
+// ListStated returns the entries whose endpoints have stated to this node that they are brittle. Only
+// these are reported to peers: what nodes repeat after each other would never end.
+func (l *Limiter) ListStated(now time.Time) []qf.EntryName {
+	return l.list(func(_ qf.EntryName, e *entry) bool { return e.isStated(now) })
+}
+
+// list returns the entries for which a condition holds.
+func (l *Limiter) list(holds func(name qf.EntryName, e *entry) bool) []qf.EntryName {
 	var names []qf.EntryName
-	for name := range l.entries {
-		if l.IsBrittle(now, name) {
+	for name, e := range l.entries {
+		if holds(name, e) {
 			names = append(names, name)
 		}
 	}
@@ -139,9 +156,7 @@
 // MergeBrittle records that a peer knows entries to be brittle.
 func (l *Limiter) MergeBrittle(now time.Time, names []qf.EntryName) {
 	for _, name := range names {
-		if e := l.entryOf(name); !l.IsBrittle(now, name) {
-			e.statedAt = now.Add(-brittleFor / 2) // It is the peer's to state again.
-		}
+		l.entryOf(name).peerStatedAt = now
 	}
 }
 
@@ -286,13 +301,9 @@
 
 // ListRejecting returns the brittle entries whose endpoints rejected requests of this node a short time ago.
 func (l *Limiter) ListRejecting(now time.Time) []qf.EntryName {
-	var names []qf.EntryName
-	for name, e := range l.entries {
-		if l.IsBrittle(now, name) && now.Sub(e.rejectedAt) < rejectionHold {
-			names = append(names, name)
-		}
-	}
-	return names
+	return l.list(func(name qf.EntryName, e *entry) bool {
+		return l.IsBrittle(now, name) && now.Sub(e.rejectedAt) < rejectionHold
+	})
 }
 
 // MergeRejecting records that endpoints of entries rejected requests of a peer.
--- a/internal/qf/coordination/qfroom/limiter_test.go
+++ b/internal/qf/coordination/qfroom/limiter_test.go
@@ -147,3 +147,25 @@
 		})
 	}
 }
+
+// TestBrittlenessEnds fails if nodes keep each other believing that endpoints are brittle which no longer
+// state it.
+func TestBrittlenessEnds(t *testing.T) {
+	m := newRoomModel(3, 1)
+	m.answer(modelBegin, m.nodes[0], m.endpoints[0], false)
+	last := time.Duration(0)
+	for at := time.Duration(0); at < 2*time.Minute; at += 400 * time.Millisecond {
+		now := modelBegin.Add(at)
+		for _, from := range m.nodes {
+			for _, to := range m.nodes {
+				to.MergeBrittle(now, from.ListStated(now))
+			}
+		}
+		if m.nodes[2].IsBrittle(now, "chat") {
+			last = at
+		}
+	}
+	if last < brittleFor || last > 3*brittleFor {
+		t.Errorf("a peer took the endpoints for brittle until %v after the only statement", last)
+	}
+}
