entry: attempts are abandoned only 1.2 s after a cut was found and 2 s without bytes

A replica's silence is no reason to end an answer sooner. Change: a cut must have lasted for 1.2 s (a second check), and the attempt must be silent for 2 s, until it is abandoned.

--- a/internal/entry/attemptmonitor.go
+++ b/internal/entry/attemptmonitor.go
@@ -18,6 +18,11 @@
 	// the multiple of its predicted time to the first token.
 	silentAfter  = 500 * time.Millisecond
 	silentFactor = 3
+	// abandonAfterCut and abandonAfterSilence are how long the node must have been cut off from an entry,
+	// and an attempt there silent, until the attempt is abandoned: a slow endpoint, or a check that
+	// failed once, is no reason to end an answer.
+	abandonAfterCut     = 1200 * time.Millisecond
+	abandonAfterSilence = 2 * time.Second
 	// checkTimeout bounds the opening of a connection of a check.
 	checkTimeout = 300 * time.Millisecond
 )
@@ -111,9 +116,12 @@
 	now := m.entry.now()
 	m.mu.Lock()
 	unheard := m.followAttempts(now)
-	due := m.silent.dueChecks(now)
+	due, lost := m.silent.dueChecks(now), m.findLost(now)
 	m.mu.Unlock()
 	m.closeIdle(unheard)
+	for _, w := range lost {
+		w.abandon()
+	}
 	for i := range due {
 		endpoint := &due[i]
 		m.entry.background.Go(func() { m.checkSilent(endpoint) })
@@ -177,34 +185,31 @@
 	now := m.entry.now()
 	m.mu.Lock()
 	change, hasChanged := m.tracker.RecordCheck(now, check, connected)
-	var silent []*attemptWatch
 	var unreached []qf.EndpointID
 	if hasChanged && change.State == qfreach.CutOff {
-		silent, unreached = m.silentAt(now, check.Entry), m.tracker.ListEndpoints(check.Entry)
+		unreached = m.tracker.ListEndpoints(check.Entry)
 	}
 	m.mu.Unlock()
 	if !hasChanged {
 		return
 	}
 	m.closeIdle(unreached)
-	qfevent.ReachChanged.Log(&m.entry.platform.Logger, change.Entry, change.State, change.Checked, change.Lasted.String(), len(silent))
+	qfevent.ReachChanged.Log(&m.entry.platform.Logger, change.Entry, change.State, change.Checked, change.Lasted.String())
 	m.entry.pushUrgent()
-	for _, w := range silent {
-		if w.abandon != nil {
-			w.abandon()
-		}
-	}
 }
 
-// silentAt returns the silent attempts at an entry. The caller must hold m.mu.
-func (m *attemptMonitor) silentAt(now time.Time, name qf.EntryName) []*attemptWatch {
-	var silent []*attemptWatch
+// findLost returns the attempts that may be abandoned because the node is cut off. Each is returned once.
+// The caller must hold m.mu.
+func (m *attemptMonitor) findLost(now time.Time) []*attemptWatch {
+	var lost []*attemptWatch
 	for w := range m.watches {
-		if w.endpoint.Entry == name && w.isSilent(now) {
-			silent = append(silent, w)
+		isCutOff := m.tracker.CutOffFor(now, w.endpoint.Entry) >= abandonAfterCut
+		if w.abandon != nil && isCutOff && now.Sub(w.lastHeard()) >= abandonAfterSilence {
+			lost = append(lost, w)
+			delete(m.watches, w)
 		}
 	}
-	return silent
+	return lost
 }
 
 // countConnected opens a connection to each endpoint and returns how many were accepted.
--- a/internal/entry/cutoff_test.go
+++ b/internal/entry/cutoff_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -257,3 +258,48 @@
 		t.Logf("cut nodes served %d of %d in the first %v", early, count, contact)
 	})
 }
+
+// TestSlowStreamsOutlastAFailedCheck fails if streams that pause for a second or so are ended because new
+// connections to the endpoints fail for a moment, while the open ones go on.
+func TestSlowStreamsOutlastAFailedCheck(t *testing.T) {
+	const streams, blocked = 12, time.Second
+	runRateFleet(t, rateDay{nodes: 3}, func(w *rateWorld) {
+		for i := range 4 {
+			w.addEndpoint(i)
+			w.endpoints[i].EventCount, w.endpoints[i].EventInterval = 8, 100*time.Millisecond
+		}
+		w.sleep(2 * time.Second)
+		answers := make([]answer, streams)
+		var wait sync.WaitGroup
+		ask := func(i int) {
+			path := []string{"/ask/1", "/talk/1"}[i%2]
+			answers[i] = w.call(w.t.Context(), 1, http.MethodPost, path, "", "X-Token-Counts", "500,20")
+		}
+		for i := range streams {
+			wait.Go(func() { ask(i) })
+		}
+		w.sleep(350 * time.Millisecond)
+		for _, replica := range w.endpoints {
+			replica.FallSilent(1500 * time.Millisecond)
+		}
+		day := cutDay{cut: []int{1}, fault: linksStayAndHang}
+		day.apply(w.network)
+		wait.Go(func() { w.call(w.t.Context(), 1, http.MethodPost, "/read/1", "") })
+		w.sleep(blocked)
+		heal(w.network)
+		wait.Wait()
+		for i := range answers {
+			runs := 0
+			for _, replica := range w.endpoints {
+				for _, run := range replica.Runs() {
+					if run.ID == answers[i].id {
+						runs++
+					}
+				}
+			}
+			if answers[i].status != http.StatusOK || answers[i].err != nil || runs != 1 {
+				t.Errorf("stream %d ended with %d, %v after %d runs", i, answers[i].status, answers[i].err, runs)
+			}
+		}
+	})
+}
--- a/internal/qf/coordination/qfreach/tracker.go
+++ b/internal/qf/coordination/qfreach/tracker.go
@@ -204,6 +204,14 @@
 	return e != nil && e.state == CutOff
 }
 
+// CutOffFor returns how long the node has not reached the endpoints of an entry; it is 0 if it does.
+func (t *Tracker) CutOffFor(now time.Time, name qf.EntryName) time.Duration {
+	if !t.IsCutOff(name) {
+		return 0
+	}
+	return now.Sub(t.entries[name].since)
+}
+
 // ListCutOff returns the entries whose endpoints the node doesn't reach, and whether there are no
 // others.
 func (t *Tracker) ListCutOff() (names []qf.EntryName, isAll bool) {
