cmd: a hangup while a node drains doesn't end it

In the same seconds SIGHUP goes to 35 nodes. SIGHUP was caught only until the node began to stop; after that it ended the process at once. Change: SIGHUP is caught until the node has stopped. Ruled out: the abandoning of silent attempts (all streams of the node end at one moment), a panic (no line of one in its output). Measured: TestHangupWhileDraining: with the signal released as before, the test process ends with 'signal: hangup'; now it passes.

--- a/cmd/quetzalfront/entry.go
+++ b/cmd/quetzalfront/entry.go
@@ -54,6 +54,8 @@
 }
 
 func runEntry(ctx context.Context, path string) int {
+	hangups, stop := catchHangups()
+	defer stop() // Only once the node has stopped: a hangup may come while it drains.
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "quetzalfront:", err)
@@ -74,16 +76,20 @@
 	if err := e.Start(ctx); err != nil {
 		return fail(err)
 	}
-	reloadOnHangup(ctx, e, path)
+	reloadOnHangup(ctx, hangups, e, path)
 	e.Stop(context.Background())
 	return exitOK
 }
 
-// reloadOnHangup reloads the settings at each SIGHUP until the context ends.
-func reloadOnHangup(ctx context.Context, e *entry.Entry, path string) {
-	hangups := make(chan os.Signal, 1)
+// catchHangups catches SIGHUP until the returned function is called. Uncaught, it ends the process.
+func catchHangups() (hangups chan os.Signal, stop func()) {
+	hangups = make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups, func() { signal.Stop(hangups) }
+}
+
+// reloadOnHangup reloads the settings at each SIGHUP until the context ends.
+func reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, e *entry.Entry, path string) {
 	for {
 		select {
 		case <-ctx.Done():
