--- a/review/world/cases_test.go
+++ b/review/world/cases_test.go
@@ -12,6 +12,8 @@
 const (
 	routesRegister = `{"name":"file","host":"survey.example","prefix":"/file/","kind":"unsafe","timeout-ms":1200,"slo-ms":200,"service":"register","attempts":1,"priority":2},
 		{"name":"read","host":"survey.example","prefix":"/read/","kind":"safe","timeout-ms":1200,"slo-ms":200,"service":"register","attempts":2,"priority":2}`
+	routesChat       = `{"name":"chat","host":"survey.example","prefix":"/chat/","kind":"streaming","timeout-ms":15000,"slo-ms":1000,"gap-aim-ms":1000,"service":"assistant","attempts":1,"sticky":true,"priority":2}`
+	servicesChat     = `{"name":"assistant","health-path":"/health","max-conns":360,"engine":{"slots":64,"kv-capacity":366812}}`
 	servicesRegister = `{"name":"register","health-path":"/health","max-conns":96}`
 	// timeLimit is the time limit of the consumers of these routes.
 	timeLimit = 1200 * time.Millisecond
@@ -24,8 +26,8 @@
 	stop    chan struct{}
 }
 
-// startLoad sends a request of a kind to one node after the other, each after an interval.
-func (w *world) startLoad(interval time.Duration, method, path string, isUsed func(*node) bool) *load {
+// startLoad sends a request to one node after the other, each after an interval.
+func (w *world) startLoad(interval time.Duration, isUsed func(*node) bool, next func(number int) request) *load {
 	l := &load{w: w, stop: make(chan struct{})}
 	l.pending.Add(1)
 	go func() {
@@ -45,13 +47,18 @@
 			l.pending.Add(1)
 			go func() {
 				defer l.pending.Done()
-				w.send(n, request{method: method, path: fmt.Sprintf("%s%d", path, i), within: timeLimit})
+				w.send(n, next(i))
 			}()
 		}
 	}()
 	return l
 }
 
+// filing returns a request that may run once at most.
+func filing(number int) request {
+	return request{method: http.MethodPost, path: fmt.Sprint("/file/", number), within: timeLimit}
+}
+
 func (l *load) end() {
 	close(l.stop)
 	l.pending.Wait()
@@ -101,52 +108,68 @@
 }
 
 const (
-	// backAfter is the time after which a crashed replica is back, and repeatEvery that after which the caller sends the
-	// request again.
+	// backAfter is the time after which a crashed replica is back, and repeatEvery that after which the callers send their
+	// requests again. The second of them sends its request laterBy after the first.
 	backAfter   = 2500 * time.Millisecond
 	repeatEvery = 6 * time.Second
+	laterBy     = 700 * time.Millisecond
+	repeats     = 11
+	// The sound streams last for soundEvents times soundPace.
+	soundEvents   = 20
+	soundPace     = 100 * time.Millisecond
+	soundInterval = 60 * time.Millisecond
+	chatLimit     = 15 * time.Second
 )
 
-// playCrashPair: two requests crash each replica that runs them, and their callers send them again every few seconds, at
-// the same time. The replicas start again under new names.
+// chat returns a generation whose prompt has a part that all share and one of its own.
+func chat(body string, own int) request {
+	return request{method: http.MethodPost, path: "/chat/1", body: body, within: chatLimit, header: map[string]string{
+		"X-Model": "m", "X-Token-Counts": "500,80", "X-Prompt-Prefix": fmt.Sprintf("5c1e07a2:200,%x:300", 1<<32+own),
+	}}
+}
+
+// playCrashPair: two requests crash each replica that runs them, and their callers send them again every few seconds. The
+// replicas start again under new names. Sound streams are in progress all the while.
 func playCrashPair(w *world) (bool, string) {
-	w.zones = []string{"a"}
+	w.zones = []string{"a", "b", "c"}
 	seen := &crashes{crashedAt: map[string][]time.Duration{}, runAt: map[string][]time.Duration{}}
 	var mu sync.Mutex
 	names := 0
 	decide := func(r run) reply {
-		if r.body != "permit one" && r.body != "permit two" {
-			return reply{takes: workTime, status: http.StatusOK}
+		isCause := r.body == "report one" || r.body == "report two"
+		if isCause {
+			seen.record(r.body, r.at, !w.isCalm)
 		}
-		seen.record(r.body, r.at, !w.isCalm)
-		if w.isCalm {
-			return reply{takes: workTime, status: http.StatusOK}
+		if !isCause || w.isCalm {
+			return reply{events: soundEvents, pace: soundPace, status: http.StatusOK}
 		}
 		mu.Lock()
 		names++
-		name := fmt.Sprintf("i-register-again-%d", names)
+		name := fmt.Sprintf("i-assistant-again-%d", names)
 		mu.Unlock()
 		r.replica.crash(backAfter, name)
 		return reply{crashes: true}
 	}
-	for i := range 4 {
-		w.startReplica(i, "register", "a", "v1", decide)
+	for i := range 9 {
+		w.startReplica(i, "assistant", w.zones[i%3], "v1", decide)
 	}
-	w.configure(1, routesRegister, servicesRegister)
-	w.startNodes("a", "a", "a")
-	reads := w.startLoad(20*time.Millisecond, http.MethodGet, "/read/", allNodes)
-	time.Sleep(2 * time.Second)
-	for i := range 11 {
-		var both sync.WaitGroup
-		for _, body := range []string{"permit one", "permit two"} {
-			both.Go(func() {
-				w.send(w.nodes[i%len(w.nodes)], request{method: http.MethodPost, path: "/file/permit", body: body, within: timeLimit})
-			})
-		}
-		both.Wait()
-		time.Sleep(repeatEvery)
+	w.configure(1, routesChat, servicesChat)
+	w.startNodes(w.zones...)
+	sound := w.startLoad(soundInterval, allNodes, func(number int) request { return chat(fmt.Sprint("sound ", number), number) })
+	time.Sleep(3 * time.Second)
+	var callers sync.WaitGroup
+	for j, body := range []string{"report one", "report two"} {
+		callers.Go(func() {
+			time.Sleep(time.Duration(j) * laterBy)
+			for range repeats {
+				began := w.now()
+				w.send(w.nodes[0], chat(body, 1<<20+j))
+				time.Sleep(began + repeatEvery - w.now())
+			}
+		})
 	}
-	reads.end()
+	callers.Wait()
+	sound.end()
 	return seen.judge()
 }
 
--- a/review/world/replica_test.go
+++ b/review/world/replica_test.go
@@ -26,6 +26,9 @@
 	status int
 	// crashes ends the replica's process as it begins to run the request.
 	crashes bool
+	// events is the number of events of a stream, and pace the time before each; 0 stands for an answer with a length.
+	events int
+	pace   time.Duration
 	// isSpoilt spoils a byte in the head of the answer, in the name of X-Response-Stamp.
 	isSpoilt bool
 }
@@ -147,6 +150,10 @@
 		<-request.Context().Done()
 		return
 	}
+	if end.events > 0 {
+		r.stream(w, request, &begun, &end)
+		return
+	}
 	time.Sleep(end.takes)
 	answer := "answer to " + id
 	stamp := "X-Response-Stamp"
@@ -164,3 +171,24 @@
 	}
 	r.w.note("ran", text)
 }
+
+// stream answers with events, after the one that the request names.
+func (r *replica) stream(w http.ResponseWriter, request *http.Request, begun *run, end *reply) {
+	w.Header().Set("X-Response-Stamp", "stamp-"+begun.id)
+	w.Header().Set("X-Replica-Load", fmt.Sprintf("1,0,%d", slots))
+	w.Header().Set("Content-Type", "text/event-stream")
+	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // Without the header, the stream starts at its first event.
+	control := http.NewResponseController(w)
+	for number := first + 1; number <= end.events; number++ {
+		select {
+		case <-request.Context().Done():
+			return
+		case <-time.After(end.pace):
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", number, begun.body, number)
+		if control.Flush() != nil {
+			return
+		}
+	}
+	r.w.note("ran", fmt.Sprintf("%s ends its stream at %s", begun.id, r.name()))
+}
--- a/review/world/rollout_test.go
+++ b/review/world/rollout_test.go
@@ -15,10 +15,15 @@
 	goodVersion, badVersion, nextVersion = "1.9.0", "1.10.0", "1.11.0"
 	orderFor                             = 20 * time.Second
 	exposeShare, exposeSlack             = 0.1, 50
+	loadInterval                         = 16 * time.Millisecond
 	// killedFor is how long a killed node is down.
 	killedFor = 3500 * time.Millisecond
 )
 
+// isUp reports whether a node gets requests: once killed it gets none to the end, because it is out of touch for
+// contact-ms after its start.
+func isUp(n *node) bool { return !n.isKilled.Load() }
+
 // order writes an operator's order to move to a version.
 func (w *world) order(to string) {
 	w.store.Put("op", "rollout/register", fmt.Appendf(nil, `{"service":"register","to":%q,"duration-s":%d}`, to, int(orderFor.Seconds())))
@@ -76,8 +81,7 @@
 	}
 	w.configure(1, routesRegister, servicesRegister)
 	w.startNodes(w.zones...)
-	isUp := func(n *node) bool { return !n.isKilled.Load() }
-	files := w.startLoad(16*time.Millisecond, http.MethodPost, "/file/", isUp)
+	files := w.startLoad(loadInterval, isUp, filing)
 	time.Sleep(5 * time.Second)
 
 	orderedAt := w.now()
@@ -164,7 +168,7 @@
 	}
 	w.configure(1, routesRegister, servicesRegister)
 	w.startNodes(w.zones...)
-	files := w.startLoad(16*time.Millisecond, http.MethodPost, "/file/", func(n *node) bool { return !n.isKilled.Load() })
+	files := w.startLoad(loadInterval, isUp, filing)
 	time.Sleep(5 * time.Second)
 	orderedAt := w.now()
 	w.order(badVersion)
