--- a/review/world/cases_test.go
+++ b/review/world/cases_test.go
@@ -26,8 +26,8 @@
 	stop    chan struct{}
 }
 
-// startLoad sends a request to one node after the other, each after an interval.
-func (w *world) startLoad(interval time.Duration, isUsed func(*node) bool, next func(number int) request) *load {
+// startLoad sends a request to one node after the other, each after an interval. It calls judge with each answer.
+func (w *world) startLoad(interval time.Duration, isUsed func(*node) bool, next func(number int) request, judge func(*answer)) *load {
 	l := &load{w: w, stop: make(chan struct{})}
 	l.pending.Add(1)
 	go func() {
@@ -47,7 +47,8 @@
 			l.pending.Add(1)
 			go func() {
 				defer l.pending.Done()
-				w.send(n, next(i))
+				a := w.send(n, next(i))
+				judge(&a)
 			}()
 		}
 	}()
@@ -66,6 +67,9 @@
 
 func allNodes(*node) bool { return true }
 
+// unjudged is for answers that don't matter.
+func unjudged(*answer) {}
+
 // crashes follows the requests that crash each replica which begins to run them.
 type crashes struct {
 	mu sync.Mutex
@@ -155,7 +159,7 @@
 	}
 	w.configure(1, routesChat, servicesChat)
 	w.startNodes(w.zones...)
-	sound := w.startLoad(soundInterval, allNodes, func(number int) request { return chat(fmt.Sprint("sound ", number), number) })
+	sound := w.startLoad(soundInterval, allNodes, func(number int) request { return chat(fmt.Sprint("sound ", number), number) }, unjudged)
 	time.Sleep(3 * time.Second)
 	var callers sync.WaitGroup
 	for j, body := range []string{"report one", "report two"} {
--- a/review/world/main_test.go
+++ b/review/world/main_test.go
@@ -26,6 +26,7 @@
 
 // cases holds the cases by name. Each reports whether the rule was broken, and why.
 var cases = map[string]func(w *world) (isBroken bool, verdict string){
+	"entries-lapse":  playEntriesLapse,
 	"crash-pair":     playCrashPair,
 	"ran-429":        playRan429,
 	"second-order":   playSecondOrder,
--- a/review/world/rollout_test.go
+++ b/review/world/rollout_test.go
@@ -81,7 +81,7 @@
 	}
 	w.configure(1, routesRegister, servicesRegister)
 	w.startNodes(w.zones...)
-	files := w.startLoad(loadInterval, isUp, filing)
+	files := w.startLoad(loadInterval, isUp, filing, unjudged)
 	time.Sleep(5 * time.Second)
 
 	orderedAt := w.now()
@@ -168,7 +168,7 @@
 	}
 	w.configure(1, routesRegister, servicesRegister)
 	w.startNodes(w.zones...)
-	files := w.startLoad(loadInterval, isUp, filing)
+	files := w.startLoad(loadInterval, isUp, filing, unjudged)
 	time.Sleep(5 * time.Second)
 	orderedAt := w.now()
 	w.order(badVersion)
--- a/review/world/world_test.go
+++ b/review/world/world_test.go
@@ -46,13 +46,15 @@
 	begun     time.Time
 	isCalm    bool // The disruption is left out.
 	isClosing bool
-	restarts  sync.WaitGroup
-	hasFailed bool
-	store     *standrows.Store
-	zones     []string
-	requests  atomic.Int64
-	served    atomic.Int64
-	closed    sync.Once
+	// storeAddress is where the nodes reach the store.
+	storeAddress netip.AddrPort
+	restarts     sync.WaitGroup
+	hasFailed    bool
+	store        *standrows.Store
+	zones        []string
+	requests     atomic.Int64
+	served       atomic.Int64
+	closed       sync.Once
 
 	mu       sync.Mutex
 	record   *os.File
@@ -96,6 +98,7 @@
 	}
 	w.store = standrows.New(qftimer.NewWall(), readsPerSecond, writesPerSecond)
 	w.serve(w.at(storeHost, standinPort), w.store.Handler())
+	w.storeAddress = w.at(storeHost, standinPort)
 	w.serve(w.at(cloudHost, standinPort), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	w.note("disruption", fmt.Sprint(!w.isCalm))
 	return w, nil
@@ -172,7 +175,7 @@
 			"expose-share": 0.1, "expose-slack": 50, "rollback-ms": 5000, "recovery-s": 12, "pass-ms": 400, "reuse-window-s": 9.9, "ttl_max_s": 5,
 		},
 		"platform": map[string]any{
-			"address": w.at(storeHost, standinPort).String(), "form": "table", "writes-per-s": writesPerSecond, "reads-per-s": readsPerSecond,
+			"address": w.storeAddress.String(), "form": "table", "writes-per-s": writesPerSecond, "reads-per-s": readsPerSecond,
 			"tx-ms": 5.0, "part-writes-s": 200, "row-bytes": 65536, "across": false, "history-s": 20,
 		},
 		"cloud": map[string]any{"address": w.at(cloudHost, standinPort).String(), "rate-per-s": 50.0, "duties": []string{"usage_report"}, "duty-per-s": 50.0},
