--- a/review/world/cases_test.go
+++ b/review/world/cases_test.go
@@ -167,7 +167,7 @@
 			time.Sleep(time.Duration(j) * laterBy)
 			for range repeats {
 				began := w.now()
-				w.send(w.nodes[0], chat(body, 1<<20+j))
+				w.send(w.resolve(w.nodes[0], "a"), chat(body, 1<<20+j))
 				time.Sleep(began + repeatEvery - w.now())
 			}
 		})
--- a/review/world/lapse_test.go
+++ b/review/world/lapse_test.go
@@ -61,6 +61,7 @@
 		}
 	})
 	time.Sleep(5 * time.Second)
+	w.configure(2, routesRegister, servicesRegister)
 	var down sync.WaitGroup
 	for _, n := range w.nodes {
 		down.Go(func() { w.kill(n) })
--- a/review/world/replica_test.go
+++ b/review/world/replica_test.go
@@ -51,6 +51,9 @@
 
 const (
 	slots = 8
+	// engineService is the service whose replicas are model engines.
+	engineService = "assistant"
+	healthPath    = "/health"
 	// workTime is the time that a sound run takes.
 	workTime = 15 * time.Millisecond
 )
@@ -84,9 +87,13 @@
 	r.mu.Lock()
 	born, seq := r.born, r.seq
 	r.mu.Unlock()
+	engine := ""
+	if r.service == engineService {
+		engine = `,"stage":"colocated","models":[{"name":"m","version":1,"adapters":[]}]`
+	}
 	r.w.store.Put("servers", r.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"cold-left-ms":0,"seq":%d,"born":%d}`,
-		r.service, r.address, r.zone, r.version, slots, state, seq, born))
+		`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"cold-left-ms":0,"seq":%d,"born":%d%s}`,
+		r.service, r.address, r.zone, r.version, slots, state, seq, born, engine))
 }
 
 // crash ends the replica's process: its channels break and new ones are refused. After the time it is back, under the
@@ -129,6 +136,10 @@
 // ServeHTTP implements http.Handler.
 func (r *replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	name, id := r.name(), request.Header.Get("X-Request-Id")
+	if request.Method == http.MethodGet && request.URL.Path == healthPath {
+		w.Header().Set("X-Instance-Id", name)
+		return
+	}
 	w.Header().Set("X-Request-Id", id)
 	if want := request.Header.Get("X-Expect-Instance"); want != "" && want != name {
 		w.Header().Set("X-Instance-Id", name)
@@ -176,6 +187,7 @@
 func (r *replica) stream(w http.ResponseWriter, request *http.Request, begun *run, end *reply) {
 	w.Header().Set("X-Response-Stamp", "stamp-"+begun.id)
 	w.Header().Set("X-Replica-Load", fmt.Sprintf("1,0,%d", slots))
+	w.Header().Set("X-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // Without the header, the stream starts at its first event.
 	control := http.NewResponseController(w)
--- a/review/world/world_test.go
+++ b/review/world/world_test.go
@@ -7,12 +7,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -99,11 +101,56 @@
 	w.store = standrows.New(qftimer.NewWall(), readsPerSecond, writesPerSecond)
 	w.serve(w.at(storeHost, standinPort), w.store.Handler())
 	w.storeAddress = w.at(storeHost, standinPort)
-	w.serve(w.at(cloudHost, standinPort), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	w.serve(w.at(cloudHost, standinPort), &cloud{highest: map[string]uint64{}})
 	w.note("disruption", fmt.Sprint(!w.isCalm))
 	return w, nil
 }
 
+// cloud is a stand-in of the platform's API. It refuses calls with a lower fencing number than it has seen for the duty.
+type cloud struct {
+	mu      sync.Mutex
+	highest map[string]uint64
+}
+
+// ServeHTTP implements http.Handler.
+func (c *cloud) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	token, err := strconv.ParseUint(request.Header.Get("X-Fencing-Token"), 10, 64)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err != nil || request.Header.Get("X-Duty-Holder") == "":
+		w.WriteHeader(http.StatusBadRequest)
+	case token < c.highest[request.URL.Path]:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		c.highest[request.URL.Path] = token
+	}
+}
+
+// resolve asks the directory of a node where a consumer of a zone should connect, and returns one of the nodes that it names.
+func (w *world) resolve(asked *node, zone string) *node {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get(fmt.Sprintf("http://%s/quetzalfront/resolve?name=%s&region=%s&zone=%s", w.at(asked.host, directoryPort), host, regionOf(zone), zone))
+	must(err)
+	defer response.Body.Close()
+	var found struct {
+		Addrs []netip.AddrPort `json:"addrs"`
+	}
+	must(json.NewDecoder(response.Body).Decode(&found))
+	if len(found.Addrs) == 0 {
+		must(fmt.Errorf("the directory names no node"))
+	}
+	address := found.Addrs[rand.IntN(len(found.Addrs))]
+	for _, n := range w.nodes {
+		if w.at(n.host, callersPort) == address {
+			w.note("resolved", fmt.Sprintf("zone %s: %s, of %d", zone, n.name, len(found.Addrs)))
+			return n
+		}
+	}
+	must(fmt.Errorf("the directory names %s", address))
+	return nil
+}
+
 // at returns a loopback address of the case.
 func (w *world) at(number, port int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, w.net, 0, byte(number + 1)}), uint16(port))
