qfforward: withhold successes without the endpoint's signature

ResponseInfo.Signed was decoded and read by nothing; attemptEndOf took each answer below 500 for the endpoint's own. Ruled out: headers lost on the way (all others arrive), bytes of another answer (the bodies are those of the requests). Change: judgeAnswer decides from the head of an answer, and from what the caller has already, how the attempt ended and whether the caller may get it; the same at the node that passes a request on. A success or a rejection without a signature counts as a failure of the endpoint: retried where that is allowed, otherwise 502.

--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -49,6 +49,10 @@
 		{name: "filing hangs", path: "/file/1", does: behaviours{standreplica.Hangs}, status: 504, runs: 1},
 		{name: "filing shed by all", path: "/file/1", does: behaviours{standreplica.Sheds, standreplica.Sheds}, status: 503, runs: 0},
 		{name: "filing refused without a promise", path: "/file/1", does: behaviours{standreplica.Busy}, status: 502, runs: 1},
+		{name: "filing answered without a signature", path: "/file/1", does: behaviours{standreplica.Unsigned}, status: 502, runs: 1},
+		{name: "read answered without a signature", path: "/read/1", does: behaviours{standreplica.Unsigned}, status: 502, runs: 2},
+		{name: "stream without a signature", path: "/talk/1", does: behaviours{standreplica.Unsigned}, status: 502, runs: 1},
+		{name: "stream without a signature that may be resumed", path: "/ask/1", does: behaviours{standreplica.Unsigned}, status: 502, runs: 2},
 		{name: "answer without a length", path: "/read/1", does: behaviours{standreplica.CloseDelimited}, status: 200, runs: 1, body: true},
 		{name: "stream without a length", path: "/talk/1", does: behaviours{standreplica.CloseDelimited}, status: 200, runs: 1, body: true},
 		{name: "stream without a length that ends inside an event", path: "/talk/1", does: behaviours{standreplica.CutCloseDelimited}, status: 200, runs: 1, isCut: true},
@@ -96,6 +100,28 @@
 	})
 }
 
+// TestStreamIsContinuedByEventsOnly fails if the answer of the endpoint that should continue a broken stream, a failure
+// or one without a signature, becomes a part of the stream, or if the stream looks complete then.
+func TestStreamIsContinuedByEventsOnly(t *testing.T) {
+	for _, resumed := range []standreplica.Behaviour{
+		standreplica.Fails, standreplica.Rejects, standreplica.Limits, standreplica.TimesOut, standreplica.Busy, standreplica.Sheds,
+		standreplica.Unsigned, standreplica.Resets, standreplica.Hangs,
+	} {
+		t.Run(string(resumed), func(t *testing.T) {
+			runFleet(t, 1, func(w *testFleet) {
+				w.behave("chat", standreplica.Truncates)
+				for _, replica := range w.replicas {
+					replica.SetNextResumed(resumed, resumed)
+				}
+				a := w.call(w.t.Context(), 1, http.MethodPost, "/ask/1", "body", "X-Token-Counts", tokens)
+				if a.err == nil || a.body != standreplica.StreamEvent(a.id, 1) {
+					t.Errorf("got %q, %v; want the first event and a broken connection", a.body, a.err)
+				}
+			})
+		})
+	}
+}
+
 // TestAnswersAreNotMixed fails if a caller gets the answer to another request. The endpoints
 // send each answer twice on reused connections.
 func TestAnswersAreNotMixed(t *testing.T) {
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -129,7 +129,9 @@
 	answer    *qf.EndpointResponse
 	// content is the buffered body of an answer that isn't relayed as a stream.
 	content []byte
-	err     error
+	// flaw is the reason for which the caller must not get the answer; nil means that it may.
+	flaw error
+	err  error
 	// move is set if the run goes on at another endpoint.
 	move *streamMove
 	// peer is the node that the request was passed to, refusal what it refused the request with.
@@ -235,10 +237,8 @@
 	}
 	defer answer.Body.Close() //nolint:errcheck // An error on close changes nothing.
 	a.watch.RecordBytes(ports.Clock.Now())
-	a.answer, a.end = answer, attemptEndOf(answer)
-	if s.headerSent && a.end == qf.AttemptAnswered && answer.Status != http.StatusOK {
-		a.end = qf.AttemptFailed // It isn't the rest of the stream.
-	}
+	a.answer = answer
+	a.setVerdict(judgeAnswer(answer, s.headerSent))
 	ports.Picker.RecordResponse(ports.Clock.Now(), &a.picked, answer)
 	if a.end == qf.AttemptAnswered && c.route.Kind == qf.RouteStream && answer.Status == http.StatusOK {
 		a.move, err = c.relayMovable(ctx, s, a, stopWatch)
@@ -254,6 +254,12 @@
 	p.delivered = s.headerSent
 }
 
+// setVerdict sets how the attempt ended by the head of its answer.
+func (a *attempt) setVerdict(v verdict) {
+	a.end, a.flaw = v.end, v.flaw
+	a.err = v.flaw
+}
+
 // classifyFailure sets the end of an attempt that got no complete answer.
 func (a *attempt) classifyFailure(ctx context.Context, err error) {
 	a.err = err
--- a/internal/qf/protocol/qfforward/decide.go
+++ b/internal/qf/protocol/qfforward/decide.go
@@ -1,7 +1,6 @@
 package qfforward
 
 import (
-	"net/http"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -119,27 +118,3 @@
 		return nextFail
 	}
 }
-
-// attemptEndOf derives the end of an attempt from the answer's status and header. Only
-// the endpoint's own statement proves that it didn't run the request.
-func attemptEndOf(answer *qf.EndpointResponse) qf.AttemptEnd {
-	switch {
-	case answer.Traits.NotRun || answer.Status == http.StatusMisdirectedRequest:
-		return qf.AttemptNotRun
-	case answer.Status >= http.StatusInternalServerError:
-		return qf.AttemptFailed
-	default:
-		return qf.AttemptAnswered
-	}
-}
-
-// impliesNotRun reports whether callers take a status to mean that the request didn't
-// run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/qf/protocol/qfforward/deliver.go
+++ b/internal/qf/protocol/qfforward/deliver.go
@@ -12,8 +12,8 @@
 
 // finish delivers the final answer.
 func (c *call) finish(s *relay, a *attempt, step nextStep) {
-	if step == nextDeliverFailure && impliesNotRun(a.answer.Status) {
-		step = nextFail // The endpoint didn't state that the request hasn't run.
+	if step == nextDeliverFailure && a.flaw != nil {
+		step = nextFail
 	}
 	switch step {
 	case nextDone, nextDeliverFailure:
--- a/internal/qf/protocol/qfforward/peer.go
+++ b/internal/qf/protocol/qfforward/peer.go
@@ -143,7 +143,7 @@
 		return
 	}
 	defer answer.Body.Close() //nolint:errcheck // An error on close changes nothing.
-	a.answer, a.end = answer, qf.AttemptAnswered
+	a.answer = answer
 	if a.refusal = c.decodeRefusal(answer, node.ID); a.refusal != nil {
 		stopWatch()
 		a.end, a.err = qf.AttemptBroken, a.refusal
@@ -153,9 +153,7 @@
 		c.isCounted = c.isCounted || a.refusal.Ran != qf.RanNo // The peer has counted what may have run.
 		return
 	}
-	if answer.Status >= http.StatusInternalServerError || s.headerSent && answer.Status != http.StatusOK {
-		a.end = qf.AttemptFailed
-	}
+	a.setVerdict(judgePeerAnswer(answer, s.headerSent))
 	if a.end == qf.AttemptAnswered && c.route.Kind == qf.RouteStream && answer.Status == http.StatusOK {
 		err = s.relayStream(a, stopWatch)
 	} else {
--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -16,38 +16,6 @@
 	"quetzalfront/internal/qf"
 )
 
-// Behaviour is how a replica handles a request.
-type Behaviour string
-
-// The behaviours of a replica.
-const (
-	// Answers executes the request and sends a complete response.
-	Answers Behaviour = "Answers"
-	// Fails executes the request and responds with status 500.
-	Fails Behaviour = "Fails"
-	// Sheds responds with status 503 and X-Not-Executed, without executing the request.
-	Sheds Behaviour = "Sheds"
-	// Busy responds with status 503 without X-Not-Executed, so that the caller can't exclude
-	// that the request was executed.
-	Busy Behaviour = "Busy"
-	// Rejects responds with status 400.
-	Rejects Behaviour = "Rejects"
-	// Truncates closes the connection in the middle of its response, for a stream in the
-	// middle of an event.
-	Truncates Behaviour = "Cuts"
-	// Resets executes the request and closes the connection without a response.
-	Resets Behaviour = "Resets"
-	// Hangs executes the request and never responds.
-	Hangs Behaviour = "Hangs"
-	// Repeats sends its response twice.
-	Repeats Behaviour = "Repeats"
-	// CloseDelimited sends a response without a length, which ends when the connection
-	// closes.
-	CloseDelimited Behaviour = "Unframed"
-	// CutCloseDelimited sends a stream like CloseDelimited and closes it inside an event.
-	CutCloseDelimited Behaviour = "UnframedCut"
-)
-
 // ExecutedRequest is a request that the replica executed, as received.
 type ExecutedRequest struct {
 	ID string
@@ -67,9 +35,10 @@
 	clock qf.Clock
 
 	mu sync.Mutex
-	// next holds the behaviours for the next requests; later ones use Answers.
-	next []Behaviour
-	runs []*ExecutedRequest
+	// next holds the behaviours for the next requests, resumed those for the next that resume a stream; later ones
+	// use Answers.
+	next, resumed []Behaviour
+	runs          []*ExecutedRequest
 	// EventCount is the number of events of a stream.
 	EventCount int
 	// EventInterval is the delay before each event.
@@ -145,6 +114,13 @@
 	r.next = slices.Clone(next)
 }
 
+// SetNextResumed sets one behaviour for each of the next requests that resume a stream.
+func (r *Replica) SetNextResumed(next ...Behaviour) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resumed = slices.Clone(next)
+}
+
 // Runs returns copies of the requests that the replica started to execute.
 func (r *Replica) Runs() []ExecutedRequest {
 	r.mu.Lock()
@@ -305,9 +281,13 @@
 	body, _ := io.ReadAll(request.Body) // A truncated body is recorded as received.
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	next := &r.next
+	if request.Header.Get("Last-Event-Id") != "" && len(r.resumed) > 0 {
+		next = &r.resumed
+	}
 	behaviour := Answers
-	if len(r.next) > 0 {
-		behaviour, r.next = r.next[0], r.next[1:]
+	if len(*next) > 0 {
+		behaviour, *next = (*next)[0], (*next)[1:]
 	}
 	run := &ExecutedRequest{
 		ID: request.Header.Get("X-Request-Id"), At: r.clock.Now(), Method: request.Method, Target: request.RequestURI, Body: string(body),
@@ -351,17 +331,8 @@
 	r.awaitVoice()
 	w.Header().Set("X-Request-Id", run.ID)
 	switch behaviour {
-	case Sheds:
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case Busy:
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case Fails:
-		w.Header().Set("X-Response-Stamp", "stamp-"+run.ID)
-		w.WriteHeader(http.StatusInternalServerError)
-	case Rejects:
-		w.Header().Set("X-Response-Stamp", "stamp-"+run.ID)
-		w.WriteHeader(http.StatusBadRequest)
+	case Sheds, Busy, Limits, TimesOut, Fails, Rejects:
+		serveFailure(w, run, behaviour)
 	case Hangs:
 		<-request.Context().Done()
 		r.markCancelled(run)
@@ -383,7 +354,9 @@
 
 // serveComplete sends the response with net/http, cut short for Truncates.
 func (r *Replica) serveComplete(w http.ResponseWriter, request *http.Request, run *ExecutedRequest, behaviour Behaviour) {
-	w.Header().Set("X-Response-Stamp", "stamp-"+run.ID)
+	if behaviour != Unsigned {
+		w.Header().Set("X-Response-Stamp", "stamp-"+run.ID)
+	}
 	if request.Header.Get("X-Token-Counts") == "" {
 		body := ResponseBody(run.ID, r.ID)
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
