qfforward: don't pass on a 429 or 408 of an endpoint that has run the request

Change: such a status without the endpoint's statement counts as a failure in judgeAnswer: retried where that is allowed, else 502.

--- a/internal/qf/protocol/qfforward/verdict.go
+++ b/internal/qf/protocol/qfforward/verdict.go
@@ -41,7 +41,7 @@
 		return verdict{end: qf.AttemptFailed, flaw: errNotTheRest}
 	case status > maxStatus:
 		return verdict{end: qf.AttemptFailed, flaw: errNoStatus}
-	case status == http.StatusServiceUnavailable, isSuccess && answer.Traits.NotRun:
+	case impliesNotRun(status), isSuccess && answer.Traits.NotRun:
 		return verdict{end: qf.AttemptFailed, flaw: errUnproven}
 	case status >= http.StatusInternalServerError:
 		return verdict{end: qf.AttemptFailed}
--- a/internal/qf/protocol/qfforward/verdict_test.go
+++ b/internal/qf/protocol/qfforward/verdict_test.go
@@ -8,7 +8,8 @@
 )
 
 // TestJudgeAnswer goes through each status, with and without the signature and the statement that the request didn't run,
-// and fails if an answer that isn't proven to be the endpoint's own reaches a caller as a success, or if a stream is continued by anything but a signed stream.
+// and fails if an answer that isn't proven to be the endpoint's own reaches a caller as a success, if a status promises
+// more than the endpoint has stated, or if a stream is continued by anything but a signed stream.
 func TestJudgeAnswer(t *testing.T) {
 	for status := 200; status <= 999; status++ {
 		for i := range 8 {
@@ -36,6 +37,8 @@
 	case v.end == qf.AttemptNotRun:
 	case isDelivered && answer.Status < 500 && !answer.Traits.Signed:
 		t.Errorf("%s: passed on without a signature", name)
+	case isDelivered && impliesNotRun(answer.Status):
+		t.Errorf("%s: promises that the request didn't run", name)
 	case isDelivered && isResumed && (answer.Status != 200 || !answer.Traits.Signed):
 		t.Errorf("%s: continues a stream", name)
 	case isDelivered && answer.Status > 599:
