--- a/internal/entry/rollout_test.go
+++ b/internal/entry/rollout_test.go
@@ -25,7 +25,7 @@
 			runFleet(t, 3, func(w *testFleet) {
 				w.addReplica("new-1", "books", 5)
 				w.store.Put("servers", "new-1", []byte(
-					`{"service":"books","address":"10.8.0.5:80","zone":"north-a","version":"v2","slots":8,"state":"ready","born":1}`))
+					`{"service":"books","address":"10.8.0.5:80","zone":"north-a","version":"v2","slots":8,"state":"ready","seq":1,"born":1}`))
 				w.sleep(2 * time.Second)
 				call := func(i int) { w.call(w.t.Context(), i%3+1, http.MethodPost, "/file/1", "body") }
 				for i := range 60 {
