entry: an endpoint at whose address another one answers waits before it is tried again

Change: the first 421 excludes the endpoint for a second, each further one for twice as long, up to 8 s, until it is found at its address or starts again. The load in a 421 is that of another endpoint and isn't recorded. Measured: TestMisdirectedRequestsStayFew failed before (3 of 9), holds now: one request of each node in the first second, under 1 in 20 of 300; TestReusedAddressServesAgain holds before and after.

--- a/internal/entry/endpointpicker.go
+++ b/internal/entry/endpointpicker.go
@@ -188,12 +188,15 @@
 func (p *endpointPicker) RecordResponse(at time.Time, picked *qf.PickedEndpoint, answer *qf.EndpointResponse) {
 	endpoint := picked.Endpoint.ID
 	p.mu.Lock()
-	if load := answer.Traits.Load; load != nil {
+	if load := answer.Traits.Load; load != nil && answer.Status != http.StatusMisdirectedRequest {
 		p.router.RecordLoadReport(at, qf.LoadReport{Endpoint: endpoint, At: at, Running: load.Running, Queued: load.Waiting})
 	}
 	var changes []qfrate.Change
 	isBrittle, isNewPause := false, false
-	if answer.Status != http.StatusMisdirectedRequest { // Another endpoint sent it.
+	if answer.Status == http.StatusMisdirectedRequest { // Another endpoint sent it.
+		p.dead.recordMisdirected(at, &picked.Endpoint)
+	} else {
+		p.dead.recordFound(endpoint)
 		sentAt := p.clock.fleetTime(picked.StartedAt)
 		if change, ok := p.rates.RecordAnswer(p.clock.fleetTime(at), sentAt, &picked.Endpoint, answer.Traits.Rate); ok {
 			changes = append(changes, change)
