qfforward: record the end of attempts whose long answers break off

Beside it: a failure above 256 KB was delivered cut at that length and looked whole; an error in writing to the caller counted as a break of the endpoint. Change: the break goes through the same steps as all others and ends in nextAbort, because nothing can continue such an answer. A failure that doesn't fit into the buffer becomes a 502. Errors in writing to the caller count as cancelled.

--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"quetzalfront/internal/qf"
 	"quetzalfront/internal/standin/standreplica"
 )
 
@@ -126,6 +127,43 @@
 	}
 }
 
+// TestLongAnswers fails if an answer that is too long for the buffer isn't delivered whole, if one that breaks off looks
+// complete or is sent anew, or if the end of an attempt isn't recorded then: the router would count it as running, and
+// no line of the log would tell of the request.
+func TestLongAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		does   standreplica.Behaviour
+		status int
+		isCut  bool
+		end    qf.AttemptEnd
+	}{
+		{"whole", standreplica.AnswersLong, 200, false, qf.AttemptAnswered},
+		{"broken off", standreplica.TruncatesLong, 200, true, qf.AttemptBroken},
+		{"a failure", standreplica.FailsLong, 502, false, qf.AttemptFailed},
+	}
+	for _, tt := range tests {
+		for _, path := range []string{"/file/1", "/read/1"} {
+			t.Run(tt.name+path, func(t *testing.T) {
+				runFleet(t, 1, func(w *testFleet) {
+					const calls = 12
+					for range calls {
+						w.behave("books", tt.does, tt.does)
+						a := w.call(w.t.Context(), 1, http.MethodPost, path, "body")
+						isWhole := a.body == standreplica.LongBody(a.id)
+						if a.status != tt.status || (a.err != nil) != tt.isCut || isWhole != (tt.end == qf.AttemptAnswered) {
+							t.Errorf("status %d, error %v, whole %t", a.status, a.err, isWhole)
+						}
+					}
+					if logged := w.log.count(`"Attempts":"books`, ") "+string(tt.end)+" "); logged != calls {
+						t.Errorf("%d of %d requests were logged with an attempt that ended as %s", logged, calls, tt.end)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestAnswersAreNotMixed fails if a caller gets the answer to another request. The endpoints
 // send each answer twice on reused connections.
 func TestAnswersAreNotMixed(t *testing.T) {
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -86,7 +86,7 @@
 // nextStep counts the attempt and returns the step that follows it.
 func (c *call) nextStep(p *progress, a *attempt) nextStep {
 	now := c.forwarder.ports.Clock.Now()
-	p.end, p.timeLeft = a.end, c.deadline.Sub(now)
+	p.end, p.timeLeft, p.isPartlySent = a.end, c.deadline.Sub(now), c.isPartlySent
 	isUnreached := a.end == qf.AttemptNotRun && a.answer == nil // It had no connection.
 	switch {
 	case isUnreached:
@@ -269,6 +269,8 @@
 		a.err = errors.Join(cause, err)
 	}
 	switch {
+	case errors.Is(err, errCallerGone):
+		a.end = qf.AttemptCancelled
 	case a.answer == nil && qf.RanOf(err) == qf.RanNo && (cause == nil || isOwn):
 		a.end = qf.AttemptNotRun
 	case cause == nil || isOwn:
@@ -349,8 +351,12 @@
 	}
 	c.recordFirstByte(a)
 	a.content = buffer.Bytes()
-	if err == nil && a.end == qf.AttemptAnswered {
+	switch {
+	case err == nil && a.end == qf.AttemptAnswered:
 		return c.streamLarge(a)
+	case err == nil && a.end == qf.AttemptFailed && a.flaw == nil:
+		a.flaw = errLongFailure
+		a.err = a.flaw
 	}
 	return nil
 }
--- a/internal/qf/protocol/qfforward/decide.go
+++ b/internal/qf/protocol/qfforward/decide.go
@@ -30,7 +30,9 @@
 	end qf.AttemptEnd
 	// delivered is true once a part of the answer was sent to the caller.
 	delivered bool
-	timeLeft  time.Duration
+	// isPartlySent is true if the caller has a part of an answer that no other attempt can continue.
+	isPartlySent bool
+	timeLeft     time.Duration
 }
 
 // nextStep is the step that follows an attempt.
@@ -63,6 +65,9 @@
 // decide returns the step after an attempt. A request that may run at most once is
 // retried only if every earlier attempt is proven not to have run.
 func decide(p *progress) nextStep {
+	if p.isPartlySent {
+		return nextAbort
+	}
 	switch p.end {
 	case qf.AttemptAnswered:
 		return nextDone
--- a/internal/qf/protocol/qfforward/deliver.go
+++ b/internal/qf/protocol/qfforward/deliver.go
@@ -93,16 +93,32 @@
 }
 
 // streamLarge delivers an answer that doesn't fit into the buffer: the buffered part
-// first, then the rest as it arrives.
+// first, then the rest as it arrives. No other endpoint can continue such an answer.
 func (c *call) streamLarge(a *attempt) error {
+	c.isPartlySent = true
 	c.writeHeader(a.answer)
 	if _, err := c.writer.Write(a.content); err != nil {
-		return err
+		return errors.Join(errCallerGone, err)
 	}
 	a.content = nil
-	_, err := io.Copy(c.writer, a.answer.Body)
+	_, err := io.Copy(&callerWriter{writer: c.writer}, a.answer.Body)
+	if err == nil {
+		c.isPartlySent = false
+	}
+	return err
+}
+
+// errCallerGone means that an answer couldn't be written to the caller.
+var errCallerGone = errors.New("the caller takes no more of the answer")
+
+// callerWriter writes to the caller, and marks the errors of doing so.
+type callerWriter struct{ writer io.Writer }
+
+// Write implements io.Writer.
+func (w *callerWriter) Write(p []byte) (int, error) {
+	n, err := w.writer.Write(p)
 	if err != nil {
-		panic(http.ErrAbortHandler) // The partial answer must not look complete.
+		err = errors.Join(errCallerGone, err)
 	}
-	return nil
+	return n, err
 }
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -78,6 +78,9 @@
 	outcome   Outcome
 	// isCounted is true once the request was counted as run, by this node or by one that it passed the request to.
 	isCounted bool
+	// isPartlySent is true while the caller has a part of an answer that nothing but the rest of that answer can
+	// follow.
+	isPartlySent bool
 	// hop is set if another node has passed the request on.
 	hop *qf.PeerHop
 }
--- a/internal/qf/protocol/qfforward/peer.go
+++ b/internal/qf/protocol/qfforward/peer.go
@@ -197,9 +197,11 @@
 // attempts of its own is final.
 func (c *call) nextAfterPeer(p *progress, a *attempt) nextStep {
 	now := c.forwarder.ports.Clock.Now()
-	p.end, p.timeLeft = a.end, c.deadline.Sub(now)
+	p.end, p.timeLeft, p.isPartlySent = a.end, c.deadline.Sub(now), c.isPartlySent
 	mayRetry := p.hasTime() && len(p.peers) < maxPeers
 	switch {
+	case p.isPartlySent:
+		return nextAbort
 	case a.end == qf.AttemptAnswered:
 		return nextDone
 	case a.end == qf.AttemptFailed:
--- a/internal/qf/protocol/qfforward/relay.go
+++ b/internal/qf/protocol/qfforward/relay.go
@@ -71,10 +71,10 @@
 	whole := s.pending[:end]
 	s.sendHeader(a)
 	if _, err := s.call.writer.Write(whole); err != nil {
-		return err
+		return errors.Join(errCallerGone, err)
 	}
 	if err := http.NewResponseController(s.call.writer).Flush(); err != nil {
-		return err
+		return errors.Join(errCallerGone, err)
 	}
 	s.recordEvents(a, whole)
 	if a.peer == "" {
--- a/internal/qf/protocol/qfforward/verdict.go
+++ b/internal/qf/protocol/qfforward/verdict.go
@@ -13,6 +13,9 @@
 	errNotTheRest = errors.New("the answer isn't the rest of the stream")
 	errUnproven   = errors.New("callers would take the status to mean that the request didn't run, which the endpoint doesn't state")
 	errNoStatus   = errors.New("the answer's status isn't one of HTTP")
+	// errLongFailure is for a failure that is longer than the buffer: whether it is delivered is decided once it
+	// has arrived.
+	errLongFailure = errors.New("the failure's text is too long")
 )
 
 // maxStatus is the largest status of HTTP.
--- a/internal/standin/standreplica/behaviour.go
+++ b/internal/standin/standreplica/behaviour.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 )
 
 // Behaviour is how a replica handles a request.
@@ -22,6 +24,11 @@
 	// Limits and TimesOut execute the request and respond with status 429 or 408, without X-Not-Executed.
 	Limits   Behaviour = "Limits"
 	TimesOut Behaviour = "TimesOut"
+	// AnswersLong executes the request and sends a response of LongBytes, TruncatesLong only the first half of it.
+	// FailsLong responds with status 500 and that many bytes.
+	AnswersLong   Behaviour = "AnswersLong"
+	TruncatesLong Behaviour = "CutsLong"
+	FailsLong     Behaviour = "FailsLong"
 	// Unsigned executes the request and sends a complete response without its signature.
 	Unsigned Behaviour = "Unsigned"
 	// ShedsAgain executes the request after it has written the refusal of an earlier request once more on the same
@@ -67,3 +74,24 @@
 	w.WriteHeader(failures[behaviour])
 	_, _ = io.WriteString(w, FailureText) // The caller may have disconnected.
 }
+
+// LongBytes is the length of a long response, which is above what nodes buffer.
+const LongBytes = 600 << 10
+
+// LongBody returns the body of a long response to a request.
+func LongBody(id string) string { return strings.Repeat(id+" ", LongBytes/(len(id)+1)) }
+
+// serveLong responds with a long body.
+func serveLong(w http.ResponseWriter, run *ExecutedRequest, behaviour Behaviour) {
+	body := LongBody(run.ID)
+	w.Header().Set("X-Response-Stamp", "stamp-"+run.ID)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if behaviour == FailsLong {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	if behaviour == TruncatesLong {
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, body) // The caller may have disconnected.
+}
--- a/internal/standin/standreplica/replica.go
+++ b/internal/standin/standreplica/replica.go
@@ -334,6 +334,8 @@
 	switch behaviour {
 	case Sheds, Busy, Limits, TimesOut, Fails, Rejects:
 		serveFailure(w, run, behaviour)
+	case AnswersLong, TruncatesLong, FailsLong:
+		serveLong(w, run, behaviour)
 	case Hangs:
 		<-request.Context().Done()
 		r.markCancelled(run)
