entry: fold each page of a feed to the last word on each row

One answer of the store held the removal of a row and its return; ApplyChanges applied the removals after all rows, at the newest version of the answer. No outage is needed for it: a row that is removed and written within one answer is never listed again. Change: pages from the store and from relays are folded before any part sees them; Registry.Apply counts a removal at its own version; the mirror folds what it passes on. Every four to six minutes a node reads all endpoints anew and logs what differed (event 336), so that what it missed for any other reason heals too.

--- a/internal/entry/feedreader.go
+++ b/internal/entry/feedreader.go
@@ -154,6 +154,7 @@
 	t := e.beginTransfer(string(feed), sourceStore, "")
 	page, err := read()
 	e.endTransfer(&t, sizeOf(&page), err)
+	page.Fold()
 	e.mirror.RecordRead(feed, err)
 	if !errors.Is(err, &qf.Error{Code: qf.CodeStaleRevision}) {
 		s.skipRelayWithoutCopy()
@@ -196,6 +197,7 @@
 	t := e.beginTransfer(string(feed), sourceRelay, relays.Own.ID)
 	page, err = ask(relays.Own.PeerAddress)
 	e.endTransfer(&t, sizeOf(&page), err)
+	page.Fold()
 	switch {
 	case err == nil:
 		s.recordAnswer(feed, sourceRelay, relays.Own.ID, nil)
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qfevent"
 	"quetzalfront/internal/qf/state/qffollow"
+	"quetzalfront/internal/qf/state/qfregistry"
 )
 
 // The timings of the feeds. A dead connection is detected when the poll times out.
@@ -30,13 +33,15 @@
 
 // followFeeds starts following the feeds.
 func (e *Entry) followFeeds(ctx context.Context) {
+	ofEndpoints := endpointsTiming
+	ofEndpoints.ReadAnewAfter = readAnewInterval(e.deployment.Self.ID)
 	feeds := []struct {
 		name    qf.FeedName
 		timing  qffollow.Timing
 		handler rowHandler
 	}{
 		{qf.FeedOperator, operatorTiming, &operatorRowHandler{e}},
-		{qf.FeedEndpoints, endpointsTiming, &endpointRowHandler{e}},
+		{qf.FeedEndpoints, ofEndpoints, &endpointRowHandler{e}},
 		{qf.FeedNodes, nodesTiming, &nodeRowHandler{e}},
 	}
 	for _, feed := range feeds {
@@ -47,9 +52,21 @@
 	}
 }
 
+const (
+	// minReadAnewInterval is the least time between two reads of all endpoints, which bring back what a node has
+	// missed for any reason. The nodes of a fleet differ by up to readAnewSpread, so that they don't read at once.
+	minReadAnewInterval = 4 * time.Minute
+	readAnewSpread      = 2 * time.Minute
+)
+
+// readAnewInterval returns the time after which a node reads all endpoints again.
+func readAnewInterval(node qf.NodeID) time.Duration {
+	return minReadAnewInterval + time.Duration(xxhash.Sum64String(string(node))%uint64(readAnewSpread))
+}
+
 // rowHandler applies the rows of one feed.
 type rowHandler interface {
-	ApplySnapshot(page *qf.FeedPage)
+	ApplySnapshot(page *qf.FeedPage, readUpTo qf.StorePosition)
 	ApplyChanges(page *qf.FeedPage)
 }
 
@@ -65,12 +82,12 @@
 }
 
 // ApplySnapshot implements qffollow.Handler.
-func (h *feedHandler) ApplySnapshot(page *qf.FeedPage) {
+func (h *feedHandler) ApplySnapshot(page *qf.FeedPage, readUpTo qf.StorePosition) {
 	if h.position.Era > 0 && page.Era > h.position.Era {
 		qfevent.FeedRestored.Log(&h.entry.platform.Logger, h.name, page.Era, page.Version, h.position.Version, len(page.Rows))
 	}
 	h.position = page.Position()
-	h.rowHandler.ApplySnapshot(page)
+	h.rowHandler.ApplySnapshot(page, readUpTo)
 }
 
 // RecordFailure implements qffollow.Handler.
@@ -112,7 +129,9 @@
 type operatorRowHandler struct{ entry *Entry }
 
 // ApplySnapshot implements rowHandler.
-func (h *operatorRowHandler) ApplySnapshot(page *qf.FeedPage) { h.ApplyChanges(page) }
+func (h *operatorRowHandler) ApplySnapshot(page *qf.FeedPage, _ qf.StorePosition) {
+	h.ApplyChanges(page)
+}
 
 // ApplyChanges implements rowHandler.
 func (h *operatorRowHandler) ApplyChanges(page *qf.FeedPage) {
@@ -155,72 +174,76 @@
 type endpointRowHandler struct{ entry *Entry }
 
 // ApplySnapshot implements rowHandler.
-func (h *endpointRowHandler) ApplySnapshot(page *qf.FeedPage) {
+func (h *endpointRowHandler) ApplySnapshot(page *qf.FeedPage, readUpTo qf.StorePosition) {
 	e := h.entry
-	listed := make(map[qf.EndpointID]bool, len(page.Rows))
-	for i := range page.Rows {
-		listed[qf.EndpointID(page.Rows[i].Key)] = true
+	rows := h.decode(page.Rows)
+	listed := make(map[qf.EndpointID]bool, len(rows))
+	for i := range rows {
+		listed[rows[i].ID] = true
 	}
 	e.mu.Lock()
+	missed := e.registry.ListMissed(rows, page.Position(), readUpTo)
 	e.registry.RemoveMissing(e.now(), listed, page.Position())
 	e.mu.Unlock()
-	h.ApplyChanges(page)
+	if len(missed) > 0 {
+		qfevent.EndpointsDiffer.Log(&e.platform.Logger, len(missed), missed[0], page.Version)
+	}
+	h.apply(rows, page.Era)
 	e.hasEndpoints.Store(true)
 	e.signalLoaded()
 }
 
 // ApplyChanges implements rowHandler.
 func (h *endpointRowHandler) ApplyChanges(page *qf.FeedPage) {
+	h.apply(h.decode(page.Rows), page.Era)
+}
+
+// apply applies decoded rows of an era.
+func (h *endpointRowHandler) apply(rows []qfregistry.Row, era qf.StoreEra) {
 	e := h.entry
 	now := e.now()
-	rows := page.Rows
 	e.mu.Lock()
-	var gone []qf.EndpointID
-	var dead []qf.Endpoint
-	newest := uint64(0)
-	for i := range rows {
-		newest = max(newest, rows[i].Version)
-		id := qf.EndpointID(rows[i].Key)
-		known := e.registry.Get(id)
-		isGone := h.applyRow(now, &rows[i], page.Era)
-		if isGone {
-			gone = append(gone, id)
-		}
-		if known != nil && !known.Leaving && (isGone || e.registry.Get(id).Incarnation != known.Incarnation) {
-			dead = append(dead, known.Endpoint) // Its end was not announced.
-		}
-	}
-	e.registry.Remove(now, gone, qf.StorePosition{Era: page.Era, Version: newest})
+	changes := e.registry.Apply(now, rows, era)
 	e.mu.Unlock()
-	for i := range dead {
-		e.poisonFilter.recordDeath(now, &dead[i], "its row is gone")
+	for i := range changes {
+		h.follow(now, &changes[i])
 	}
 	e.updateEndpoints(now)
 }
 
-// applyRow applies one row and reports whether its endpoint is gone or unusable. The caller
-// must hold e.mu.
-func (h *endpointRowHandler) applyRow(now time.Time, row *qf.FeedRow, era qf.StoreEra) bool {
-	e := h.entry
-	id := qf.EndpointID(row.Key)
-	if row.Removed {
-		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "its entry was removed", row.Version)
-		return true
+// decode decodes rows. Those that can't be read name no endpoint.
+func (h *endpointRowHandler) decode(rows []qf.FeedRow) []qfregistry.Row {
+	decoded := make([]qfregistry.Row, len(rows))
+	for i := range rows {
+		row := &rows[i]
+		decoded[i] = qfregistry.Row{ID: qf.EndpointID(row.Key), Version: row.Version}
+		if row.Removed {
+			qfevent.EndpointLeaving.Log(&h.entry.platform.Logger, row.Key, "its entry was removed", row.Version)
+			continue
+		}
+		listed, err := h.entry.platform.RowDecoder.DecodeEndpoint(row)
+		if err != nil {
+			h.entry.logUnreadableRow(qf.FeedEndpoints, row, err)
+			continue
+		}
+		decoded[i].Endpoint = &listed
 	}
-	listed, err := e.platform.RowDecoder.DecodeEndpoint(row)
-	if err != nil {
-		e.logUnreadableRow(qf.FeedEndpoints, row, err)
-		return true
+	return decoded
+}
+
+// follow logs a change and tells the parts that it concerns.
+func (h *endpointRowHandler) follow(now time.Time, change *qfregistry.Change) {
+	e, listed := h.entry, change.Row.Endpoint
+	if change.IsNew {
+		qfevent.EndpointListed.Log(&e.platform.Logger, listed.ID, listed.Entry, listed.Version, listed.AvailabilityZone, listed.Address)
 	}
-	wasLeaving := e.isRowLeaving(id)
-	if e.registry.Set(now, &listed, qf.StorePosition{Era: era, Version: row.Version}) {
-		qfevent.EndpointListed.Log(&e.platform.Logger, id, listed.Entry, listed.Version, listed.AvailabilityZone, listed.Address)
+	if change.IsLeaving {
+		qfevent.EndpointLeaving.Log(&e.platform.Logger, listed.ID, "it registered as draining", change.Row.Version)
+		e.evacuate(listed)
 	}
-	if !wasLeaving && e.isRowLeaving(id) {
-		qfevent.EndpointLeaving.Log(&e.platform.Logger, id, "it registered as draining", row.Version)
-		e.evacuate(&listed)
+	if change.Dead != nil {
+		e.poisonFilter.recordDeath(now, change.Dead, "its row is gone")
 	}
-	return false
 }
 
 // evacuate moves the streams that run at a leaving endpoint shortly before it stops, if its
@@ -241,12 +264,6 @@
 	e.background.Go(func() { e.forwarder.Evacuate(e.loops, leaving.ID, stopsIn) })
 }
 
-// isRowLeaving reports whether an endpoint is registered as leaving. The caller must hold e.mu.
-func (e *Entry) isRowLeaving(id qf.EndpointID) bool {
-	known := e.registry.Get(id)
-	return known != nil && known.IsRowLeaving
-}
-
 // isLeavingEndpoint reports whether an endpoint leaves, by its registration or by its answers. The caller must
 // hold e.mu.
 func (e *Entry) isLeavingEndpoint(id qf.EndpointID) bool {
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -57,6 +57,8 @@
 	// calls counts the calls to the platform by name.
 	calls   callCounts
 	servers []*http.Server
+	// isMissed reports whether the nodes' reads of changes leave out a row; nil means that they leave out none.
+	isMissed func(row *qf.FeedRow) bool
 	// mu guards requests and servers.
 	mu       sync.Mutex
 	requests int
@@ -246,7 +248,7 @@
 	duties.ObserveCalls(w.calls.add)
 	peers := qfrpc.NewClient(w.clock, entry.PeerTimeout, network.Dial, nil)
 	node := entry.New(deployment, entry.Platform{
-		Clock: w.clock, Network: network, Feed: store, Table: store, Eras: store, Rollouts: store, Duties: duties,
+		Clock: w.clock, Network: network, Feed: &missingFeed{FeedReader: store, fleet: w}, Table: store, Eras: store, Rollouts: store, Duties: duties,
 		RowDecoder: platform.RowDecoder{Regions: regions}, Protocol: platform.Protocol{}, Mover: platform.NewMoveClient(network.Dial), Peer: peers, PeerFeed: peers,
 		ReadyHandler: platform.ReadyHandler, DirectoryHandler: platform.DirectoryHandler,
 		Logger: zerolog.New(&w.log), Random: rand.New(rand.NewPCG(uint64(number), 7)),
@@ -258,6 +260,21 @@
 	return node
 }
 
+// missingFeed leaves rows out of the changes that it reads.
+type missingFeed struct {
+	qf.FeedReader
+	fleet *testFleet
+}
+
+// ReadChanges implements qf.FeedReader.
+func (f *missingFeed) ReadChanges(ctx context.Context, feed qf.FeedName, after qf.StorePosition, wait time.Duration) (qf.FeedPage, error) {
+	page, err := f.FeedReader.ReadChanges(ctx, feed, after, wait)
+	if isMissed := f.fleet.isMissed; isMissed != nil && feed == qf.FeedEndpoints {
+		page.Rows = slices.DeleteFunc(page.Rows, func(row qf.FeedRow) bool { return isMissed(&row) })
+	}
+	return page, err
+}
+
 // replaceNode ends a node and starts a new one in its place.
 func (w *testFleet) replaceNode(index int) {
 	w.nodes[index].Stop(w.t.Context())
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -32,7 +32,7 @@
 type nodeRowHandler struct{ entry *Entry }
 
 // ApplySnapshot implements rowHandler.
-func (h *nodeRowHandler) ApplySnapshot(page *qf.FeedPage) {
+func (h *nodeRowHandler) ApplySnapshot(page *qf.FeedPage, _ qf.StorePosition) {
 	h.ApplyChanges(page)
 	h.checkOwnRow(page)
 	if !h.entry.hasNodes.Swap(true) {
--- a/internal/qf/feed.go
+++ b/internal/qf/feed.go
@@ -86,6 +86,28 @@
 	return StorePosition{Era: p.Era, Version: p.Version}
 }
 
+// Fold keeps the last word on each row: a page may hold the removal of a row and its return, in any number.
+// The order of the rows that stay doesn't change.
+func (p *FeedPage) Fold() {
+	last := make(map[string]int, len(p.Rows))
+	for i := range p.Rows {
+		known, isKnown := last[p.Rows[i].Key]
+		if !isKnown || p.Rows[i].Version >= p.Rows[known].Version {
+			last[p.Rows[i].Key] = i
+		}
+	}
+	if len(last) == len(p.Rows) {
+		return
+	}
+	kept := make([]FeedRow, 0, len(last))
+	for i := range p.Rows {
+		if last[p.Rows[i].Key] == i {
+			kept = append(kept, p.Rows[i])
+		}
+	}
+	p.Rows = kept
+}
+
 // FeedReader reads the rows of feeds from the platform's store.
 type FeedReader interface {
 	// ReadSnapshot returns all rows of a feed.
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -148,6 +148,7 @@
 	EndpointListed   = Event{330, info, "an endpoint is listed", []string{FieldEndpoint, FieldEntry, FieldVersion, FieldAvailabilityZone, FieldAddress}, "Nothing."}
 	EndpointLeaving  = Event{331, info, "an endpoint leaves", []string{FieldEndpoint, FieldReason, FieldVersion}, "Nothing; it gets no new work. Version is the row's at the store, the same at all nodes."}
 	RateStated       = Event{332, info, "the rate that an endpoint states has changed", []string{FieldEndpoint, FieldRate, FieldBefore}, "Look at the endpoint if it lasts: it takes Rate requests a second from all nodes together; 0 stands for no stated rate."}
+	EndpointsDiffer  = Event{336, warning, "the list of endpoints differed from what the store holds", []string{FieldCount, FieldEndpoint, FieldVersion}, "Report it: a change was missed. The list is right again; Count endpoints differed, Endpoint is one of them."}
 	EndpointPaused   = Event{335, info, "an endpoint wants no requests of this node for some time", []string{FieldEndpoint, FieldEntry, FieldTime}, "Nothing: others get them. If many endpoints of an entry do so, it has too few."}
 	EndpointsBrittle = Event{334, warning, "the endpoints of an entry state that they are brittle", []string{FieldEntry, FieldRate}, "Nothing at once: nodes send no more than there are places. Each endpoint fails if it rejects more than Rate requests in a second."}
 	ReachChanged     = Event{333, warning, "the node reaches the endpoints of an entry no more, or again", []string{FieldEntry, FieldOutcome, FieldCount, FieldAge}, "Look at the node's links; until it reaches them again its requests go through other nodes. Count endpoints were checked, Age is how long the state before lasted."}
@@ -227,7 +228,7 @@
 		ConfigInForce,
 		TransferEnded,
 		FeedMoved,
-		EndpointListed,
+		EndpointListed, EndpointsDiffer,
 		EndpointLeaving,
 		RateStated,
 		ReachChanged,
--- a/internal/qf/state/qffollow/follower.go
+++ b/internal/qf/state/qffollow/follower.go
@@ -15,8 +15,9 @@
 // Handler processes the rows of one feed. Its methods are called one at a time.
 type Handler interface {
 	// ApplySnapshot replaces all rows. A snapshot of a later era may lack rows that were
-	// read before, or hold older versions of them.
-	ApplySnapshot(page *qf.FeedPage)
+	// read before, or hold older versions of them. All changes up to readUpTo were applied before;
+	// it is zero for the first snapshot.
+	ApplySnapshot(page *qf.FeedPage, readUpTo qf.StorePosition)
 	// ApplyChanges applies changed rows of the snapshot's era, in order.
 	ApplyChanges(page *qf.FeedPage)
 	// RecordFailure is called after each failed call, RecordSuccess after each that
@@ -34,6 +35,9 @@
 	PollDelay time.Duration
 	// MinRetryDelay and MaxRetryDelay bound the delay after a failed call.
 	MinRetryDelay, MaxRetryDelay time.Duration
+	// ReadAnewAfter is the time after which a snapshot is read although the changes are known, so that
+	// rows which were missed for any reason come back; 0 means never.
+	ReadAnewAfter time.Duration
 }
 
 // Follow reads the feed from the source and calls the handler until the context ends.
@@ -57,6 +61,8 @@
 	hasSnapshot bool
 	// position is the newest position that was read.
 	position qf.StorePosition
+	// readAnewAt is when a snapshot is read next although the changes are known.
+	readAnewAt time.Time
 }
 
 // step makes one call to the store, passes its result to the handler and waits until the
@@ -77,19 +83,14 @@
 	}
 }
 
-// read reads a snapshot, or the changes since the last version.
+// read reads the changes since the last version, or a snapshot if there is none or another is due.
 func (f *follower) read(ctx context.Context) error {
 	if !f.hasSnapshot {
-		page, err := f.source.ReadSnapshot(ctx, f.feed)
-		if err != nil {
-			return err
-		}
-		if page.Position().Compare(f.position) < 0 {
-			return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepTableRead, Reason: "the snapshot is older than data that was read before"}
-		}
-		f.handler.ApplySnapshot(&page)
-		f.hasSnapshot, f.position = true, page.Position()
-		return nil
+		return f.readSnapshot(ctx)
+	}
+	if now := f.clock.Now(); f.timing.ReadAnewAfter > 0 && !now.Before(f.readAnewAt) {
+		f.readAnewAt = now.Add(f.timing.ReadAnewAfter) // A read that fails is due again as late.
+		return f.readSnapshot(ctx)
 	}
 	page, err := f.source.ReadChanges(ctx, f.feed, f.position, f.timing.PollTimeout)
 	if err != nil {
@@ -105,6 +106,21 @@
 	return nil
 }
 
+// readSnapshot reads all rows.
+func (f *follower) readSnapshot(ctx context.Context) error {
+	page, err := f.source.ReadSnapshot(ctx, f.feed)
+	if err != nil {
+		return err
+	}
+	if page.Position().Compare(f.position) < 0 {
+		return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepTableRead, Reason: "the snapshot is older than data that was read before"}
+	}
+	f.handler.ApplySnapshot(&page, f.position)
+	f.hasSnapshot, f.position = true, page.Position()
+	f.readAnewAt = f.clock.Now().Add(f.timing.ReadAnewAfter)
+	return nil
+}
+
 func (f *follower) sleep(ctx context.Context, delay time.Duration) {
 	if delay <= 0 {
 		return
--- a/internal/qf/state/qffollow/follower_test.go
+++ b/internal/qf/state/qffollow/follower_test.go
@@ -54,7 +54,7 @@
 	failures           int
 }
 
-func (r *recorder) ApplySnapshot(page *qf.FeedPage) {
+func (r *recorder) ApplySnapshot(page *qf.FeedPage, _ qf.StorePosition) {
 	r.snapshots = append(r.snapshots, page.Position())
 }
 
@@ -116,3 +116,53 @@
 		})
 	}
 }
+
+// TestFollowerReadsAnew fails if a row that the source left out of its changes stays unknown for longer than
+// ReadAnewAfter, if the rows are read anew more often, or if a failed read of all rows ends the following of changes.
+func TestFollowerReadsAnew(t *testing.T) {
+	tests := []struct {
+		name string
+		code qf.Code
+		// snapshots is the number of snapshots that are applied in 25 minutes.
+		snapshots int
+	}{
+		{"answered", "", 6},
+		{"failed", qf.CodeUnavailable, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const interval, length = 5 * time.Minute, 26 * time.Minute
+				ctx, stop := context.WithTimeout(t.Context(), length)
+				defer stop()
+				source := &steadySource{code: tt.code}
+				applied := &recorder{}
+				Follow(ctx, qftimer.NewWall(), source, "feed", Timing{PollDelay: time.Second, MinRetryDelay: time.Second, MaxRetryDelay: time.Second, ReadAnewAfter: interval}, applied)
+				if len(applied.snapshots) != tt.snapshots || source.changes < int(length/time.Second)*9/10 {
+					t.Errorf("%d snapshots, want %d; %d reads of changes", len(applied.snapshots), tt.snapshots, source.changes)
+				}
+			})
+		})
+	}
+}
+
+// steadySource answers each call at once. All snapshots but the first fail if it has a code.
+type steadySource struct {
+	code               qf.Code
+	snapshots, changes int
+}
+
+// ReadSnapshot implements qf.FeedReader.
+func (s *steadySource) ReadSnapshot(context.Context, qf.FeedName) (qf.FeedPage, error) {
+	s.snapshots++
+	if s.snapshots > 1 && s.code != "" {
+		return qf.FeedPage{}, qf.NewError(s.code, qf.StepTableRead, "", "scripted")
+	}
+	return qf.FeedPage{Era: 1, Version: 7}, nil
+}
+
+// ReadChanges implements qf.FeedReader.
+func (s *steadySource) ReadChanges(context.Context, qf.FeedName, qf.StorePosition, time.Duration) (qf.FeedPage, error) {
+	s.changes++
+	return qf.FeedPage{Era: 1, Version: 7}, nil
+}
--- a/internal/qf/state/qfmirror/mirror.go
+++ b/internal/qf/state/qfmirror/mirror.go
@@ -197,6 +197,12 @@
 	}
 }
 
+// ChangesSince returns the changes after a position, for a peer, without waiting.
+func (m *Mirror) ChangesSince(name qf.FeedName, after qf.StorePosition) (qf.FeedPage, error) {
+	page, _, _, err := m.changesSince(name, after)
+	return page, err
+}
+
 // changesSince returns the changes after a position, a channel that is closed at the next
 // change, and how long the copy may still be served.
 func (m *Mirror) changesSince(name qf.FeedName, after qf.StorePosition) (page qf.FeedPage, changed <-chan struct{}, freshFor time.Duration, err error) {
@@ -227,5 +233,6 @@
 		}
 		return 1
 	})
+	page.Fold()
 	return page, f.changed, f.answeredAt.Add(f.staleAfter).Sub(now), nil
 }
--- a/internal/qf/state/qfregistry/registry.go
+++ b/internal/qf/state/qfregistry/registry.go
@@ -148,19 +148,21 @@
 // rows may only have lapsed: their endpoints are kept for lapseGrace, so that they can
 // register again. Endpoints that are leaving are removed at once in any case.
 func (r *Registry) Remove(now time.Time, ids []qf.EndpointID, position qf.StorePosition) {
-	r.remove(now, ids, position, r.isStoreFailing || r.isMass(ids))
+	mayHaveLapsed := r.isStoreFailing || r.isMass(ids)
+	for _, id := range ids {
+		r.removeRow(now, id, position, mayHaveLapsed)
+	}
 }
 
-func (r *Registry) remove(now time.Time, ids []qf.EndpointID, position qf.StorePosition, mayHaveLapsed bool) {
-	for _, id := range ids {
-		known := r.endpoints[id]
-		switch {
-		case known == nil || known.Position.Compare(position) > 0:
-		case known.Leaving || !mayHaveLapsed:
-			r.delete(now, known)
-		default:
-			r.markLapsed(now, known)
-		}
+// removeRow removes an endpoint whose row was missing at a position, unless it was listed by a later row.
+func (r *Registry) removeRow(now time.Time, id qf.EndpointID, position qf.StorePosition, mayHaveLapsed bool) {
+	known := r.endpoints[id]
+	switch {
+	case known == nil || known.Position.Compare(position) > 0:
+	case known.Leaving || !mayHaveLapsed:
+		r.delete(now, known)
+	default:
+		r.markLapsed(now, known)
 	}
 }
 
@@ -199,8 +201,8 @@
 		r.era = position.Era
 		for _, id := range gone {
 			r.endpoints[id].lapsedAt = time.Time{} // The time to register again starts anew.
+			r.removeRow(now, id, position, true)
 		}
-		r.remove(now, gone, position, true)
 		return
 	}
 	r.Remove(now, gone, position)
