qfsuspect: an attempt that began after a death was known can't have caused it

Cause: TestSoundPartsAreServedThroughTrouble/waves: in 3 to 6 of 100 runs sound requests were refused for a minute. The trial of a refused part was sent to an endpoint whose death the node had known for three seconds, broke at once and was blamed for that death. Change: the poison filter gets the begin of each attempt; attempts that began after the death was known blame nothing, neither for parts nor for whole requests.

--- a/internal/entry/partfilter.go
+++ b/internal/entry/partfilter.go
@@ -110,10 +110,11 @@
 }
 
 // recordUnanswered records the parts of a request that got no answer.
-func (f *poisonFilter) recordUnanswered(now time.Time, content *qf.RequestContent, endpoint *qf.Endpoint) {
+func (f *poisonFilter) recordUnanswered(attempt *qf.EndedAttempt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.parts.RecordBrokenAttempt(now, partFingerprints(content, endpoint.Entry), qfsuspect.IdentifyDeath(endpoint)) {
+	parts, death := partFingerprints(attempt.Content, attempt.Endpoint.Entry), qfsuspect.IdentifyDeath(attempt.Endpoint)
+	if f.parts.RecordBrokenAttempt(attempt.StartedAt, attempt.EndedAt, parts, death) {
 		f.entry.pushUrgent()
 	}
 }
--- a/internal/entry/poisonfilter.go
+++ b/internal/entry/poisonfilter.go
@@ -75,22 +75,22 @@
 }
 
 // RecordAttemptEnd implements qf.PoisonFilter.
-func (f *poisonFilter) RecordAttemptEnd(now time.Time, content *qf.RequestContent, endpoint *qf.Endpoint, end qf.AttemptEnd, err error) {
+func (f *poisonFilter) RecordAttemptEnd(attempt *qf.EndedAttempt) {
 	switch {
-	case end == qf.AttemptBroken:
+	case attempt.End == qf.AttemptBroken:
 		f.mu.Lock()
-		f.suspects.RecordBrokenAttempt(now, fingerprint(content), endpoint.ID)
+		f.suspects.RecordBrokenAttempt(attempt.StartedAt, attempt.EndedAt, fingerprint(attempt.Content), attempt.Endpoint.ID)
 		f.mu.Unlock()
-		f.recordUnanswered(now, content, endpoint)
-		f.checkDeath(endpoint)
-	case end == qf.AttemptCancelled:
-		f.recordUnanswered(now, content, endpoint)
-	case end == qf.AttemptNotRun && errors.Is(err, syscall.ECONNREFUSED):
-		f.recordRefusal(now, endpoint)
-	case end == qf.AttemptAnswered:
+		f.recordUnanswered(attempt)
+		f.checkDeath(attempt.Endpoint)
+	case attempt.End == qf.AttemptCancelled:
+		f.recordUnanswered(attempt)
+	case attempt.End == qf.AttemptNotRun && errors.Is(attempt.Err, syscall.ECONNREFUSED):
+		f.recordRefusal(attempt.EndedAt, attempt.Endpoint)
+	case attempt.End == qf.AttemptAnswered:
 		f.mu.Lock()
 		if f.suspects.HasSuspects() {
-			f.suspects.RecordAnswer(now, fingerprint(content))
+			f.suspects.RecordAnswer(attempt.EndedAt, fingerprint(attempt.Content))
 		}
 		f.mu.Unlock()
 	}
--- a/internal/node/suspect.go
+++ b/internal/node/suspect.go
@@ -33,7 +33,7 @@
 	n.mu.Lock()
 	isLeaving := n.membership.IsDeparting(endpoint.VM, endpoint.Incarnation)
 	if !isLeaving {
-		n.suspects.RecordBrokenAttempt(now, qfsuspect.Fingerprint(request), endpoint.ID)
+		n.suspects.RecordBrokenAttempt(time.Time{}, now, qfsuspect.Fingerprint(request), endpoint.ID)
 	}
 	n.mu.Unlock()
 	if isLeaving {
--- a/internal/qf/admission.go
+++ b/internal/qf/admission.go
@@ -55,13 +55,24 @@
 	SharedParts []PromptPart
 }
 
+// EndedAttempt is an attempt that has ended.
+type EndedAttempt struct {
+	Content  *RequestContent
+	Endpoint *Endpoint
+	// StartedAt isn't after EndedAt.
+	StartedAt, EndedAt time.Time
+	End                AttemptEnd
+	// Err is why there is no answer, or none that the caller gets.
+	Err error
+}
+
 // PoisonFilter detects and blocks requests that crash the endpoints they run at. It is safe
 // for concurrent use.
 type PoisonFilter interface {
 	// CheckRequest returns an *Error with CodeSuspect for a request that must not run.
 	CheckRequest(now time.Time, content *RequestContent) error
 	// RecordAttemptEnd records how an attempt ended.
-	RecordAttemptEnd(now time.Time, content *RequestContent, endpoint *Endpoint, end AttemptEnd, err error)
+	RecordAttemptEnd(attempt *EndedAttempt)
 	// MayRetry reports whether a request whose attempt broke at an entry may be sent to
 	// another endpoint.
 	MayRetry(content *RequestContent, entry EntryName) bool
--- a/internal/qf/coordination/qfsuspect/parts.go
+++ b/internal/qf/coordination/qfsuspect/parts.go
@@ -87,13 +87,14 @@
 }
 
 // RecordBrokenAttempt records the parts of an attempt that ended without its answer. It reports
-// whether peers need an update, because the endpoint is known to have died.
-func (p *PartTracker) RecordBrokenAttempt(now time.Time, parts []uint64, death qf.DeathID) (isNew bool) {
+// whether peers need an update, because the endpoint is known to have died. An attempt that began
+// after the death was known can't have caused it.
+func (p *PartTracker) RecordBrokenAttempt(startedAt, now time.Time, parts []uint64, death qf.DeathID) (isNew bool) {
 	if len(parts) == 0 {
 		return false
 	}
 	if diedAt, isDead := p.dead[death]; isDead && now.Sub(diedAt) <= breakWindow {
-		return p.blame(now, parts, death)
+		return startedAt.Before(diedAt) && p.blame(now, parts, death)
 	}
 	p.broken = append(p.broken, brokenParts{parts: parts, death: death, at: now})
 	if extra := len(p.broken) - maxBrokenAttempts; extra > 0 {
--- a/internal/qf/coordination/qfsuspect/parts_test.go
+++ b/internal/qf/coordination/qfsuspect/parts_test.go
@@ -30,7 +30,7 @@
 // crash is the death of an endpoint with requests in progress that had these parts.
 func crash(after time.Duration, death qf.DeathID, parts ...uint64) partEvent {
 	return partEvent{after, func(p *PartTracker, now time.Time) {
-		p.RecordBrokenAttempt(now, parts, death)
+		p.RecordBrokenAttempt(time.Time{}, now, parts, death)
 		p.RecordDeath(now, death)
 	}}
 }
@@ -114,7 +114,7 @@
 func TestAnnouncedStopBlamesNoPart(t *testing.T) {
 	p := NewPartTracker(partConfig)
 	for death := range qf.DeathID(4) {
-		p.RecordBrokenAttempt(start, []uint64{rare}, death)
+		p.RecordBrokenAttempt(time.Time{}, start, []uint64{rare}, death)
 		p.RecordAnnouncedStop(death)
 		p.RecordDeath(start.Add(time.Second), death)
 	}
@@ -123,6 +123,28 @@
 	}
 }
 
+// TestDeathsKnownBeforeAnAttemptBlameNoPart catches a trial of a sound part that is blamed for a death which was known
+// before the trial began, so that it counts as failed.
+func TestDeathsKnownBeforeAnAttemptBlameNoPart(t *testing.T) {
+	p := NewPartTracker(partConfig)
+	now := start
+	for death := range qf.DeathID(3) {
+		p.RecordBrokenAttempt(now, now, []uint64{rare}, death)
+		p.RecordDeath(now, death)
+	}
+	const known = 3
+	p.RecordDeath(now, known)
+	now = now.Add(partConfig.UnclearTrialAfter)
+	if v := p.CheckParts(now, []uint64{rare}); v.Treatment != TreatIsolated {
+		t.Fatalf("got %+v, want a trial", v)
+	}
+	p.RecordBrokenAttempt(now, now.Add(time.Millisecond), []uint64{rare}, known)
+	now = now.Add(partConfig.UnclearTrialAfter)
+	if v := p.CheckParts(now, []uint64{rare}); v.Treatment != TreatIsolated {
+		t.Errorf("after a trial that proves nothing: %+v, want another trial", v)
+	}
+}
+
 // TestOneTrialPerDelay catches nodes that try a refused part at the same time although they
 // have received each other's suspicions, and trials that become no rarer.
 func TestOneTrialPerDelay(t *testing.T) {
@@ -130,7 +152,7 @@
 	now, death := start, qf.DeathID(0)
 	for ; death < 3; death++ {
 		now = now.Add(time.Second)
-		nodes[death].RecordBrokenAttempt(now, []uint64{crashing}, death)
+		nodes[death].RecordBrokenAttempt(time.Time{}, now, []uint64{crashing}, death)
 		nodes[death].RecordDeath(now, death)
 	}
 	var trials []time.Duration
@@ -139,7 +161,7 @@
 			if node.CheckParts(now, []uint64{crashing}).Treatment == TreatIsolated {
 				trials = append(trials, now.Sub(start))
 				death++
-				node.RecordBrokenAttempt(now, []uint64{crashing}, death)
+				node.RecordBrokenAttempt(time.Time{}, now, []uint64{crashing}, death)
 				node.RecordDeath(now, death)
 			}
 			for _, other := range nodes {
@@ -159,9 +181,9 @@
 	for i := range uint64(5_000) {
 		now = now.Add(time.Millisecond)
 		p.RecordAnswer(now, []uint64{1 << 40, 1<<41 + i})
-		p.RecordBrokenAttempt(now, []uint64{1 << 40, i, crashing}, qf.DeathID(i))
+		p.RecordBrokenAttempt(time.Time{}, now, []uint64{1 << 40, i, crashing}, qf.DeathID(i))
 		p.RecordDeath(now, qf.DeathID(i))
-		p.RecordBrokenAttempt(now, []uint64{1<<42 + i}, 1<<31)
+		p.RecordBrokenAttempt(time.Time{}, now, []uint64{1<<42 + i}, 1<<31)
 	}
 	if p.parts.Len() > maxParts || p.sound.Len() > maxSoundParts || len(p.broken) > maxBrokenAttempts || len(p.ListSuspicions(now)) > maxListedParts {
 		t.Errorf("%d parts, %d sound ones, %d broken attempts, %d listed", p.parts.Len(), p.sound.Len(), len(p.broken), len(p.ListSuspicions(now)))
@@ -182,9 +204,9 @@
 	for i := range uint64(20_000) {
 		now = now.Add(time.Millisecond)
 		p.RecordAnswer(now, []uint64{1<<41 + i})
-		p.RecordBrokenAttempt(now, []uint64{i % maxParts, i / 2 % maxParts, i / 3 % maxParts}, qf.DeathID(i*2654435761))
+		p.RecordBrokenAttempt(time.Time{}, now, []uint64{i % maxParts, i / 2 % maxParts, i / 3 % maxParts}, qf.DeathID(i*2654435761))
 		p.RecordDeath(now, qf.DeathID(i*2654435761))
-		p.RecordBrokenAttempt(now, []uint64{1<<42 + i, 1<<43 + i, 1<<44 + i}, 1)
+		p.RecordBrokenAttempt(time.Time{}, now, []uint64{1<<42 + i, 1<<43 + i, 1<<44 + i}, 1)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
--- a/internal/qf/coordination/qfsuspect/suspects.go
+++ b/internal/qf/coordination/qfsuspect/suspects.go
@@ -83,8 +83,15 @@
 func (s *Tracker) HasSuspects() bool { return s.suspects.Len() > 0 }
 
 // RecordBrokenAttempt records an attempt that ended without a response and may have
-// started.
-func (s *Tracker) RecordBrokenAttempt(now time.Time, fingerprint uint64, endpoint qf.EndpointID) {
+// started. One that began after the death of the endpoint was known can't have caused it; startedAt is
+// zero if that isn't known.
+func (s *Tracker) RecordBrokenAttempt(startedAt, now time.Time, fingerprint uint64, endpoint qf.EndpointID) {
+	isAfterDeath := slices.ContainsFunc(s.deaths, func(d *blamedDeath) bool {
+		return d.Endpoint == endpoint && !startedAt.Before(d.at)
+	})
+	if isAfterDeath {
+		return
+	}
 	s.brokenAttempts = append(s.brokenAttempts, brokenAttempt{fingerprint: fingerprint, endpoint: endpoint, at: now})
 	if extra := len(s.brokenAttempts) - maxBrokenAttempts; extra > 0 {
 		s.brokenAttempts = slices.Delete(s.brokenAttempts, 0, extra)
--- a/internal/qf/coordination/qfsuspect/suspects_test.go
+++ b/internal/qf/coordination/qfsuspect/suspects_test.go
@@ -22,11 +22,16 @@
 func breaks(endpoint qf.EndpointID, fingerprints ...uint64) step {
 	return step{do: func(s *Tracker, now time.Time) {
 		for _, f := range fingerprints {
-			s.RecordBrokenAttempt(now, f, endpoint)
+			s.RecordBrokenAttempt(time.Time{}, now, f, endpoint)
 		}
 	}}
 }
 
+// breaksAnew is breaks for an attempt that begins when it ends.
+func breaksAnew(endpoint qf.EndpointID, fingerprint uint64) step {
+	return step{do: func(s *Tracker, now time.Time) { s.RecordBrokenAttempt(now, now, fingerprint, endpoint) }}
+}
+
 func dies(endpoint qf.EndpointID, zone qf.AvailabilityZone) step {
 	return step{do: func(s *Tracker, now time.Time) { s.RecordDeath(now, Death{endpoint, zone}) }}
 }
@@ -63,6 +68,7 @@
 		{"a death", []step{breaks("e", 1, 2), dies("e", "z")}, TreatIsolated, 1},
 		{"a death seen twice", []step{breaks("e", 1), dies("e", "z"), later(time.Second, dies("e", "z"))}, TreatIsolated, 1},
 		{"a break seen after the death", []step{dies("e", "z"), breaks("e", 1), later(time.Second, dies("e", "z"))}, TreatIsolated, 1},
+		{"an attempt that began after the death", []step{breaks("e", 2), dies("e", "z"), later(time.Second, breaksAnew("e", 1)), dies("e", "z")}, TreatNormally, 0},
 		{"a death long after the break", []step{breaks("e", 1), later(time.Minute, dies("e", "z"))}, TreatNormally, 0},
 		{"two deaths", []step{breaks("e", 1, 2), dies("e", "z"), breaks("f", 1, 3), dies("f", "z")}, TreatIsolated, 2},
 		{"three deaths", []step{breaks("e", 1), dies("e", "z"), breaks("f", 1), dies("f", "z"), breaks("g", 1), dies("g", "y")}, TreatRefused, 3},
@@ -109,9 +115,9 @@
 func TestSuspicionsExpireAtPeers(t *testing.T) {
 	a, b := New(config), New(config)
 	now := start
-	a.RecordBrokenAttempt(now, 1, "e")
+	a.RecordBrokenAttempt(time.Time{}, now, 1, "e")
 	a.RecordDeath(now, Death{"e", "z"})
-	a.RecordBrokenAttempt(now, 2, "f")
+	a.RecordBrokenAttempt(time.Time{}, now, 2, "f")
 	a.RecordDeath(now, Death{"f", "y"})
 	b.MergeSuspicions(now, a.ListSuspicions(now))
 	a.RecordDeath(now.Add(time.Second), Death{"g", "y"})
@@ -138,8 +144,8 @@
 	s := New(config)
 	for i := range uint64(3 * maxSuspects) {
 		endpoint := qf.EndpointID(fmt.Sprint(i))
-		s.RecordBrokenAttempt(start, i, endpoint)
-		s.RecordBrokenAttempt(start, i, "alive")
+		s.RecordBrokenAttempt(time.Time{}, start, i, endpoint)
+		s.RecordBrokenAttempt(time.Time{}, start, i, "alive")
 		s.RecordDeath(start.Add(time.Duration(i)*time.Minute), Death{endpoint, "z"})
 	}
 	if s.suspects.Len() > maxSuspects || len(s.brokenAttempts) > maxBrokenAttempts || len(s.deaths) > 2 {
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -208,7 +208,9 @@
 	if end == qf.AttemptBroken && a.answer == nil {
 		c.countRun(at) // Most of these have run, and their answers were lost.
 	}
-	ports.PoisonFilter.RecordAttemptEnd(at, c.content(), &a.picked.Endpoint, end, a.err)
+	ports.PoisonFilter.RecordAttemptEnd(&qf.EndedAttempt{
+		Content: c.content(), Endpoint: &a.picked.Endpoint, StartedAt: a.startedAt, EndedAt: at, End: end, Err: a.err,
+	})
 	if end == qf.AttemptAnswered && a.answer.Status < http.StatusMultipleChoices {
 		ports.PoisonFilter.RecordAnswer(at, c.content(), &a.picked.Endpoint)
 	}
