qfsuspect: two requests that crash endpoints at once don't clear each other

Change: a wave clears requests only if an endpoint died in it without a request in progress; otherwise one death of it counts for each request. Entry nodes count deaths by incarnation. A request that was refused until its suspicion expired is refused again after one more death, four times as long each time. Three rows of TestCheckRequest expect one counted death where they expected none: their events are those of two crashing requests, and one death refuses nothing at an entry node; the rows for waves with an idle endpoint stay.

--- a/internal/entry/crashingpart_test.go
+++ b/internal/entry/crashingpart_test.go
@@ -50,10 +50,11 @@
 	nodes, endpoints int
 	// prompts are the parts of the requests with a crashing part; a last part is added.
 	prompts [][]string
-	// crashing are the parts that crash endpoints.
-	crashing   []string
-	afterEvent int
-	end        crashEnd
+	// crashing are the parts that crash endpoints, crashingBodies the bodies that do.
+	crashing       []string
+	crashingBodies []string
+	afterEvent     int
+	end            crashEnd
 	// keepsIdentity makes endpoints come back under the identity that they had.
 	keepsIdentity bool
 	// pause interrupts the requests with a crashing part.
@@ -133,7 +134,7 @@
 	server := w.serve(address, replica)
 	replica.Crash = &standreplica.Crash{
 		IsCause: func(run *standreplica.ExecutedRequest) bool {
-			return isCrashing(w.day.crashing, run.Header.Get("X-Prompt-Prefix"))
+			return isCrashing(w.day.crashing, run.Header.Get("X-Prompt-Prefix")) || slices.Contains(w.day.crashingBodies, run.Body)
 		},
 		AfterEvent: w.day.afterEvent,
 		End:        sync.OnceFunc(func() { w.crash(id, number, address.Addr(), server) }),
--- a/internal/entry/poisonfilter.go
+++ b/internal/entry/poisonfilter.go
@@ -79,7 +79,7 @@
 	switch {
 	case attempt.End == qf.AttemptBroken:
 		f.mu.Lock()
-		f.suspects.RecordBrokenAttempt(attempt.StartedAt, attempt.EndedAt, fingerprint(attempt.Content), attempt.Endpoint.ID)
+		f.suspects.RecordBrokenAttempt(attempt.StartedAt, attempt.EndedAt, fingerprint(attempt.Content), qfsuspect.IdentifyIncarnation(attempt.Endpoint))
 		f.mu.Unlock()
 		f.recordUnanswered(attempt)
 		f.checkDeath(attempt.Endpoint)
@@ -165,9 +165,10 @@
 		return
 	}
 	blamed := f.parts.RecordDeath(now, death)
-	hadBroken := f.suspects.HasBrokenAttempt(endpoint.ID)
+	incarnation := qfsuspect.IdentifyIncarnation(endpoint)
+	hadBroken := f.suspects.HasBrokenAttempt(incarnation)
 	if hadBroken {
-		f.suspects.RecordDeath(now, qfsuspect.Death{Endpoint: endpoint.ID, AvailabilityZone: endpoint.AvailabilityZone})
+		f.suspects.RecordDeath(now, qfsuspect.Death{Endpoint: incarnation, AvailabilityZone: endpoint.AvailabilityZone})
 	}
 	if len(blamed) > 0 {
 		f.entry.pushUrgent()
--- a/internal/qf/coordination/qfsuspect/check.go
+++ b/internal/qf/coordination/qfsuspect/check.go
@@ -59,12 +59,12 @@
 	v := Verdict{
 		Treatment:  TreatIsolated,
 		Reason:     qf.Reason{Rule: "EndpointsDied", Figures: []qf.Figure{{Name: "Deaths", Value: float64(deaths)}}},
-		RetryAfter: s.config.ExpireAfter - now.Sub(u.updatedAt),
+		RetryAfter: s.expiry(u) - now.Sub(u.updatedAt),
 	}
 	switch {
 	case deaths == 0:
 		return Verdict{Treatment: TreatNormally}
-	case deaths >= s.config.MaxDeaths:
+	case deaths >= s.maxDeaths(u):
 		v.Treatment = TreatRefused
 	}
 	return v
@@ -113,9 +113,10 @@
 	for _, f := range s.suspects.Keys() {
 		u, _ := s.suspects.Peek(f)
 		age := now.Sub(u.updatedAt)
-		if age <= s.config.ExpireAfter {
+		if age <= s.expiry(u) {
 			suspicions = append(suspicions, qf.Suspicion{
 				Fingerprint: f, Deaths: slices.Clone(u.deaths), Cleared: slices.Clone(u.cleared), Age: age,
+				Expired: slices.Clone(u.expired), Relapses: u.relapses,
 			})
 		}
 	}
@@ -126,7 +127,7 @@
 // that a suspicion expires although nodes keep sending it to each other.
 func (s *Tracker) MergeSuspicions(now time.Time, suspicions []qf.Suspicion) {
 	for _, n := range suspicions {
-		if n.Age > s.config.ExpireAfter {
+		if n.Age > s.expiry(&suspect{relapses: n.Relapses}) {
 			continue
 		}
 		u, ok := s.suspects.Peek(n.Fingerprint)
@@ -139,6 +140,8 @@
 		}
 		u.deaths = union(u.deaths, n.Deaths)
 		u.cleared = union(u.cleared, n.Cleared)
+		u.expired = union(u.expired, n.Expired)
+		u.relapses = max(u.relapses, n.Relapses)
 	}
 }
 
--- a/internal/qf/coordination/qfsuspect/parts.go
+++ b/internal/qf/coordination/qfsuspect/parts.go
@@ -57,6 +57,14 @@
 	return qf.DeathID(sum >> halfBits)
 }
 
+// IdentifyIncarnation returns a name for one incarnation of an endpoint, under which a Tracker counts its death.
+func IdentifyIncarnation(endpoint *qf.Endpoint) qf.EndpointID {
+	if endpoint.Incarnation == 0 {
+		return endpoint.ID
+	}
+	return endpoint.ID + "@" + qf.EndpointID(strconv.FormatUint(uint64(endpoint.Incarnation), 10))
+}
+
 // brokenParts holds the parts of an attempt that ended without its answer.
 type brokenParts struct {
 	parts []uint64
--- a/internal/qf/coordination/qfsuspect/suspects.go
+++ b/internal/qf/coordination/qfsuspect/suspects.go
@@ -24,17 +24,25 @@
 	// endpoint for which the attempt counts as a possible cause.
 	breakWindow = 10 * time.Second
 	// waveWindow is the time within which deaths in one availability zone that have no
-	// request in common are taken for a wave of reclaims.
+	// request in common may be a wave of reclaims.
 	waveWindow = 2 * time.Second
+	// expiryBackoff and maxExpiry bound how long a request is refused that crashes endpoints again
+	// after its suspicion has expired.
+	expiryBackoff = 4
+	maxExpiry     = time.Hour
 	// maxSuspects and maxBrokenAttempts bound the memory; the oldest are dropped first.
 	maxSuspects       = 2048
 	maxBrokenAttempts = 2048
 )
 
-// suspect holds what is recorded for one fingerprint. Both lists only grow.
+// suspect holds what is recorded for one fingerprint. The lists only grow.
 type suspect struct {
 	deaths, cleared []qf.EndpointID
-	updatedAt       time.Time
+	// expired holds the deaths for which the request was refused until the suspicion expired, and
+	// relapses counts how often that was.
+	expired   []qf.EndpointID
+	relapses  int
+	updatedAt time.Time
 }
 
 // brokenAttempt is an attempt whose connection broke and which may have killed its
@@ -140,49 +148,93 @@
 	}
 }
 
-// isInWave reports whether a death is close to others in its availability zone that
-// have no request in common, which means that the zone is being reclaimed. A request
-// that was retried within the zone may be common to some of them, but not to all.
-func (s *Tracker) isInWave(d *blamedDeath) bool {
+// findWave returns the deaths that are close to a death in its availability zone, this one
+// included, if they have no request in common, and nil otherwise. The zone may be being reclaimed,
+// or several requests crash endpoints at the same time. A request that was retried within the
+// zone may be common to some of them, but not to all.
+func (s *Tracker) findWave(d *blamedDeath) []*blamedDeath {
 	var near []*blamedDeath
 	for _, other := range s.deaths {
 		if other.AvailabilityZone == d.AvailabilityZone && other.at.Sub(d.at).Abs() <= waveWindow {
 			near = append(near, other)
 		}
 	}
-	return len(near) > 1 && !haveCommon(near)
+	if len(near) < 2 || haveCommon(near) {
+		return nil
+	}
+	return near
+}
+
+// isReclaim reports whether a wave is one of reclaims for certain: no request was in progress at
+// some of its deaths.
+func isReclaim(wave []*blamedDeath) bool {
+	return slices.ContainsFunc(wave, func(d *blamedDeath) bool { return len(d.blamed) == 0 })
 }
 
-// settleWaves dismisses the deaths that certainly belong to a wave. Until waveWindow
-// has passed, a broken attempt may still be recorded for them.
+// settleWaves dismisses the deaths that belong to a wave of reclaims. In any other wave each
+// request is blamed for one death only, because it may have been in progress there by chance.
+// Until waveWindow has passed, a broken attempt may still be recorded for them.
 func (s *Tracker) settleWaves(now time.Time) {
 	for _, d := range s.deaths {
 		if d.settled || now.Sub(d.at) <= waveWindow {
 			continue
 		}
 		d.settled = true
-		if s.isInWave(d) {
+		switch wave := s.findWave(d); {
+		case wave == nil:
+		case isReclaim(wave):
 			s.dismiss(d)
+		default:
+			s.excuse(d, wave)
 		}
 	}
 	s.deaths = slices.DeleteFunc(s.deaths, func(d *blamedDeath) bool { return now.Sub(d.at) > breakWindow })
 }
 
-// countedDeaths returns the deaths that count against a suspect: those that aren't
-// cleared and don't seem to belong to a wave.
+// excuse clears the requests of the blame for a death that are also blamed for another death of
+// its wave.
+func (s *Tracker) excuse(d *blamedDeath, wave []*blamedDeath) {
+	for _, f := range d.blamed {
+		u, ok := s.suspects.Peek(f)
+		isBlamedForOther := ok && slices.ContainsFunc(wave, func(other *blamedDeath) bool {
+			return other != d && slices.Contains(other.blamed, f) && !slices.Contains(u.cleared, other.Endpoint)
+		})
+		if isBlamedForOther && !slices.Contains(u.cleared, d.Endpoint) {
+			u.cleared = append(u.cleared, d.Endpoint)
+		}
+	}
+}
+
+// countedDeaths returns the deaths that count against a suspect: those that aren't cleared or
+// expired, and of a wave that isn't settled yet none if it is one of reclaims, and one otherwise.
 func (s *Tracker) countedDeaths(u *suspect) []qf.EndpointID {
 	var counted []qf.EndpointID
+	hasWave := map[qf.AvailabilityZone]bool{}
 	for _, e := range u.deaths {
-		seemsDismissed := slices.ContainsFunc(s.deaths, func(d *blamedDeath) bool {
-			return d.Endpoint == e && !d.settled && s.isInWave(d)
-		})
-		if !seemsDismissed && !slices.Contains(u.cleared, e) {
-			counted = append(counted, e)
+		if slices.Contains(u.cleared, e) || slices.Contains(u.expired, e) {
+			continue
 		}
+		if wave := s.findUnsettledWave(e); wave != nil {
+			zone := wave[0].AvailabilityZone
+			if isReclaim(wave) || hasWave[zone] {
+				continue
+			}
+			hasWave[zone] = true
+		}
+		counted = append(counted, e)
 	}
 	return counted
 }
 
+// findUnsettledWave returns the wave to which a death seems to belong, or nil.
+func (s *Tracker) findUnsettledWave(endpoint qf.EndpointID) []*blamedDeath {
+	i := slices.IndexFunc(s.deaths, func(d *blamedDeath) bool { return d.Endpoint == endpoint })
+	if i < 0 || s.deaths[i].settled {
+		return nil
+	}
+	return s.findWave(s.deaths[i])
+}
+
 // haveCommon reports whether one fingerprint is blamed for all the deaths.
 func haveCommon(deaths []*blamedDeath) bool {
 	return slices.ContainsFunc(deaths[0].blamed, func(f uint64) bool {
@@ -220,20 +272,46 @@
 	}
 	counted := s.countedDeaths(u)
 	u.cleared = append(u.cleared, counted...)
+	u.relapses = 0
 	u.updatedAt = now
 	return len(counted) > 0
 }
 
-// lookUp returns the suspect, or nil if there is none or it expired.
+// lookUp returns the suspect, or nil if there is none or it expired. One that was refused until
+// then stays: it is refused again, for longer, after one more death.
 func (s *Tracker) lookUp(now time.Time, fingerprint uint64) *suspect {
 	s.settleWaves(now)
 	u, ok := s.suspects.Get(fingerprint)
 	if !ok {
 		return nil
 	}
-	if now.Sub(u.updatedAt) > s.config.ExpireAfter {
-		s.suspects.Remove(fingerprint)
-		return nil
+	if age := now.Sub(u.updatedAt); age > s.expiry(u) {
+		counted := s.countedDeaths(u)
+		switch {
+		case len(counted) >= s.maxDeaths(u):
+			u.expired = append(u.expired, counted...)
+			u.relapses++
+		case u.relapses == 0 || age > maxExpiry:
+			s.suspects.Remove(fingerprint)
+			return nil
+		}
 	}
 	return u
 }
+
+// expiry returns how long the suspicion of a request lasts after its last update.
+func (s *Tracker) expiry(u *suspect) time.Duration {
+	expiry := s.config.ExpireAfter
+	for range u.relapses {
+		expiry = min(expiry*expiryBackoff, max(maxExpiry, s.config.ExpireAfter))
+	}
+	return expiry
+}
+
+// maxDeaths returns the number of deaths from which a request is refused.
+func (s *Tracker) maxDeaths(u *suspect) int {
+	if u.relapses > 0 {
+		return 1
+	}
+	return s.config.MaxDeaths
+}
--- a/internal/qf/coordination/qfsuspect/suspects_test.go
+++ b/internal/qf/coordination/qfsuspect/suspects_test.go
@@ -48,6 +48,21 @@
 	return step{do: func(s *Tracker, now time.Time) { s.MergeSuspicions(now, []qf.Suspicion{suspicion}) }}
 }
 
+// refused is the deaths of three endpoints by request 1, which is refused then.
+func refused() step {
+	return step{do: func(s *Tracker, now time.Time) {
+		for _, endpoint := range []qf.EndpointID{"e", "f", "g"} {
+			breaks(endpoint, 1).do(s, now)
+			dies(endpoint, "z").do(s, now)
+		}
+	}}
+}
+
+// checked is the arrival of request 1.
+func checked() step {
+	return step{do: func(s *Tracker, now time.Time) { s.CheckRequest(now, 1) }}
+}
+
 func later(after time.Duration, s step) step {
 	s.after = after
 	return s
@@ -74,9 +89,29 @@
 		{"three deaths", []step{breaks("e", 1), dies("e", "z"), breaks("f", 1), dies("f", "z"), breaks("g", 1), dies("g", "y")}, TreatRefused, 3},
 		{"an announced end", []step{breaks("e", 1), announced("e"), dies("e", "z")}, TreatNormally, 0},
 		{"an end announced late", []step{breaks("e", 1), dies("e", "z"), announced("e")}, TreatNormally, 0},
-		{"a wave", []step{breaks("e", 1), breaks("f", 2), dies("e", "z"), dies("f", "z")}, TreatNormally, 0},
-		{"a wave whose last death breaks request 1", []step{breaks("e", 2), dies("e", "z"), breaks("f", 1), dies("f", "z")}, TreatNormally, 0},
-		{"a wave with a retry in the same zone", []step{breaks("e", 1, 2), dies("e", "z"), breaks("f", 1), dies("f", "z"), breaks("g", 2), dies("g", "z")}, TreatNormally, 0},
+		{"a wave", []step{breaks("e", 1), breaks("f", 2), dies("e", "z"), dies("f", "z")}, TreatIsolated, 1},
+		{"a wave whose last death breaks request 1", []step{breaks("e", 2), dies("e", "z"), breaks("f", 1), dies("f", "z")}, TreatIsolated, 1},
+		{"a wave with a retry in the same zone", []step{breaks("e", 1, 2), dies("e", "z"), breaks("f", 1), dies("f", "z"), breaks("g", 2), dies("g", "z")}, TreatIsolated, 1},
+		{"a wave with a retry in the same zone, settled", []step{breaks("e", 1, 2), dies("e", "z"), breaks("f", 1), dies("f", "z"), breaks("g", 2), dies("g", "z"), later(5*time.Second, breaks("h", 3))}, TreatIsolated, 1},
+		{"a wave after which request 1 is answered", []step{breaks("e", 1), breaks("f", 2), dies("e", "z"), dies("f", "z"), later(5*time.Second, answered(1))}, TreatNormally, 0},
+		{"two requests that crash endpoints in the same zone, twice", []step{
+			breaks("e", 1), dies("e", "z"), breaks("f", 2), dies("f", "z"), later(6*time.Second, breaks("g", 1)), dies("g", "z"), breaks("h", 2), dies("h", "z"),
+		}, TreatIsolated, 2},
+		{"two requests that crash endpoints in the same zone, three times", []step{
+			breaks("e", 1), dies("e", "z"), breaks("f", 2), dies("f", "z"), later(6*time.Second, breaks("g", 1)), dies("g", "z"), breaks("h", 2), dies("h", "z"),
+			later(6*time.Second, breaks("i", 1)), dies("i", "z"), breaks("j", 2), dies("j", "z"),
+		}, TreatRefused, 3},
+		{"refused until it expired", []step{refused(), later(11*time.Minute, breaks("h", 3))}, TreatNormally, 0},
+		{"another death after it was refused until it expired", []step{refused(), later(11*time.Minute, breaks("h", 1)), checked(), dies("h", "z")}, TreatRefused, 1},
+		{"refused again, until the first expiry has passed", []step{
+			refused(), later(11*time.Minute, breaks("h", 1)), checked(), dies("h", "z"), later(11*time.Minute, breaks("i", 3)),
+		}, TreatRefused, 1},
+		{"refused again, until its longer expiry has passed", []step{
+			refused(), later(11*time.Minute, breaks("h", 1)), checked(), dies("h", "z"), later(41*time.Minute, breaks("i", 3)),
+		}, TreatNormally, 0},
+		{"answered after it was refused until it expired", []step{
+			refused(), later(11*time.Minute, breaks("h", 3)), checked(), answered(1), later(time.Minute, breaks("h", 1)), dies("h", "z"),
+		}, TreatIsolated, 1},
 		{"retries in one zone that all kill", []step{breaks("e", 1, 2), dies("e", "z"), breaks("f", 1, 3), dies("f", "z"), breaks("g", 1), dies("g", "z")}, TreatRefused, 3},
 		{"a death seen before the break, after another", []step{breaks("e", 1), dies("e", "z"), dies("f", "z"), breaks("f", 1), dies("f", "z")}, TreatIsolated, 2},
 		{"a wave long ago", []step{breaks("e", 1), dies("e", "z"), dies("f", "z"), later(time.Minute, answered(2))}, TreatNormally, 0},
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -95,6 +95,10 @@
 	Cleared []EndpointID
 	// Age is the time since the fingerprint's latest change.
 	Age time.Duration
+	// Expired lists those of the deaths for which the request was refused until the suspicion
+	// expired, Relapses counts how often that was.
+	Expired  []EndpointID
+	Relapses int
 }
 
 // DeathID identifies the end of one incarnation of an endpoint.
