entry: every node rolls a bad version back by what it knows

Only the holder stepped plans, and a plan older than the order was ignored. Change: each node rolls back a version that looks bad twice in a row by the counts that it knows, and tells peers; the holder stores and reports it. An end of a rollout replaces the plans that lead there. Until an order has a plan the last plan's version is used.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -218,6 +218,7 @@
 	e.background.Go(func() { e.registerLoop(loops) })
 	e.background.Go(func() { e.loadRefusedParts(loops) })
 	e.background.Go(func() { e.duties.run(loops) })
+	e.background.Go(func() { e.rollBackLoop(loops) })
 	e.background.Go(func() { e.runEvery(loops, monitorInterval, e.monitor.step) })
 	e.background.Go(func() { e.storeEra.run(loops) })
 	e.background.Go(func() { e.runEvery(loops, droppedLogInterval, e.logDropped) })
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -24,11 +24,12 @@
 	reported map[qf.EntryName]qf.RolloutPlan
 }
 
-// planRow is the version of the row of a plan, and the store's era in which it was read. The
+// planRow is the row of a plan: its version, and the store's era in which it was read. The
 // version is 0 if there is no row.
 type planRow struct {
 	version uint64
 	era     qf.StoreEra
+	plan    qf.RolloutPlan
 }
 
 func newRolloutDriver(e *Entry) *rolloutDriver {
@@ -50,6 +51,11 @@
 		return err
 	}
 	plan, input := e.picker.rolloutInput(e.now(), e.fleetClock.fleetTime(e.now()), order)
+	if stored := r.rows[order.Entry]; plan != nil && qfrollout.ReplacesTimed(plan, &stored.plan) {
+		if err := r.storePlan(ctx, plan); err != nil { // Another node has rolled the version back.
+			return err
+		}
+	}
 	if next := qfrollout.StepTimed(plan, input); next != nil {
 		if next.Phase == qf.RolloutRolledBack {
 			e.applyRolloutPlan(next) // A rollback takes effect before it is stored.
@@ -82,9 +88,9 @@
 		}
 		r.entry.applyRolloutPlan(&stored)
 	}
-	r.rows[entry] = planRow{version: row.Version, era: row.Era}
+	r.rows[entry] = planRow{version: row.Version, era: row.Era, plan: stored}
 	inForce := r.entry.picker.rolloutPlan(entry)
-	if inForce == nil || !isAbsent && !inForce.IsNewerThan(&stored) {
+	if inForce == nil || !isAbsent && !qfrollout.ReplacesTimed(inForce, &stored) {
 		return nil
 	}
 	qfevent.RowRewritten.Log(&r.entry.platform.Logger, key, row.Era)
@@ -107,7 +113,7 @@
 		delete(r.rows, plan.Entry) // It is read again: another holder or this write may have changed it.
 		return result.Err
 	}
-	r.rows[plan.Entry] = planRow{version: known.version + 1, era: result.Value.Era}
+	r.rows[plan.Entry] = planRow{version: known.version + 1, era: result.Value.Era, plan: *plan}
 	return nil
 }
 
@@ -149,6 +155,39 @@
 	}
 }
 
+// rollbackInterval is the time between two looks of a node at the versions under judgement. A version is rolled back that
+// looks bad twice in a row, so that counts which arrive in parts don't decide.
+const rollbackInterval = 200 * time.Millisecond
+
+// rollBackLoop rolls back versions that look bad to this node until the context ends.
+func (e *Entry) rollBackLoop(ctx context.Context) {
+	suspected := map[qf.EntryName]uint64{}
+	e.runEvery(ctx, rollbackInterval, func(context.Context) { e.rollBackBadVersions(suspected) })
+}
+
+// rollBackBadVersions rolls back the versions that look bad to this node, because the holder of the lease may be lost.
+// suspected holds the rollouts whose version looked bad the last time.
+func (e *Entry) rollBackBadVersions(suspected map[qf.EntryName]uint64) {
+	now := e.now()
+	for _, order := range e.picker.rolloutOrders() {
+		plan, input := e.picker.rolloutInput(now, e.fleetClock.fleetTime(now), order)
+		if plan == nil || plan.Generation != order.Stamp {
+			continue
+		}
+		next := qfrollout.RollBackTimed(plan, input)
+		if next == nil {
+			delete(suspected, order.Entry)
+			continue
+		}
+		wasSuspected := suspected[order.Entry] == plan.Generation
+		suspected[order.Entry] = plan.Generation
+		if wasSuspected {
+			e.applyRolloutPlan(next)
+			e.pushUrgent()
+		}
+	}
+}
+
 // rolloutOrders returns the operator's rollout orders.
 func (p *endpointPicker) rolloutOrders() []qf.RolloutOrder {
 	p.mu.Lock()
--- a/internal/entry/versionselector.go
+++ b/internal/entry/versionselector.go
@@ -57,7 +57,7 @@
 // applyPlan puts a plan in force if it is newer, and reports whether it was.
 func (v *versionSelector) applyPlan(plan *qf.RolloutPlan) bool {
 	known := v.plans[plan.Entry]
-	if known != nil && !plan.IsNewerThan(known) {
+	if known != nil && !qfrollout.ReplacesTimed(plan, known) {
 		return false
 	}
 	if known == nil || known.Generation != plan.Generation {
@@ -88,17 +88,25 @@
 // another one. It is empty if none is known.
 func (v *versionSelector) servingVersion(entry qf.EntryName) qf.Version {
 	plan, order := v.plans[entry], v.orders[entry]
-	switch {
-	case plan == nil || plan.Generation < order.Stamp:
-		if majority := v.majorityVersion(entry, order.To); majority != "" {
-			return majority
+	if plan != nil && plan.Generation >= order.Stamp {
+		return qfrollout.FallbackVersion(plan)
+	}
+	if version := v.versionBeforeOrder(entry); version != "" {
+		return version
+	}
+	return order.To
+}
+
+// versionBeforeOrder returns the version to use until there is a plan for the newest order: that to which the last plan
+// has led, whose other version may have been taken back, or else the one that most endpoints run. It is empty if only
+// the ordered version has endpoints.
+func (v *versionSelector) versionBeforeOrder(entry qf.EntryName) qf.Version {
+	if plan := v.plans[entry]; plan != nil {
+		if version := qfrollout.FallbackVersion(plan); v.endpointCounts[entry][version] > 0 {
+			return version
 		}
-		return order.To
-	case plan.Phase == qf.RolloutDone:
-		return plan.To
-	default:
-		return plan.From
 	}
+	return v.majorityVersion(entry, v.orders[entry].To)
 }
 
 // chooseVersion returns the version to use, or an empty one if any will do. A version without
@@ -109,10 +117,7 @@
 	}
 	plan, order := v.plans[entry], v.orders[entry]
 	if plan == nil || plan.Generation < order.Stamp {
-		if majority := v.majorityVersion(entry, order.To); majority != "" {
-			return majority
-		}
-		return ""
+		return v.versionBeforeOrder(entry)
 	}
 	chosen, other := plan.From, plan.To
 	if plan.Phase == qf.RolloutDone || plan.Phase != qf.RolloutRolledBack && random.Float64() < plan.RestShare {
--- a/internal/qf/coordination/qfrollout/chooser.go
+++ b/internal/qf/coordination/qfrollout/chooser.go
@@ -206,7 +206,7 @@
 	if e.plan.IsActive() {
 		e.evidence.add(&o, e.reference, o.Version == e.plan.To, e.plan.Baseline, c.random)
 	}
-	if o.Version == fallbackVersion(e.plan) {
+	if o.Version == FallbackVersion(e.plan) {
 		e.reference.add(&o)
 	}
 }
--- a/internal/qf/coordination/qfrollout/spec.go
+++ b/internal/qf/coordination/qfrollout/spec.go
@@ -16,9 +16,9 @@
 	Least time.Duration
 }
 
-// fallbackVersion returns the last good version, which traffic goes back to if a
+// FallbackVersion returns the last good version, which traffic goes back to if a
 // rollout is rolled back.
-func fallbackVersion(plan *qf.RolloutPlan) qf.Version {
+func FallbackVersion(plan *qf.RolloutPlan) qf.Version {
 	if plan.Phase == qf.RolloutDone {
 		return plan.To
 	}
@@ -72,9 +72,9 @@
 		return changeNone
 	case spec.Target == plan.To && plan.Phase == qf.RolloutRolledBack:
 		return changeNone // It was bad; requesting it again changes nothing.
-	case spec.Target == fallbackVersion(plan) && plan.Phase == qf.RolloutDone:
+	case spec.Target == FallbackVersion(plan) && plan.Phase == qf.RolloutDone:
 		return changeNone
-	case spec.Target == fallbackVersion(plan):
+	case spec.Target == FallbackVersion(plan):
 		return changeRollBack
 	default:
 		return changeStart
@@ -96,7 +96,7 @@
 	}
 	fresh := &qf.RolloutPlan{
 		Entry: spec.Entry, Revision: spec.Revision, Generation: plan.Generation + 1, Step: 1,
-		From: fallbackVersion(plan), To: spec.Target, Phase: qf.RolloutDone, RestShare: 1,
+		From: FallbackVersion(plan), To: spec.Target, Phase: qf.RolloutDone, RestShare: 1,
 	}
 	switch change {
 	case changeFirst:
--- a/internal/qf/coordination/qfrollout/timed.go
+++ b/internal/qf/coordination/qfrollout/timed.go
@@ -93,6 +93,40 @@
 	}
 }
 
+// RollBackTimed returns the plan with which a node that doesn't hold the lease rolls a bad version back by the counts
+// that it knows, or nil if nothing shows that the version is bad.
+func RollBackTimed(plan *qf.RolloutPlan, input *TimedInput) *qf.RolloutPlan {
+	if plan == nil || plan.Phase != qf.RolloutRamping && plan.Phase != qf.RolloutWatching {
+		return nil
+	}
+	if reason := findBadReason(input); reason != "" {
+		return withPhase(plan, qf.RolloutRolledBack, 0, reason)
+	}
+	return nil
+}
+
+// ReplacesTimed reports whether a plan of a timed rollout replaces another one of its entry. Within a rollout its end
+// replaces every plan that leads there, because any node may roll a version back while the holder of the lease takes
+// another step. If both ends were reached, the rollout is done: the old version may be gone.
+func ReplacesTimed(plan, other *qf.RolloutPlan) bool {
+	if plan.Generation != other.Generation || finality(plan) == finality(other) {
+		return plan.IsNewerThan(other)
+	}
+	return finality(plan) > finality(other)
+}
+
+// finality ranks the ends of a rollout above the plans that lead there.
+func finality(plan *qf.RolloutPlan) int {
+	switch plan.Phase {
+	case qf.RolloutDone:
+		return 2
+	case qf.RolloutRolledBack:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // hasPassed reports whether enough requests were judged and none of the routes looks bad.
 func hasPassed(input *TimedInput) bool {
 	all := &input.New[0]
@@ -135,7 +169,7 @@
 		MoveBy: input.Now.Add(time.Duration(float64(input.Order.Within) * settlePart)), Reason: "the operator asks for it",
 	}
 	if plan != nil {
-		next.From = fallbackVersion(plan)
+		next.From = FallbackVersion(plan)
 	}
 	if next.From == next.To || next.From == "" {
 		next.Phase, next.RestShare, next.Reason = qf.RolloutDone, 1, "the version is in use already"
