qflimit: set aside the share of nodes that aren't heard

Each side spent the whole level of the bucket, and after six seconds, when silent nodes count as dead, the whole rate. Change: 0.9 s after its last tally a node's even share of the level, and what it may have used before, is set aside and counted in the window; it comes back with the node unless its use isn't known. Nodes that go silent without notice keep their share of quotas for 30 s.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -51,11 +51,12 @@
 	c.usage.CountRequest(c.clock.fleetTime(now), organisation)
 }
 
-// setNodes sets the number of nodes that share the quotas and the retry budgets.
-func (c *admissionController) setNodes(nodes int) {
+// setNodes sets the number of nodes that share the quotas and the retry budgets. Lost nodes may be cut off and go on
+// spending quotas.
+func (c *admissionController) setNodes(nodes, lost int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.quotas.SetNodes(nodes)
+	c.quotas.SetNodes(nodes + lost)
 	c.retries.SetNodes(nodes)
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -54,7 +54,7 @@
 		e.updateMembers(now)
 	}
 	if e.hasNodes.Load() || now.Sub(e.startedAt) > nodeListFallback {
-		e.admission.setNodes(relays.Nodes)
+		e.admission.setNodes(relays.Nodes, relays.Lost)
 	}
 	if relays.Nodes == 1 {
 		e.exchangeWithSeeds(ctx)
--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -11,6 +11,9 @@
 	// quotaSilentAfter is the age of a node's last tally from which its even share of
 	// each quota is reserved for it.
 	quotaSilentAfter = 1500 * time.Millisecond
+	// quotaUnheardAfter is the age of a node's last tally from which its even share of what a bucket
+	// holds is set aside for it: it may be cut off from this node and spend the same units.
+	quotaUnheardAfter = 900 * time.Millisecond
 	// firstLevel is the part of its even share of a burst that a node starts with, because
 	// the burst may have been spent before a restart.
 	firstLevel = 0.2
@@ -81,6 +84,10 @@
 	unreported slidingSum
 	// lately is this node's use in the last recentPeriod.
 	lately slidingSum
+	// reserve is what is set aside for nodes that this one doesn't hear, unheardOf this node's use in the time until
+	// another node counts as unheard, in which the other may have used as much.
+	reserve   reserve
+	unheardOf slidingSum
 }
 
 // addUse counts units that this node or another one used.
@@ -99,6 +106,14 @@
 	}
 }
 
+// forfeitReserve gives up what is set aside if a node has returned whose use meanwhile isn't known. It does nothing for
+// an organisation without a quota.
+func (b *quota) forfeitReserve(wasUnheard bool) {
+	if b != nil && wasUnheard {
+		b.reserve.units = 0
+	}
+}
+
 // resetWindow begins to count the use of a window anew.
 func (b *quota) resetWindow(window time.Duration) {
 	b.recent, b.unreported = slidingSum{window: window}, slidingSum{window: tallyDelay}
@@ -132,7 +147,7 @@
 		}
 		b := known[o.Organisation]
 		if b == nil {
-			b = &quota{lately: slidingSum{window: recentPeriod}, level: o.Burst * firstLevel / float64(q.nodes), at: now, filledTo: now}
+			b = &quota{lately: slidingSum{window: recentPeriod}, unheardOf: slidingSum{window: quotaUnheardAfter}, level: o.Burst * firstLevel / float64(q.nodes), at: now, filledTo: now}
 		}
 		q.fill(now, b)
 		if b.rate != o.UnitsPerSecond || b.burst != max(o.Burst, o.UnitsPerSecond) {
@@ -169,13 +184,24 @@
 	return count
 }
 
+// unheardPart returns the part of the nodes whose last tally is old, or that have never sent one.
+func (q *Quotas) unheardPart(now time.Time) float64 {
+	heard := 1
+	for _, s := range q.sources {
+		if now.Sub(s.reportedAt) <= quotaUnheardAfter {
+			heard += s.Covers
+		}
+	}
+	return max(1-float64(heard)/float64(q.nodes), 0)
+}
+
 // windowLeft returns what may still be used in the present window.
 func (q *Quotas) windowLeft(now time.Time, b *quota) float64 {
 	if q.window <= 0 {
 		return math.Inf(1)
 	}
 	unreported := float64(q.nodes-1) * b.unreported.sum(now)
-	return b.rate*q.window.Seconds() + b.burst - b.recent.sum(now) - unreported
+	return b.rate*q.window.Seconds() + b.burst - b.recent.sum(now) - unreported - b.reserve.mostUsed(now, b.rate, q.window)
 }
 
 // unreportedShare is the part of the others' use in the time that a tally takes which isn't known yet,
@@ -193,8 +219,9 @@
 
 func (q *Quotas) fill(now time.Time, b *quota) {
 	fillRate := b.rate * q.reportedPart(now)
+	b.level += b.reserve.update(now, b.level, q.unheardPart(now), float64(q.nodes)*b.unheardOf.sum(now))
 	if until := q.fillsUntil(now); until.After(b.filledTo) {
-		b.level = min(b.level+until.Sub(b.filledTo).Seconds()*fillRate, b.burst)
+		b.level = min(b.level+until.Sub(b.filledTo).Seconds()*fillRate, b.burst*(1-b.reserve.part))
 		b.filledTo = until
 	}
 	elapsed := now.Sub(b.at).Seconds()
@@ -252,6 +279,7 @@
 	b.own += units
 	b.unreported.add(now, units)
 	b.lately.add(now, units)
+	b.unheardOf.add(now, units)
 	b.addUse(now, units)
 	return qf.QuotaDecision{IsAdmitted: true}
 }
@@ -297,6 +325,7 @@
 // node, and the buckets may no longer hold those units.
 func (q *Quotas) RecordTally(now time.Time, from qf.TallySource, uses []qf.QuotaUse) {
 	s := q.sources[from.Node]
+	wasUnheard := s == nil || now.Sub(s.reportedAt) > quotaUnheardAfter
 	if s == nil || s.Incarnation != from.Incarnation || s.Scope != from.Scope {
 		s = q.replaceSource(s, &from)
 		q.sources[from.Node] = s
@@ -315,6 +344,7 @@
 		s.reported[use.Organisation] = use.Units
 		if isFirstReport {
 			b.addRecent(now, use.Recent)
+			b.forfeitReserve(wasUnheard)
 			continue
 		}
 		s.counted[use.Organisation] += more
--- a/internal/qf/coordination/qflimit/window_test.go
+++ b/internal/qf/coordination/qflimit/window_test.go
@@ -1,6 +1,7 @@
 package qflimit
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -20,6 +21,8 @@
 	// incarnations holds that of each node.
 	incarnations []qf.Incarnation
 	burst        float64
+	// cut is the number of nodes, the first ones, that are cut off from the others.
+	cut int
 }
 
 func newWindowFleet(seed uint64, size int, burst float64) *windowFleet {
@@ -35,7 +38,7 @@
 	for i, from := range f.nodes {
 		from.SetNodes(len(f.nodes))
 		for j, to := range f.nodes {
-			if i != j {
+			if i != j && (i < f.cut) == (j < f.cut) {
 				to.RecordTally(f.now, qf.TallySource{Node: nodeName(i), Incarnation: f.incarnations[i], Scope: qf.TallyOwn, Covers: 1},
 					from.ReportUses(f.now, qf.TallyOwn, nodeName(j)))
 			}
@@ -193,3 +196,75 @@
 		})
 	}
 }
+
+// TestQuotaHoldsWhileNodesAreCutOff fails if both sides of a cut spend what only one of them may: some nodes don't reach the
+// others while an organisation sends many times its quota, from before, within or after the beginning of the cut.
+func TestQuotaHoldsWhileNodesAreCutOff(t *testing.T) {
+	const length = 12 * time.Second
+	plays := []struct {
+		name string
+		play func(f *windowFleet, cut int, demand float64)
+	}{
+		{"demand from before", func(f *windowFleet, cut int, demand float64) {
+			f.play(demand, 10*time.Second)
+			f.cut = cut
+			f.play(demand, length)
+		}},
+		{"demand rises after a second", func(f *windowFleet, cut int, demand float64) {
+			f.play(0.5, 10*time.Second)
+			f.cut = cut
+			f.play(0.5, time.Second)
+			f.play(demand, length)
+		}},
+		{"demand rises with the cut", func(f *windowFleet, cut int, demand float64) {
+			f.play(0.5, 10*time.Second)
+			f.cut = cut
+			f.play(demand, length)
+		}},
+		{"demand rises late", func(f *windowFleet, cut int, demand float64) {
+			f.play(0.5, 10*time.Second)
+			f.cut = cut
+			f.play(0.5, 5*time.Second)
+			f.play(demand, length)
+		}},
+		{"nodes restart within it", func(f *windowFleet, cut int, demand float64) {
+			f.play(0.5, 10*time.Second)
+			f.cut = cut
+			f.play(demand, 3*time.Second)
+			f.replace(2)
+			f.play(demand, length)
+		}},
+		{"the cut ends and begins again", func(f *windowFleet, cut int, demand float64) {
+			f.play(0.5, 10*time.Second)
+			for range 4 {
+				f.cut = cut
+				f.play(demand, 3*time.Second)
+				f.cut = 0
+				f.play(demand, 2*time.Second)
+			}
+		}},
+	}
+	for _, tt := range plays {
+		for _, cut := range []int{1, 2, 3} {
+			for _, demand := range []float64{3, 6, 10} {
+				for _, burst := range []float64{fleetBurst, 4 * fleetBurst} {
+					t.Run(fmt.Sprintf("%s, %d cut off, %.0f times the rate, burst %.0f", tt.name, cut, demand, burst), func(t *testing.T) {
+						limit := fleetRate*quotaWindow.Seconds() + burst
+						for seed := range uint64(5) {
+							f := newWindowFleet(seed+1, 6, burst)
+							tt.play(f, cut, demand)
+							f.cut = 0
+							f.play(demand, 10*time.Second)
+							if _, most := f.windows(0); most > limit*1.1+110_000 {
+								t.Errorf("seed %d: %.0f units in one window, want at most %.0f", seed+1, most, limit*1.1+110_000)
+							}
+							if least, _ := f.windows(20 * time.Second); least < 0.5*fleetRate*quotaWindow.Seconds() && tt.name == plays[0].name {
+								t.Errorf("seed %d: %.0f units in one window, want at least half of what the rate allows", seed+1, least)
+							}
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/qf/coordination/qfmember/relay.go
+++ b/internal/qf/coordination/qfmember/relay.go
@@ -24,8 +24,14 @@
 	Deputies []qf.Node
 	// Nodes is the number of nodes that aren't dead, this one included.
 	Nodes int
+	// Lost is the number of nodes that went silent without notice less than lostFor ago and count as dead: they
+	// may be cut off from this node, and go on elsewhere.
+	Lost int
 }
 
+// lostFor is how long a node that went silent may be cut off rather than gone.
+const lostFor = 30 * time.Second
+
 // IsGrouped reports whether the fleet is too large for full exchanges, so that nodes
 // exchange through relays.
 func (m *Membership) IsGrouped() bool { return m.isGrouped() }
@@ -43,6 +49,9 @@
 	for _, p := range m.peers {
 		state := m.stateOf(now, p)
 		if state == qf.NodeDead {
+			if m.isLost(now, p) {
+				r.Lost++
+			}
 			continue
 		}
 		r.Nodes++
@@ -63,3 +72,9 @@
 	slices.SortFunc(r.Others, func(a, b qf.Node) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return r
 }
+
+// isLost reports whether a dead node may be cut off from this one.
+func (m *Membership) isLost(now time.Time, p *member) bool {
+	age, _ := m.updateAge(now, p)
+	return age < lostFor && p.node.State != qf.NodeLeaving && !m.isVMDeparting(&p.node)
+}
