--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -193,6 +193,9 @@
 		{"body too large", "/file/1", strings.Repeat("x", 1001), nil, 413},
 		{"bad deadline", "/file/1", "", []string{"X-Deadline-Ms", "soon"}, 400},
 		{"bad prompt", "/talk/1", "", []string{"X-Token-Counts", "many"}, 400},
+		{"a part of more tokens than any prompt", "/talk/1", "", []string{"X-Token-Counts", tokens, "X-Prompt-Prefix", "a:400000000"}, 400},
+		{"parts of more tokens than any prompt", "/talk/1", "", []string{"X-Token-Counts", tokens, "X-Prompt-Prefix", "a:4000000,b:4000000"}, 400},
+		{"more tokens than any prompt", "/talk/1", "", []string{"X-Token-Counts", "400000000,20"}, 400},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -111,7 +111,9 @@
 	if err != nil {
 		return &qf.Error{Code: qf.CodeUnavailable, Step: qf.StepSettings, Peer: address.String(), Reason: "can't listen on the address", Cause: err}
 	}
-	split := qfrpc.Split(e.platform.Clock, listener)
+	split := qfrpc.Split(e.platform.Clock, listener, func(err error) {
+		qfevent.AcceptFailed.Log(&e.platform.Logger, address, err)
+	})
 	e.servers.peers = split
 	e.servers.running.Go(func() {
 		if err := qfrpc.Serve(split.Calls(), e); err != nil {
--- a/internal/entry/startup_test.go
+++ b/internal/entry/startup_test.go
@@ -59,6 +59,7 @@
 	}{
 		{name: "within the bound", size: 900, status: http.StatusOK},
 		{name: "beyond the bound", size: 9000, status: http.StatusRequestEntityTooLarge},
+		{name: "too large to be held", size: 2 << 20, status: http.StatusServiceUnavailable},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/qf/protocol/qfforward/startup.go
+++ b/internal/qf/protocol/qfforward/startup.go
@@ -41,7 +41,11 @@
 	if left <= 0 || startup.isReady() {
 		return nil
 	}
-	if err := c.readBody(maxHeldBodyBytes); err != nil {
+	err := c.readBody(maxHeldBodyBytes)
+	if qf.CodeOf(err) == qf.CodeTooLarge {
+		return refusal(qf.CodeUnavailable, "", "the node has no configuration yet, and the body is too large to wait for it", notReadyRetryAfter)
+	}
+	if err != nil {
 		return err
 	}
 	c.wait(left, startup.Ready)
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -74,6 +74,7 @@
 	NodeLeaving     = Event{102, info, "node is leaving", []string{FieldNode, FieldReason}, "Nothing; clients reconnect to other nodes."}
 	NodeDrained     = Event{103, info, "node drained", []string{FieldNode, FieldCount}, "Nothing; Count requests were handed over."}
 	NodeStopped     = Event{104, info, "node stopped", []string{FieldNode}, "Nothing."}
+	AcceptFailed    = Event{109, warning, "a connection could not be accepted", []string{FieldAddress, FieldError}, "Look at the number of open descriptors; the listener goes on."}
 	ServerFailed    = Event{105, failure, "a listener failed", []string{FieldAddress, FieldError}, "Check the address in the settings; the node stops."}
 	SpanEnded       = Event{151, info, "span ended", []string{FieldName, FieldTrace, FieldSpan, FieldParent, FieldTime, FieldTook, FieldDetails, FieldError}, "Nothing; follow Trace to see a request's hops over all nodes."}
 	RequestEnded    = Event{201, zerolog.DebugLevel, "request ended", []string{FieldRequest, FieldEntry, FieldOutcome}, "Nothing."}
@@ -166,6 +167,7 @@
 		NodeDrained,
 		NodeStopped,
 		ServerFailed,
+		AcceptFailed,
 		SpanEnded,
 		RequestEnded,
 		RequestRefused,
--- a/internal/qf/transport/qfexchange/connection.go
+++ b/internal/qf/transport/qfexchange/connection.go
@@ -215,6 +215,12 @@
 	return nil, qf.ResponseInfo{}, errors.New("received too many interim responses or responses to other requests")
 }
 
+// maxKeepAlive bounds how long an idle connection is kept, whatever the endpoint allows.
+const (
+	maxKeepAlive        = 10 * time.Minute
+	maxKeepAliveSeconds = int(maxKeepAlive / time.Second)
+)
+
 // keepAliveTimeout returns how long to keep an idle connection, from the endpoint's
 // Keep-Alive header.
 func keepAliveTimeout(header http.Header) time.Duration {
@@ -223,8 +229,8 @@
 		if !ok {
 			continue
 		}
-		if n, err := strconv.Atoi(text); err == nil {
-			return time.Duration(n)*time.Second - keepAliveMargin
+		if n, err := strconv.Atoi(text); err == nil && n >= 0 {
+			return time.Duration(min(n, maxKeepAliveSeconds))*time.Second - keepAliveMargin
 		}
 	}
 	return defaultKeepAlive
--- a/internal/qf/transport/qfexchange/exchange_test.go
+++ b/internal/qf/transport/qfexchange/exchange_test.go
@@ -141,3 +141,27 @@
 	}
 	<-cancelled
 }
+
+// TestKeepAliveIsBounded fails if an idle connection is kept for a time that no endpoint can mean.
+func TestKeepAliveIsBounded(t *testing.T) {
+	tests := []struct {
+		text string
+		want time.Duration
+	}{
+		{"timeout=5", 4500 * time.Millisecond},
+		{"timeout=5, max=100", 4500 * time.Millisecond},
+		{"timeout=0", -500 * time.Millisecond},
+		{"timeout=-9223372036854775808", defaultKeepAlive},
+		{"timeout=9223372036854775807", maxKeepAlive - keepAliveMargin},
+		{"timeout=99999999999999999999", defaultKeepAlive},
+		{"timeout=x", defaultKeepAlive},
+		{"", defaultKeepAlive},
+	}
+	for _, tt := range tests {
+		t.Run(tt.text, func(t *testing.T) {
+			if got := keepAliveTimeout(http.Header{"Keep-Alive": {tt.text}}); got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/qf/transport/qfrpc/split.go
+++ b/internal/qf/transport/qfrpc/split.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -19,19 +20,27 @@
 	forwardPreface = 0
 	// prefaceTimeout bounds how long a new connection may take to send its first byte.
 	prefaceTimeout = 10 * time.Second
+	// minAcceptDelay and maxAcceptDelay bound the delay after a connection couldn't be accepted, for lack of
+	// descriptors for example.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
 )
 
 // SplitListener accepts connections of net/rpc and of forwarded requests on one address.
 type SplitListener struct {
 	clock    qf.Clock
 	listener net.Listener
+	// observe is called with each error of the listener after which it goes on.
+	observe  func(error)
+	isClosed atomic.Bool
 	calls    *splitQueue
 	forwards *splitQueue
 }
 
-// Split returns a listener whose connections are told apart by their first byte.
-func Split(clock qf.Clock, listener net.Listener) *SplitListener {
-	s := &SplitListener{clock: clock, listener: listener, calls: newSplitQueue(listener.Addr()), forwards: newSplitQueue(listener.Addr())}
+// Split returns a listener whose connections are told apart by their first byte. It goes on after errors that may pass,
+// and calls observe with them.
+func Split(clock qf.Clock, listener net.Listener, observe func(error)) *SplitListener {
+	s := &SplitListener{clock: clock, listener: listener, observe: observe, calls: newSplitQueue(listener.Addr()), forwards: newSplitQueue(listener.Addr())}
 	go s.run()
 	return s
 }
@@ -44,17 +53,28 @@
 func (s *SplitListener) Forwards() net.Listener { return s.forwards }
 
 // Close closes the address.
-func (s *SplitListener) Close() error { return s.listener.Close() }
+func (s *SplitListener) Close() error {
+	s.isClosed.Store(true)
+	return s.listener.Close()
+}
 
 func (s *SplitListener) run() {
+	delay := minAcceptDelay
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			delay = minAcceptDelay
+			go s.route(conn)
+		case s.isClosed.Load() || errors.Is(err, net.ErrClosed):
 			s.calls.fail(err)
 			s.forwards.fail(err)
 			return
+		default:
+			s.observe(err)
+			<-s.clock.After(delay).C()
+			delay = min(2*delay, maxAcceptDelay)
 		}
-		go s.route(conn)
 	}
 }
 
--- a/internal/qf/transport/qfrpc/split_test.go
+++ b/internal/qf/transport/qfrpc/split_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -24,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	split := Split(qftimer.NewWall(), listener)
+	split := Split(qftimer.NewWall(), listener, func(err error) { t.Error(err) })
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "forwarded")
 	})}
@@ -110,3 +112,47 @@
 		})
 	}
 }
+
+// failingListener fails some times before it accepts.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// TestSplitListenerSurvivesErrors fails if a lack of descriptors that passes ends the listener for good, or if its errors
+// aren't reported.
+func TestSplitListenerSurvivesErrors(t *testing.T) {
+	raw, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &failingListener{Listener: raw}
+	listener.failures.Store(3)
+	reported := make(chan error, 10)
+	split := Split(qftimer.NewWall(), listener, func(err error) { reported <- err })
+	defer split.Close()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Write([]byte{1}); err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := split.Calls().Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = accepted.Close()
+	if got := len(reported); got != 3 {
+		t.Errorf("%d errors were reported, want 3", got)
+	}
+}
