qflimit, qfforward: set nothing aside behind relays; give up withheld answers at their heads

In a fleet with relays one tally that is 0.9 s late speaks for all others, so that nearly the whole bucket was set aside and requests far below the quota were refused. An answer that is withheld by its head was still read to its end: a caller of an unsigned stream waited 2 s for a 502. Change: nothing is set aside in fleets with relays, whose nodes are limited to their own shares while tallies are late. The attempt ends with the head if the answer can't be delivered. Measured: TestLateRelayRefusesNoSingleRequest (1.7 million units in debt after a second) and TestWithheldAnswersAreGivenUpAtOnce (502 after 2 s) failed before, pass now; TestQuotaHoldsWhileNodesAreCutOff holds.

--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -127,6 +127,23 @@
 	}
 }
 
+// TestWithheldAnswersAreGivenUpAtOnce fails if a caller waits for the end of an answer of which the head shows that it
+// won't be delivered.
+func TestWithheldAnswersAreGivenUpAtOnce(t *testing.T) {
+	const eventInterval, most = 500 * time.Millisecond, 300 * time.Millisecond
+	runFleet(t, 1, func(w *testFleet) {
+		for _, replica := range w.replicas {
+			replica.EventInterval = eventInterval
+		}
+		w.behave("chat", standreplica.Unsigned)
+		sentAt := w.clock.Now()
+		a := w.call(w.t.Context(), 1, http.MethodPost, "/talk/1", "body", "X-Token-Counts", tokens)
+		if took := w.clock.Now().Sub(sentAt); a.status != http.StatusBadGateway || took > eventInterval+most {
+			t.Errorf("status %d after %v", a.status, took)
+		}
+	})
+}
+
 // TestLongAnswers fails if an answer that is too long for the buffer isn't delivered whole, if one that breaks off looks
 // complete or is sent anew, or if the end of an attempt isn't recorded then: the router would count it as running, and
 // no line of the log would tell of the request.
--- a/internal/qf/coordination/qflimit/quota.go
+++ b/internal/qf/coordination/qflimit/quota.go
@@ -184,8 +184,12 @@
 	return count
 }
 
-// unheardPart returns the part of the nodes whose last tally is old, or that have never sent one.
+// unheardPart returns the part of the nodes whose last tally is old, or that have never sent one. It is 0 in a fleet with
+// relays, whose nodes are limited to their own shares while tallies are late.
 func (q *Quotas) unheardPart(now time.Time) float64 {
+	if q.isRelayed() {
+		return 0
+	}
 	heard := 1
 	for _, s := range q.sources {
 		if now.Sub(s.reportedAt) <= quotaUnheardAfter {
--- a/internal/qf/coordination/qflimit/window_test.go
+++ b/internal/qf/coordination/qflimit/window_test.go
@@ -268,3 +268,22 @@
 		}
 	}
 }
+
+// TestLateRelayRefusesNoSingleRequest fails if a node of a large fleet refuses a request far below its organisation's quota
+// because the tally of its relay, which speaks for all others, is late.
+func TestLateRelayRefusesNoSingleRequest(t *testing.T) {
+	const nodes, request = 300, 9000
+	now := time.Unix(1_780_000_000, 0)
+	q := NewQuotas(quotaWindow)
+	q.SetNodes(nodes)
+	q.SetOrganisations(now, []qf.OrganisationSettings{{Organisation: "north", UnitsPerSecond: fleetRate, Burst: fleetBurst}})
+	for range 100 {
+		now = now.Add(400 * time.Millisecond)
+		q.RecordTally(now, qf.TallySource{Node: "relay", Incarnation: 1, Scope: qf.TallyRest, Covers: nodes - 1}, nil)
+	}
+	for _, late := range []time.Duration{400 * time.Millisecond, time.Second, 3 * time.Second} {
+		if d := q.Admit(now.Add(late), "north", request); !d.IsAdmitted {
+			t.Errorf("refused %s after the last tally: %s", late, d.String())
+		}
+	}
+}
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -242,6 +242,11 @@
 	a.answer = answer
 	a.setVerdict(judgeAnswer(answer, s.headerSent))
 	ports.Picker.RecordResponse(ports.Clock.Now(), &a.picked, answer)
+	if a.flaw != nil {
+		stopWatch()
+		c.recordFirstByte(a)
+		return // What follows the head changes nothing.
+	}
 	if a.end == qf.AttemptAnswered && c.route.Kind == qf.RouteStream && answer.Status == http.StatusOK {
 		a.move, err = c.relayMovable(ctx, s, a, stopWatch)
 	} else {
--- a/internal/qf/protocol/qfforward/peer.go
+++ b/internal/qf/protocol/qfforward/peer.go
@@ -154,6 +154,11 @@
 		return
 	}
 	a.setVerdict(judgePeerAnswer(answer, s.headerSent))
+	if a.flaw != nil {
+		stopWatch()
+		c.recordFirstByte(a)
+		return // What follows the head changes nothing.
+	}
 	if a.end == qf.AttemptAnswered && c.route.Kind == qf.RouteStream && answer.Status == http.StatusOK {
 		err = s.relayStream(a, stopWatch)
 	} else {
