qfsuspect: try a request that is refused for deaths close together; stand-ins write the seq of a row

Under the race detector TestCrashingRequestsAreStoppedTogether found a sound request refused for 39 s: its attempt and its retry were in progress at two of the endpoints that other requests crashed at the same moment, and once refused no answer could clear it. Two new tests had data races of their own. A request that is refused for deaths which this node saw within two seconds is tried once after two seconds; another death refuses it. Peers that only heard of the deaths go on refusing it.

--- a/cmd/quetzalfront/soak_world_test.go
+++ b/cmd/quetzalfront/soak_world_test.go
@@ -187,7 +187,7 @@
 // putReplica writes the record of a replica, with its state, to the store.
 func (w *soakWorld) putReplica(r *soakReplica, state string) {
 	w.store.Put("servers", r.ID, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":64,"state":%q,"born":1}`, r.entry, r.address, state))
+		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":64,"state":%q,"cold-left-ms":0,"seq":1,"born":1}`, r.entry, r.address, state))
 }
 
 // configure writes the next configuration. Its route /rev-N/ shows which revision a node
--- a/internal/entry/feedorder_test.go
+++ b/internal/entry/feedorder_test.go
@@ -63,11 +63,12 @@
 // find that out, or don't log it.
 func TestMissedRowsComeBack(t *testing.T) {
 	runFleet(t, 2, func(w *testFleet) {
-		w.isMissed = func(*qf.FeedRow) bool { return true }
+		missesAll := func(*qf.FeedRow) bool { return true }
+		w.isMissed.Store(&missesAll)
 		w.store.Remove("servers", "books-1")
 		w.addReplica("books-3", "books", 7)
 		w.sleep(settle)
-		w.isMissed = nil
+		w.isMissed.Store(nil)
 		const healed = 7 * time.Minute
 		w.sleep(healed)
 		w.store.Remove("servers", "books-2")
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,7 +59,7 @@
 	calls   callCounts
 	servers []*http.Server
 	// isMissed reports whether the nodes' reads of changes leave out a row; nil means that they leave out none.
-	isMissed func(row *qf.FeedRow) bool
+	isMissed atomic.Pointer[func(row *qf.FeedRow) bool]
 	// mu guards requests and servers.
 	mu       sync.Mutex
 	requests int
@@ -269,8 +270,8 @@
 // ReadChanges implements qf.FeedReader.
 func (f *missingFeed) ReadChanges(ctx context.Context, feed qf.FeedName, after qf.StorePosition, wait time.Duration) (qf.FeedPage, error) {
 	page, err := f.FeedReader.ReadChanges(ctx, feed, after, wait)
-	if isMissed := f.fleet.isMissed; isMissed != nil && feed == qf.FeedEndpoints {
-		page.Rows = slices.DeleteFunc(page.Rows, func(row qf.FeedRow) bool { return isMissed(&row) })
+	if isMissed := f.fleet.isMissed.Load(); isMissed != nil && feed == qf.FeedEndpoints {
+		page.Rows = slices.DeleteFunc(page.Rows, func(row qf.FeedRow) bool { return (*isMissed)(&row) })
 	}
 	return page, err
 }
--- a/internal/entry/startup_test.go
+++ b/internal/entry/startup_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,15 +68,15 @@
 				w.store.SetFaults(standfault.Faults{Delay: storeDelay})
 				w.start(number)
 				sentAt := w.clock.Now()
-				var readAfter time.Duration
-				trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { readAfter = w.clock.Now().Sub(sentAt) }}
+				var readAfter atomic.Int64 // The node may answer before the request is written.
+				trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { readAfter.Store(int64(w.clock.Now().Sub(sentAt))) }}
 				ctx := httptrace.WithClientTrace(w.t.Context(), trace)
 				got := w.call(ctx, number, http.MethodPost, "/file/1", strings.Repeat("x", tt.size))
 				if got.status != tt.status {
 					t.Errorf("status %d, want %d", got.status, tt.status)
 				}
-				if readAfter >= storeDelay {
-					t.Errorf("the request was read after %v, want before the node loaded the configuration", readAfter)
+				if after := time.Duration(readAfter.Load()); after >= storeDelay {
+					t.Errorf("the request was read after %v, want before the node loaded the configuration", after)
 				}
 				w.store.SetFaults(standfault.Faults{})
 			})
--- a/internal/qf/coordination/qfsuspect/check.go
+++ b/internal/qf/coordination/qfsuspect/check.go
@@ -55,7 +55,8 @@
 	if u == nil {
 		return Verdict{Treatment: TreatNormally}
 	}
-	deaths := len(s.countedDeaths(u))
+	counted := s.countedDeaths(u)
+	deaths := len(counted)
 	v := Verdict{
 		Treatment:  TreatIsolated,
 		Reason:     qf.Reason{Rule: "EndpointsDied", Figures: []qf.Figure{{Name: "Deaths", Value: float64(deaths)}}},
@@ -66,10 +67,48 @@
 		return Verdict{Treatment: TreatNormally}
 	case deaths >= s.maxDeaths(u):
 		v.Treatment = TreatRefused
+		s.mayTry(now, u, counted, &v)
 	}
 	return v
 }
 
+// burstTrialAfter is the time until a request is tried that is refused for deaths which were all close together: it may
+// have been in progress at each of them by chance, and a retry too.
+const burstTrialAfter = 2 * time.Second
+
+// mayTry makes a refused request a trial if all deaths that count against it were seen by this node within waveWindow and
+// none followed. A peer that only heard of them goes on refusing it.
+func (s *Tracker) mayTry(now time.Time, u *suspect, counted []qf.EndpointID, v *Verdict) {
+	if u.relapses > 0 || len(counted) < 2 {
+		return
+	}
+	first, last := now, time.Time{}
+	for _, endpoint := range counted {
+		at, isOwn := u.blamedAt[endpoint]
+		if !isOwn {
+			return
+		}
+		first, last = earliest(first, at), latest(last, at)
+	}
+	if last.Sub(first) > waveWindow {
+		return
+	}
+	due := latest(last, u.trialAt).Add(burstTrialAfter)
+	if now.Before(due) {
+		v.RetryAfter = due.Sub(now)
+		return
+	}
+	u.trialAt = now
+	v.Treatment = TreatIsolated
+}
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // RecordStart records that a suspect started at an endpoint.
 func (s *Tracker) RecordStart(endpoint qf.EndpointID) { s.running[endpoint]++ }
 
--- a/internal/qf/coordination/qfsuspect/suspects.go
+++ b/internal/qf/coordination/qfsuspect/suspects.go
@@ -43,6 +43,10 @@
 	expired   []qf.EndpointID
 	relapses  int
 	updatedAt time.Time
+	// blamedAt holds when this node blamed the request for a death, trialAt is when the request was last tried
+	// although it is refused.
+	blamedAt map[qf.EndpointID]time.Time
+	trialAt  time.Time
 }
 
 // brokenAttempt is an attempt whose connection broke and which may have killed its
@@ -146,6 +150,10 @@
 	if !slices.Contains(u.deaths, endpoint) {
 		u.deaths = append(u.deaths, endpoint)
 	}
+	if u.blamedAt == nil {
+		u.blamedAt = map[qf.EndpointID]time.Time{}
+	}
+	u.blamedAt[endpoint] = now
 }
 
 // findWave returns the deaths that are close to a death in its availability zone, this one
--- a/internal/qf/coordination/qfsuspect/suspects_test.go
+++ b/internal/qf/coordination/qfsuspect/suspects_test.go
@@ -101,6 +101,15 @@
 			breaks("e", 1), dies("e", "z"), breaks("f", 2), dies("f", "z"), later(6*time.Second, breaks("g", 1)), dies("g", "z"), breaks("h", 2), dies("h", "z"),
 			later(6*time.Second, breaks("i", 1)), dies("i", "z"), breaks("j", 2), dies("j", "z"),
 		}, TreatRefused, 3},
+		{"deaths close together, a while later", []step{refused(), later(3*time.Second, breaks("h", 3))}, TreatIsolated, 3},
+		{"deaths close together, tried a moment ago", []step{refused(), later(3*time.Second, checked()), later(time.Second, breaks("h", 3))}, TreatRefused, 3},
+		{"deaths close together, and another one at its trial", []step{
+			refused(), later(3*time.Second, checked()), breaks("h", 1), dies("h", "z"), later(time.Minute, breaks("i", 3)),
+		}, TreatRefused, 4},
+		{"deaths close together, and an answer to its trial", []step{refused(), later(3*time.Second, checked()), answered(1)}, TreatNormally, 0},
+		{"deaths that a peer saw, a while later", []step{
+			receivedRequest(qf.Suspicion{Fingerprint: 1, Deaths: []qf.EndpointID{"e", "f", "g"}}), later(time.Minute, breaks("h", 3)),
+		}, TreatRefused, 3},
 		{"refused until it expired", []step{refused(), later(11*time.Minute, breaks("h", 3))}, TreatNormally, 0},
 		{"another death after it was refused until it expired", []step{refused(), later(11*time.Minute, breaks("h", 1)), checked(), dies("h", "z")}, TreatRefused, 1},
 		{"refused again, until the first expiry has passed", []step{
--- a/internal/standin/standplatform/platform.go
+++ b/internal/standin/standplatform/platform.go
@@ -101,7 +101,7 @@
 // writeEndpoint stores an endpoint's row with its state.
 func (p *Platform) writeEndpoint(e *Endpoint, state string) {
 	p.store.Put("servers", e.ID, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":64,"state":%q,"born":1}`, e.entry, e.address, zone, state))
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":64,"state":%q,"cold-left-ms":0,"seq":1,"born":1}`, e.entry, e.address, zone, state))
 }
 
 // serve starts an HTTP server on a free loopback port and returns its address.
