entry: log how a stopping node's connections end, and why attempts were cancelled

Change: event 111 for each drained port (open, idle, queued, unread, accepted, answered, aborted). The draining server moves to qfhttp as it was, so that it can be tested without a node; the poll of a socket stands once. The causes of cancelled attempts are named; a connection that the node has closed is no departure.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -33,13 +33,19 @@
 	addressLifetime = 2 * time.Second
 )
 
+// The names of ports in the log.
+const (
+	callersPort  = "callers"
+	forwardsPort = "forwards"
+)
+
 // servers are the node's listeners.
 type servers struct {
-	callers *drainingServer
+	callers *qfhttp.DrainingServer
 	others  []*http.Server
 	peers   io.Closer
 	// forwards serves requests that other nodes pass on, on the listener of peers.
-	forwards *drainingServer
+	forwards *qfhttp.DrainingServer
 	// running counts the serving goroutines.
 	running sync.WaitGroup
 }
@@ -55,8 +61,8 @@
 	if err != nil {
 		return err
 	}
-	e.servers.callers = e.newCallerServer(forward, listener, e.portLimits("callers", callerShare))
-	e.runServer(d.Self.CallerAddress, e.servers.callers.serve)
+	e.servers.callers = e.newCallerServer(forward, listener, e.portLimits(callersPort, callerShare))
+	e.runServer(d.Self.CallerAddress, e.servers.callers.Serve)
 	others := []struct {
 		address netip.AddrPort
 		handler http.Handler
@@ -129,8 +135,8 @@
 	e.servers.peers = split
 	calls := e.connectionBudget.GuardMessages(split.Calls(), e.peerLimits("peers", peerCallShare))
 	e.runServer(address, func() error { return qfrpc.Serve(calls, e) })
-	e.servers.forwards = e.newCallerServer(http.HandlerFunc(e.servePeer), split.Forwards(), e.peerLimits("forwards", forwardShare))
-	e.runServer(address, e.servers.forwards.serve)
+	e.servers.forwards = e.newCallerServer(http.HandlerFunc(e.servePeer), split.Forwards(), e.peerLimits(forwardsPort, forwardShare))
+	e.runServer(address, e.servers.forwards.Serve)
 	return nil
 }
 
@@ -189,27 +195,3 @@
 	}
 	return cutOff
 }
-
-// Stop shuts the node down: it announces its leaving, lets callers move to other nodes and
-// finishes the requests in progress within the grace.
-func (e *Entry) Stop(ctx context.Context) {
-	stopAt := e.now()
-	qfevent.NodeLeaving.Log(&e.platform.Logger, e.deployment.Self.ID, "signal")
-	e.isLeaving.Store(true)
-	e.mu.Lock()
-	e.membership.MarkLeaving()
-	e.mu.Unlock()
-	e.background.Go(func() { e.register(ctx) })
-	e.exchangeWithPeers(ctx)
-	e.flushUsage(ctx)
-	e.duties.releaseLease(ctx)
-	e.sleep(ctx, leaveDelay)
-	e.drainServers(ctx, stopAt.Add(e.deployment.Bounds.StopGrace-stopMargin))
-	e.flushUsage(ctx)
-	e.stopLoops()
-	for _, server := range e.servers.others {
-		_ = server.Close() // Nothing is in progress that must be finished.
-	}
-	_ = e.servers.peers.Close()
-	qfevent.NodeStopped.Log(&e.platform.Logger, e.deployment.Self.ID)
-}
--- a/internal/qf/presence.go
+++ b/internal/qf/presence.go
@@ -13,4 +13,6 @@
 	// HasLeft reports whether the caller of the request with this context has left. It looks at the connection
 	// itself, and ends the request's context if so.
 	HasLeft(ctx context.Context) bool
+	// IsCut reports whether the node itself has closed the connection of the request with this context.
+	IsCut(ctx context.Context) bool
 }
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -247,7 +247,7 @@
 	})
 	if err != nil {
 		stopWatch()
-		a.classifyFailure(ctx, err)
+		c.classifyFailure(ctx, a, err)
 		return
 	}
 	defer answer.Body.Close() //nolint:errcheck // An error on close changes nothing.
@@ -266,7 +266,7 @@
 		err = c.read(a, stopWatch)
 	}
 	if err != nil {
-		a.classifyFailure(ctx, err)
+		c.classifyFailure(ctx, a, err)
 	}
 	if a.move != nil {
 		a.end = qf.AttemptCancelled // The endpoint did nothing wrong.
@@ -281,7 +281,7 @@
 }
 
 // classifyFailure sets the end of an attempt that got no complete answer.
-func (a *attempt) classifyFailure(ctx context.Context, err error) {
+func (c *call) classifyFailure(ctx context.Context, a *attempt, err error) {
 	a.err = err
 	cause := context.Cause(ctx)
 	isOwn := errors.Is(cause, errFirstByteTimeout) || errors.Is(cause, errCutOff)
@@ -296,7 +296,25 @@
 	case cause == nil || isOwn:
 		a.end = qf.AttemptBroken
 	default:
-		a.end = qf.AttemptCancelled
+		a.end, a.err = qf.AttemptCancelled, errors.Join(c.nameCause(cause), err)
+	}
+}
+
+// errStopped is the cause of an attempt that ended because the node stopped.
+var errStopped = errors.New("the node stopped")
+
+// nameCause returns the cause for which an attempt was cancelled, for the log.
+func (c *call) nameCause(cause error) error {
+	until := c.forwarder.ports.ServesUntil()
+	switch {
+	case !errors.Is(cause, context.Canceled):
+		return cause
+	case !until.IsZero() && !c.forwarder.ports.Clock.Now().Before(until):
+		return errStopped
+	case c.forwarder.ports.Callers.IsCut(c.incoming.Context()):
+		return errCut
+	default:
+		return qf.ErrCallerLeft
 	}
 }
 
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -350,7 +351,17 @@
 	http.Error(c.writer, known.Reason, status)
 }
 
+// The causes for which a request's context ends, besides its caller's leaving.
+var (
+	errCallerDeadline = fmt.Errorf("the caller's time was over: %w", context.DeadlineExceeded)
+	errRouteTimeout   = fmt.Errorf("the route's timeout was reached: %w", context.DeadlineExceeded)
+)
+
 // context returns the request's context with its deadline.
 func (c *call) context() (context.Context, context.CancelFunc) {
-	return context.WithDeadline(c.incoming.Context(), c.deadline)
+	cause := errRouteTimeout
+	if c.request.TimeLeft > 0 && !c.arrivedAt.Add(c.request.TimeLeft).After(c.deadline) {
+		cause = errCallerDeadline
+	}
+	return context.WithDeadlineCause(c.incoming.Context(), c.deadline, cause)
 }
--- a/internal/qf/protocol/qfforward/outcome.go
+++ b/internal/qf/protocol/qfforward/outcome.go
@@ -1,6 +1,7 @@
 package qfforward
 
 import (
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -30,6 +31,9 @@
 	First, Took time.Duration
 }
 
+// errCut is the error of a request whose connection the node has closed before its answer.
+var errCut = errors.New("the node closed the caller's connection")
+
 // StatusCallerLeft stands for the status of a request whose caller left: no answer is sent. Proxies commonly log this number.
 const StatusCallerLeft = 499
 
@@ -56,6 +60,10 @@
 	if until := c.forwarder.ports.ServesUntil(); !until.IsZero() && !c.forwarder.ports.Clock.Now().Before(until) {
 		return
 	}
+	if c.forwarder.ports.Callers.IsCut(c.incoming.Context()) {
+		o.Err = errors.Join(errCut, o.Err)
+		return
+	}
 	switch {
 	case o.First > 0:
 		o.Departure = LeftInAnswer
--- a/internal/qf/protocol/qfforward/outcome_test.go
+++ b/internal/qf/protocol/qfforward/outcome_test.go
@@ -30,7 +30,9 @@
 		stays   bool
 		// aborted means that the node stops and the grace is over.
 		aborted bool
-		want    Departure
+		// isCut means that the node has closed the connection.
+		isCut bool
+		want  Departure
 	}{
 		{name: "before any attempt", outcome: failed, want: LeftUnsent},
 		{name: "before the send", outcome: with(0, unsent), want: LeftUnsent},
@@ -41,6 +43,7 @@
 		{name: "served", outcome: Outcome{Status: http.StatusOK}},
 		{name: "failed, and the caller waits", outcome: failed, stays: true},
 		{name: "aborted by the node", outcome: with(0, sent), aborted: true},
+		{name: "cut by the node", outcome: with(0, sent), isCut: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -48,7 +51,7 @@
 			if tt.aborted {
 				until = clock.Now()
 			}
-			f := New(Ports{Clock: clock, ServesUntil: func() time.Time { return until }})
+			f := New(Ports{Clock: clock, ServesUntil: func() time.Time { return until }, Callers: cutCaller(tt.isCut)})
 			ctx, leave := context.WithCancel(t.Context())
 			defer leave()
 			if !tt.stays {
@@ -62,3 +65,12 @@
 		})
 	}
 }
+
+// cutCaller is the presence of a caller whose connection the node has closed, or not.
+type cutCaller bool
+
+// HasLeft implements qf.CallerPresence.
+func (c cutCaller) HasLeft(context.Context) bool { return bool(c) }
+
+// IsCut implements qf.CallerPresence.
+func (c cutCaller) IsCut(context.Context) bool { return bool(c) }
--- a/internal/qf/protocol/qfforward/peer.go
+++ b/internal/qf/protocol/qfforward/peer.go
@@ -150,7 +150,7 @@
 	})
 	if err != nil {
 		stopWatch()
-		a.classifyFailure(ctx, err)
+		c.classifyFailure(ctx, a, err)
 		return
 	}
 	defer answer.Body.Close() //nolint:errcheck // An error on close changes nothing.
@@ -176,7 +176,7 @@
 		err = c.read(a, stopWatch)
 	}
 	if err != nil {
-		a.classifyFailure(ctx, err)
+		c.classifyFailure(ctx, a, err)
 	}
 	p.delivered = s.headerSent
 }
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -59,6 +59,13 @@
 	FieldInProgress       = "InProgress"
 	FieldParts            = "Parts"
 	FieldRate             = "Rate"
+	FieldOpen             = "Open"
+	FieldIdle             = "Idle"
+	FieldIsQueued         = "IsQueued"
+	FieldUnread           = "Unread"
+	FieldAccepted         = "Accepted"
+	FieldAnswered         = "Answered"
+	FieldAborted          = "Aborted"
 )
 
 const (
@@ -75,6 +82,7 @@
 	NodeDrained     = Event{103, info, "node drained", []string{FieldNode, FieldCount}, "Nothing; Count requests were handed over."}
 	NodeStopped     = Event{104, info, "node stopped", []string{FieldNode}, "Nothing."}
 	AcceptFailed    = Event{109, warning, "a connection could not be accepted", []string{FieldAddress, FieldError}, "Look at the number of open descriptors; the listener goes on."}
+	PortDrained     = Event{111, info, "a port of a stopping node was drained", []string{FieldName, FieldOpen, FieldIdle, FieldIsQueued, FieldUnread, FieldAccepted, FieldAnswered, FieldAborted, FieldTook}, "Look at the requests in progress if Aborted isn't 0. Open connections at the start, Idle of them without a request, Unread of those with bytes that the node hadn't read; IsQueued says whether connections waited to be accepted. Accepted connections and Answered requests came after it."}
 	ServerFailed    = Event{105, failure, "a listener failed", []string{FieldAddress, FieldError}, "Check the address in the settings; the node stops."}
 	SpanEnded       = Event{151, info, "span ended", []string{FieldName, FieldTrace, FieldSpan, FieldParent, FieldTime, FieldTook, FieldDetails, FieldError}, "Nothing; follow Trace to see a request's hops over all nodes."}
 	RequestEnded    = Event{201, zerolog.DebugLevel, "request ended", []string{FieldRequest, FieldEntry, FieldOutcome}, "Nothing."}
@@ -164,7 +172,7 @@
 // All lists every event.
 func All() []Event {
 	return []Event{
-		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, ServerFailed, AcceptFailed, SpanEnded, RequestEnded,
+		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, PortDrained, ServerFailed, AcceptFailed, SpanEnded, RequestEnded,
 		RequestRefused, RequestUnknown, RequestTaken, HandOverFailed, LedgerSwept, SuspectTried, SuspectRefused,
 		EndpointDied, PartRefused, PartTried, PartsNotKept, ShadowAdopted, ShadowFailed, NodeAborted, StreamsMoving,
 		ExportFailed, OwnershipLost, CatalogueInUse, CatalogueFailed, CatalogueStale, CatalogueFresh, PeerFailed,
--- a/internal/qf/transport/qfhttp/budgetedconn.go
+++ b/internal/qf/transport/qfhttp/budgetedconn.go
@@ -238,6 +238,13 @@
 	return true
 }
 
+// IsClosed reports whether the budget or the server has closed the connection.
+func (c *budgetedConn) IsClosed() bool {
+	c.port.budget.mu.Lock()
+	defer c.port.budget.mu.Unlock()
+	return c.isRemoved || c.isReleased
+}
+
 // isOpen reports whether the budget hasn't closed the connection.
 func (c *budgetedConn) isOpen() bool {
 	c.port.budget.mu.Lock()
@@ -310,3 +317,6 @@
 
 // HasEnded reports whether the client has closed the connection; false also stands for not known.
 func (c *budgetedConn) HasEnded() bool { return hasEnded(c.Conn) }
+
+// IsReadable reports whether bytes of the client wait to be read; false also stands for not known.
+func (c *budgetedConn) IsReadable() bool { return isReadable(c.Conn) }
--- a/internal/qf/transport/qfhttp/budgetport.go
+++ b/internal/qf/transport/qfhttp/budgetport.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// IsReadable reports whether connections wait to be accepted; false also stands for not known.
+func (l *budgetedListener) IsReadable() bool { return isReadable(l.Listener) }
+
 func (c *budgetedConn) recordState(state http.ConnState) {
 	switch state {
 	case http.StateActive:
--- a/internal/qf/transport/qfhttp/presence.go
+++ b/internal/qf/transport/qfhttp/presence.go
@@ -84,6 +84,19 @@
 	return isKnown && caller.checkPresence()
 }
 
+// closeReporter is implemented by connections that report whether this process has closed them.
+type closeReporter interface{ IsClosed() bool }
+
+// IsCut implements qf.CallerPresence.
+func (p *CallerPresence) IsCut(ctx context.Context) bool {
+	caller, isKnown := ctx.Value(waitingCallerKey{}).(*waitingCaller)
+	if !isKnown {
+		return false
+	}
+	connection, isReporter := caller.connection.(closeReporter)
+	return isReporter && connection.IsClosed()
+}
+
 // Step looks at all requests in progress and ends the contexts of those whose callers have left.
 func (p *CallerPresence) Step(context.Context) {
 	for _, caller := range p.list() {
@@ -130,16 +143,6 @@
 const endEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
 
 func hasSocketEnded(connection syscall.Conn) bool {
-	raw, err := connection.SyscallConn()
-	if err != nil {
-		return true // The node itself has closed it.
-	}
-	events := int16(0)
-	err = raw.Control(func(fd uintptr) {
-		list := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}} //nolint:gosec // Descriptors are small.
-		if _, pollErr := unix.Poll(list, 0); pollErr == nil {
-			events = list[0].Revents
-		}
-	})
-	return err != nil || events&endEvents != 0
+	events, err := pollSocket(connection, unix.POLLRDHUP)
+	return err != nil || events&endEvents != 0 // With an error, the node itself has closed it.
 }
