--- a/internal/qf/transport/qfhttp/draining.go
+++ b/internal/qf/transport/qfhttp/draining.go
@@ -114,6 +114,13 @@
 	return report
 }
 
+// IsDraining reports whether the drain has begun.
+func (s *DrainingServer) IsDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.report != nil
+}
+
 // beginReport begins the report of a drain.
 func (s *DrainingServer) beginReport() {
 	s.mu.Lock()
