qfhttp: a drain answers what has come to a connection, read or not

Callers saw: at nodes that were being stopped, whole requests that got neither an answer nor a refusal: reset, or ended without a byte. Cause: the drain closed the listener first, which makes the kernel reset what waits to be accepted, and then let net/http close connections by a state that changes only after a head was parsed: a request that lies in the kernel's buffer, or that the process has read whole, is lost. After it, each connection whose answer was written was closed, whatever its caller had sent next. The class: a connection is closed by somebody else than the goroutine that reads it, by a state that lags. Then connections that wait for a request are interrupted by a read deadline: their own goroutine asks the socket a last time, and ends only if nothing has come. The endings begin 0.2 s before the rest is aborted.

--- a/internal/qf/transport/qfhttp/budgetedconn.go
+++ b/internal/qf/transport/qfhttp/budgetedconn.go
@@ -308,8 +308,10 @@
 }
 
 // CloseWrite closes the direction to the client, if the connection can.
-func (c *budgetedConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+func (c *budgetedConn) CloseWrite() error { return closeWrite(c.Conn) }
+
+func closeWrite(connection net.Conn) error {
+	if half, ok := connection.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return nil
--- a/internal/qf/transport/qfhttp/draining.go
+++ b/internal/qf/transport/qfhttp/draining.go
@@ -5,10 +5,16 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
-// DrainingServer is an HTTP server whose stop answers each request that it has read. Shutdown of net/http closes a connection
-// whose request it reads meanwhile, and the caller of a request that may run once can't send it again.
+// endMargin is the time before the end of a drain's context at which connections without a request are ended, whatever is still
+// in progress: what has come on them by then is answered in the time that is left.
+const endMargin = 200 * time.Millisecond
+
+// DrainingServer is an HTTP server whose drain answers each request that has come to one of its connections, read or not. Shutdown of
+// net/http closes a connection by its state, which changes only once a request's head was parsed, and resets those that wait to be
+// accepted.
 type DrainingServer struct {
 	server   *http.Server
 	listener net.Listener
@@ -17,11 +23,13 @@
 
 	mu sync.Mutex
 	// states holds the state of each open connection.
-	states map[net.Conn]http.ConnState
+	states map[*drainingConn]http.ConnState
+	// changed is closed at the next change of a state. It is nil while nobody waits for it.
+	changed chan struct{}
+	// isEnding is true once connections end when they wait for a request.
+	isEnding bool
 	// report is that of the drain; it is nil before.
 	report *DrainReport
-	// empty is closed when no connection is open any more; it is nil while the server isn't draining.
-	empty chan struct{}
 }
 
 // DrainReport describes how the connections of a server ended that was drained.
@@ -41,15 +49,17 @@
 
 // NewDrainingServer returns a server that hasn't started. Its connections are admitted to a budget.
 func NewDrainingServer(server *http.Server, listener net.Listener, budget *ConnectionBudget, limits PortLimits) *DrainingServer {
-	s := &DrainingServer{server: server, served: make(chan struct{}), states: map[net.Conn]http.ConnState{}}
+	s := &DrainingServer{server: server, served: make(chan struct{}), states: map[*drainingConn]http.ConnState{}}
 	connState := server.ConnState
 	server.ConnState = func(connection net.Conn, state http.ConnState) {
-		s.recordState(connection, state)
+		if c, ok := connection.(*budgetedConn).Conn.(*drainingConn); ok {
+			s.recordState(c, state)
+		}
 		if connState != nil {
 			connState(connection, state)
 		}
 	}
-	s.listener = budget.Guard(server, listener, limits)
+	s.listener = budget.Guard(server, &drainingListener{Listener: listener}, limits)
 	return s
 }
 
@@ -60,19 +70,27 @@
 }
 
 // recordState follows the connections.
-func (s *DrainingServer) recordState(connection net.Conn, state http.ConnState) {
+func (s *DrainingServer) recordState(c *drainingConn, state http.ConnState) {
+	if state == http.StateIdle {
+		c.expectRequest()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.states[connection]
 	if s.report != nil {
-		s.report.recordState(before, state)
+		s.report.recordState(s.states[c], state)
 	}
 	switch state {
 	case http.StateClosed, http.StateHijacked:
-		delete(s.states, connection)
-		s.signalEmpty()
+		delete(s.states, c)
 	default:
-		s.states[connection] = state
+		s.states[c] = state
+	}
+	if s.isEnding && state == http.StateIdle {
+		c.endUnlessRequested() // The first request of a new connection is on its way.
+	}
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
 	}
 }
 
@@ -85,35 +103,71 @@
 	}
 }
 
-// signalEmpty ends the drain once there are no connections. The caller must hold s.mu.
-func (s *DrainingServer) signalEmpty() {
-	if len(s.states) == 0 && s.empty != nil {
-		close(s.empty)
-		s.empty = nil
-	}
-}
-
-// Drain closes the listener and the idle connections, and the others after their next answer. It returns when all are closed, and
-// closes those that are left when the context ends.
+// Drain serves until no request is in progress and none is on its way: connections are accepted and kept ones go on. Then those that wait
+// for a request end, and the listener is closed once nothing waits to be accepted. Drain returns when all connections are closed, and
+// closes those that are left when the context ends. The handler must ask clients to close their connections.
 func (s *DrainingServer) Drain(ctx context.Context) DrainReport {
 	s.beginReport()
+	s.awaitQuiet(ctx)
+	s.endWaiting()
+	s.await(ctx, func() bool { return len(s.states) == 0 && !isReadable(s.listener) })
 	_ = s.listener.Close() // What was accepted is served below.
-	s.server.SetKeepAlivesEnabled(false)
 	<-s.served
-	empty := make(chan struct{})
-	s.mu.Lock()
-	s.empty = empty
-	s.signalEmpty()
-	s.mu.Unlock()
-	select {
-	case <-empty:
-	case <-ctx.Done():
-	}
+	s.await(ctx, func() bool { return len(s.states) == 0 })
 	report := s.endReport()
 	_ = s.server.Close() // Nothing is left, or the grace is over.
 	return report
 }
 
+// awaitQuiet waits until no request is in progress and no connection waits to be accepted or for its first request, or until endMargin
+// before the end of the context.
+func (s *DrainingServer) awaitQuiet(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		limited, cancel := context.WithDeadline(ctx, deadline.Add(-endMargin))
+		defer cancel()
+		ctx = limited
+	}
+	s.await(ctx, func() bool {
+		for _, state := range s.states {
+			if state != http.StateIdle {
+				return false
+			}
+		}
+		return !isReadable(s.listener)
+	})
+}
+
+// endWaiting ends the connections that wait for a request, and from now on those that come to wait for one.
+func (s *DrainingServer) endWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isEnding = true
+	for c := range s.states {
+		c.endUnlessRequested()
+	}
+}
+
+// await waits until a condition holds, which is checked under s.mu at each change of a connection's state, or until the context ends.
+func (s *DrainingServer) await(ctx context.Context, holds func() bool) {
+	for {
+		s.mu.Lock()
+		if holds() {
+			s.mu.Unlock()
+			return
+		}
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // IsDraining reports whether the drain has begun.
 func (s *DrainingServer) IsDraining() bool {
 	s.mu.Lock()
--- a/internal/qf/transport/qfhttp/draining_test.go
+++ b/internal/qf/transport/qfhttp/draining_test.go
@@ -79,7 +79,9 @@
 	isArmed atomic.Bool
 	arm     func()
 	reached chan struct{}
-	hold    *hold
+	// isInterrupted is true while the read deadline has passed.
+	isInterrupted atomic.Bool
+	hold          *hold
 }
 
 // Read implements net.Conn.
@@ -88,22 +90,30 @@
 		return c.TCPConn.Read(b)
 	}
 	if c.moment == lateToRead {
-		close(c.reached)
-		<-c.hold.ended
+		c.awaitEnd()
 		return c.TCPConn.Read(b)
 	}
 	n, err := c.TCPConn.Read(b)
+	c.awaitEnd()
+	return n, err
+}
+
+// awaitEnd blocks until the server closes the connection or interrupts the read.
+func (c *lateConn) awaitEnd() {
 	close(c.reached)
+	if c.isInterrupted.Load() {
+		c.hold.end()
+	}
 	<-c.hold.ended
-	return n, err
 }
 
 // SetReadDeadline implements net.Conn. A deadline in the past interrupts the read.
 func (c *lateConn) SetReadDeadline(t time.Time) error {
 	err := c.TCPConn.SetReadDeadline(t)
+	c.isInterrupted.Store(!t.IsZero() && t.Before(qftimer.NewWall().Now()))
 	select {
 	case <-c.reached:
-		if !t.IsZero() && t.Before(qftimer.NewWall().Now()) {
+		if c.isInterrupted.Load() {
 			c.hold.end()
 		}
 	default: // net/http ends its own read in the background so.
@@ -139,7 +149,7 @@
 		t.Fatal(err)
 	}
 	d := &drainedServer{
-		t: t, address: raw.Addr().String(), idle: make(chan *lateConn, 10), entered: make(chan struct{}, 10), release: make(chan struct{}),
+		t: t, address: raw.Addr().String(), idle: make(chan *lateConn, 100), entered: make(chan struct{}, 10), release: make(chan struct{}),
 	}
 	var opened sync.Map
 	d.listener = &lateListener{TCPListener: raw.(*net.TCPListener), hold: newHold(), wrap: func(connection net.Conn) net.Conn {
