entry: a stop's calls to others don't delay the drain

Callers saw: streams that a stopping node accepted more than 3 s after the signal, and cut at the end of the grace. The stop's exchange, the flush of usage (0.4 s) and the release of the lease (2 s, after a call in progress) came one after the other before the 2.5 s in which callers move on. While a store or a peer didn't answer, the drain began up to 2.4 s late, and until then requests of any length were accepted. Change: they run beside the wait and the drain; the stop waits for them before its end. Requests that can't end in time are refused from 2.5 s on, whoever is silent.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -19,7 +19,7 @@
 }
 
 // Stop shuts the node down: it announces its leaving, lets callers move to other nodes and
-// finishes the requests in progress within the grace.
+// finishes the requests in progress within the grace. Nothing that waits for others delays the drain.
 func (e *Entry) Stop(ctx context.Context) {
 	stopAt := e.now()
 	qfevent.NodeLeaving.Log(&e.platform.Logger, e.deployment.Self.ID, "signal")
@@ -28,11 +28,11 @@
 	e.membership.MarkLeaving()
 	e.mu.Unlock()
 	e.background.Go(func() { e.register(ctx) })
-	e.exchangeWithPeers(ctx)
-	e.flushUsage(ctx)
-	e.duties.releaseLease(ctx)
+	var handedOver sync.WaitGroup
+	handedOver.Go(func() { e.handOver(ctx) })
 	e.sleep(ctx, leaveDelay)
 	e.drainServers(ctx, stopAt.Add(e.deployment.Bounds.StopGrace-stopMargin))
+	handedOver.Wait()
 	e.flushUsage(ctx)
 	e.stopLoops()
 	for _, server := range e.servers.others {
@@ -42,6 +42,13 @@
 	qfevent.NodeStopped.Log(&e.platform.Logger, e.deployment.Self.ID)
 }
 
+// handOver passes on what other nodes need of one that leaves: its state, its usage and its lease.
+func (e *Entry) handOver(ctx context.Context) {
+	e.exchangeWithPeers(ctx)
+	e.flushUsage(ctx)
+	e.duties.releaseLease(ctx)
+}
+
 // drainServers waits for the requests in progress, of callers and of other nodes, until the time at which it aborts them. The
 // listener of peers stays open until the end. Requests that come on open connections are answered too.
 func (e *Entry) drainServers(ctx context.Context, abortsAt time.Time) {
