qfrpc: only a connection that is served is confirmed to a peer

Callers saw: a request that another node passed on to one that was stopping ended with 502, and nobody could say whether it ran. The listener of peers confirmed each connection for forwarded requests and only then looked for a server; where that had closed its side, the peer had sent a request already and got the end of the connection. Change: the confirmation is written once a server has taken the connection. Without it the dial fails, and the request is proven unsent.

--- a/internal/qf/transport/qfrpc/split.go
+++ b/internal/qf/transport/qfrpc/split.go
@@ -118,17 +118,18 @@
 	}
 }
 
-// putQueued passes a connection that isn't silent any more to a server.
-func (s *SplitListener) putQueued(queue *splitQueue, conn net.Conn, element *list.Element) {
+// putQueued passes a connection that isn't silent any more to a server. It returns false if none takes it.
+func (s *SplitListener) putQueued(queue *splitQueue, conn net.Conn, element *list.Element) bool {
 	s.mu.Lock()
 	s.silent.Remove(element)
 	s.queued++
 	s.mu.Unlock()
-	queue.put(conn)
+	isTaken := queue.put(conn)
 	s.mu.Lock()
 	s.queued--
 	s.mu.Unlock()
 	s.taken.Signal()
+	return isTaken
 }
 
 // route reads a connection's first byte and passes the connection on.
@@ -145,12 +146,12 @@
 		s.putQueued(s.calls, &prefixedConn{Conn: conn, prefix: first[:]}, element)
 		return
 	}
-	if _, err := conn.Write(first[:]); err != nil {
-		s.removeSilent(element)
-		_ = conn.Close() // The client has gone.
+	if !s.putQueued(s.forwards, conn, element) {
 		return
 	}
-	s.putQueued(s.forwards, conn, element)
+	if _, err := conn.Write(first[:]); err != nil { // Only a connection that is served is confirmed.
+		_ = conn.Close() // The client has gone; the server finds the connection closed.
+	}
 }
 
 // splitQueue is one of the two listeners.
@@ -178,11 +179,14 @@
 	q.close()
 }
 
-func (q *splitQueue) put(conn net.Conn) {
+// put passes a connection to the server. It closes the connection and returns false if nobody accepts it any more.
+func (q *splitQueue) put(conn net.Conn) bool {
 	select {
 	case q.accepted <- conn:
+		return true
 	case <-q.closed:
-		_ = conn.Close() // Nobody accepts it any more.
+		_ = conn.Close() // Nothing was confirmed.
+		return false
 	}
 }
 
--- a/internal/qf/transport/qfrpc/split_test.go
+++ b/internal/qf/transport/qfrpc/split_test.go
@@ -261,3 +261,21 @@
 		})
 	}
 }
+
+// TestClosedForwardsConfirmNothing fails if a server that takes no more forwarded requests confirms a connection: its client then sends a request that may
+// run for all that it can tell, and gets the end of the connection.
+func TestClosedForwardsConfirmNothing(t *testing.T) {
+	network := standnet.New().From(netip.MustParseAddr("10.1.0.2"))
+	listener, err := network.Listen(t.Context(), splitAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	split := Split(qftimer.NewWall(), listener, func(err error) { t.Error(err) })
+	defer split.Close()
+	_ = split.Forwards().Close()
+	conn, err := DialForward(network.Dial, time.Minute)(t.Context(), "tcp", splitAddress.String())
+	if err == nil {
+		_ = conn.Close()
+		t.Error("a connection was confirmed that nobody serves")
+	}
+}
