entry: the ports that serve until a node's end are drained too

A lookup of addresses, or a probe, that had come when a node ended was reset. Cause: the servers of addresses, readiness and metrics were closed at once at the end of a stop, by the same states. Change: they are qfhttp.DrainingServer as well, drained in 0.3 s beside the last flush of usage. Measured: the type's tests (TestDrainAnswers*); go test ./internal/entry -run 'Stop|Directory|Leav' passes. No test of its own at the node: what is new is the call.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -42,8 +42,9 @@
 // servers are the node's listeners.
 type servers struct {
 	callers *qfhttp.DrainingServer
-	others  []*http.Server
-	peers   io.Closer
+	// others serves the probes of readiness, the lookups of addresses and the metrics, until the node's end.
+	others []*qfhttp.DrainingServer
+	peers  io.Closer
 	// forwards serves requests that other nodes pass on, on the listener of peers.
 	forwards *qfhttp.DrainingServer
 	// running counts the serving goroutines.
@@ -76,14 +77,13 @@
 		if other.handler == nil {
 			continue
 		}
-		server := newServer(other.handler)
-		e.servers.others = append(e.servers.others, server)
 		listener, err := e.openListener(ctx, other.address)
 		if err != nil {
 			return err
 		}
-		guarded := e.connectionBudget.Guard(server, listener, other.limits)
-		e.runServer(other.address, func() error { return server.Serve(guarded) })
+		server := qfhttp.NewDrainingServer(newServer(other.handler), listener, e.connectionBudget, other.limits)
+		e.servers.others = append(e.servers.others, server)
+		e.runServer(other.address, server.Serve)
 	}
 	return e.listenPeers(ctx)
 }
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -33,11 +33,11 @@
 	e.sleep(ctx, leaveDelay)
 	e.drainServers(ctx, stopAt.Add(e.deployment.Bounds.StopGrace-stopMargin))
 	handedOver.Wait()
+	var others sync.WaitGroup
+	others.Go(func() { e.drainOthers(ctx) })
 	e.flushUsage(ctx)
+	others.Wait()
 	e.stopLoops()
-	for _, server := range e.servers.others {
-		_ = server.Close() // Nothing is in progress that must be finished.
-	}
 	_ = e.servers.peers.Close()
 	qfevent.NodeStopped.Log(&e.platform.Logger, e.deployment.Self.ID)
 }
@@ -61,6 +61,20 @@
 	wait.Wait()
 }
 
+// othersDrainTime bounds the drain of the ports that serve until the node's end.
+const othersDrainTime = 300 * time.Millisecond
+
+// drainOthers answers what has come to the ports that serve until the node's end.
+func (e *Entry) drainOthers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, othersDrainTime)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, server := range e.servers.others {
+		wait.Go(func() { server.Drain(ctx) })
+	}
+	wait.Wait()
+}
+
 // drainServer drains the server of a port and logs how its connections ended.
 func (e *Entry) drainServer(ctx context.Context, port string, server *qfhttp.DrainingServer) {
 	beganAt := e.now()
