qfhttp: a drain ends no kept connection that its caller may use again

Callers saw: a request on a kept connection that crossed its close at a stopping node: no answer. Idle connections were ended at one moment without notice, and nothing had stated for how long they may be used. Change: answers of the callers' and the forwards' port carry Keep-Alive: timeout=2, and the drain ends a connection no earlier than 2 s after its last answer. The node serves for 2.5 s after the signal, and asks to close with each answer, so that a caller that keeps the stated time never meets the end.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -27,6 +27,9 @@
 	// leaveDelay is how long a stopping node still accepts connections, until callers
 	// have new addresses.
 	leaveDelay = 2500 * time.Millisecond
+	// connectionReuse is how long after an answer its caller, or the node that passed the request on, may use the connection again. It
+	// is below leaveDelay: nobody uses a connection any more that a drain ends.
+	connectionReuse = 2 * time.Second
 	// stopMargin is the time before the end of the grace at which remaining requests are aborted.
 	stopMargin = 400 * time.Millisecond
 	// addressLifetime is how long callers keep the returned addresses.
@@ -81,7 +84,7 @@
 		if err != nil {
 			return err
 		}
-		server := qfhttp.NewDrainingServer(newServer(other.handler), listener, e.connectionBudget, other.limits)
+		server := qfhttp.NewDrainingServer(newServer(other.handler), listener, e.connectionBudget, other.limits, 0)
 		e.servers.others = append(e.servers.others, server)
 		e.runServer(other.address, server.Serve)
 	}
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -103,6 +103,7 @@
 	}
 	if f.ports.IsLeaving() {
 		w.Header().Set("Connection", "close")
+		w.Header().Del("Keep-Alive")
 	}
 	if err := c.accept(); err != nil {
 		c.refuse(err)
--- a/internal/qf/transport/qfhttp/draining.go
+++ b/internal/qf/transport/qfhttp/draining.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"quetzalfront/internal/qf"
 )
 
 // endMargin is the time before the end of a drain's context at which connections without a request are ended, whatever is still
@@ -18,6 +21,10 @@
 type DrainingServer struct {
 	server   *http.Server
 	listener net.Listener
+	clock    qf.Clock
+	// reuse is how long after an answer its client may use the connection again. It is a whole number of seconds; 0 stands for not
+	// stated.
+	reuse time.Duration
 	// served is closed once no more connections are accepted.
 	served chan struct{}
 
@@ -47,9 +54,15 @@
 	Aborted int
 }
 
-// NewDrainingServer returns a server that hasn't started. Its connections are admitted to a budget.
-func NewDrainingServer(server *http.Server, listener net.Listener, budget *ConnectionBudget, limits PortLimits) *DrainingServer {
-	s := &DrainingServer{server: server, served: make(chan struct{}), states: map[*drainingConn]http.ConnState{}}
+// NewDrainingServer returns a server that hasn't started. Its connections are admitted to a budget. Its answers state for how long
+// their connections may be used again, in whole seconds, unless that is 0.
+func NewDrainingServer(server *http.Server, listener net.Listener, budget *ConnectionBudget, limits PortLimits, reuse time.Duration) *DrainingServer {
+	s := &DrainingServer{
+		server: server, clock: budget.clock, reuse: reuse.Truncate(time.Second), served: make(chan struct{}), states: map[*drainingConn]http.ConnState{},
+	}
+	if s.reuse > 0 {
+		server.Handler = s.stateReuse(server.Handler)
+	}
 	connState := server.ConnState
 	server.ConnState = func(connection net.Conn, state http.ConnState) {
 		if c, ok := connection.(*budgetedConn).Conn.(*drainingConn); ok {
@@ -63,6 +76,15 @@
 	return s
 }
 
+// stateReuse wraps a handler so that its answers state for how long their connections may be used again.
+func (s *DrainingServer) stateReuse(next http.Handler) http.Handler {
+	value := []string{fmt.Sprintf("timeout=%d", s.reuse/time.Second)}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Keep-Alive"] = value
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Serve serves the listener's connections until it is closed.
 func (s *DrainingServer) Serve() error {
 	defer close(s.served)
@@ -72,7 +94,7 @@
 // recordState follows the connections.
 func (s *DrainingServer) recordState(c *drainingConn, state http.ConnState) {
 	if state == http.StateIdle {
-		c.expectRequest()
+		c.expectRequest(s.clock.Now().Add(s.reuse))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,8 +125,8 @@
 	}
 }
 
-// Drain serves until no request is in progress and none is on its way: connections are accepted and kept ones go on. Then those that wait
-// for a request end, and the listener is closed once nothing waits to be accepted. Drain returns when all connections are closed, and
+// Drain serves until no request is in progress and none is on its way: connections are accepted and kept ones go on while their clients may
+// use them. Then those that wait for a request end, and the listener is closed once nothing waits to be accepted. Drain returns when all connections are closed, and
 // closes those that are left when the context ends. The handler must ask clients to close their connections.
 func (s *DrainingServer) Drain(ctx context.Context) DrainReport {
 	s.beginReport()
@@ -119,22 +141,44 @@
 	return report
 }
 
-// awaitQuiet waits until no request is in progress and no connection waits to be accepted or for its first request, or until endMargin
-// before the end of the context.
+// awaitQuiet waits until no request is in progress, no connection waits to be accepted or for its first request, and no client may use
+// one again, or until endMargin before the end of the context.
 func (s *DrainingServer) awaitQuiet(ctx context.Context) {
 	if deadline, ok := ctx.Deadline(); ok {
 		limited, cancel := context.WithDeadline(ctx, deadline.Add(-endMargin))
 		defer cancel()
 		ctx = limited
 	}
-	s.await(ctx, func() bool {
-		for _, state := range s.states {
-			if state != http.StateIdle {
-				return false
+	for ctx.Err() == nil {
+		var usableUntil time.Time
+		s.await(ctx, func() bool {
+			usableUntil = time.Time{}
+			for c, state := range s.states {
+				if state != http.StateIdle {
+					return false
+				}
+				if until := c.reusableUntil(); until.After(usableUntil) {
+					usableUntil = until
+				}
 			}
+			return !isReadable(s.listener)
+		})
+		left := usableUntil.Sub(s.clock.Now())
+		if left <= 0 {
+			return
 		}
-		return !isReadable(s.listener)
-	})
+		s.sleep(ctx, left)
+	}
+}
+
+// sleep waits for a time, or until the context ends.
+func (s *DrainingServer) sleep(ctx context.Context, delay time.Duration) {
+	timer := s.clock.After(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-ctx.Done():
+	}
 }
 
 // endWaiting ends the connections that wait for a request, and from now on those that come to wait for one.
--- a/internal/qf/transport/qfhttp/draining_test.go
+++ b/internal/qf/transport/qfhttp/draining_test.go
@@ -3,21 +3,25 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/qf/transport/qfhttp"
+	"quetzalfront/internal/standin/standnet"
 )
 
 // lateListener accepts nothing while it is held. The drain ends the hold, by whatever it does first to the listener.
@@ -169,7 +173,7 @@
 		},
 	}
 	budget := qfhttp.NewConnectionBudget(qftimer.NewWall(), 0, func(qfhttp.LimitBreak) {})
-	d.server = qfhttp.NewDrainingServer(server, d.listener, budget, qfhttp.PortLimits{Name: "callers"})
+	d.server = qfhttp.NewDrainingServer(server, d.listener, budget, qfhttp.PortLimits{Name: "callers"}, 0)
 	var running sync.WaitGroup
 	running.Go(func() { _ = d.server.Serve() })
 	t.Cleanup(running.Wait)
@@ -319,3 +323,65 @@
 	}
 	drained.Wait()
 }
+
+// TestDrainEndsNoConnectionThatMayBeUsedAgain fails if a stopping server ends a kept connection before the time is over for which an answer has
+// allowed its use, or states no such time.
+func TestDrainEndsNoConnectionThatMayBeUsedAgain(t *testing.T) {
+	const reuse = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		clock := qftimer.NewWall()
+		listener, dial := pipeListener(t)
+		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+		server := qfhttp.NewDrainingServer(
+			&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, listener, qfhttp.NewConnectionBudget(clock, 0, func(qfhttp.LimitBreak) {}),
+			qfhttp.PortLimits{Name: "callers"}, reuse,
+		)
+		var running sync.WaitGroup
+		running.Go(func() { _ = server.Serve() })
+		connection := dial()
+		reader := bufio.NewReader(connection)
+		exchange := func() string {
+			if _, err := io.WriteString(connection, plainRequestOfKept); err != nil {
+				t.Fatal(err)
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return response.Header.Get("Keep-Alive")
+		}
+		if got := exchange(); got != "timeout=2" {
+			t.Errorf("the answer states %q", got)
+		}
+		running.Go(func() { server.Drain(t.Context()) })
+		<-clock.After(reuse - time.Millisecond).C()
+		exchange()
+		answeredAt := clock.Now()
+		if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("the connection ends with %v", err)
+		}
+		if kept := clock.Now().Sub(answeredAt); kept != reuse {
+			t.Errorf("the connection ended %v after its answer, want %v", kept, reuse)
+		}
+		running.Wait()
+	})
+}
+
+const plainRequestOfKept = "GET /plain HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// pipeListener returns an in-memory listener and a dial that connects to it.
+func pipeListener(t *testing.T) (net.Listener, func() net.Conn) {
+	t.Helper()
+	network := standnet.New().From(netip.MustParseAddr("10.7.0.1"))
+	listener, err := network.Listen(t.Context(), netip.MustParseAddrPort("10.1.0.1:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener, func() net.Conn {
+		connection, err := network.Dial(t.Context(), "tcp", "10.1.0.1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return connection
+	}
+}
--- a/internal/qf/transport/qfhttp/drainingconn.go
+++ b/internal/qf/transport/qfhttp/drainingconn.go
@@ -34,6 +34,8 @@
 	isWaiting bool
 	// isEnding is true from when the connection ends if it has nothing to read. It implies isWaiting.
 	isEnding bool
+	// reusable is until when the client may use the connection again after an answer.
+	reusable time.Time
 	// deadline is the read deadline that net/http has set. It isn't in force while isEnding is true.
 	deadline time.Time
 }
@@ -57,11 +59,18 @@
 	return n, err
 }
 
-// expectRequest marks the connection as waiting for its next request.
-func (c *drainingConn) expectRequest() {
+// expectRequest marks the connection as waiting for its next request, which may come until a time.
+func (c *drainingConn) expectRequest(until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isWaiting = true
+	c.isWaiting, c.reusable = true, until
+}
+
+// reusableUntil returns until when the client may use the connection again after an answer.
+func (c *drainingConn) reusableUntil() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reusable
 }
 
 // beginRequest marks a part of a request as read.
