qfforward: a panic in a request's handling is answered and logged

Cause: net/http ends the connection of a handler that panics, writes to standard error only, and no line names the request. Conclusion: kept as a guard; no panic of the handler is known.

--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -101,6 +102,7 @@
 	if hop != nil {
 		c.outcome.FromPeer = hop.From
 	}
+	defer c.recoverPanic()
 	if f.ports.IsLeaving() {
 		w.Header().Set("Connection", "close")
 		w.Header().Del("Keep-Alive")
@@ -113,6 +115,27 @@
 	c.observe()
 }
 
+// recoverPanic ends a request in whose handling the node has panicked: with an answer, or with an abort if one has begun.
+func (c *call) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler { //nolint:errorlint // The value of a panic.
+		panic(cause)
+	}
+	err := &qf.Error{
+		Code: qf.CodeInternal, Step: qf.StepAttempt, Reason: "the node failed while it handled the request", Ran: qf.RanUnknown,
+		Cause: fmt.Errorf("panic: %v\n%s", cause, debug.Stack()),
+	}
+	if c.outcome.Status != 0 {
+		c.outcome.Err = errors.Join(c.outcome.Err, err)
+		c.abort()
+	}
+	c.refuse(err)
+	c.observe()
+}
+
 // observe reports the request's outcome.
 func (c *call) observe() {
 	c.outcome.Took = c.forwarder.ports.Clock.Now().Sub(c.arrivedAt)
