qfhttp: a drain doesn't end the context of a request that was read ahead

No read tells of it: the state goes to idle, the drain interrupts the connection, and the background read beside the request returns the end. net/http then ends the request's context, and the node takes its caller for one that has left.

--- a/internal/qf/transport/qfhttp/draining_test.go
+++ b/internal/qf/transport/qfhttp/draining_test.go
@@ -143,6 +143,9 @@
 	ran atomic.Int64
 	// entered receives a value for each request to /hold, which is answered once release is closed.
 	entered, release chan struct{}
+	// ahead handles /ahead, and onIdle is called when a connection waits for its next request. Either may be nil.
+	ahead  func(context.Context)
+	onIdle func()
 }
 
 // newDrainedServer starts a server that comes late to a moment of a connection's next request.
@@ -168,7 +171,11 @@
 			if state == http.StateIdle {
 				c, _ := opened.Load(connection.RemoteAddr().String())
 				c.(*lateConn).arm()
+				onIdle := d.onIdle
 				d.idle <- c.(*lateConn)
+				if onIdle != nil {
+					onIdle()
+				}
 			}
 		},
 	}
@@ -186,6 +193,9 @@
 		d.entered <- struct{}{}
 		<-d.release
 	}
+	if r.URL.Path == "/ahead" {
+		d.ahead(r.Context())
+	}
 	_, _ = io.WriteString(w, "done")
 }
 
@@ -385,3 +395,88 @@
 		return connection
 	}
 }
+
+// watchedConn reports reads that aren't interrupted.
+type watchedConn struct {
+	*net.TCPConn
+	isInterrupted atomic.Bool
+	// reading has a value once a read has waited for the client.
+	reading chan struct{}
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(b []byte) (int, error) {
+	if !c.isInterrupted.Load() {
+		select {
+		case c.reading <- struct{}{}:
+		default: // It has one.
+		}
+	}
+	return c.TCPConn.Read(b)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *watchedConn) SetReadDeadline(t time.Time) error {
+	c.isInterrupted.Store(!t.IsZero() && t.Before(qftimer.NewWall().Now()))
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// TestDrainKeepsContextOfRequestThatWasReadAhead fails if a drain ends the context of a request that net/http has read whole together with
+// the one before it: its caller is there, and the handler takes it for one that has left. A caller that got its answer before its long body was read
+// sends the next request so too.
+func TestDrainKeepsContextOfRequestThatWasReadAhead(t *testing.T) {
+	d := newDrainedServer(t, lateToRead)
+	watched := make(chan *watchedConn, 2)
+	wrap := d.listener.wrap
+	d.listener.wrap = func(connection net.Conn) net.Conn {
+		c := &watchedConn{TCPConn: wrap(connection).(*lateConn).TCPConn, reading: make(chan struct{}, 1)}
+		watched <- c
+		return c
+	}
+	d.listener.hold.end()
+	kept := d.dial()
+	kept.send("/first")
+	if err := kept.receive(); err != nil {
+		t.Fatal(err)
+	}
+	<-d.idle
+	<-watched
+	c := d.dial()
+	c.send("/hold HTTP/1.1\r\nHost: h\r\n\r\nGET /ahead") // Two requests that arrive together.
+	<-d.entered
+	connection := <-watched
+	isKept := make(chan error, 1)
+	d.ahead = func(ctx context.Context) {
+		select {
+		case <-ctx.Done():
+			isKept <- ctx.Err()
+		case <-connection.reading:
+			isKept <- nil
+		}
+	}
+	// The answer's goroutine comes late after its connection was marked as idle: the drain has ended the connections without a request.
+	endedKept := make(chan struct{})
+	d.onIdle = sync.OnceFunc(func() {
+		<-endedKept
+		<-connection.reading // The reads so far; the next one is that beside the second request, which is read already.
+	})
+	var drained sync.WaitGroup
+	drained.Go(d.drain)
+	for !d.server.IsDraining() {
+		runtime.Gosched()
+	}
+	close(d.release)
+	if err := kept.receive(); err == nil {
+		t.Error("the kept connection has an answer that nobody asked for")
+	}
+	close(endedKept)
+	for _, request := range []string{"first", "second"} {
+		if err := c.receive(); err != nil {
+			t.Errorf("the %s request has no answer: %v", request, err)
+		}
+	}
+	if err := <-isKept; err != nil {
+		t.Errorf("the context of a request whose caller waits ended: %v", err)
+	}
+	drained.Wait()
+}
--- a/internal/qf/transport/qfhttp/drainingconn.go
+++ b/internal/qf/transport/qfhttp/drainingconn.go
@@ -32,6 +32,8 @@
 	mu sync.Mutex
 	// isWaiting is true while nothing of the next request was read.
 	isWaiting bool
+	// isKept is true once a request was answered, isAwaited once net/http has set the deadline until which it waits for the next one.
+	isKept, isAwaited bool
 	// isEnding is true from when the connection ends if it has nothing to read. It implies isWaiting.
 	isEnding bool
 	// reusable is until when the client may use the connection again after an answer.
@@ -63,7 +65,7 @@
 func (c *drainingConn) expectRequest(until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isWaiting, c.reusable = true, until
+	c.isWaiting, c.isKept, c.isAwaited, c.reusable = true, true, false, until
 }
 
 // reusableUntil returns until when the client may use the connection again after an answer.
@@ -77,6 +79,11 @@
 func (c *drainingConn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.beginRequestLocked()
+}
+
+// beginRequestLocked is beginRequest for a caller that holds c.mu.
+func (c *drainingConn) beginRequestLocked() {
 	c.isWaiting = false
 	if c.isEnding {
 		c.isEnding = false
@@ -100,11 +107,16 @@
 	return c.isEnding
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. net/http sets a second deadline once it has the beginning of the next request, which it may have read
+// together with the one before, so that no read tells.
 func (c *drainingConn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = deadline
+	if c.isWaiting && c.isKept && c.isAwaited {
+		c.beginRequestLocked()
+	}
+	c.isAwaited = true
 	if c.isEnding {
 		return nil
 	}
