qfhttp: a drain closes its listener before its last moment, and looks again after each accept

While one request was in progress until the abort, the node accepted until then, and connections accepted in the last moment were closed with a whole request on them. The listener was closed only once all connections were; new connections were never interrupted; the queue was looked at only when a connection's state changed, which one that the budget refuses has none of; the end of Serve was awaited without a bound. Change: after kept connections are asked to end, the listener is closed as soon as nothing waits there; new connections on which nothing has come end 0.1 s before the abort; each accept makes the drain look again; the end of Serve and the stop's last steps are bounded by the grace, with 0.1 s left for the log.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -33,10 +33,7 @@
 	e.sleep(ctx, leaveDelay)
 	e.drainServers(ctx, stopAt.Add(e.deployment.Bounds.StopGrace-stopMargin))
 	handedOver.Wait()
-	var others sync.WaitGroup
-	others.Go(func() { e.drainOthers(ctx) })
-	e.flushUsage(ctx)
-	others.Wait()
+	e.endServing(ctx, stopAt.Add(e.deployment.Bounds.StopGrace-exitMargin))
 	e.stopLoops()
 	_ = e.servers.peers.Close()
 	qfevent.NodeStopped.Log(&e.platform.Logger, e.deployment.Self.ID)
@@ -61,6 +58,19 @@
 	wait.Wait()
 }
 
+// exitMargin is the time before the end of the grace that is left for the last lines of the log.
+const exitMargin = 100 * time.Millisecond
+
+// endServing sends the last usage and drains the ports that serve until the node's end, no longer than until a time.
+func (e *Entry) endServing(ctx context.Context, until time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, max(until.Sub(e.now()), 0))
+	defer cancel()
+	var others sync.WaitGroup
+	others.Go(func() { e.drainOthers(ctx) })
+	e.flushUsage(ctx)
+	others.Wait()
+}
+
 // othersDrainTime bounds the drain of the ports that serve until the node's end.
 const othersDrainTime = 300 * time.Millisecond
 
--- a/internal/qf/transport/qfhttp/draining.go
+++ b/internal/qf/transport/qfhttp/draining.go
@@ -11,9 +11,14 @@
 	"quetzalfront/internal/qf"
 )
 
-// endMargin is the time before the end of a drain's context at which connections without a request are ended, whatever is still
-// in progress: what has come on them by then is answered in the time that is left.
-const endMargin = 200 * time.Millisecond
+// The times before the end of a drain's context at which connections are ended, whatever is still in progress: what has come on them by then
+// is answered in the time that is left.
+const (
+	// endMargin is that of the listener and of kept connections without a request.
+	endMargin = 200 * time.Millisecond
+	// newEndMargin is that of new connections on which nothing has come.
+	newEndMargin = 100 * time.Millisecond
+)
 
 // DrainingServer is an HTTP server whose drain answers each request that has come to one of its connections, read or not. Shutdown of
 // net/http closes a connection by its state, which changes only once a request's head was parsed, and resets those that wait to be
@@ -72,7 +77,7 @@
 			connState(connection, state)
 		}
 	}
-	s.listener = budget.Guard(server, &drainingListener{Listener: listener}, limits)
+	s.listener = budget.Guard(server, &drainingListener{Listener: listener, onAccept: s.signalChange}, limits)
 	return s
 }
 
@@ -110,6 +115,18 @@
 	if s.isEnding && state == http.StateIdle {
 		c.endUnlessRequested() // The first request of a new connection is on its way.
 	}
+	s.signalChangeLocked()
+}
+
+// signalChange makes those that wait look at the connections again.
+func (s *DrainingServer) signalChange() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.signalChangeLocked()
+}
+
+// signalChangeLocked is signalChange for a caller that holds s.mu.
+func (s *DrainingServer) signalChangeLocked() {
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
@@ -131,24 +148,44 @@
 func (s *DrainingServer) Drain(ctx context.Context) DrainReport {
 	s.beginReport()
 	s.awaitQuiet(ctx)
-	s.endWaiting()
-	s.await(ctx, func() bool { return len(s.states) == 0 && !isReadable(s.listener) })
+	s.endWaiting(http.StateIdle)
+	s.await(ctx, func() bool { return !isReadable(s.listener) })
 	_ = s.listener.Close() // What was accepted is served below.
-	<-s.served
-	s.await(ctx, func() bool { return len(s.states) == 0 })
+	select {
+	case <-s.served:
+	case <-ctx.Done():
+	}
+	s.awaitClosed(ctx)
 	report := s.endReport()
 	_ = s.server.Close() // Nothing is left, or the grace is over.
 	return report
 }
 
+// awaitClosed waits until all connections are closed, or until the context ends. It ends new connections on which nothing has come in time.
+func (s *DrainingServer) awaitClosed(ctx context.Context) {
+	areClosed := func() bool { return len(s.states) == 0 }
+	limited, cancel := endingBefore(ctx, newEndMargin)
+	defer cancel()
+	s.await(limited, areClosed)
+	if limited.Err() != nil {
+		s.endWaiting(http.StateNew)
+	}
+	s.await(ctx, areClosed)
+}
+
+// endingBefore returns a context that ends a time before another one does, if that one has a deadline.
+func endingBefore(ctx context.Context, margin time.Duration) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(ctx, deadline.Add(-margin))
+	}
+	return context.WithCancel(ctx)
+}
+
 // awaitQuiet waits until no request is in progress, no connection waits to be accepted or for its first request, and no client may use
 // one again, or until endMargin before the end of the context.
 func (s *DrainingServer) awaitQuiet(ctx context.Context) {
-	if deadline, ok := ctx.Deadline(); ok {
-		limited, cancel := context.WithDeadline(ctx, deadline.Add(-endMargin))
-		defer cancel()
-		ctx = limited
-	}
+	ctx, cancel := endingBefore(ctx, endMargin)
+	defer cancel()
 	for ctx.Err() == nil {
 		var usableUntil time.Time
 		s.await(ctx, func() bool {
@@ -181,13 +218,15 @@
 	}
 }
 
-// endWaiting ends the connections that wait for a request, and from now on those that come to wait for one.
-func (s *DrainingServer) endWaiting() {
+// endWaiting ends the connections in a state that wait for a request, and from now on those that come to wait for another one.
+func (s *DrainingServer) endWaiting(in http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isEnding = true
-	for c := range s.states {
-		c.endUnlessRequested()
+	for c, state := range s.states {
+		if state == in {
+			c.endUnlessRequested()
+		}
 	}
 }
 
--- a/internal/qf/transport/qfhttp/draining_test.go
+++ b/internal/qf/transport/qfhttp/draining_test.go
@@ -480,3 +480,110 @@
 	}
 	drained.Wait()
 }
+
+// refusedListener has one connection that waits to be accepted, and hands it over once the drain has looked twice whether one waits.
+type refusedListener struct {
+	net.Listener
+	looks   atomic.Int64
+	looked  *hold
+	hasNone atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *refusedListener) Accept() (net.Conn, error) {
+	<-l.looked.ended
+	connection, err := l.Listener.Accept()
+	l.hasNone.Store(true)
+	return connection, err
+}
+
+// IsReadable reports whether the connection waits to be accepted.
+func (l *refusedListener) IsReadable() bool {
+	if l.looks.Add(1) >= 2 {
+		l.looked.end()
+	}
+	return !l.hasNone.Load()
+}
+
+// Close implements net.Listener.
+func (l *refusedListener) Close() error {
+	defer l.looked.end()
+	return l.Listener.Close()
+}
+
+// TestDrainEndsAfterRefusedConnection fails if a drain goes on until its time is over after a connection that waited to be accepted was refused by
+// the budget: such a connection has no state, whose change would make the drain look again.
+func TestDrainEndsAfterRefusedConnection(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	budget := qfhttp.NewConnectionBudget(qftimer.NewWall(), 1, func(qfhttp.LimitBreak) {}) // No connection has room.
+	listener := &refusedListener{Listener: raw, looked: newHold()}
+	server := qfhttp.NewDrainingServer(&http.Server{ReadHeaderTimeout: time.Minute}, listener, budget, qfhttp.PortLimits{Name: "callers"}, 0)
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve() })
+	connection, err := net.Dial("tcp", raw.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	if _, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second) // It only ends a test that has failed.
+	defer cancel()
+	unlimited, end := context.WithCancel(context.WithoutCancel(ctx)) // Without a deadline, the drain has no other reason to go on.
+	defer end()
+	defer context.AfterFunc(ctx, end)()
+	server.Drain(unlimited)
+	if unlimited.Err() != nil {
+		t.Error("the drain went on until its time was over, though nothing was in progress and nothing waited")
+	}
+	running.Wait()
+}
+
+// TestDrainAnswersNewConnectionAtItsEnd fails if a connection that was accepted once the drain ends those without a request is closed with a
+// request that nothing has read, when the drain's time is over.
+func TestDrainAnswersNewConnectionAtItsEnd(t *testing.T) {
+	d := newDrainedServer(t, lateToRead)
+	isLate, accepted := atomic.Bool{}, atomic.Bool{}
+	wrap := d.listener.wrap
+	d.listener.wrap = func(connection net.Conn) net.Conn {
+		c := wrap(connection)
+		if isLate.Load() {
+			accepted.Store(true)
+			c.(*lateConn).arm()
+		}
+		return c
+	}
+	d.listener.hold.end()
+	kept := d.dial()
+	kept.send("/first")
+	if err := kept.receive(); err != nil {
+		t.Fatal(err)
+	}
+	<-d.idle
+	busy := d.dial() // Its request is in progress until the time is over.
+	busy.send("/hold")
+	<-d.entered
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	var drained sync.WaitGroup
+	drained.Go(func() { d.server.Drain(ctx) })
+	if err := kept.receive(); err == nil {
+		t.Error("the kept connection has an answer that nobody asked for")
+	}
+	isLate.Store(true)
+	connection, err := net.Dial("tcp", d.address)
+	if err == nil {
+		c := &drainedCaller{t: t, connection: connection.(*net.TCPConn), reader: bufio.NewReader(connection)}
+		defer connection.Close()
+		_, _ = io.WriteString(connection, "GET /late HTTP/1.1\r\nHost: h\r\n\r\n") // A connection that was reset fails below.
+		if err := c.receive(); err != nil && accepted.Load() {
+			t.Errorf("the request of a connection that was accepted has no answer: %v", err)
+		}
+	}
+	drained.Wait()
+	close(d.release)
+}
--- a/internal/qf/transport/qfhttp/drainingconn.go
+++ b/internal/qf/transport/qfhttp/drainingconn.go
@@ -10,10 +10,15 @@
 )
 
 // drainingListener accepts connections of a DrainingServer.
-type drainingListener struct{ net.Listener }
+type drainingListener struct {
+	net.Listener
+	// onAccept is called before each wait for a connection.
+	onAccept func()
+}
 
 // Accept implements net.Listener.
 func (l *drainingListener) Accept() (net.Conn, error) {
+	l.onAccept()
 	connection, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
