qfforward: search an event that arrives in parts once

A flood of 300 streams, each a part of one event below 1 MB, kept a node's processors busy for a minute. Cause: after each read of up to 4 KB the relay searched all of the pending event, up to 1 MB, for its end, so that the work grew with the square of the event's length, and with one byte a read without a bound that matters. Change: the relay keeps how much of what is pending was searched, and searches only what is new and the last three bytes before it. Measured: `go test ./internal/qf/protocol/qfforward -run SmallParts`: not ended after 40 s on the old code -> 0.1 s with the whole package.

--- a/internal/qf/protocol/qfforward/relay.go
+++ b/internal/qf/protocol/qfforward/relay.go
@@ -29,8 +29,10 @@
 	// lastEvent is the identifier of the last event that was forwarded.
 	lastEvent string
 	// tokens estimates the length of the answer so far.
-	tokens  int
-	pending []byte
+	tokens int
+	// pending is what was read and not forwarded, searched the number of its first bytes that hold no end of an event.
+	pending  []byte
+	searched int
 	// stream is the present attempt in the table of streams.
 	stream *stream
 }
@@ -41,7 +43,7 @@
 // complete.
 func (s *relay) relayStream(a *attempt, stopWatch func()) error {
 	defer stopWatch()
-	s.pending = s.pending[:0]
+	s.pending, s.searched = s.pending[:0], 0
 	chunk := make([]byte, readBytes)
 	for {
 		n, err := a.answer.Body.Read(chunk)
@@ -65,7 +67,7 @@
 
 // relayEvents writes the complete events that are pending.
 func (s *relay) relayEvents(a *attempt, stopWatch func()) error {
-	end := lastEventEnd(s.pending)
+	end := s.findEventEnd()
 	if end == 0 {
 		return nil
 	}
@@ -145,6 +147,19 @@
 	}
 }
 
+// findEventEnd returns the offset of the end of the last complete event that is pending, or 0. What was searched before isn't
+// searched again, but for the bytes that may begin the separator.
+func (s *relay) findEventEnd() int {
+	const overlap = len("\r\n\r\n") - 1
+	from := max(s.searched-overlap, 0)
+	end := lastEventEnd(s.pending[from:])
+	if end > 0 {
+		end += from
+	}
+	s.searched = len(s.pending) - end
+	return end
+}
+
 // lastEventEnd returns the offset of the end of the last complete event, or 0.
 func lastEventEnd(data []byte) int {
 	end := 0
