qfforward: bound what the parts of all answers take together

The machine ran out of memory, and the requests of other clients on it ended with it. Cause: each answer was bounded, their sum wasn't: 1 MB for an event without end, 256 KB for a buffered body (in a buffer of up to 512 KB, and held while a slow caller reads), 64 KB for a head, of which short lines take a multiple in memory. A node of 284 MB has up to 1,537 connections of callers. Change: qfresponse.Budget bounds the sum of heads, buffered bodies and incomplete events of all answers by an eighth of the process's memory, beside 16 KB for each answer, so that ordinary ones don't depend on others. Where there is no room, a body is passed on from the part that was read; an attempt whose head or event finds none ends, and isn't held against the request's content. A buffer is charged with its capacity until the caller has taken it. Buffers grow to their bound and no further, and one that has held a long event is given back. Not reported in metrics yet: the attempt's error in the log names the lack of room.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -192,7 +192,7 @@
 		ServesUntil: e.servesUntil,
 		Mover:       platform.Mover, ObserveMove: e.observeMove,
 		Self: deployment.Self.ID, Peers: qfexchange.NewClient(platform.Clock, toPeers, platform.Protocol), Router: e.peerRouter, Monitor: e.monitor,
-		Callers: e.callers,
+		Callers: e.callers, Answers: newAnswerBudget(e),
 	})
 	e.duties = newDuties(e)
 	e.storeEra = &eraWatcher{entry: e}
--- a/internal/entry/untrusted.go
+++ b/internal/entry/untrusted.go
@@ -1,11 +1,17 @@
 package entry
 
-import "quetzalfront/internal/qf/transport/qfhttp"
+import (
+	"quetzalfront/internal/qf/state/qfresponse"
+	"quetzalfront/internal/qf/transport/qfhttp"
+)
 
 // heldMemoryShare is the share of the process's memory that clients may make it hold, by an estimate. The collector lets the
 // heap grow to twice of what is in use, and the node itself needs the rest.
 const heldMemoryShare = 0.25
 
+// answerMemoryShare is the share of the process's memory that the answers in progress may take, beside the small ones.
+const answerMemoryShare = 0.125
+
 // The shares of the process's descriptors that the connections of each port may use. What is left is for connections to
 // endpoints, peers and the store: each request in progress needs one.
 const (
@@ -30,6 +36,11 @@
 	return qfhttp.NewConnectionBudget(e.platform.Clock, memory, reporter.Report)
 }
 
+// newAnswerBudget returns the budget of what endpoints and other nodes may make the node hold with their answers.
+func newAnswerBudget(e *Entry) *qfresponse.Budget {
+	return qfresponse.NewBudget(int64(answerMemoryShare * float64(e.deployment.Process.MemoryBytes)))
+}
+
 // portLimits returns the limits of a port that may use a share of the descriptors.
 func (e *Entry) portLimits(name string, share float64) qfhttp.PortLimits {
 	connections := share * float64(e.deployment.Process.Descriptors)
--- a/internal/qf/exchange.go
+++ b/internal/qf/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 )
@@ -21,6 +22,17 @@
 	// IsWanted reports whether anybody still waits for the answer. It is called right before the request is sent; nil
 	// means that somebody does.
 	IsWanted func() bool
+	// HeadRoom bounds what the answer's head takes; nil means that only its length is bounded.
+	HeadRoom AnswerRoom
+}
+
+// ErrNoAnswerRoom is the error for a part of an answer that there is no room for beside other answers.
+var ErrNoAnswerRoom = errors.New("there is no room for the answer beside other answers")
+
+// AnswerRoom bounds the memory of a part of an answer.
+type AnswerRoom interface {
+	// Resize sets the bytes that the part takes. It returns false and changes nothing if there is no room for them.
+	Resize(bytes int64) bool
 }
 
 // EndpointResponse is an endpoint's answer. Body returns io.EOF only if the answer is
--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -1,7 +1,6 @@
 package qfforward
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -35,7 +34,7 @@
 		p.runs = c.hop.Runs
 	}
 	c.outcome.Kind = c.route.Kind
-	s := &relay{call: c}
+	s := &relay{call: c, pending: heldBuffer{room: c.room.NewPart()}}
 	var tried []qf.EndpointID
 	var entry qf.EntryName
 	if c.hop != nil {
@@ -215,7 +214,8 @@
 	at := ports.Clock.Now()
 	ports.Picker.RecordAttemptEnd(at, &a.picked, a.end)
 	end := a.end
-	if end == qf.AttemptBroken && (errors.Is(a.err, errFirstByteTimeout) || errors.Is(a.err, errCutOff)) {
+	isOwnEnd := errors.Is(a.err, errFirstByteTimeout) || errors.Is(a.err, errCutOff) || errors.Is(a.err, qf.ErrNoAnswerRoom)
+	if end == qf.AttemptBroken && isOwnEnd {
 		end = qf.AttemptCancelled // The node itself ended it.
 	}
 	if end == qf.AttemptBroken && a.answer == nil {
@@ -239,7 +239,7 @@
 	stopWatch := c.watchFirstByte(a, p, cancel)
 	answer, err := ports.Endpoints.SendRequest(ctx, &qf.EndpointRequest{
 		ID: c.request.ID, Endpoint: a.picked.Endpoint, Method: c.incoming.Method, Target: c.incoming.RequestURI,
-		Host: c.incoming.Host, Body: c.body, IsWanted: c.isWanted,
+		Host: c.incoming.Host, Body: c.body, IsWanted: c.isWanted, HeadRoom: c.headRoom,
 		Header: ports.Protocol.BuildEndpointHeader(c.incoming.Header, &qf.ForwardInfo{
 			Endpoint: a.picked.Endpoint.ID, Organisation: c.organisation(), Urgency: c.priority(),
 			TimeLeft: c.deadline.Sub(ports.Clock.Now()), ResumeAfter: s.lastEvent, Memory: memory,
@@ -379,16 +379,17 @@
 	}
 }
 
-// read buffers an answer, or streams it to the caller if it is larger than the buffer.
+// read buffers an answer, or streams it to the caller if it is larger than the buffer, or than there is room for beside other
+// answers.
 func (c *call) read(a *attempt, stopWatch func()) error {
 	defer stopWatch()
-	var buffer bytes.Buffer
-	_, err := io.CopyN(&buffer, a.answer.Body, bufferBytes)
+	c.buffered.drop()
+	err := c.buffered.fill(a.answer.Body, bufferBytes)
 	if err != nil && !errors.Is(err, io.EOF) {
 		return err
 	}
 	c.recordFirstByte(a)
-	a.content = buffer.Bytes()
+	a.content = c.buffered.data
 	switch {
 	case err == nil && a.end == qf.AttemptAnswered:
 		return c.streamLarge(a)
--- a/internal/qf/protocol/qfforward/deliver.go
+++ b/internal/qf/protocol/qfforward/deliver.go
@@ -100,13 +100,17 @@
 		return errors.Join(qf.ErrCallerLeft, err)
 	}
 	a.content = nil
-	_, err := io.Copy(&callerWriter{writer: c.writer}, a.answer.Body)
+	c.buffered.drop()
+	_, err := io.CopyBuffer(&callerWriter{writer: c.writer}, a.answer.Body, make([]byte, copyBytes))
 	if err == nil {
 		c.isPartlySent = false
 	}
 	return err
 }
 
+// copyBytes is the size of the buffer for the rest of a large answer.
+const copyBytes = 8 << 10
+
 // callerWriter writes to the caller, and marks the errors of doing so.
 type callerWriter struct{ writer io.Writer }
 
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -14,6 +14,7 @@
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qfconfig"
+	"quetzalfront/internal/qf/state/qfresponse"
 )
 
 // Ports holds the dependencies of a forwarder. No field may be nil.
@@ -38,6 +39,8 @@
 	ObserveMove func(request qf.RequestID, from, to qf.EndpointID, certainty qf.Certainty, err error)
 	// Observe is called with the outcome of each request.
 	Observe func(*Outcome)
+	// Answers bounds what the answers in progress take.
+	Answers *qfresponse.Budget
 	// IsLeaving reports whether the node is leaving, so that callers should open their
 	// next connection to another node.
 	IsLeaving func() bool
@@ -90,6 +93,10 @@
 	isPartlySent bool
 	// hop is set if another node has passed the request on.
 	hop *qf.PeerHop
+	// room is what the answer takes, headRoom the part of its head and buffered its buffered body.
+	room     *qfresponse.Share
+	headRoom *qfresponse.Part
+	buffered heldBuffer
 }
 
 // ServeHTTP implements http.Handler for callers.
@@ -98,6 +105,9 @@
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, hop *qf.PeerHop) {
 	now := f.ports.Clock.Now()
 	c := &call{forwarder: f, writer: w, incoming: r, arrivedAt: now, deadline: now.Add(defaultTimeout), hop: hop}
+	c.room = f.ports.Answers.Open()
+	defer c.room.Close()
+	c.headRoom, c.buffered.room = c.room.NewPart(), c.room.NewPart()
 	if hop != nil {
 		c.outcome.FromPeer = hop.From
 	}
--- a/internal/qf/protocol/qfforward/peer.go
+++ b/internal/qf/protocol/qfforward/peer.go
@@ -146,6 +146,7 @@
 	}
 	answer, err := ports.Peers.SendRequest(ctx, &qf.EndpointRequest{
 		ID: c.request.ID, Method: c.incoming.Method, Target: c.incoming.RequestURI, Host: c.incoming.Host, Body: c.body, Header: header, IsWanted: c.isWanted,
+		HeadRoom: c.headRoom,
 		Endpoint: qf.Endpoint{ID: qf.EndpointID(node.ID), Address: node.PeerAddress, Incarnation: node.Incarnation},
 	})
 	if err != nil {
--- a/internal/qf/protocol/qfforward/relay.go
+++ b/internal/qf/protocol/qfforward/relay.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// readBytes is the size of the buffer for one read of a stream.
-	readBytes = 4 << 10
 	// maxEventBytes bounds an event that isn't complete yet, so that a stream without
 	// event ends can't fill the memory.
 	maxEventBytes = 1 << 20
@@ -31,26 +29,26 @@
 	// tokens estimates the length of the answer so far.
 	tokens int
 	// pending is what was read and not forwarded, searched the number of its first bytes that hold no end of an event.
-	pending  []byte
+	pending  heldBuffer
 	searched int
 	// stream is the present attempt in the table of streams.
 	stream *stream
 }
 
-var errEventTooLarge = errors.New("an event is too large")
-
 // relayStream forwards the stream of one attempt. A nil error means that the stream is
 // complete.
 func (s *relay) relayStream(a *attempt, stopWatch func()) error {
 	defer stopWatch()
-	s.pending, s.searched = s.pending[:0], 0
-	chunk := make([]byte, readBytes)
+	s.searched = 0
+	defer s.pending.drop()
 	for {
-		n, err := a.answer.Body.Read(chunk)
+		if err := s.pending.grow(maxEventBytes); err != nil {
+			return err
+		}
+		n, err := s.pending.readFrom(a.answer.Body)
 		if n > 0 && a.watch != nil {
 			a.watch.RecordBytes(s.call.forwarder.ports.Clock.Now())
 		}
-		s.pending = append(s.pending, chunk[:n]...)
 		if writeErr := s.relayEvents(a, stopWatch); writeErr != nil {
 			return writeErr
 		}
@@ -59,8 +57,6 @@
 			return s.endStream(a)
 		case err != nil:
 			return err
-		case len(s.pending) > maxEventBytes:
-			return errEventTooLarge
 		}
 	}
 }
@@ -72,7 +68,7 @@
 		return nil
 	}
 	stopWatch()
-	whole := s.pending[:end]
+	whole := s.pending.data[:end]
 	s.sendHeader(a)
 	if _, err := s.call.writer.Write(whole); err != nil {
 		return errors.Join(qf.ErrCallerLeft, err)
@@ -87,7 +83,7 @@
 			s.stream.hasEvents.Store(true)
 		}
 	}
-	s.pending = append(s.pending[:0], s.pending[end:]...)
+	s.pending.discard(end)
 	return nil
 }
 
@@ -128,7 +124,7 @@
 // endStream completes the stream. A partial event at its end proves that the endpoint
 // stopped early, even if the HTTP framing is complete.
 func (s *relay) endStream(a *attempt) error {
-	if len(bytes.TrimSpace(s.pending)) > 0 {
+	if len(bytes.TrimSpace(s.pending.data)) > 0 {
 		return io.ErrUnexpectedEOF
 	}
 	s.sendHeader(a)
@@ -152,11 +148,11 @@
 func (s *relay) findEventEnd() int {
 	const overlap = len("\r\n\r\n") - 1
 	from := max(s.searched-overlap, 0)
-	end := lastEventEnd(s.pending[from:])
+	end := lastEventEnd(s.pending.data[from:])
 	if end > 0 {
 		end += from
 	}
-	s.searched = len(s.pending) - end
+	s.searched = len(s.pending.data) - end
 	return end
 }
 
--- a/internal/qf/transport/qfexchange/connection.go
+++ b/internal/qf/transport/qfexchange/connection.go
@@ -68,10 +68,41 @@
 	source io.Reader
 	isOn   bool
 	left   int
+	// room bounds what the headers take; nil means no bound. cost is the estimate of what was read of them.
+	room qf.AnswerRoom
+	cost int64
 }
 
+// The estimated memory of a header for each byte and each line: a line becomes an entry of a map.
+const (
+	headByteCost = 2
+	headLineCost = 128
+)
+
 var errHeaderTooLarge = errors.New("the response's header is too large")
 
+// begin begins to limit the headers of the responses to one request.
+func (l *readLimiter) begin(room qf.AnswerRoom) { l.left, l.room, l.cost = maxHeaderBytes, room, 0 }
+
+// resize sets what the headers take.
+func (l *readLimiter) resize(cost int64) error {
+	if l.room != nil && !l.room.Resize(cost) {
+		return qf.ErrNoAnswerRoom
+	}
+	return nil
+}
+
+// end ends the reading of a header, and replaces the estimate by what the header takes: its reader may have read a part of the body.
+func (l *readLimiter) end(header http.Header) error {
+	l.isOn, l.cost = false, 0
+	for name, values := range header {
+		for _, value := range values {
+			l.cost += int64(len(name)+len(value))*headByteCost + headLineCost
+		}
+	}
+	return l.resize(l.cost)
+}
+
 // Read implements io.Reader.
 func (l *readLimiter) Read(p []byte) (int, error) {
 	if !l.isOn {
@@ -80,8 +111,12 @@
 	if l.left <= 0 {
 		return 0, errHeaderTooLarge
 	}
+	if err := l.resize(l.cost); err != nil {
+		return 0, err
+	}
 	n, err := l.source.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	l.cost += int64(n)*headByteCost + int64(bytes.Count(p[:n], []byte{'\n'}))*headLineCost
 	return n, err
 }
 
@@ -186,14 +221,16 @@
 func (c *connection) receive(request *qf.EndpointRequest) (*http.Response, qf.ResponseInfo, error) {
 	sent := &http.Request{Method: request.Method}
 	stale := 0
-	c.limiter.left = maxHeaderBytes
+	c.limiter.begin(request.HeadRoom)
 	for range maxResponses {
 		c.limiter.isOn = true
 		response, err := http.ReadResponse(c.reader, sent)
-		c.limiter.isOn = false
 		if err != nil {
 			return nil, qf.ResponseInfo{}, err
 		}
+		if err := c.limiter.end(response.Header); err != nil {
+			return nil, qf.ResponseInfo{}, err
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/standin/standflood/flood.go
+++ b/internal/standin/standflood/flood.go
@@ -16,6 +16,8 @@
 	StatusLine  Flood = "StatusLine"
 	HeaderField Flood = "HeaderField"
 	HeaderLines Flood = "HeaderLines"
+	// HeaderNames are header fields without a value, each with another name.
+	HeaderNames Flood = "HeaderNames"
 	NoResponse  Flood = "NoResponse"
 	Interim     Flood = "Interim"
 	ChunkSize   Flood = "ChunkSize"
@@ -37,7 +39,7 @@
 // All lists the floods.
 func All() []Flood {
 	return []Flood{
-		StatusLine, HeaderField, HeaderLines, NoResponse, Interim, ChunkSize, Trailer, Body, ChunkedBody, LengthBody, StaleBody, JSON, Message, Event, Events,
+		StatusLine, HeaderField, HeaderLines, HeaderNames, NoResponse, Interim, ChunkSize, Trailer, Body, ChunkedBody, LengthBody, StaleBody, JSON, Message, Event, Events,
 	}
 }
 
@@ -57,6 +59,8 @@
 		return ok + fields + "X-Long: ", line
 	case HeaderLines:
 		return ok + fields, strings.Repeat("X-Some: some\r\n", block/14)
+	case HeaderNames:
+		return ok + fields, distinctNames()
 	case Interim:
 		return "", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: some\r\n\r\n", 100)
 	case ChunkSize:
@@ -84,6 +88,20 @@
 	}
 }
 
+// distinctNames returns a block of short header fields, each with another name.
+func distinctNames() string {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	var block strings.Builder
+	for _, a := range letters {
+		for _, b := range letters {
+			for _, c := range letters[:4] {
+				block.WriteString(string([]rune{a, b, c}) + ":\r\n")
+			}
+		}
+	}
+	return block.String()
+}
+
 // Server floods the connections of a listener.
 type Server struct {
 	Flood Flood
@@ -91,6 +109,8 @@
 	Fields string
 	// Pause is called between two writes; it may be nil.
 	Pause func()
+	// Most bounds the bytes that are sent on one connection, which then stays open and silent; 0 means no bound.
+	Most int
 	// Closed is called when a client has closed its connection; it may be nil.
 	Closed func()
 }
@@ -113,9 +133,17 @@
 	if _, err := connection.Read(request); err != nil {
 		return
 	}
-	go io.Copy(io.Discard, connection) //nolint:errcheck // The rest of the request isn't needed.
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = io.Copy(io.Discard, connection) // The rest of the request isn't needed.
+	}()
 	once, again := s.Flood.parts(s.Fields)
+	sent := 0
 	for text := once + again; ; text = again {
+		if sent += len(text); s.Most > 0 && sent > s.Most {
+			<-ended
+		}
 		if _, err := io.WriteString(connection, text); err != nil {
 			if s.Closed != nil {
 				s.Closed()
