entry: test the store's answers without end in sum

Cause: it wasn't tried what a node holds of the answers of a store that does not end them, for all calls together. Change: a guard. The store answers each call with a JSON document without end; the node must not hold more than half of 284 MB and must serve an ordinary request. The stand-in has floods of JSON rows and of long messages too.

--- a/internal/qf/transport/qfexchange/flood_test.go
+++ b/internal/qf/transport/qfexchange/flood_test.go
@@ -35,7 +35,7 @@
 				_, err = io.Copy(io.Discard, io.LimitReader(answer.Body, mostBytes/2))
 				_ = answer.Body.Close()
 			}
-			isBody := strings.HasSuffix(string(flood), "Body") || strings.HasPrefix(string(flood), "Event") || flood == standflood.JSON
+			isBody := strings.HasSuffix(string(flood), "Body") || strings.HasPrefix(string(flood), "Event") || strings.HasPrefix(string(flood), "JSON")
 			if err == nil && (!isBody || flood == standflood.StaleBody) || errors.Is(err, context.DeadlineExceeded) {
 				t.Errorf("the exchange ended with %v", err)
 			}
--- a/internal/standin/standflood/flood.go
+++ b/internal/standin/standflood/flood.go
@@ -28,9 +28,12 @@
 	// StaleBody is the body of a response to another request.
 	StaleBody Flood = "StaleBody"
 	// JSON is a JSON document whose text doesn't end, Message a message of a peer that is far
-	// too long.
-	JSON    Flood = "JSON"
-	Message Flood = "Message"
+	// too long, LongMessage one of nearly the largest length.
+	JSON Flood = "JSON"
+	// JSONRows is a JSON document whose list of rows doesn't end.
+	JSONRows    Flood = "JSONRows"
+	Message     Flood = "Message"
+	LongMessage Flood = "LongMessage"
 	// Event is an event of a stream that doesn't end, Events are events without end.
 	Event  Flood = "Event"
 	Events Flood = "Events"
@@ -39,7 +42,7 @@
 // All lists the floods.
 func All() []Flood {
 	return []Flood{
-		StatusLine, HeaderField, HeaderLines, HeaderNames, NoResponse, Interim, ChunkSize, Trailer, Body, ChunkedBody, LengthBody, StaleBody, JSON, Message, Event, Events,
+		StatusLine, HeaderField, HeaderLines, HeaderNames, NoResponse, Interim, ChunkSize, Trailer, Body, ChunkedBody, LengthBody, StaleBody, JSON, JSONRows, Message, LongMessage, Event, Events,
 	}
 }
 
@@ -79,6 +82,10 @@
 		return ok + fields + "Content-Type: application/json\r\n\r\n{\"rows\":\"", line
 	case Message:
 		return "\xfc\x7f\xff\xff\xff", line
+	case JSONRows:
+		return ok + fields + "Content-Type: application/json\r\n\r\n{\"rows\":[", strings.Repeat("{},", block/3)
+	case LongMessage:
+		return "\xfc\x01\xff\xff\xff", line
 	case Event:
 		return ok + fields + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", line
 	case Events:
