qfrpc: bound what the replies of all peers take while they are read

Cause: one reply was bounded by 32 MB, the sum of the replies that a node reads at once wasn't. A node of a small fleet calls up to 16 peers at once. Only the server's side reserved room for messages. Change: a client reserves room for each reply from 4 KB on when its length was read, out of 64 MB for all peers, twice the length for the buffer that it grows in; it is given back when the reply was read whole or the connection failed. A reply without room ends its call, as one above the largest length does. While a faulty peer holds room, for the time of a call, other large replies may be refused.

--- a/internal/qf/transport/qfrpc/connection.go
+++ b/internal/qf/transport/qfrpc/connection.go
@@ -85,7 +85,7 @@
 		return existing, nil
 	}
 	counter := &receiveCounter{Conn: raw}
-	added := &connection{Client: rpc.NewClient(bound(counter)), counter: counter}
+	added := &connection{Client: rpc.NewClient(boundReplies(counter, c.replies)), counter: counter}
 	c.connections[key] = added
 	return added, nil
 }
--- a/internal/qf/transport/qfrpc/frames.go
+++ b/internal/qf/transport/qfrpc/frames.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+
+	"quetzalfront/internal/qf/state/qfresponse"
 )
 
 // maxMessageBytes bounds one encoded value of a message to or from a peer. The largest are
@@ -26,6 +28,8 @@
 	lengthLeft   int
 	// reserver is asked for room for each message from minReservedBytes on; it may be nil.
 	reserver messageReserver
+	// ended is called when a message was read whole, and when the connection can't be read any more; it may be nil.
+	ended func()
 }
 
 // messageReserver is implemented by connections that bound what the messages in progress hold. The memory of a message is
@@ -39,19 +43,31 @@
 func (c *boundedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if boundErr := c.follow(b[:n]); boundErr != nil {
+		c.endMessage()
 		return 0, boundErr
 	}
+	if err != nil {
+		c.endMessage()
+	}
 	return n, err
 }
 
+func (c *boundedConn) endMessage() {
+	if c.ended != nil {
+		c.ended()
+	}
+}
+
 // follow follows the lengths of the messages in the bytes that were read.
 func (c *boundedConn) follow(read []byte) error {
 	const maxShort, lengthBytes, bitsPerByte = 0x7f, 8, 8
 	for len(read) > 0 {
 		if c.left > 0 {
 			skipped := min(c.left, uint64(len(read)))
-			c.left -= skipped
 			read = read[skipped:]
+			if c.left -= skipped; c.left == 0 {
+				c.endMessage()
+			}
 			continue
 		}
 		first := read[0]
@@ -82,3 +98,26 @@
 	reserver, _ := connection.(messageReserver)
 	return &boundedConn{Conn: connection, reserver: reserver}
 }
+
+const (
+	// maxRepliesBytes bounds the estimated memory of the replies that are being read from all peers: one of the largest length, or
+	// many smaller ones.
+	maxRepliesBytes = replyByteCost * maxMessageBytes
+	// replyByteCost counts the buffer that a reply grows in.
+	replyByteCost = 2
+)
+
+// replyRoom reserves room for the reply that is being read on one connection, beside those of other peers.
+type replyRoom struct{ part *qfresponse.Part }
+
+// ReserveMessage implements messageReserver.
+func (r replyRoom) ReserveMessage(length int64) bool { return r.part.Resize(length * replyByteCost) }
+
+// release gives back what was reserved.
+func (r replyRoom) release() { r.part.Resize(0) }
+
+// boundReplies returns a connection that rejects replies which are large, or larger than the budget has room for.
+func boundReplies(connection net.Conn, budget *qfresponse.Budget) io.ReadWriteCloser {
+	room := replyRoom{part: budget.Open().NewPart()}
+	return &boundedConn{Conn: connection, reserver: room, ended: room.release}
+}
--- a/internal/qf/transport/qfrpc/rpc.go
+++ b/internal/qf/transport/qfrpc/rpc.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfresponse"
 )
 
 // serviceName is the name under which the server's methods are registered.
@@ -150,6 +151,8 @@
 	dial    qf.Dial
 	// tls is nil if the client sets up no TLS itself.
 	tls *tls.Config
+	// replies bounds what the replies of all peers take while they are read.
+	replies *qfresponse.Budget
 
 	mu          sync.Mutex
 	connections map[connectionKey]*connection
@@ -160,7 +163,7 @@
 func NewClient(clock qf.Clock, timeout time.Duration, dial qf.Dial, config *tls.Config) *Client {
 	return &Client{
 		clock: clock, timeout: timeout, dial: dial, tls: config,
-		connections: map[connectionKey]*connection{},
+		connections: map[connectionKey]*connection{}, replies: qfresponse.NewBudget(maxRepliesBytes),
 	}
 }
 
