entry: the callers' port follows the configuration's timeouts

Callers saw: a connection that was closed although its caller stayed inside the configuration: idle for more than 75 s, silent or in a head for more than 5 s. A caller beyond smaller limits kept its connection. Change: below net/http, the callers' port uses the largest timeouts of the configurations that may have been in force since the wait began, and config-ms besides, since a caller may follow a version before the node. A raised limit holds for connections that are open at their next deadline; a lowered one from the first wait that begins config-ms after it. A connection that has sent nothing counts as idle. Where a configuration has none, 5 s and 75 s stay. The other ports are as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -91,6 +91,7 @@
 	monitor              *attemptMonitor
 	callers              *qfhttp.CallerPresence
 	connectionBudget     *qfhttp.ConnectionBudget
+	readTimeouts         *qfhttp.ReadTimeoutHistory
 	peerRouter           *peerRouter
 	duties               *duties
 	storeEra             *eraWatcher
@@ -184,6 +185,7 @@
 	e.exchanger = qfexchange.NewClient(platform.Clock, platform.Network.Dial, platform.Protocol)
 	e.callers = qfhttp.NewCallerPresence()
 	e.connectionBudget = newConnectionBudget(e)
+	e.readTimeouts = qfhttp.NewReadTimeoutHistory(defaultTimeouts, deployment.Bounds.ChangeWithin)
 	e.monitor, e.peerRouter = newAttemptMonitor(e), newPeerRouter(e)
 	toPeers := qfrpc.DialForward(platform.Network.Dial, PeerTimeout)
 	e.forwarder = qfforward.New(qfforward.Ports{
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -188,6 +188,7 @@
 	e.admission.mu.Lock()
 	e.admission.quotas.SetOrganisations(e.now(), configuration.Organisations)
 	e.admission.mu.Unlock()
+	e.applyReadTimeouts(configuration)
 	e.picker.setColdSettings(e.now(), configuration.Entries)
 	e.picker.setOrganisations(configuration.Organisations)
 	e.signalLoaded()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// headerTimeout bounds the reading of a request's header.
+	// headerTimeout bounds the reading of a request's header where no configuration does.
 	headerTimeout = 5 * time.Second
-	// idleTimeout is longer than callers keep idle connections, so that their
+	// idleTimeout is longer than clients keep idle connections where no configuration says, so that their
 	// requests don't cross its close.
 	idleTimeout = 75 * time.Second
 	// maxHeaderBytes is above what any configuration allows so far.
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	e.servers.callers = e.newCallerServer(forward, listener, e.portLimits(callersPort, callerShare))
+	e.servers.callers = e.newCallerServer(forward, listener, e.callerLimits())
 	e.runServer(d.Self.CallerAddress, e.servers.callers.Serve)
 	others := []struct {
 		address netip.AddrPort
--- a/internal/entry/untrusted.go
+++ b/internal/entry/untrusted.go
@@ -1,6 +1,9 @@
 package entry
 
-import "quetzalfront/internal/qf/transport/qfhttp"
+import (
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/transport/qfhttp"
+)
 
 // heldMemoryShare is the share of the process's memory that clients may make it hold, by an estimate. The collector lets the
 // heap grow to twice of what is in use, and the node itself needs the rest.
@@ -38,6 +41,28 @@
 	}
 }
 
+// callerLimits returns the limits of the callers' port, whose timeouts are those of the configuration.
+func (e *Entry) callerLimits() qfhttp.PortLimits {
+	limits := e.portLimits(callersPort, callerShare)
+	limits.ReadTimeouts = e.readTimeouts.Since
+	return limits
+}
+
+// defaultTimeouts are in force where no configuration has any.
+var defaultTimeouts = qfhttp.ReadTimeouts{Head: headerTimeout, Idle: idleTimeout}
+
+// applyReadTimeouts applies the timeouts of a configuration to the callers' port.
+func (e *Entry) applyReadTimeouts(c *qf.Configuration) {
+	timeouts := defaultTimeouts
+	if c.Limits.HeaderTimeout > 0 {
+		timeouts.Head = c.Limits.HeaderTimeout
+	}
+	if c.Limits.IdleTimeout > 0 {
+		timeouts.Idle = c.Limits.IdleTimeout
+	}
+	e.readTimeouts.Apply(e.now(), c.Revision, timeouts)
+}
+
 // peerLimits returns the limits of a port that other nodes connect to: each comes from one address, and passes on heads with
 // fields of its own.
 func (e *Entry) peerLimits(name string, share float64) qfhttp.PortLimits {
--- a/internal/qf/transport/qfhttp/budget.go
+++ b/internal/qf/transport/qfhttp/budget.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"quetzalfront/internal/qf"
 )
@@ -88,6 +89,9 @@
 	Connections, ConnectionsOfAddress int
 	// HeadBytes returns the limit of a request's head; it may change. It is nil for ports that don't serve HTTP.
 	HeadBytes func() int
+	// ReadTimeouts returns the timeouts of a wait that began at a time; they may change. It is nil for ports on which the server's own
+	// timeouts are in force.
+	ReadTimeouts func(began time.Time) ReadTimeouts
 }
 
 // portBudget is the part of a budget that concerns one port.
@@ -130,6 +134,7 @@
 // others have requests in progress.
 func (p *portBudget) admit(raw net.Conn) *budgetedConn {
 	c := &budgetedConn{Conn: raw, port: p, address: remoteAddress(raw)}
+	c.beginWait()
 	b := p.budget
 	b.mu.Lock()
 	closed, reached := p.makeRoom(c.address)
--- a/internal/qf/transport/qfhttp/budgetedconn.go
+++ b/internal/qf/transport/qfhttp/budgetedconn.go
@@ -49,6 +49,8 @@
 	address netip.Addr
 	// head follows the head in progress. It is used only by the goroutine that reads it.
 	head headFollower
+	// waitBeganAt is when the client could send the head's first byte, or when it came. It is used like head.
+	waitBeganAt time.Time
 
 	// phase is a connPhase.
 	phase atomic.Int32
@@ -86,13 +88,13 @@
 		c.refuseHead(b)
 		return 0, io.EOF
 	}
-	n, err := c.Conn.Read(b)
+	n, err := c.readPart(phase, b)
 	if n <= 0 || phase == phaseRunning {
 		return n, err
 	}
 	cost := int64(n) * bodyByteCost
 	if phase == phaseHead {
-		cost = c.head.follow(b[:n])
+		cost = c.followHead(b[:n])
 	}
 	if !c.charge(cost) {
 		return 0, io.EOF
@@ -100,6 +102,24 @@
 	return n, err
 }
 
+func (c *budgetedConn) readPart(phase connPhase, b []byte) (int, error) {
+	if phase == phaseHead && c.port.limits.ReadTimeouts != nil {
+		return c.readHead(b)
+	}
+	return c.Conn.Read(b)
+}
+
+// followHead counts a part of a head, and returns its estimated cost. The head's time begins with its first part.
+func (c *budgetedConn) followHead(part []byte) int64 {
+	isFirst := c.head.bytes == 0
+	cost := c.head.follow(part)
+	if isFirst && c.port.limits.ReadTimeouts != nil {
+		c.beginWait()
+		_ = c.Conn.SetReadDeadline(c.headDeadline()) // A connection that fails here fails at its next read.
+	}
+	return cost
+}
+
 func (c *budgetedConn) isHeadTooLarge() bool {
 	const never = 4 << 10 // The limit is looked up only for heads that may reach it.
 	if c.head.bytes <= never {
--- a/internal/qf/transport/qfhttp/budgetport.go
+++ b/internal/qf/transport/qfhttp/budgetport.go
@@ -64,8 +64,10 @@
 	switch state {
 	case http.StateActive:
 		c.endHead()
+		c.endWait()
 	case http.StateIdle:
 		c.expectRequest()
+		c.beginWait()
 	default: // Close releases the connection.
 	}
 }
