qfhttp: a whole request on a connection that is closed to make room is refused

Callers saw: nothing reported; found by reading. A request that had come whole got neither an answer nor a refusal when the budget of connections was full, and no log line named it. The budget closed the socket of the connection that waited longest while its own goroutine might hold a whole request, read or not; at the request's start the handler was aborted. The line (805) has only an address. Change: an evicted connection of an HTTP port is interrupted, not closed. Its goroutine reads what has come of a head within 0.5 s, refuses a whole request with 503, not run, and closes the connection; a part of a request ends with the close as before. Event 808 names the refused request. Connections of messages between nodes are closed as before. Measured: TestEvictedRequestIsRefused, at four moments (unread, read, parsed, body read): status 0 at all four before (without the assertions on the new report), 503 now. The package's tests pass unchanged, 3 runs under the race detector.

--- a/internal/entry/untrusted.go
+++ b/internal/entry/untrusted.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"net/http"
+
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/transport/qfhttp"
 )
@@ -45,9 +47,16 @@
 func (e *Entry) callerLimits() qfhttp.PortLimits {
 	limits := e.portLimits(callersPort, callerShare)
 	limits.ReadTimeouts = e.readTimeouts.Since
+	limits.RequestID = e.requestID
 	return limits
 }
 
+// requestID returns the identifier of a caller's request, as the platform's headers state it.
+func (e *Entry) requestID(r *http.Request) qf.RequestID {
+	request, _ := e.platform.Protocol.DecodeRequest(r) // The identifier is decoded first.
+	return request.ID
+}
+
 // defaultTimeouts are in force where no configuration has any.
 var defaultTimeouts = qfhttp.ReadTimeouts{Head: headerTimeout, Idle: idleTimeout}
 
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -183,7 +183,7 @@
 		FeedRegained, FirstReadFailed, RowUnreadable, StoreRestored, FeedRestored, RowRewritten, ConfigInForce,
 		TransferEnded, FeedMoved, EndpointListed, EndpointsDiffer, EndpointLeaving, RateStated, ReachChanged,
 		EndpointsBrittle, EndpointPaused, PeerLost, PeerRegained, UsageReported, EndpointsOrdered,
-		ZoneEvacuated, RegionsDiffer, EndpointsCold, ColdRefused, ClientClosed, ClientRefused, HeadTooLarge, EntryShort, LoadUnreadable,
+		ZoneEvacuated, RegionsDiffer, EndpointsCold, ColdRefused, ClientClosed, ClientRefused, RequestEvicted, HeadTooLarge, EntryShort, LoadUnreadable,
 	}
 }
 
--- a/internal/qf/transport/qfhttp/budget.go
+++ b/internal/qf/transport/qfhttp/budget.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -34,6 +35,8 @@
 	ActionClosed LimitAction = "Closed"
 	// ActionRefused means that a connection or a request was refused.
 	ActionRefused LimitAction = "Refused"
+	// ActionRequestRefused means that a request was refused that had come whole to a connection that was closed.
+	ActionRequestRefused LimitAction = "RequestRefused"
 )
 
 // LimitBreak reports that a limit was reached.
@@ -45,6 +48,8 @@
 	Address netip.Addr
 	// Figure is the value of the limit.
 	Figure int64
+	// Request is set with ActionRequestRefused, if the port can name requests.
+	Request qf.RequestID
 }
 
 // The estimated memory of a connection. A head's lines cost more than their bytes: each becomes an entry of a map.
@@ -92,6 +97,8 @@
 	// ReadTimeouts returns the timeouts of a wait that began at a time; they may change. It is nil for ports on which the server's own
 	// timeouts are in force.
 	ReadTimeouts func(began time.Time) ReadTimeouts
+	// RequestID returns the identifier of a request for reports; it may be nil.
+	RequestID func(*http.Request) qf.RequestID
 }
 
 // portBudget is the part of a budget that concerns one port.
@@ -109,6 +116,9 @@
 	refusals *refuser
 }
 
+// isHTTP reports whether the port's clients can be refused in HTTP.
+func (p *portBudget) isHTTP() bool { return p.refusals.refusal != "" }
+
 // newPort adds a port to the budget.
 func (b *ConnectionBudget) newPort(limits PortLimits, refusal string) *portBudget {
 	p := &portBudget{
@@ -154,7 +164,7 @@
 	if reached == "" {
 		return c
 	}
-	b.observe(LimitBreak{ActionRefused, reached, p.limits.Name, c.address, b.figure(p, reached)})
+	b.observe(LimitBreak{Action: ActionRefused, Limit: reached, Port: p.limits.Name, Address: c.address, Figure: b.figure(p, reached)})
 	return nil
 }
 
@@ -320,12 +330,12 @@
 	limit      LimitName
 }
 
-// closeAll closes connections that were evicted, and reports them. The caller must not hold b.mu.
+// closeAll ends connections that were evicted, and reports them. The caller must not hold b.mu.
 func (b *ConnectionBudget) closeAll(closed []evicted) {
 	for _, e := range closed {
-		_ = e.connection.Conn.Close() // Its server finds it closed.
+		e.connection.interrupt()
 		p := e.connection.port
-		b.observe(LimitBreak{ActionClosed, e.limit, p.limits.Name, e.connection.address, b.figure(p, e.limit)})
+		b.observe(LimitBreak{Action: ActionClosed, Limit: e.limit, Port: p.limits.Name, Address: e.connection.address, Figure: b.figure(p, e.limit)})
 	}
 }
 
--- a/internal/qf/transport/qfhttp/budgetedconn.go
+++ b/internal/qf/transport/qfhttp/budgetedconn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -64,9 +65,16 @@
 	element *list.Element
 	// waitsSince orders the waiting connections of all ports.
 	waitsSince uint64
-	// isRemoved is true once the connection is open no more, isEvicted if the budget has closed it, and isReleased once its
-	// server has closed it too.
-	isRemoved, isEvicted, isReleased bool
+	// isRemoved is true once the connection is open no more, isEvicted if the budget has ended it, isRefused if that was for its own
+	// request, and isReleased once its server has closed it too.
+	isRemoved, isEvicted, isRefused, isReleased bool
+	// evictedFor is the limit for which the connection was evicted.
+	evictedFor LimitName
+
+	// deadlineMu guards the read deadline once the connection is evicted.
+	deadlineMu sync.Mutex
+	// interruptedAt is when the connection was interrupted since it was evicted. Its read deadline has passed since, whatever its server sets.
+	interruptedAt time.Time
 }
 
 // headFollower counts what has arrived of a head. It doesn't look for the head's end: net/http doesn't read on after it, so that
@@ -96,17 +104,21 @@
 	if phase == phaseHead {
 		cost = c.followHead(b[:n])
 	}
-	if !c.charge(cost) {
+	if !c.charge(cost) && !c.isEvictedByOther() {
 		return 0, io.EOF
 	}
-	return n, err
+	return n, err // A request that has come whole to a connection that was evicted is refused at its start.
 }
 
 func (c *budgetedConn) readPart(phase connPhase, b []byte) (int, error) {
-	if phase == phaseHead && c.port.limits.ReadTimeouts != nil {
-		return c.readHead(b)
+	if phase != phaseHead {
+		return c.Conn.Read(b)
+	}
+	n, err := c.readHead(b)
+	if n <= 0 {
+		return c.readRest(b, err)
 	}
-	return c.Conn.Read(b)
+	return n, err
 }
 
 // followHead counts a part of a head, and returns its estimated cost. The head's time begins with its first part.
@@ -115,7 +127,7 @@
 	cost := c.head.follow(part)
 	if isFirst && c.port.limits.ReadTimeouts != nil {
 		c.beginWait()
-		_ = c.Conn.SetReadDeadline(c.headDeadline()) // A connection that fails here fails at its next read.
+		_ = c.setReadDeadline(c.headDeadline()) // A connection that fails here fails at its next read.
 	}
 	return cost
 }
@@ -132,7 +144,7 @@
 // refuseHead answers a head over the limit. It uses b as a buffer.
 func (c *budgetedConn) refuseHead(b []byte) {
 	p := c.port
-	p.budget.observe(LimitBreak{ActionRefused, LimitHead, p.limits.Name, c.address, p.budget.figure(p, LimitHead)})
+	p.budget.observe(LimitBreak{Action: ActionRefused, Limit: LimitHead, Port: p.limits.Name, Address: c.address, Figure: p.budget.figure(p, LimitHead)})
 	c.answer(headTooLargeResponse, b)
 }
 
@@ -171,6 +183,7 @@
 	isRefused := !isEnough && c.element != nil
 	if isRefused {
 		c.evict(LimitMemory)
+		c.isRefused = true
 	}
 	mustWait := c.held > connectionCost+smallRequestCost && b.isFull(0)
 	b.mu.Unlock()
@@ -196,7 +209,13 @@
 // refuseRequest refuses a request that hasn't been read to its end, while all others are in progress.
 func (c *budgetedConn) refuseRequest() {
 	p := c.port
-	p.budget.observe(LimitBreak{ActionRefused, LimitMemory, p.limits.Name, c.address, p.budget.memory})
+	p.budget.observe(LimitBreak{Action: ActionRefused, Limit: LimitMemory, Port: p.limits.Name, Address: c.address, Figure: p.budget.memory})
+	c.sendRefusal()
+}
+
+// sendRefusal refuses the request that was read, and closes the connection.
+func (c *budgetedConn) sendRefusal() {
+	p := c.port
 	select {
 	case p.refusals.slots <- struct{}{}:
 		c.answer(p.refusals.refusal, make([]byte, refusalReadBytes))
@@ -283,7 +302,7 @@
 // hold the budget's mutex, and close the connection.
 func (c *budgetedConn) evict(limit LimitName) evicted {
 	c.remove()
-	c.isEvicted = true
+	c.isEvicted, c.evictedFor = true, limit
 	c.port.evicted++
 	c.port.budget.closing += c.held
 	c.port.budget.signalRoom()
--- a/internal/qf/transport/qfhttp/budgetport.go
+++ b/internal/qf/transport/qfhttp/budgetport.go
@@ -85,13 +85,14 @@
 		}
 		if r.Body == nil || r.Body == http.NoBody {
 			if !c.startRequest() {
+				c.refuseEvicted(r)
 				panic(http.ErrAbortHandler) // The connection is closed, and nothing was run.
 			}
 			next.ServeHTTP(w, r)
 			return
 		}
 		r = r.WithContext(r.Context()) // net/http looks at the body of its own request when it decides whether to read the rest.
-		r.Body = &budgetedBody{ReadCloser: r.Body, connection: c}
+		r.Body = &budgetedBody{ReadCloser: r.Body, connection: c, request: r}
 		next.ServeHTTP(w, r)
 		if !c.isOpen() {
 			panic(http.ErrAbortHandler) // Without it net/http keeps a connection whose body wasn't read for another moment.
@@ -104,15 +105,17 @@
 type budgetedBody struct {
 	io.ReadCloser
 	connection *budgetedConn
+	request    *http.Request
 }
 
 // Read implements io.Reader.
 func (b *budgetedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && !b.connection.startRequest() {
-		return n, net.ErrClosed
+	isWhole := errors.Is(err, io.EOF)
+	if err == nil || isWhole && b.connection.startRequest() || !isWhole && b.connection.isOpen() {
+		return n, err
 	}
-	return n, err
+	return n, b.endBody(isWhole)
 }
 
 // messageListener admits connections that carry messages.
--- a/internal/qf/transport/qfhttp/limitreport.go
+++ b/internal/qf/transport/qfhttp/limitreport.go
@@ -18,8 +18,8 @@
 	clock  qf.Clock
 	logger *zerolog.Logger
 	// count is called with each limit and what was done; it may be nil.
-	count                    func(limit, action string)
-	closed, refused, tooLong *rate.Limiter
+	count                           func(limit, action string)
+	closed, refused, tooLong, ended *rate.Limiter
 }
 
 // NewLimitReporter returns a reporter that writes at most one line of each event in limitReportInterval.
@@ -27,6 +27,7 @@
 	everyInterval := func() *rate.Limiter { return rate.NewLimiter(rate.Every(limitReportInterval), 1) }
 	return &LimitReporter{
 		clock: clock, logger: logger, count: count, closed: everyInterval(), refused: everyInterval(), tooLong: everyInterval(),
+		ended: everyInterval(),
 	}
 }
 
@@ -35,6 +36,10 @@
 	if r.count != nil {
 		r.count(string(reached.Limit), string(reached.Action))
 	}
+	if reached.Action == ActionRequestRefused {
+		r.reportRequest(reached)
+		return
+	}
 	event, limiter := qfevent.ClientRefused, r.refused
 	switch {
 	case reached.Limit == LimitHead:
@@ -46,3 +51,10 @@
 		event.Log(r.logger, reached.Address.String(), reached.Port, reached.Limit, reached.Figure)
 	}
 }
+
+// reportRequest logs a request that was refused since its connection was closed to make room.
+func (r *LimitReporter) reportRequest(reached LimitBreak) {
+	if r.ended.AllowN(r.clock.Now(), 1) {
+		qfevent.RequestEvicted.Log(r.logger, reached.Request, reached.Address.String(), reached.Port, reached.Limit, reached.Figure)
+	}
+}
--- a/internal/qf/transport/qfhttp/readtimeouts.go
+++ b/internal/qf/transport/qfhttp/readtimeouts.go
@@ -92,7 +92,7 @@
 	if c.port.limits.ReadTimeouts != nil && connPhase(c.phase.Load()) == phaseHead {
 		deadline = c.headDeadline()
 	}
-	return c.Conn.SetReadDeadline(deadline)
+	return c.setReadDeadline(deadline)
 }
 
 // headDeadline returns until when the head in progress may be read, or the next one awaited. A client that has sent nothing yet may be idle
@@ -108,7 +108,7 @@
 // readHead reads a part of a head. The timeouts may have been raised since the wait began.
 func (c *budgetedConn) readHead(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	for n <= 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendDeadline() {
+	for n <= 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.port.limits.ReadTimeouts != nil && c.extendDeadline() {
 		n, err = c.Conn.Read(b)
 	}
 	return n, err
@@ -117,7 +117,7 @@
 // extendDeadline reports whether a read whose deadline has passed may go on.
 func (c *budgetedConn) extendDeadline() bool {
 	deadline := c.headDeadline()
-	return c.port.budget.clock.Now().Before(deadline) && c.Conn.SetReadDeadline(deadline) == nil
+	return c.port.budget.clock.Now().Before(deadline) && !c.isInterrupted() && c.setReadDeadline(deadline) == nil
 }
 
 // beginWait begins the wait for a head, or for its rest once its first bytes were read.
@@ -126,6 +126,6 @@
 // endWait ends the wait for a head.
 func (c *budgetedConn) endWait() {
 	if c.port.limits.ReadTimeouts != nil {
-		_ = c.Conn.SetReadDeadline(time.Time{}) // A connection that fails here fails at its next read.
+		_ = c.setReadDeadline(time.Time{}) // A connection that fails here fails at its next read.
 	}
 }
