qfhttp: a request that came in time is read after its connection's timeout

A kept connection was closed as idle although a whole request had come to it, where the node came late to read. Cause: a read whose deadline has passed fails, whatever lies in the kernel's buffer; net/http then closes the connection. Change: on the callers' port, at the end of a timeout the kernel is asked for unread bytes, which are read within 0.1 s, also in parts. A head that comes in pieces after its timeout ends as soon as nothing of it is unread. The other ports keep net/http's own timeouts.

--- a/internal/qf/transport/qfhttp/readtimeouts.go
+++ b/internal/qf/transport/qfhttp/readtimeouts.go
@@ -86,6 +86,9 @@
 	return ReadTimeouts{t.Head + h.spread, t.Idle + h.spread}
 }
 
+// lateReadTime bounds the reading of bytes that have come to a connection that is read only after its timeout.
+const lateReadTime = 100 * time.Millisecond
+
 // SetReadDeadline implements net.Conn. While a head is expected or arrives, the port's timeouts are in force in place of those of
 // net/http, which can't change.
 func (c *budgetedConn) SetReadDeadline(deadline time.Time) error {
@@ -116,8 +119,14 @@
 
 // extendDeadline reports whether a read whose deadline has passed may go on.
 func (c *budgetedConn) extendDeadline() bool {
-	deadline := c.headDeadline()
-	return c.port.budget.clock.Now().Before(deadline) && !c.isInterrupted() && c.setReadDeadline(deadline) == nil
+	now, deadline := c.port.budget.clock.Now(), c.headDeadline()
+	if !now.Before(deadline) {
+		if !isReadable(c.Conn) {
+			return false
+		}
+		deadline = now.Add(lateReadTime) // The client may have sent it in time.
+	}
+	return !c.isInterrupted() && c.setReadDeadline(deadline) == nil
 }
 
 // beginWait begins the wait for a head, or for its rest once its first bytes were read.
