node: a planned stop answers what has come to its ports, read or not

A whole request at a node that stops was reset. Cause: drain used Shutdown of net/http, which closes the listener first and then closes connections by their state. The kernel reset what waited to be accepted. Change: the ports of callers and operators are qfhttp.DrainingServer. Without a reclaim, connections that send nothing end within 5 s as before; after 15 s the port is closed whatever comes, with connections that have sent a part of a head. Requests in progress are waited for without a limit as before. Kill ends everything at once as before.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -17,6 +18,10 @@
 	departurePropagation = 2 * time.Second
 	// leavePollInterval is how often a leaving node checks whether its drain is due.
 	leavePollInterval = 100 * time.Millisecond
+	// silentTime is how long a drain waits for requests on connections that have sent nothing.
+	silentTime = 5 * time.Second
+	// acceptTime is how long a drain accepts connections. It also bounds the wait for the rest of a head.
+	acceptTime = silentTime + readHeaderTimeout
 )
 
 // Stop stops the node gracefully. It announces that the node leaves, serves for as long
@@ -100,6 +105,48 @@
 // drain waits until all callers have their answers, or until the VM is reclaimed.
 func (n *Node) drain(ctx context.Context) {
 	for _, s := range n.servers {
-		_ = s.Shutdown(ctx) // The reclaim closes the connections that are left.
+		n.drainServer(ctx, s)
 	}
 }
+
+// drainServer answers each request that has come to one port. Connections without a request end after silentTime at the latest,
+// and after acceptTime the port is closed whatever comes to it. Requests in progress end by themselves or with the context.
+func (n *Node) drainServer(ctx context.Context, s *httpServer) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var bound sync.WaitGroup
+	bound.Go(func() {
+		defer cancel()
+		n.shutDownLate(ctx, s)
+	})
+	s.draining.Drain(&silenceContext{Context: ctx, endsAt: n.now().Add(silentTime)})
+	cancel()
+	bound.Wait()
+}
+
+// shutDownLate closes the port after acceptTime, with connections that have sent only a part of a head, and waits for the requests in
+// progress.
+func (n *Node) shutDownLate(ctx context.Context, s *httpServer) {
+	timer := n.platform.Clock.After(acceptTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+		_ = s.server.Shutdown(ctx) // The reclaim closes the connections that are left.
+	case <-ctx.Done():
+	}
+}
+
+// silenceContext is the context of a drain that ends connections without a request some time before it is over: the deadline that it
+// states is that of silent connections, and it is done only with the context in it.
+type silenceContext struct {
+	context.Context
+	endsAt time.Time
+}
+
+// Deadline implements context.Context.
+func (c *silenceContext) Deadline() (time.Time, bool) {
+	if deadline, ok := c.Context.Deadline(); ok && deadline.Before(c.endsAt) {
+		return deadline, true
+	}
+	return c.endsAt, true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -144,7 +143,7 @@
 	reclaimAt atomic.Pointer[time.Time]
 
 	listeners []net.Listener
-	servers   []*http.Server
+	servers   []*httpServer
 	// ctx is cancelled when the node stops; requests run under it.
 	ctx     context.Context
 	cancel  context.CancelFunc
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -43,7 +43,7 @@
 	n.settings.Node.OperatorAddress = addressOf(operators)
 	n.initMembership(addressOf(callers), addressOf(peers))
 	n.serveCallers(callers)
-	n.serveHTTP(n.protectListener(operators, "operators", qftls.RoleOperator), n.newServer(n.operatorHandler()))
+	n.serveOperators(operators)
 	n.servePeers(n.protectListener(peers, "peers", qftls.RoleNode))
 	n.startLoops()
 	if err := n.telemetry.ObserveState(n.observedState); err != nil {
@@ -106,10 +106,17 @@
 	reporter := qfhttp.NewLimitReporter(n.platform.Clock, &n.platform.Logger, n.telemetry.RecordLimit)
 	budget := qfhttp.NewConnectionBudget(n.platform.Clock, r.MaxHeldBytes, reporter.Report)
 	server := n.newServer(n.callerHandler())
-	n.serveHTTP(budget.Guard(server, listener, qfhttp.PortLimits{
+	n.serveHTTP(listener, server, budget, qfhttp.PortLimits{
 		Name: "callers", Connections: r.MaxConnections, ConnectionsOfAddress: r.MaxConnectionsOfAddress,
 		HeadBytes: func() int { return r.MaxHeaderBytes },
-	}), server)
+	})
+}
+
+// serveOperators serves the operators' port. Its connections are limited below TLS.
+func (n *Node) serveOperators(listener net.Listener) {
+	const name = "operators"
+	unlimited := qfhttp.NewConnectionBudget(n.platform.Clock, 0, func(qfhttp.LimitBreak) {})
+	n.serveHTTP(n.protectListener(listener, name, qftls.RoleOperator), n.newServer(n.operatorHandler()), unlimited, qfhttp.PortLimits{Name: name})
 }
 
 func (n *Node) newServer(handler http.Handler) *http.Server {
@@ -119,10 +126,17 @@
 	}
 }
 
-func (n *Node) serveHTTP(listener net.Listener, server *http.Server) {
-	n.servers = append(n.servers, server)
+// httpServer is the server of a port, and its drain.
+type httpServer struct {
+	server   *http.Server
+	draining *qfhttp.DrainingServer
+}
+
+func (n *Node) serveHTTP(listener net.Listener, server *http.Server, budget *qfhttp.ConnectionBudget, limits qfhttp.PortLimits) {
+	draining := qfhttp.NewDrainingServer(server, listener, budget, limits)
+	n.servers = append(n.servers, &httpServer{server: server, draining: draining})
 	n.workers.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := draining.Serve(); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			qfevent.ServerFailed.Log(&n.platform.Logger, listener.Addr().String(), err)
 		}
 	})
@@ -175,7 +189,7 @@
 func (n *Node) Kill() {
 	n.cancel()
 	for _, s := range n.servers {
-		_ = s.Close() // Open connections are closed on purpose.
+		_ = s.server.Close() // Open connections are closed on purpose.
 	}
 	for _, l := range n.listeners {
 		_ = l.Close() // It may be closed already.
