node: the drain sees what has come to the operators' port, with certificates or without

An operator's whole request at a node that stops was reset or ended without an answer. Cause: the drain asks the kernel whether something waits. The limit of open connections and TLS lie between: neither passed the question on, and no answer counts as nothing. With certificates, connections in their handshake or after it, behind which a request may have come, were closed with the listener. Change: the limited listener and its connections pass the question on, a connection with TLS asks the socket below it, and the listener of qftls reports handshakes in progress until their connections are accepted. Left: a handshake that begins between the drain's last question and the close of the listener is cut.

--- a/internal/node/drainlate_test.go
+++ b/internal/node/drainlate_test.go
@@ -85,10 +85,18 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = connection.Close() })
-	if _, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+	sendRequest(t, connection)
+	return connection
+}
+
+// wholeRequest is a request without a body.
+const wholeRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+func sendRequest(t *testing.T, connection net.Conn) {
+	t.Helper()
+	if _, err := io.WriteString(connection, wholeRequest); err != nil {
 		t.Fatal(err)
 	}
-	return connection
 }
 
 // receiveAnswer reads the first answer of a connection.
@@ -105,30 +113,37 @@
 	return err
 }
 
-// TestDrainAnswersCallersThatWaitToBeAccepted fails if a node that stops resets connections that it comes late to accept.
-func TestDrainAnswersCallersThatWaitToBeAccepted(t *testing.T) {
-	n := newLoneNode(t)
-	listener := newLateListener(t)
-	n.serveCallers(listener)
-	n.phase.Store(PhaseDraining)
-	var callers []net.Conn
-	for range 20 {
-		callers = append(callers, dialAndSend(t, listener.Addr().String()))
-	}
-	var drained sync.WaitGroup
-	drained.Go(func() { n.drain(context.Background()) })
-	for i, c := range callers {
-		if err := receiveAnswer(c); err != nil {
-			t.Errorf("request %d has no answer: %v", i, err)
-		}
+// TestDrainAnswersConnectionsThatWaitToBeAccepted fails if a node that stops resets connections that it comes late to accept.
+func TestDrainAnswersConnectionsThatWaitToBeAccepted(t *testing.T) {
+	tests := []struct {
+		port  string
+		serve func(*Node, net.Listener)
+	}{{"callers", (*Node).serveCallers}, {"operators", (*Node).serveOperators}}
+	for _, test := range tests {
+		t.Run(test.port, func(t *testing.T) {
+			n := newLoneNode(t)
+			listener := newLateListener(t)
+			test.serve(n, listener)
+			n.phase.Store(PhaseDraining)
+			var clients []net.Conn
+			for range 20 {
+				clients = append(clients, dialAndSend(t, listener.Addr().String()))
+			}
+			var drained sync.WaitGroup
+			drained.Go(func() { n.drain(context.Background()) })
+			for i, c := range clients {
+				if err := receiveAnswer(c); err != nil {
+					t.Errorf("request %d has no answer: %v", i, err)
+				}
+			}
+			drained.Wait()
+		})
 	}
-	drained.Wait()
 }
 
 // TestDrainEndsWithoutReclaim fails if a planned stop waits forever for connections that send no whole request, or for callers that
 // keep coming.
 func TestDrainEndsWithoutReclaim(t *testing.T) {
-	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	tests := []struct {
 		name string
 		// sent is what the caller sends; the answers to whole requests are read.
@@ -139,11 +154,11 @@
 		most       time.Duration
 	}{
 		{name: "silent", most: silentTime},
-		{name: "kept", sent: request, answers: 1, most: time.Second},
+		{name: "kept", sent: wholeRequest, answers: 1, most: time.Second},
 		{name: "part of a first head", sent: "GET / HT", most: readHeaderTimeout},
-		{name: "first bytes of a second head", sent: request + "GE", answers: 1, most: acceptTime + time.Second},
-		{name: "part of a second head", sent: request + "GET / HT", answers: 1, most: acceptTime + time.Second},
-		{name: "callers that keep coming", sent: request, answers: 1, isRepeated: true, most: acceptTime + time.Second},
+		{name: "first bytes of a second head", sent: wholeRequest + "GE", answers: 1, most: acceptTime + time.Second},
+		{name: "part of a second head", sent: wholeRequest + "GET / HT", answers: 1, most: acceptTime + time.Second},
+		{name: "callers that keep coming", sent: wholeRequest, answers: 1, isRepeated: true, most: acceptTime + time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/qf/transport/qfhttp/connections.go
+++ b/internal/qf/transport/qfhttp/connections.go
@@ -67,6 +67,12 @@
 	}
 }
 
+// IsReadable reports whether connections wait to be accepted; false also stands for not known.
+func (l *limitedListener) IsReadable() bool { return isReadable(l.Listener) }
+
+// IsReadable reports whether bytes of the client wait to be read; false also stands for not known.
+func (c *limitedConnection) IsReadable() bool { return isReadable(c.Conn) }
+
 func (r *refuser) refuse(connection net.Conn) {
 	select {
 	case r.slots <- struct{}{}:
--- a/internal/qf/transport/qfhttp/readable.go
+++ b/internal/qf/transport/qfhttp/readable.go
@@ -1,6 +1,7 @@
 package qfhttp
 
 import (
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -10,12 +11,17 @@
 // waits to be accepted or read.
 type readableReporter interface{ IsReadable() bool }
 
+// wrappedConn is implemented by connections with TLS.
+type wrappedConn interface{ NetConn() net.Conn }
+
 // isReadable reports whether a connection has bytes, or its end, that wait to be read, or a listener has connections that wait to be
 // accepted. It never blocks, and false also stands for not known.
 func isReadable(socket any) bool {
 	switch s := socket.(type) {
 	case readableReporter:
 		return s.IsReadable()
+	case wrappedConn:
+		return isReadable(s.NetConn())
 	case syscall.Conn:
 		events, err := pollSocket(s, unix.POLLIN)
 		return err == nil && events&unix.POLLIN != 0
--- a/internal/qf/transport/qftls/listener.go
+++ b/internal/qf/transport/qftls/listener.go
@@ -97,6 +97,10 @@
 	}
 }
 
+// IsReadable reports whether handshakes are in progress or connections wait to be accepted. A client may have sent a request behind its
+// part of the handshake. Connections that the listener hasn't taken yet don't count: their clients can't have sent one.
+func (l *listener) IsReadable() bool { return len(l.handshakes) > 0 }
+
 // Close implements net.Listener.
 func (l *listener) Close() error {
 	err := l.Listener.Close()
--- a/internal/qf/transport/qftls/listener_test.go
+++ b/internal/qf/transport/qftls/listener_test.go
@@ -179,6 +179,32 @@
 	})
 }
 
+// TestHandshakeInProgressIsReported fails if a listener reports that nothing comes while a client may have sent its request behind the handshake.
+func TestHandshakeInProgressIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		authority := must[*standca.Authority](t)(standca.New(clock.Now()))
+		files := must[qftls.Files](t)(authority.IssueFiles(t.TempDir(), "server", qftls.RoleNode, clock.Now().Add(time.Hour)))
+		network := standnet.New()
+		t.Cleanup(network.Close)
+		inner := must[net.Listener](t)(network.From(anyPort.Addr()).Listen(t.Context(), anyPort))
+		refused := make(chan struct{})
+		listener := load(t, files).Listen(inner, qftls.RoleNode, func(net.Addr, error) { close(refused) })
+		defer func() { _ = listener.Close() }()
+		reports := func(want bool) {
+			t.Helper()
+			synctest.Wait()
+			if r, ok := listener.(interface{ IsReadable() bool }); !ok || r.IsReadable() != want {
+				t.Errorf("the listener doesn't report %t", want)
+			}
+		}
+		silent := must[net.Conn](t)(network.From(anyPort.Addr()).Dial(t.Context(), "tcp", inner.Addr().String()))
+		defer func() { _ = silent.Close() }()
+		reports(true)
+		<-refused
+		reports(false)
+	})
+}
+
 // TestIdentityReloadsItsFiles fails if an invalid file changes the identity, or if a new
 // authority doesn't replace the former one.
 func TestIdentityReloadsItsFiles(t *testing.T) {
