soak: a planned stop must not cut whole requests

Cause: during planned operations the soak counted only requests that ran and were then cut. A stop waited alone: no change of the configuration overlapped it, and all callers kept their connections, on whose close a request may cross. Change: beside a planned stop the configuration changes every 0.4 s, and eight callers with a new connection each time ask which one is in force from 2.3 to 3.1 s after the signal. The promise: until the first fault, a request that was written whole to a new connection, or whose answer had begun, gets a whole answer or a refusal. Unanswered requests on kept connections may have crossed the close and don't count. TestSoakCatchesCutRequests has a row for each case.

--- a/cmd/quetzalfront/soak_test.go
+++ b/cmd/quetzalfront/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -130,7 +131,7 @@
 	n := w.nodes[random.IntN(len(w.nodes))]
 	switch random.IntN(4) {
 	case 0:
-		w.end(n, syscall.SIGTERM)
+		w.stop(n)
 		w.chooseBuild(n)
 		w.start(n)
 		w.sleep(time.Second)
@@ -143,6 +144,50 @@
 	}
 }
 
+const (
+	// changeInterval is the time between the changes of the configuration beside a planned stop.
+	changeInterval = 400 * time.Millisecond
+	// lateCallers is the number of callers that connect to a stopping node again and again, from lateAfter for lateDuration: about
+	// when it stops to accept connections.
+	lateCallers  = 8
+	lateAfter    = 2300 * time.Millisecond
+	lateDuration = 800 * time.Millisecond
+)
+
+// stop ends a node's process as an operator does, beside changes of the configuration and callers that come late.
+func (w *soakWorld) stop(n *soakNode) {
+	exited := make(chan struct{})
+	var beside sync.WaitGroup
+	beside.Go(func() {
+		for {
+			select {
+			case <-exited:
+				return
+			case <-w.timer.After(changeInterval).C():
+				w.configure()
+			}
+		}
+	})
+	for range lateCallers {
+		beside.Go(func() { w.comeLate(n) })
+	}
+	w.end(n, syscall.SIGTERM)
+	close(exited)
+	beside.Wait()
+}
+
+// comeLate tests which configuration is in force at a stopping node, with a new connection each time.
+func (w *soakWorld) comeLate(n *soakNode) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	w.sleep(lateAfter)
+	for end := w.timer.Now().Add(lateDuration); w.timer.Now().Before(end); {
+		w.mu.Lock()
+		path := fmt.Sprintf("/rev-%d/1", w.revision)
+		w.mu.Unlock()
+		w.sendTo(client, n, path, fmt.Sprintf("late-%d", n.number))
+	}
+}
+
 // drain marks a replica as draining, checks that it receives no new requests after
 // drainBound, and marks it as ready again. It does nothing while a replica of the same
 // entry is draining.
@@ -285,6 +330,9 @@
 		if broken := r.violation(runs[r.id], r.sentAt.Before(chaosAt.Add(-settleDuration))); broken != "" {
 			w.t.Errorf("%s %s at node %d %s", r.id, r.path, r.node, broken)
 		}
+		if r.isCut(chaosAt) {
+			w.t.Errorf("%s %s at node %d, sent at %v, got neither an answer nor a refusal beside planned operations: %v", r.id, r.path, r.node, r.sentAt, r.err)
+		}
 		if r.sentAt.After(healedAt) {
 			late++
 			if r.status == http.StatusOK && r.err == nil || r.status == http.StatusNotFound {
@@ -320,6 +368,41 @@
 	}
 }
 
+// isCut reports whether a request that is owed an answer or a refusal got neither before the first fault.
+func (r *soakResult) isCut(chaosAt time.Time) bool {
+	return r.isOwed && r.err != nil && r.endedAt.Before(chaosAt)
+}
+
+// TestSoakCatchesCutRequests fails if the soak misses a request that a planned stop has cut, or reports one that it can't have received.
+func TestSoakCatchesCutRequests(t *testing.T) {
+	chaosAt := time.Unix(100, 0)
+	tests := []struct {
+		name     string
+		delivery delivery
+		err      error
+		endedAt  time.Time
+		want     bool
+	}{
+		{"reset on a new connection", delivery{isWritten: true}, syscall.ECONNRESET, chaosAt.Add(-1), true},
+		{"ended on a new connection", delivery{isWritten: true}, io.EOF, chaosAt.Add(-1), true},
+		{"cut answer on a kept connection", delivery{isWritten: true, isReused: true, hasBegun: true}, io.ErrUnexpectedEOF, chaosAt.Add(-1), true},
+		{"crossed the close of a kept connection", delivery{isWritten: true, isReused: true}, syscall.ECONNRESET, chaosAt.Add(-1), false},
+		{"no connection", delivery{}, syscall.ECONNREFUSED, chaosAt.Add(-1), false},
+		{"not written", delivery{}, syscall.EPIPE, chaosAt.Add(-1), false},
+		{"answered", delivery{isWritten: true, hasBegun: true}, nil, chaosAt.Add(-1), false},
+		{"beside faults", delivery{isWritten: true}, syscall.ECONNRESET, chaosAt, false},
+	}
+	for i := range tests {
+		tt := &tests[i]
+		t.Run(tt.name, func(t *testing.T) {
+			r := soakResult{err: tt.err, endedAt: tt.endedAt, isOwed: tt.delivery.isOwed()}
+			if got := r.isCut(chaosAt); got != tt.want {
+				t.Errorf("got %t", got)
+			}
+		})
+	}
+}
+
 // TestSoakCatchesViolations fails if the soak misses a violation, or reports one for an
 // allowed result.
 func TestSoakCatchesViolations(t *testing.T) {
--- a/cmd/quetzalfront/soak_world_test.go
+++ b/cmd/quetzalfront/soak_world_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -108,6 +109,37 @@
 	body     string
 	err      error
 	isStream bool
+	// endedAt is when the answer was read to its end, or the request failed.
+	endedAt time.Time
+	// isOwed is true if the whole request was written to a connection that its node can't have closed as an unused one meanwhile:
+	// a new one, or one on which the answer has begun.
+	isOwed bool
+}
+
+// delivery follows how far a request got.
+type delivery struct {
+	mu                            sync.Mutex
+	isReused, isWritten, hasBegun bool
+}
+
+// trace returns a context whose request is followed.
+func (d *delivery) trace(ctx context.Context) context.Context {
+	update := func(change func()) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		change()
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:              func(i httptrace.GotConnInfo) { update(func() { d.isReused = i.Reused }) },
+		WroteRequest:         func(i httptrace.WroteRequestInfo) { update(func() { d.isWritten = i.Err == nil }) },
+		GotFirstResponseByte: func() { update(func() { d.hasBegun = true }) },
+	})
+}
+
+func (d *delivery) isOwed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.isWritten && (!d.isReused || d.hasBegun)
 }
 
 // at returns the loopback address of a host in this soak's network.
@@ -299,20 +331,27 @@
 // send sends one random request through a client and records the result.
 func (w *soakWorld) send(client *http.Client, random *rand.Rand, name string) {
 	w.mu.Lock()
-	w.number++
 	revision := w.revision
-	n := w.nodes[random.IntN(len(w.nodes))]
-	run := n.run
-	r := soakResult{id: fmt.Sprintf("%s-%d", name, w.number), node: n.number}
 	w.mu.Unlock()
+	n := w.nodes[random.IntN(len(w.nodes))]
 	if random.IntN(4) == 0 {
 		revision = max(revision-random.IntN(3), 1)
 	}
-	r.path = []string{"/ask/1", "/talk/1", "/file/1", "/read/1", fmt.Sprintf("/rev-%d/1", revision)}[random.IntN(5)]
+	w.sendTo(client, n, []string{"/ask/1", "/talk/1", "/file/1", "/read/1", fmt.Sprintf("/rev-%d/1", revision)}[random.IntN(5)], name)
+}
+
+// sendTo sends a request to a node and records the result.
+func (w *soakWorld) sendTo(client *http.Client, n *soakNode, path, name string) {
+	w.mu.Lock()
+	w.number++
+	run := n.run
+	r := soakResult{id: fmt.Sprintf("%s-%d", name, w.number), path: path, node: n.number}
+	w.mu.Unlock()
 	r.isStream = strings.HasPrefix(r.path, "/ask/") || strings.HasPrefix(r.path, "/talk/")
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.at(nodeHosts+n.number, callersPort).String()+r.path, strings.NewReader("body"))
+	var d delivery
+	request, err := http.NewRequestWithContext(d.trace(ctx), http.MethodPost, "http://"+w.at(nodeHosts+n.number, callersPort).String()+r.path, strings.NewReader("body"))
 	if err != nil {
 		w.t.Error(err)
 		return
@@ -334,7 +373,7 @@
 		_ = response.Body.Close()
 		r.status, r.body = response.StatusCode, string(body)
 	}
-	r.err = err
+	r.err, r.endedAt, r.isOwed = err, w.timer.Now(), d.isOwed()
 	w.record(n, run, highest, &r)
 }
 
