node: tests that bound a drain fail without its bounds

Cause: in TestDrainEndsWithoutReclaim the first bytes of a second head came with the first request, and callers that kept coming left quiet moments. Change: the rest of a head comes after the first answer, answers take time, and two callers overlap. TestKillEndsADrainAtOnce guards Kill.

--- a/internal/node/drainlate_test.go
+++ b/internal/node/drainlate_test.go
@@ -18,6 +18,7 @@
 
 	"quetzalfront/internal/qf/state/qfledger"
 	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/qf/transport/qfhttp"
 	"quetzalfront/internal/qfsettings"
 	"quetzalfront/internal/standin/standnet"
 	"quetzalfront/internal/standin/standtable"
@@ -141,66 +142,108 @@
 	}
 }
 
+// loneCaller is a caller of a node on a virtual network.
+type loneCaller struct {
+	// sent is what it sends at once, and rest what it sends after the answer to that.
+	sent, rest string
+	// isRepeated is true if it connects again whenever its connection has ended.
+	isRepeated bool
+}
+
+// call connects and sends what the caller sends, until the connection has ended.
+func (c *loneCaller) call(n *Node, dial func() (net.Conn, error)) {
+	for isFirst := true; isFirst || c.isRepeated; isFirst = false {
+		connection, err := dial()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, c.sent) // A connection that fails here has ended.
+		reader := bufio.NewReader(connection)
+		if c.sent == wholeRequest && discardAnswer(reader) == nil && c.rest != "" {
+			n.sleep(time.Millisecond)
+			_, _ = io.WriteString(connection, c.rest) // As above.
+		}
+		_, _ = io.Copy(io.Discard, reader) // As above.
+		_ = connection.Close()
+	}
+}
+
+// serveSlowly returns a node on a virtual network whose answers take some time, and the dial of its callers.
+func serveSlowly(t *testing.T, answerTime time.Duration) (n *Node, dial func() (net.Conn, error)) {
+	t.Helper()
+	n = newLoneNode(t)
+	network := standnet.New()
+	t.Cleanup(network.Close)
+	host := network.From(netip.MustParseAddr("127.0.0.1"))
+	listener, err := host.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { n.sleep(answerTime) })
+	budget := qfhttp.NewConnectionBudget(n.platform.Clock, 0, func(qfhttp.LimitBreak) {})
+	n.serveHTTP(listener, n.newServer(handler), budget, qfhttp.PortLimits{Name: "callers"})
+	return n, func() (net.Conn, error) { return host.Dial(t.Context(), "tcp", listener.Addr().String()) }
+}
+
 // TestDrainEndsWithoutReclaim fails if a planned stop waits forever for connections that send no whole request, or for callers that
 // keep coming.
 func TestDrainEndsWithoutReclaim(t *testing.T) {
+	const answerTime = 10 * time.Millisecond
 	tests := []struct {
-		name string
-		// sent is what the caller sends; the answers to whole requests are read.
-		sent    string
-		answers int
-		// isRepeated is true if the caller connects again whenever its connection has ended.
-		isRepeated bool
-		most       time.Duration
+		name    string
+		callers []loneCaller
+		most    time.Duration
 	}{
-		{name: "silent", most: silentTime},
-		{name: "kept", sent: wholeRequest, answers: 1, most: time.Second},
-		{name: "part of a first head", sent: "GET / HT", most: readHeaderTimeout},
-		{name: "first bytes of a second head", sent: wholeRequest + "GE", answers: 1, most: acceptTime + time.Second},
-		{name: "part of a second head", sent: wholeRequest + "GET / HT", answers: 1, most: acceptTime + time.Second},
-		{name: "callers that keep coming", sent: wholeRequest, answers: 1, isRepeated: true, most: acceptTime + time.Second},
+		{"silent", []loneCaller{{}}, silentTime},
+		{"kept", []loneCaller{{sent: wholeRequest}}, time.Second},
+		{"part of a first head", []loneCaller{{sent: "GET / HT"}}, readHeaderTimeout},
+		{"first bytes of a second head", []loneCaller{{sent: wholeRequest, rest: "GE"}}, acceptTime + time.Second},
+		{"part of a second head", []loneCaller{{sent: wholeRequest, rest: "GET / HT"}}, acceptTime + time.Second},
+		{"callers that keep coming", []loneCaller{{sent: wholeRequest, isRepeated: true}, {sent: wholeRequest, isRepeated: true}}, acceptTime + time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				n := newLoneNode(t)
-				network := standnet.New()
-				t.Cleanup(network.Close)
-				host := network.From(netip.MustParseAddr("127.0.0.1"))
-				listener, err := host.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
-				if err != nil {
-					t.Fatal(err)
+				n, dial := serveSlowly(t, answerTime)
+				var calling sync.WaitGroup
+				for i := range test.callers {
+					calling.Go(func() { test.callers[i].call(n, dial) })
+					n.sleep(answerTime / 2)
 				}
-				n.serveCallers(listener)
-				var caller sync.WaitGroup
-				caller.Go(func() {
-					for {
-						connection, err := host.Dial(t.Context(), "tcp", listener.Addr().String())
-						if err != nil {
-							return
-						}
-						reader := bufio.NewReader(connection)
-						_, _ = io.WriteString(connection, test.sent)
-						for range test.answers {
-							_ = discardAnswer(reader)
-						}
-						_, _ = io.Copy(io.Discard, reader)
-						_ = connection.Close()
-						if !test.isRepeated {
-							return
-						}
-						n.sleep(time.Millisecond)
-					}
-				})
-				synctest.Wait()
+				n.sleep(2 * answerTime)
 				n.phase.Store(PhaseDraining)
 				began := n.now()
 				n.drain(t.Context())
 				if took := n.now().Sub(began); took > test.most {
 					t.Errorf("the drain took %s, want at most %s", took, test.most)
 				}
-				caller.Wait()
+				calling.Wait()
 			})
 		})
 	}
 }
+
+// TestKillEndsADrainAtOnce fails if a node that is killed while it drains waits for connections or requests.
+func TestKillEndsADrainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, dial := serveSlowly(t, time.Hour)
+		var calling sync.WaitGroup
+		for _, caller := range []loneCaller{{}, {sent: "GET / HT"}, {sent: wholeRequest}} {
+			calling.Go(func() { caller.call(n, dial) })
+		}
+		synctest.Wait()
+		n.phase.Store(PhaseDraining)
+		ctx, cancel := n.contextUntilReclaim()
+		defer cancel()
+		var drained sync.WaitGroup
+		drained.Go(func() { n.drain(ctx) })
+		synctest.Wait()
+		began := n.now()
+		n.Kill()
+		drained.Wait()
+		calling.Wait()
+		if took := n.now().Sub(began); took > 0 {
+			t.Errorf("the drain of a killed node ended %s later", took)
+		}
+	})
+}
