--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -84,7 +84,7 @@
 		if err != nil {
 			return err
 		}
-		server := qfhttp.NewDrainingServer(newServer(other.handler), listener, e.connectionBudget, other.limits, 0)
+		server := qfhttp.NewDrainingServer(newServer(other.handler), listener, e.connectionBudget, other.limits)
 		e.servers.others = append(e.servers.others, server)
 		e.runServer(other.address, server.Serve)
 	}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -15,7 +15,8 @@
 func (e *Entry) newCallerServer(handler http.Handler, listener net.Listener, limits qfhttp.PortLimits) *qfhttp.DrainingServer {
 	server := newServer(e.callers.Handler(handler))
 	server.ConnContext = e.callers.ConnContext
-	return qfhttp.NewDrainingServer(server, listener, e.connectionBudget, limits, connectionReuse)
+	limits.Reuse = connectionReuse
+	return qfhttp.NewDrainingServer(server, listener, e.connectionBudget, limits)
 }
 
 // Stop shuts the node down: it announces its leaving, lets callers move to other nodes and
--- a/internal/qf/transport/qfhttp/budget.go
+++ b/internal/qf/transport/qfhttp/budget.go
@@ -97,6 +97,8 @@
 	// ReadTimeouts returns the timeouts of a wait that began at a time; they may change. It is nil for ports on which the server's own
 	// timeouts are in force.
 	ReadTimeouts func(began time.Time) ReadTimeouts
+	// Reuse is how long after an answer its client may use the connection again, in whole seconds. 0 stands for not stated.
+	Reuse time.Duration
 	// RequestID returns the identifier of a request for reports; it may be nil.
 	RequestID func(*http.Request) qf.RequestID
 }
--- a/internal/qf/transport/qfhttp/draining.go
+++ b/internal/qf/transport/qfhttp/draining.go
@@ -27,8 +27,7 @@
 	server   *http.Server
 	listener net.Listener
 	clock    qf.Clock
-	// reuse is how long after an answer its client may use the connection again. It is a whole number of seconds; 0 stands for not
-	// stated.
+	// reuse is that of the port's limits, in whole seconds.
 	reuse time.Duration
 	// served is closed once no more connections are accepted.
 	served chan struct{}
@@ -60,10 +59,10 @@
 }
 
 // NewDrainingServer returns a server that hasn't started. Its connections are admitted to a budget. Its answers state for how long
-// their connections may be used again, in whole seconds, unless that is 0.
-func NewDrainingServer(server *http.Server, listener net.Listener, budget *ConnectionBudget, limits PortLimits, reuse time.Duration) *DrainingServer {
+// their connections may be used again, if the limits say.
+func NewDrainingServer(server *http.Server, listener net.Listener, budget *ConnectionBudget, limits PortLimits) *DrainingServer {
 	s := &DrainingServer{
-		server: server, clock: budget.clock, reuse: reuse.Truncate(time.Second), served: make(chan struct{}), states: map[*drainingConn]http.ConnState{},
+		server: server, clock: budget.clock, reuse: limits.Reuse.Truncate(time.Second), served: make(chan struct{}), states: map[*drainingConn]http.ConnState{},
 	}
 	if s.reuse > 0 {
 		server.Handler = s.stateReuse(server.Handler)
--- a/internal/qf/transport/qfhttp/draining_test.go
+++ b/internal/qf/transport/qfhttp/draining_test.go
@@ -180,7 +180,7 @@
 		},
 	}
 	budget := qfhttp.NewConnectionBudget(qftimer.NewWall(), 0, func(qfhttp.LimitBreak) {})
-	d.server = qfhttp.NewDrainingServer(server, d.listener, budget, qfhttp.PortLimits{Name: "callers"}, 0)
+	d.server = qfhttp.NewDrainingServer(server, d.listener, budget, qfhttp.PortLimits{Name: "callers"})
 	var running sync.WaitGroup
 	running.Go(func() { _ = d.server.Serve() })
 	t.Cleanup(running.Wait)
@@ -344,7 +344,7 @@
 		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
 		server := qfhttp.NewDrainingServer(
 			&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, listener, qfhttp.NewConnectionBudget(clock, 0, func(qfhttp.LimitBreak) {}),
-			qfhttp.PortLimits{Name: "callers"}, reuse,
+			qfhttp.PortLimits{Name: "callers", Reuse: reuse},
 		)
 		var running sync.WaitGroup
 		running.Go(func() { _ = server.Serve() })
@@ -520,7 +520,7 @@
 	}
 	budget := qfhttp.NewConnectionBudget(qftimer.NewWall(), 1, func(qfhttp.LimitBreak) {}) // No connection has room.
 	listener := &refusedListener{Listener: raw, looked: newHold()}
-	server := qfhttp.NewDrainingServer(&http.Server{ReadHeaderTimeout: time.Minute}, listener, budget, qfhttp.PortLimits{Name: "callers"}, 0)
+	server := qfhttp.NewDrainingServer(&http.Server{ReadHeaderTimeout: time.Minute}, listener, budget, qfhttp.PortLimits{Name: "callers"})
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve() })
 	connection, err := net.Dial("tcp", raw.Addr().String())
