qfhttp: a timeout, too, takes what has come; silent connections don't hold up a drain

A read whose deadline has passed fails whatever lies in the kernel's buffer. The drain counted each new connection as a request on its way. Change: a read that ends a wait asks the socket first, at drains and timeouts alike. A new connection is waited for during 1 s, as long as callers wait for one.

--- a/internal/qf/transport/qfhttp/draining.go
+++ b/internal/qf/transport/qfhttp/draining.go
@@ -76,7 +76,7 @@
 			connState(connection, state)
 		}
 	}
-	s.listener = budget.Guard(server, &drainingListener{Listener: listener, onAccept: s.signalChange}, limits)
+	s.listener = budget.Guard(server, &drainingListener{Listener: listener, clock: s.clock, onAccept: s.signalChange}, limits)
 	return s
 }
 
@@ -147,7 +147,10 @@
 func (s *DrainingServer) Drain(ctx context.Context) DrainReport {
 	s.beginReport()
 	s.awaitQuiet(ctx)
-	s.endWaiting(http.StateIdle)
+	s.endWaiting(func(c *drainingConn, state http.ConnState) bool {
+		until, _ := c.awaitsUntil()
+		return state == http.StateIdle || !until.After(s.clock.Now())
+	})
 	s.await(ctx, func() bool { return !isReadable(s.listener) })
 	_ = s.listener.Close() // What was accepted is served below.
 	select {
@@ -167,7 +170,7 @@
 	defer cancel()
 	s.await(limited, areClosed)
 	if limited.Err() != nil {
-		s.endWaiting(http.StateNew)
+		s.endWaiting(func(*drainingConn, http.ConnState) bool { return true })
 	}
 	s.await(ctx, areClosed)
 }
@@ -180,24 +183,17 @@
 	return context.WithCancel(ctx)
 }
 
-// awaitQuiet waits until no request is in progress, no connection waits to be accepted or for its first request, and no client may use
-// one again, or until endMargin before the end of the context.
+// awaitQuiet waits until no request is in progress, no connection waits to be accepted, and no client may use one for a first or a further
+// request, or until endMargin before the end of the context.
 func (s *DrainingServer) awaitQuiet(ctx context.Context) {
 	ctx, cancel := endingBefore(ctx, endMargin)
 	defer cancel()
 	for ctx.Err() == nil {
 		var usableUntil time.Time
 		s.await(ctx, func() bool {
-			usableUntil = time.Time{}
-			for c, state := range s.states {
-				if state != http.StateIdle {
-					return false
-				}
-				if until := c.reusableUntil(); until.After(usableUntil) {
-					usableUntil = until
-				}
-			}
-			return !isReadable(s.listener)
+			isQuiet, until := s.checkQuiet()
+			usableUntil = until
+			return isQuiet && !isReadable(s.listener)
 		})
 		left := usableUntil.Sub(s.clock.Now())
 		if left <= 0 {
@@ -207,6 +203,20 @@
 	}
 }
 
+// checkQuiet reports whether no request is in progress, and until when one may come to a connection. The caller must hold s.mu.
+func (s *DrainingServer) checkQuiet() (isQuiet bool, until time.Time) {
+	for c, state := range s.states {
+		awaits, isWaiting := c.awaitsUntil()
+		if state != http.StateIdle && (state != http.StateNew || !isWaiting) {
+			return false, time.Time{}
+		}
+		if awaits.After(until) {
+			until = awaits
+		}
+	}
+	return true, until
+}
+
 // sleep waits for a time, or until the context ends.
 func (s *DrainingServer) sleep(ctx context.Context, delay time.Duration) {
 	timer := s.clock.After(delay)
@@ -217,13 +227,13 @@
 	}
 }
 
-// endWaiting ends the connections in a state that wait for a request, and from now on those that come to wait for another one.
-func (s *DrainingServer) endWaiting(in http.ConnState) {
+// endWaiting ends the connections that match and wait for a request, and from now on those that come to wait for another one.
+func (s *DrainingServer) endWaiting(matches func(*drainingConn, http.ConnState) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isEnding = true
 	for c, state := range s.states {
-		if state == in {
+		if matches(c, state) {
 			c.endUnlessRequested()
 		}
 	}
--- a/internal/qf/transport/qfhttp/draining_test.go
+++ b/internal/qf/transport/qfhttp/draining_test.go
@@ -150,6 +150,11 @@
 
 // newDrainedServer starts a server that comes late to a moment of a connection's next request.
 func newDrainedServer(t *testing.T, moment lateMoment) *drainedServer {
+	t.Helper()
+	return newLimitedServer(t, moment, qfhttp.PortLimits{Name: "callers"})
+}
+
+func newLimitedServer(t *testing.T, moment lateMoment, limits qfhttp.PortLimits) *drainedServer {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -180,7 +185,7 @@
 		},
 	}
 	budget := qfhttp.NewConnectionBudget(qftimer.NewWall(), 0, func(qfhttp.LimitBreak) {})
-	d.server = qfhttp.NewDrainingServer(server, d.listener, budget, qfhttp.PortLimits{Name: "callers"})
+	d.server = qfhttp.NewDrainingServer(server, d.listener, budget, limits)
 	var running sync.WaitGroup
 	running.Go(func() { _ = d.server.Serve() })
 	t.Cleanup(running.Wait)
@@ -377,6 +382,29 @@
 	})
 }
 
+// TestDrainEndsSilentConnections fails if a connection on which nothing comes holds up a drain, or ends before its first request may have come.
+func TestDrainEndsSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := qftimer.NewWall()
+		listener, dial := pipeListener(t)
+		server := qfhttp.NewDrainingServer(
+			&http.Server{ReadHeaderTimeout: time.Minute}, listener, qfhttp.NewConnectionBudget(clock, 0, func(qfhttp.LimitBreak) {}), qfhttp.PortLimits{Name: "callers"},
+		)
+		var running sync.WaitGroup
+		running.Go(func() { _ = server.Serve() })
+		connection := dial()
+		openedAt := clock.Now()
+		running.Go(func() { server.Drain(t.Context()) })
+		if _, err := connection.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("the connection ends with %v", err)
+		}
+		if kept := clock.Now().Sub(openedAt); kept != time.Second {
+			t.Errorf("the connection ended after %v, want 1s", kept)
+		}
+		running.Wait()
+	})
+}
+
 const plainRequestOfKept = "GET /plain HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // pipeListener returns an in-memory listener and a dial that connects to it.
@@ -587,3 +615,54 @@
 	drained.Wait()
 	close(d.release)
 }
+
+// TestLimitSparesIdleConnectionWithRequest fails if a port at its limit closes a kept connection to which a whole request has come, in favour of
+// a new connection.
+func TestLimitSparesIdleConnectionWithRequest(t *testing.T) {
+	d := newLimitedServer(t, lateToRead, qfhttp.PortLimits{Name: "callers", Connections: 1})
+	d.listener.hold.end()
+	c := d.dial()
+	c.send("/first")
+	if err := c.receive(); err != nil {
+		t.Fatal(err)
+	}
+	kept := <-d.idle
+	<-kept.reached
+	c.send("/second")
+	awaitBytes(t, kept.TCPConn)
+	other := d.dial()
+	other.send("/other")
+	_ = other.receive() // It may be refused or served.
+	_ = other.connection.Close()
+	kept.hold.end()
+	if err := c.receive(); err != nil {
+		t.Errorf("the second request has no answer, %d ran: %v", d.ran.Load(), err)
+	}
+	_ = c.connection.Close()
+	d.drain()
+}
+
+// TestIdleTimeoutSparesRequestThatCame fails if a server that comes late to read closes a kept connection at the idle timeout although a whole request
+// has come to it.
+func TestIdleTimeoutSparesRequestThatCame(t *testing.T) {
+	d := newDrainedServer(t, lateToRead)
+	d.listener.hold.end()
+	c := d.dial()
+	c.send("/first")
+	if err := c.receive(); err != nil {
+		t.Fatal(err)
+	}
+	kept := <-d.idle
+	<-kept.reached
+	c.send("/second")
+	awaitBytes(t, kept.TCPConn)
+	if err := kept.TCPConn.SetReadDeadline(time.Unix(1, 0)); err != nil { // As if the idle timeout passed now.
+		t.Fatal(err)
+	}
+	kept.hold.end()
+	if err := c.receive(); err != nil {
+		t.Errorf("the second request has no answer, %d of 2 ran: %v", d.ran.Load(), err)
+	}
+	_ = c.connection.Close()
+	d.drain()
+}
--- a/internal/qf/transport/qfhttp/drainingconn.go
+++ b/internal/qf/transport/qfhttp/drainingconn.go
@@ -7,11 +7,17 @@
 	"os"
 	"sync"
 	"time"
+
+	"quetzalfront/internal/qf"
 )
 
+// firstRequestTime is how long a drain waits for the first request of a new connection.
+const firstRequestTime = time.Second
+
 // drainingListener accepts connections of a DrainingServer.
 type drainingListener struct {
 	net.Listener
+	clock qf.Clock
 	// onAccept is called before each wait for a connection.
 	onAccept func()
 }
@@ -23,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &drainingConn{Conn: connection, isWaiting: true}, nil
+	return &drainingConn{Conn: connection, isWaiting: true, reusable: l.clock.Now().Add(firstRequestTime)}, nil
 }
 
 // IsReadable reports whether connections wait to be accepted; false also stands for not known.
@@ -41,7 +47,7 @@
 	isKept, isAwaited bool
 	// isEnding is true from when the connection ends if it has nothing to read. It implies isWaiting.
 	isEnding bool
-	// reusable is until when the client may use the connection again after an answer.
+	// reusable is until when a request may come: the first one, or the next one after an answer.
 	reusable time.Time
 	// deadline is the read deadline that net/http has set. It isn't in force while isEnding is true.
 	deadline time.Time
@@ -50,15 +56,11 @@
 // interrupted is a read deadline that has passed on any clock.
 var interrupted = time.Unix(1, 0)
 
-// Read implements net.Conn. The read that ends a connection first takes what has come.
+// Read implements net.Conn. A read that would end a connection without a request, at a drain or a timeout, first takes what has come.
 func (c *drainingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isInterrupted() {
-		if !isReadable(c.Conn) {
-			return 0, io.EOF
-		}
-		c.beginRequest()
-		n, err = c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readLate(b, err)
 	}
 	if n > 0 {
 		c.beginRequest()
@@ -66,6 +68,26 @@
 	return n, err
 }
 
+// readLate reads what has come of a request for which the wait is over. It returns io.EOF at a drain, or else the error that ended the wait, if nothing has.
+func (c *drainingConn) readLate(b []byte, ended error) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isWaiting {
+		return 0, ended
+	}
+	if !isReadable(c.Conn) {
+		if c.isEnding {
+			return 0, io.EOF
+		}
+		return 0, ended
+	}
+	c.isWaiting, c.isEnding = false, false
+	_ = c.Conn.SetReadDeadline(time.Time{}) // The bytes are there, so that the read doesn't wait.
+	n, err := c.Conn.Read(b)
+	_ = c.Conn.SetReadDeadline(c.deadline) // A connection that fails here fails at its next read.
+	return n, err
+}
+
 // expectRequest marks the connection as waiting for its next request, which may come until a time.
 func (c *drainingConn) expectRequest(until time.Time) {
 	c.mu.Lock()
@@ -73,11 +95,11 @@
 	c.isWaiting, c.isKept, c.isAwaited, c.reusable = true, true, false, until
 }
 
-// reusableUntil returns until when the client may use the connection again after an answer.
-func (c *drainingConn) reusableUntil() time.Time {
+// awaitsUntil returns until when a request may come. It returns false if a part of one was read.
+func (c *drainingConn) awaitsUntil() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reusable
+	return c.reusable, c.isWaiting
 }
 
 // beginRequest marks a part of a request as read.
@@ -106,12 +128,6 @@
 	}
 }
 
-func (c *drainingConn) isInterrupted() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isEnding
-}
-
 // SetReadDeadline implements net.Conn. net/http sets a second deadline once it has the beginning of the next request, which it may have read
 // together with the one before, so that no read tells.
 func (c *drainingConn) SetReadDeadline(deadline time.Time) error {
