qfhttp: the close of a connection is reported before its request's refusal

Callers saw: nothing. Cause: the budget interrupted an evicted connection before it reported that, so that 808 could come before 805, and TestEvictedRequestIsRefused, new with the interruption, failed once in 30 runs under the race detector on (moment "unread": the last report was the close). Change: the report comes first.

--- a/internal/qf/transport/qfhttp/budget.go
+++ b/internal/qf/transport/qfhttp/budget.go
@@ -333,9 +333,9 @@
 // closeAll ends connections that were evicted, and reports them. The caller must not hold b.mu.
 func (b *ConnectionBudget) closeAll(closed []evicted) {
 	for _, e := range closed {
-		e.connection.interrupt()
 		p := e.connection.port
 		b.observe(LimitBreak{Action: ActionClosed, Limit: e.limit, Port: p.limits.Name, Address: e.connection.address, Figure: b.figure(p, e.limit)})
+		e.connection.interrupt() // A request that is refused after it is reported after it, too.
 	}
 }
 
