qfhttp: a raised timeout doesn't look like the beginning of a request

A kept connection whose idle timeout was raised while it waited held a drain up to the end of the grace. Cause: the drain takes the second read deadline after an answer for that of a request that net/http has read ahead; the extension of a timeout sets one too. Change: an extension says nothing of requests. Measured: TestDrainEndsConnectionWhoseTimeoutWasRaised: ended 59m58s after the drain began without the change, at once with it.

--- a/internal/qf/transport/qfhttp/draining_test.go
+++ b/internal/qf/transport/qfhttp/draining_test.go
@@ -405,6 +405,45 @@
 	})
 }
 
+// TestDrainEndsConnectionWhoseTimeoutWasRaised fails if a kept connection whose idle timeout was raised while it waited holds up a drain.
+func TestDrainEndsConnectionWhoseTimeoutWasRaised(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := qftimer.NewWall()
+		listener, dial := pipeListener(t)
+		var idle atomic.Int64
+		idle.Store(int64(time.Second))
+		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+		server := qfhttp.NewDrainingServer(
+			&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, listener, qfhttp.NewConnectionBudget(clock, 0, func(qfhttp.LimitBreak) {}),
+			qfhttp.PortLimits{Name: "callers", HeadBytes: func() int { return testHeadBytes }, ReadTimeouts: func(time.Time) qfhttp.ReadTimeouts {
+				return qfhttp.ReadTimeouts{Head: time.Second, Idle: time.Duration(idle.Load())}
+			}},
+		)
+		var running sync.WaitGroup
+		running.Go(func() { _ = server.Serve() })
+		connection := dial()
+		if _, err := io.WriteString(connection, plainRequestOfKept); err != nil {
+			t.Fatal(err)
+		}
+		reader := bufio.NewReader(connection)
+		if _, err := http.ReadResponse(reader, nil); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait() // The timeout in force now is that of the wait.
+		idle.Store(int64(time.Hour))
+		<-clock.After(2 * time.Second).C()
+		began := clock.Now()
+		running.Go(func() { server.Drain(t.Context()) })
+		if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("the connection ends with %v", err)
+		}
+		if took := clock.Now().Sub(began); took != 0 {
+			t.Errorf("the connection ended %v after the drain began", took)
+		}
+		running.Wait()
+	})
+}
+
 const plainRequestOfKept = "GET /plain HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // pipeListener returns an in-memory listener and a dial that connects to it.
--- a/internal/qf/transport/qfhttp/drainingconn.go
+++ b/internal/qf/transport/qfhttp/drainingconn.go
@@ -144,6 +144,17 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// extendReadDeadline sets a read deadline that says nothing of requests.
+func (c *drainingConn) extendReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = deadline
+	if c.isEnding {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // SetDeadline implements net.Conn.
 func (c *drainingConn) SetDeadline(deadline time.Time) error {
 	return errors.Join(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
--- a/internal/qf/transport/qfhttp/evictedconn.go
+++ b/internal/qf/transport/qfhttp/evictedconn.go
@@ -34,13 +34,6 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// isInterrupted reports whether the connection was interrupted.
-func (c *budgetedConn) isInterrupted() bool {
-	c.deadlineMu.Lock()
-	defer c.deadlineMu.Unlock()
-	return !c.interruptedAt.IsZero()
-}
-
 // readRest reads what has come of a head whose read was interrupted. If nothing has, it closes the connection, since net/http may answer a part of
 // a head, and returns err.
 func (c *budgetedConn) readRest(b []byte, err error) (int, error) {
--- a/internal/qf/transport/qfhttp/readtimeouts.go
+++ b/internal/qf/transport/qfhttp/readtimeouts.go
@@ -126,7 +126,23 @@
 		}
 		deadline = now.Add(lateReadTime) // The client may have sent it in time.
 	}
-	return !c.isInterrupted() && c.setReadDeadline(deadline) == nil
+	return c.extendReadDeadline(deadline) == nil
+}
+
+// deadlineExtender is implemented by connections that draw conclusions from the read deadlines of net/http, which others don't allow.
+type deadlineExtender interface{ extendReadDeadline(time.Time) error }
+
+// extendReadDeadline sets a read deadline that net/http hasn't asked for, unless the connection was interrupted.
+func (c *budgetedConn) extendReadDeadline(deadline time.Time) error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if !c.interruptedAt.IsZero() {
+		return os.ErrDeadlineExceeded
+	}
+	if extender, ok := c.Conn.(deadlineExtender); ok {
+		return extender.extendReadDeadline(deadline)
+	}
+	return c.Conn.SetReadDeadline(deadline)
 }
 
 // beginWait begins the wait for a head, or for its rest once its first bytes were read.
