qfforward: bound how long a caller holds an answer without reading it

Cause: a write to a caller that doesn't read had no bound in time: the call, its buffers and the connection stayed until the caller closed, long after the route's timeout. Change: writes of an answer fail 10 s after the request's deadline. net/http lifts the deadline before the next request on the connection; a guard checks that a kept connection is answered later. Measured: `go test ./internal/entry -run CallerThatDoesNot`: 30 s after the requests 0 of 10 connections closed -> 10 of 10, for a stream and for a large body.

--- a/internal/entry/manyfloods_test.go
+++ b/internal/entry/manyfloods_test.go
@@ -33,10 +33,10 @@
 }
 
 // askWithoutReading sends requests to the first node over connections from which nothing is read.
-func (w *testFleet) askWithoutReading(path string, count int) (end func()) {
+func (w *testFleet) askWithoutReading(path string, count int) (open []net.Conn, end func()) {
 	request := "POST " + path + " HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + goodKey +
 		"\r\nX-Request-Id: held\r\nX-Token-Counts: " + tokens + "\r\nContent-Length: 4\r\n\r\nbody"
-	open := make([]net.Conn, count)
+	open = make([]net.Conn, count)
 	for i := range open {
 		connection, err := w.network.From(callerIP).Dial(w.t.Context(), "tcp", "10.1.0.1:1")
 		if err != nil {
@@ -47,7 +47,7 @@
 		}
 		open[i] = connection
 	}
-	return func() {
+	return open, func() {
 		for _, connection := range open {
 			_ = connection.Close()
 		}
@@ -95,7 +95,7 @@
 				w.addHeldFlood(tt.entry, tt.flood, tt.most)
 				w.sleep(time.Second)
 				before := heapBytes()
-				end := w.askWithoutReading(tt.path, callers)
+				_, end := w.askWithoutReading(tt.path, callers)
 				defer end()
 				w.sleep(100 * floodPause)
 				if held := heapBytes() - before; held > memoryBytes {
--- a/internal/qf/protocol/qfforward/forwarder.go
+++ b/internal/qf/protocol/qfforward/forwarder.go
@@ -111,6 +111,7 @@
 	if hop != nil {
 		c.outcome.FromPeer = hop.From
 	}
+	c.boundDelivery()
 	if f.ports.IsLeaving() {
 		w.Header().Set("Connection", "close")
 	}
@@ -238,6 +239,15 @@
 		timeout = left
 	}
 	c.deadline = c.arrivedAt.Add(timeout)
+	c.boundDelivery()
+}
+
+// deliveryTime is how long after the request's deadline a caller may take to read what was answered before it.
+const deliveryTime = 10 * time.Second
+
+// boundDelivery bounds how long a caller that doesn't read its answer holds it, and the connection.
+func (c *call) boundDelivery() {
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.deadline.Add(deliveryTime)) // Not every writer supports deadlines.
 }
 
 func (c *call) readBody(limit int64) error {
