qfhttp: the goroutine that accepts closes the listener of a drain

Change: the drain interrupts the wait for a connection; the goroutine that accepts then takes what waits and closes the listener itself right after a look that finds nothing. Listeners whose wait can't be interrupted are closed as before. A handshake that ends between that look and the close is reset still, unread.

--- a/internal/qf/transport/qfhttp/draining.go
+++ b/internal/qf/transport/qfhttp/draining.go
@@ -24,9 +24,11 @@
 // net/http closes a connection by its state, which changes only once a request's head was parsed, and resets those that wait to be
 // accepted.
 type DrainingServer struct {
-	server   *http.Server
-	listener net.Listener
-	clock    qf.Clock
+	server *http.Server
+	// listener admits what accepting accepts to a budget.
+	listener  net.Listener
+	accepting *drainingListener
+	clock     qf.Clock
 	// reuse is that of the port's limits, in whole seconds.
 	reuse time.Duration
 	// served is closed once no more connections are accepted.
@@ -76,7 +78,8 @@
 			connState(connection, state)
 		}
 	}
-	s.listener = budget.Guard(server, &drainingListener{Listener: listener, clock: s.clock, onAccept: s.signalChange}, limits)
+	s.accepting = &drainingListener{Listener: listener, clock: s.clock, onAccept: s.signalChange}
+	s.listener = budget.Guard(server, s.accepting, limits)
 	return s
 }
 
@@ -151,18 +154,26 @@
 		until, _ := c.awaitsUntil()
 		return state == http.StateIdle || !until.After(s.clock.Now())
 	})
-	s.await(ctx, func() bool { return !isReadable(s.listener) })
-	_ = s.listener.Close() // What was accepted is served below.
-	select {
-	case <-s.served:
-	case <-ctx.Done():
-	}
+	s.endListener(ctx)
 	s.awaitClosed(ctx)
 	report := s.endReport()
 	_ = s.server.Close() // Nothing is left, or the grace is over.
 	return report
 }
 
+// endListener closes the listener once nothing waits to be accepted, or when the context ends. What was accepted is served on.
+func (s *DrainingServer) endListener(ctx context.Context) {
+	if !s.accepting.end() {
+		s.await(ctx, func() bool { return !isReadable(s.listener) })
+		_ = s.listener.Close() // It may be closed already.
+	}
+	select {
+	case <-s.served:
+	case <-ctx.Done():
+		_ = s.listener.Close() // As above.
+	}
+}
+
 // awaitClosed waits until all connections are closed, or until the context ends. It ends new connections on which nothing has come in time.
 func (s *DrainingServer) awaitClosed(ctx context.Context) {
 	areClosed := func() bool { return len(s.states) == 0 }
