qfhttp: the drain's listener and the parts of its tests stand in files of their own

Cause: reading the change as a newcomer. Change: draininglistener.go; drainworld_test.go (a server that comes late), draining_test.go (real sockets), drainkept_test.go (virtual time). end is closeOnceEmpty, reusable awaitedUntil. Measured: the same tests, go test ./internal/qf/transport/qfhttp passes 3 times.

--- a/internal/qf/transport/qfhttp/draining.go
+++ b/internal/qf/transport/qfhttp/draining.go
@@ -25,10 +25,10 @@
 // accepted.
 type DrainingServer struct {
 	server *http.Server
-	// listener admits what accepting accepts to a budget.
-	listener  net.Listener
-	accepting *drainingListener
-	clock     qf.Clock
+	// listener admits to a budget what acceptor accepts.
+	listener net.Listener
+	acceptor *drainingListener
+	clock    qf.Clock
 	// reuse is that of the port's limits, in whole seconds.
 	reuse time.Duration
 	// served is closed once no more connections are accepted.
@@ -78,8 +78,8 @@
 			connState(connection, state)
 		}
 	}
-	s.accepting = &drainingListener{Listener: listener, clock: s.clock, onAccept: s.signalChange}
-	s.listener = budget.Guard(server, s.accepting, limits)
+	s.acceptor = &drainingListener{Listener: listener, clock: s.clock, onAccept: s.signalChange}
+	s.listener = budget.Guard(server, s.acceptor, limits)
 	return s
 }
 
@@ -163,7 +163,7 @@
 
 // endListener closes the listener once nothing waits to be accepted, or when the context ends. What was accepted is served on.
 func (s *DrainingServer) endListener(ctx context.Context) {
-	if !s.accepting.end() {
+	if !s.acceptor.closeOnceEmpty() {
 		s.await(ctx, func() bool { return !isReadable(s.listener) })
 		_ = s.listener.Close() // It may be closed already.
 	}
@@ -200,13 +200,13 @@
 	ctx, cancel := endingBefore(ctx, endMargin)
 	defer cancel()
 	for ctx.Err() == nil {
-		var usableUntil time.Time
+		var awaitedUntil time.Time
 		s.await(ctx, func() bool {
 			isQuiet, until := s.checkQuiet()
-			usableUntil = until
+			awaitedUntil = until
 			return isQuiet && !isReadable(s.listener)
 		})
-		left := usableUntil.Sub(s.clock.Now())
+		left := awaitedUntil.Sub(s.clock.Now())
 		if left <= 0 {
 			return
 		}
--- a/internal/qf/transport/qfhttp/drainingconn.go
+++ b/internal/qf/transport/qfhttp/drainingconn.go
@@ -6,72 +6,9 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
-
-	"quetzalfront/internal/qf"
 )
 
-// firstRequestTime is how long a drain waits for the first request of a new connection.
-const firstRequestTime = time.Second
-
-// drainingListener accepts connections of a DrainingServer.
-type drainingListener struct {
-	net.Listener
-	clock qf.Clock
-	// onAccept is called before each wait for a connection.
-	onAccept func()
-	// isEnding is set from when the listener is closed once nothing waits to be accepted.
-	isEnding atomic.Bool
-}
-
-// deadlineListener is implemented by listeners whose wait for a connection can be interrupted.
-type deadlineListener interface{ SetDeadline(time.Time) error }
-
-// lastAcceptTime bounds the wait for a connection that waits to be accepted.
-const lastAcceptTime = 10 * time.Millisecond
-
-// end makes the goroutine that accepts close the listener as soon as nothing waits: between its last look and the close there is no switch to
-// another goroutine. It returns false if the wait of that goroutine can't be interrupted.
-func (l *drainingListener) end() bool {
-	interruptible, ok := l.Listener.(deadlineListener)
-	if ok {
-		l.isEnding.Store(true)
-		_ = interruptible.SetDeadline(interrupted) // A listener that fails here is closed.
-	}
-	return ok
-}
-
-// accept waits for a connection. Once the listener is ending, it takes what waits, and closes the listener if nothing does.
-func (l *drainingListener) accept() (net.Conn, error) {
-	for {
-		if l.isEnding.Load() {
-			if !isReadable(l.Listener) {
-				_ = l.Close() // It may be closed already.
-				return nil, net.ErrClosed
-			}
-			_ = l.Listener.(deadlineListener).SetDeadline(l.clock.Now().Add(lastAcceptTime)) // As above.
-		}
-		connection, err := l.Listener.Accept()
-		if err == nil || !l.isEnding.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return connection, err
-		}
-	}
-}
-
-// Accept implements net.Listener.
-func (l *drainingListener) Accept() (net.Conn, error) {
-	l.onAccept()
-	connection, err := l.accept()
-	if err != nil {
-		return nil, err
-	}
-	return &drainingConn{Conn: connection, isWaiting: true, reusable: l.clock.Now().Add(firstRequestTime)}, nil
-}
-
-// IsReadable reports whether connections wait to be accepted; false also stands for not known.
-func (l *drainingListener) IsReadable() bool { return isReadable(l.Listener) }
-
 // drainingConn is a connection that ends only where no byte of a request has come: the goroutine that reads it decides, and nothing is
 // closed under it.
 type drainingConn struct {
@@ -84,8 +21,8 @@
 	isKept, isAwaited bool
 	// isEnding is true from when the connection ends if it has nothing to read. It implies isWaiting.
 	isEnding bool
-	// reusable is until when a request may come: the first one, or the next one after an answer.
-	reusable time.Time
+	// awaitedUntil is until when a request may come: the first one, or the next one after an answer.
+	awaitedUntil time.Time
 	// deadline is the read deadline that net/http has set. It isn't in force while isEnding is true.
 	deadline time.Time
 }
@@ -129,14 +66,14 @@
 func (c *drainingConn) expectRequest(until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isWaiting, c.isKept, c.isAwaited, c.reusable = true, true, false, until
+	c.isWaiting, c.isKept, c.isAwaited, c.awaitedUntil = true, true, false, until
 }
 
 // awaitsUntil returns until when a request may come. It returns false if a part of one was read.
 func (c *drainingConn) awaitsUntil() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reusable, c.isWaiting
+	return c.awaitedUntil, c.isWaiting
 }
 
 // beginRequest marks a part of a request as read.
