qfhttp: a connection that is accepted late doesn't hold up a drain

Callers saw: nothing lost. A stop that met a connection in the moment of being accepted, on which nothing came, took its whole grace (at the node's own ports: until the head's timeout) in place of a second.

Cause: the drain looks for connections that wait for their first request before it ends the listener. One that is accepted after that look was ended only 100 ms before the grace is over, or never without a deadline.

Change: once the listener is closed, new connections have the same second for their first request as before.

TestDrainEndsSilentConnectionThatWasBeingAccepted fails 20 of 20 on the old code (1m0.01s, want 1s to 1.02s).

Conclusion: the same window as at the listener's close; what comes in it is now served, or ended, like what came before.

--- a/internal/qf/transport/qfhttp/draining.go
+++ b/internal/qf/transport/qfhttp/draining.go
@@ -176,14 +176,16 @@
 
 // awaitClosed waits until all connections are closed, or until the context ends. It ends new connections on which nothing has come in time.
 func (s *DrainingServer) awaitClosed(ctx context.Context) {
-	areClosed := func() bool { return len(s.states) == 0 }
 	limited, cancel := endingBefore(ctx, newEndMargin)
 	defer cancel()
-	s.await(limited, areClosed)
-	if limited.Err() != nil {
+	var ending sync.WaitGroup
+	ending.Go(func() {
+		s.sleep(limited, firstRequestTime) // The last connections were accepted before.
 		s.endWaiting(func(*drainingConn, http.ConnState) bool { return true })
-	}
-	s.await(ctx, areClosed)
+	})
+	s.await(ctx, func() bool { return len(s.states) == 0 })
+	cancel()
+	ending.Wait()
 }
 
 // endingBefore returns a context that ends a time before another one does, if that one has a deadline.
--- a/internal/qf/transport/qfhttp/drainkept_test.go
+++ b/internal/qf/transport/qfhttp/drainkept_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/qf/transport/qfhttp"
 	"quetzalfront/internal/standin/standnet"
@@ -84,6 +85,47 @@
 	})
 }
 
+// slowListener returns each connection a time after it was accepted.
+type slowListener struct {
+	net.Listener
+	clock qf.Clock
+	delay time.Duration
+}
+
+// Accept implements net.Listener.
+func (l *slowListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	<-l.clock.After(l.delay).C()
+	return connection, err
+}
+
+// TestDrainEndsSilentConnectionThatWasBeingAccepted fails if a connection on which nothing comes holds up a drain that began while it was being
+// accepted.
+func TestDrainEndsSilentConnectionThatWasBeingAccepted(t *testing.T) {
+	const delay = 10 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		clock := qftimer.NewWall()
+		listener, dial := pipeListener(t)
+		server := qfhttp.NewDrainingServer(
+			&http.Server{ReadHeaderTimeout: time.Minute}, &slowListener{Listener: listener, clock: clock, delay: delay},
+			qfhttp.NewConnectionBudget(clock, 0, func(qfhttp.LimitBreak) {}), qfhttp.PortLimits{Name: "callers"},
+		)
+		var running sync.WaitGroup
+		running.Go(func() { _ = server.Serve() })
+		connection := dial()
+		synctest.Wait() // The connection has left the queue.
+		openedAt := clock.Now()
+		running.Go(func() { server.Drain(t.Context()) })
+		if _, err := connection.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("the connection ends with %v", err)
+		}
+		if kept := clock.Now().Sub(openedAt); kept < time.Second || kept > time.Second+2*delay {
+			t.Errorf("the connection ended after %v, want 1s to %v", kept, time.Second+2*delay)
+		}
+		running.Wait()
+	})
+}
+
 // TestDrainEndsConnectionWhoseTimeoutWasRaised fails if a kept connection whose idle timeout was raised while it waited holds up a drain.
 func TestDrainEndsConnectionWhoseTimeoutWasRaised(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
