qfrequest: a node that stops waits for the calls of its runs

The span of an attempt that was handed over was sometimes missing from the caller's trace, and on a stopped node calls to endpoints and to the ledger could still be ending.

Cause: a run starts its calls to endpoints and to the ledger beside itself, and ends without them once it has cancelled them. Kill waited for runs only, then ended the telemetry, so that a span that ended later was lost.

Change: the runner counts its calls; Kill waits for them, after the runs and before the telemetry ends.

--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -51,6 +51,8 @@
 	// operators are the addresses of the nodes' operator ports.
 	operators []netip.AddrPort
 	http      *http.Client
+	// wrapEngine wraps the client of engines of the nodes that start; nil wraps nothing.
+	wrapEngine func(qf.EngineClient) qf.EngineClient
 }
 
 func newSystem(t *testing.T) *system {
@@ -99,6 +101,9 @@
 	}
 	platform := node.Connect(settings, qftimer.NewWall(), s.network.From(nodeAddress.Addr()), zerolog.Nop(), 1)
 	platform.SpanExporter = spans
+	if s.wrapEngine != nil {
+		platform.Engine = s.wrapEngine(platform.Engine)
+	}
 	n := node.New(settings, platform)
 	s.nodes = append(s.nodes, n)
 	if err := n.Start(); err != nil {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -196,6 +196,7 @@
 	}
 	n.workers.Wait()
 	n.running.Wait()
+	n.runner.Wait()
 	_ = n.telemetry.Shutdown(context.Background()) // Spans that can't be exported are lost.
 }
 
--- a/internal/node/telemetry_test.go
+++ b/internal/node/telemetry_test.go
@@ -9,10 +9,13 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
+	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/qf/transport/qftelemetry"
 	"quetzalfront/pkg/qfapi"
 )
@@ -44,12 +47,44 @@
 
 func (persistentSpans) Shutdown(context.Context) error { return nil }
 
+// slowEngine is a client whose streams end a time after their attempt was cancelled.
+type slowEngine struct{ qf.EngineClient }
+
+// slowStream is a stream of a slowEngine.
+type slowStream struct{ qf.ChunkStream }
+
+// StartGeneration implements qf.EngineClient.
+func (e slowEngine) StartGeneration(ctx context.Context, endpoint qf.Endpoint, r qf.GenerateRequest) (qf.ChunkStream, error) {
+	stream, err := e.EngineClient.StartGeneration(ctx, endpoint, r)
+	return slowStream{stream}, err
+}
+
+// Next implements qf.ChunkStream.
+func (s slowStream) Next(ctx context.Context) (qf.StreamChunk, error) {
+	chunk, err := s.ChunkStream.Next(ctx)
+	if err != nil {
+		<-qftimer.NewWall().After(time.Minute).C()
+	}
+	return chunk, err
+}
+
 // TestRequestKeepsOneTraceThroughHandOver guards against spans that are missing from the
 // caller's trace, or have the wrong parent, when a request is handed over.
-func TestRequestKeepsOneTraceThroughHandOver(t *testing.T) {
+func TestRequestKeepsOneTraceThroughHandOver(t *testing.T) { testTraceOfHandOver(t, nil) }
+
+// TestStopKeepsTraceOfSlowAttempt guards against the loss of the span of an attempt that
+// ends late, when its node stops.
+func TestStopKeepsTraceOfSlowAttempt(t *testing.T) {
+	testTraceOfHandOver(t, func(engine qf.EngineClient) qf.EngineClient { return slowEngine{engine} })
+}
+
+// testTraceOfHandOver checks the spans of a request that is handed over.
+func testTraceOfHandOver(t *testing.T, wrapEngine func(qf.EngineClient) qf.EngineClient) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		spans := persistentSpans{tracetest.NewInMemoryExporter()}
 		s := newSystem(t)
+		s.wrapEngine = wrapEngine
 		first := s.start("node-1", spans, nil)
 		client := s.client()
 		streaming := make(chan struct{}, 1000)
--- a/internal/qf/protocol/qfrequest/onceonly.go
+++ b/internal/qf/protocol/qfrequest/onceonly.go
@@ -79,7 +79,7 @@
 		intent: x.record.plan.Intent, outcome: action.Outcome, answer: action.Answer,
 	})
 	recorded := make(chan error, 1)
-	go func() { recorded <- x.recordOnce(x.ctx, x.record) }()
+	x.calls.Go(func() { recorded <- x.recordOnce(x.ctx, x.record) })
 	wait := x.config.Clock.After(outcomeWriteTimeout)
 	defer wait.Stop()
 	var err error
--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -56,11 +57,16 @@
 // Runner does the I/O that lifecycles require.
 type Runner struct {
 	config Config
+	// calls counts the calls to endpoints and to the ledger. They end after their run, once they notice that it has ended.
+	calls sync.WaitGroup
 }
 
 // NewRunner returns a runner.
 func NewRunner(config Config) *Runner { return &Runner{config: config} }
 
+// Wait blocks until the calls of all runs have ended. The runs must have ended.
+func (r *Runner) Wait() { r.calls.Wait() }
+
 // run is one execution of Run.
 type run struct {
 	*Runner
@@ -161,10 +167,12 @@
 		if action.CancelAttempt != "" {
 			x.endAttempt(false)
 		}
-		go x.queryStatus(x.choice.Endpoint, x.attempt, action.After)
+		endpoint, attempt := x.choice.Endpoint, x.attempt
+		x.calls.Go(func() { x.queryStatus(endpoint, attempt, action.After) })
 		return true
 	case ActionProbe:
-		go x.probe(x.choice.Endpoint, x.attempt)
+		endpoint, attempt := x.choice.Endpoint, x.attempt
+		x.calls.Go(func() { x.probe(endpoint, attempt) })
 		return true
 	case ActionFinish:
 		x.finish(action)
@@ -235,9 +243,11 @@
 	x.cancel = cancel
 	options := qf.AttemptOptions{TimeLeft: x.record.Request.Deadline.Sub(now), FreshConnection: x.reconnect}
 	if x.record.Request.Kind == qf.KindModelEngine {
-		go x.generate(ctx, choice.Endpoint, x.attempt, x.record.snapshotText(), x.takeKVHandle(), options)
+		text, kvHandle := x.record.snapshotText(), x.takeKVHandle()
+		x.calls.Go(func() { x.generate(ctx, choice.Endpoint, attempt, text, kvHandle, options) })
 	} else {
-		go x.call(ctx, choice.Endpoint, x.attempt, options, x.record.plan)
+		plan := x.record.plan
+		x.calls.Go(func() { x.call(ctx, choice.Endpoint, attempt, options, plan) })
 	}
 	return true
 }
--- a/internal/qf/protocol/qfrequest/start.go
+++ b/internal/qf/protocol/qfrequest/start.go
@@ -85,7 +85,8 @@
 	attempt := NewAttemptID()
 	if x.record.Request.OnceOnly() {
 		x.choice = choice
-		go x.replaceIntent(choice.Endpoint, attempt, x.record.plan.Intent)
+		intent := x.record.plan.Intent
+		x.calls.Go(func() { x.replaceIntent(choice.Endpoint, attempt, intent) })
 		return true
 	}
 	return x.begin(now, choice, attempt, action.Cause)
