qfforward: a late node reads before it cancels an attempt for silence

Cause: a node that is held up comes late to the end of the time for the first byte and to the byte itself. Whichever goroutine ran first decided.

Change: a node that comes late to the end of that time waits as long again, at most once the time itself, before it cancels. What was held up with it, the reading of the answer among it, runs meanwhile.

Measured: TestLateNodeReadsFirstByteBeforeItCancels: two rows of five fail on the old code (a hold-up of 48 ms, the answer read at its end). 3 runs of both packages with the race detector pass.

The clock of TestAnswerThatHasBegunIsNotCancelled moves to qftest and has a time of day, which the code now reads; the test is otherwise unchanged.

Conclusion: the open point of the postmortem is mended for a node that is held up; one that runs, but reads late by itself, isn't recognised.

--- a/internal/qf/protocol/qfforward/firstbyte.go
+++ b/internal/qf/protocol/qfforward/firstbyte.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"quetzalfront/internal/qf"
 )
 
 // firstByteWatch cancels an attempt whose answer doesn't begin in time. Either the answer begins or the attempt is cancelled, whatever the goroutine
@@ -37,19 +39,35 @@
 	return w.isExpired
 }
 
-// cancelAfter cancels an attempt after a time, unless the returned watch is stopped before.
+// cancelAfter cancels an attempt after a time, unless the returned watch is stopped before. A node that comes late to the end of that time, since it
+// was busy or frozen, has come late to the answer too: it waits as long again before it holds the silence against the endpoint.
 func (c *call) cancelAfter(timeout time.Duration, cancel context.CancelCauseFunc) *firstByteWatch {
-	subscription := c.forwarder.ports.Clock.After(timeout)
+	clock := c.forwarder.ports.Clock
+	due := clock.Now().Add(timeout)
 	watch := &firstByteWatch{ended: make(chan struct{})}
 	go func() {
-		defer subscription.Stop()
-		select {
-		case <-subscription.C():
-			if watch.expire() {
-				cancel(errFirstByteTimeout)
-			}
-		case <-watch.ended:
+		if !watch.sleep(clock, timeout) {
+			return
+		}
+		lateness := min(clock.Now().Sub(due), timeout)
+		if lateness > 0 && !watch.sleep(clock, lateness) {
+			return
+		}
+		if watch.expire() {
+			cancel(errFirstByteTimeout)
 		}
 	}()
 	return watch
 }
+
+// sleep waits for a time. It returns false if the watch was stopped first.
+func (w *firstByteWatch) sleep(clock qf.Clock, delay time.Duration) bool {
+	subscription := clock.After(delay)
+	defer subscription.Stop()
+	select {
+	case <-subscription.C():
+		return true
+	case <-w.ended:
+		return false
+	}
+}
--- a/internal/qf/protocol/qfforward/firstbyte_test.go
+++ b/internal/qf/protocol/qfforward/firstbyte_test.go
@@ -13,31 +13,13 @@
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qftimer"
+	"quetzalfront/internal/qftest"
 )
 
-// firedClock is a clock whose times have all passed.
-type firedClock struct{ qf.Clock }
-
-// After implements qf.Clock.
-func (firedClock) After(time.Duration) qf.Subscription {
-	c := make(firedSubscription, 1)
-	c <- time.Time{}
-	return c
-}
-
-// firedSubscription is a subscription whose time has passed.
-type firedSubscription chan time.Time
-
-// C implements qf.Subscription.
-func (s firedSubscription) C() <-chan time.Time { return s }
-
-// Stop implements qf.Subscription.
-func (firedSubscription) Stop() {}
-
 // TestAnswerThatHasBegunIsNotCancelled fails if an attempt is cancelled for its late first byte after its answer has begun to go to the caller, since the
 // timer has fired on a node that comes late to both.
 func TestAnswerThatHasBegunIsNotCancelled(t *testing.T) {
-	c := &call{forwarder: New(Ports{Clock: firedClock{}})}
+	c := &call{forwarder: New(Ports{Clock: qftest.FiredClock{Clock: qftimer.NewWall()}})}
 	for range 200 { // The timer's goroutine sees both events and takes either.
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancelCause(context.Background())
@@ -55,6 +37,55 @@
 	}
 }
 
+// lateClock is the clock of a node that comes late to each time: once a time has passed, it is held up for a while.
+type lateClock struct {
+	qf.Clock
+	lateness time.Duration
+}
+
+// After implements qf.Clock.
+func (c lateClock) After(delay time.Duration) qf.Subscription {
+	return c.Clock.After(delay + c.lateness)
+}
+
+// TestLateNodeReadsFirstByteBeforeItCancels fails if a node that was held up while an endpoint began its answer cancels the attempt before it gets to
+// read what has come, or waits for a silent endpoint without end.
+func TestLateNodeReadsFirstByteBeforeItCancels(t *testing.T) {
+	const (
+		timeout  = 300 * time.Millisecond
+		lateness = 48 * time.Millisecond
+	)
+	tests := []struct {
+		name     string
+		lateness time.Duration
+		// readAfter is when the node reads the first byte, after the end of the hold-up.
+		readAfter     time.Duration
+		wantCancelled bool
+	}{
+		{"read at once", lateness, time.Microsecond, false},
+		{"read after what else was held up", lateness, lateness / 2, false},
+		{"silent", lateness, time.Minute, true},
+		{"silent, not held up", 0, time.Millisecond, true},
+		{"silent, held up for long", time.Minute, 2 * time.Minute, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := qftimer.NewWall()
+				c := &call{forwarder: New(Ports{Clock: lateClock{clock, tt.lateness}})}
+				ctx, cancel := context.WithCancelCause(context.Background())
+				watch := c.cancelAfter(timeout, cancel)
+				<-clock.After(timeout + tt.lateness + tt.readAfter).C()
+				synctest.Wait()
+				if isCancelled := !watch.stop(); isCancelled != tt.wantCancelled || (ctx.Err() != nil) != isCancelled {
+					t.Errorf("cancelled: %t (%v), want %t", isCancelled, context.Cause(ctx), tt.wantCancelled)
+				}
+				cancel(nil)
+			})
+		})
+	}
+}
+
 // TestCancelledAttemptDeliversNothing fails if the caller gets a part of an answer whose attempt was cancelled for its late first byte.
 func TestCancelledAttemptDeliversNothing(t *testing.T) {
 	answer := func(body string) *attempt {
