qfrpc: a reply that has come is no timeout

Callers saw: nothing directly. A call between nodes whose reply had come could be reported as timed out or cancelled: a hand-over that was taken became one of unknown outcome, and its connection was closed with all other calls on it.

The end of the call and the end of its time were two cases of one select, which takes either where a node that is late finds both.

Change: the end of the call is looked for once more after the time is over.

--- a/internal/qf/transport/qfrpc/connection.go
+++ b/internal/qf/transport/qfrpc/connection.go
@@ -151,7 +151,7 @@
 }
 
 // await waits for the end of a call, the timeout or the end of the context, whose error it
-// returns.
+// returns. A call that has ended counts as such, also where the node comes late to its end.
 func (c *Client) await(ctx context.Context, call *rpc.Call, timeout time.Duration) (isDone bool, err error) {
 	timer := c.clock.After(timeout)
 	defer timer.Stop()
@@ -159,9 +159,14 @@
 	case <-call.Done:
 		return true, nil
 	case <-timer.C():
-		return false, nil
 	case <-ctx.Done():
-		return false, ctx.Err()
+		err = ctx.Err()
+	}
+	select {
+	case <-call.Done:
+		return true, nil
+	default:
+		return false, err
 	}
 }
 
