--- a/internal/qf/transport/qfhttp/drainkept_test.go
+++ b/internal/qf/transport/qfhttp/drainkept_test.go
@@ -26,13 +26,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		clock := qftimer.NewWall()
 		listener, dial := pipeListener(t)
-		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-		server := qfhttp.NewDrainingServer(
-			&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, listener, qfhttp.NewConnectionBudget(clock, 0, func(qfhttp.LimitBreak) {}),
-			qfhttp.PortLimits{Name: "callers", Reuse: reuse},
-		)
 		var running sync.WaitGroup
-		running.Go(func() { _ = server.Serve() })
+		server := serveInMemory(&running, listener, qfhttp.PortLimits{Reuse: reuse})
 		connection := dial()
 		reader := bufio.NewReader(connection)
 		exchange := func() string {
@@ -67,11 +62,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		clock := qftimer.NewWall()
 		listener, dial := pipeListener(t)
-		server := qfhttp.NewDrainingServer(
-			&http.Server{ReadHeaderTimeout: time.Minute}, listener, qfhttp.NewConnectionBudget(clock, 0, func(qfhttp.LimitBreak) {}), qfhttp.PortLimits{Name: "callers"},
-		)
 		var running sync.WaitGroup
-		running.Go(func() { _ = server.Serve() })
+		server := serveInMemory(&running, listener, qfhttp.PortLimits{})
 		connection := dial()
 		openedAt := clock.Now()
 		running.Go(func() { server.Drain(t.Context()) })
@@ -106,12 +98,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		clock := qftimer.NewWall()
 		listener, dial := pipeListener(t)
-		server := qfhttp.NewDrainingServer(
-			&http.Server{ReadHeaderTimeout: time.Minute}, &slowListener{Listener: listener, clock: clock, delay: delay},
-			qfhttp.NewConnectionBudget(clock, 0, func(qfhttp.LimitBreak) {}), qfhttp.PortLimits{Name: "callers"},
-		)
 		var running sync.WaitGroup
-		running.Go(func() { _ = server.Serve() })
+		server := serveInMemory(&running, &slowListener{Listener: listener, clock: clock, delay: delay}, qfhttp.PortLimits{})
 		connection := dial()
 		synctest.Wait() // The connection has left the queue.
 		openedAt := clock.Now()
@@ -133,15 +121,12 @@
 		listener, dial := pipeListener(t)
 		var idle atomic.Int64
 		idle.Store(int64(time.Second))
-		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-		server := qfhttp.NewDrainingServer(
-			&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, listener, qfhttp.NewConnectionBudget(clock, 0, func(qfhttp.LimitBreak) {}),
-			qfhttp.PortLimits{Name: "callers", HeadBytes: func() int { return testHeadBytes }, ReadTimeouts: func(time.Time) qfhttp.ReadTimeouts {
-				return qfhttp.ReadTimeouts{Head: time.Second, Idle: time.Duration(idle.Load())}
-			}},
-		)
 		var running sync.WaitGroup
-		running.Go(func() { _ = server.Serve() })
+		server := serveInMemory(&running, listener, qfhttp.PortLimits{
+			HeadBytes: func() int { return testHeadBytes }, ReadTimeouts: func(time.Time) qfhttp.ReadTimeouts {
+				return qfhttp.ReadTimeouts{Head: time.Second, Idle: time.Duration(idle.Load())}
+			},
+		})
 		connection := dial()
 		if _, err := io.WriteString(connection, plainRequestOfKept); err != nil {
 			t.Fatal(err)
@@ -165,6 +150,20 @@
 	})
 }
 
+// answersPlainly is a handler that answers each request at once.
+var answersPlainly = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+
+// serveInMemory serves a listener until the returned server is drained.
+func serveInMemory(running *sync.WaitGroup, listener net.Listener, limits qfhttp.PortLimits) *qfhttp.DrainingServer {
+	limits.Name = "callers"
+	server := qfhttp.NewDrainingServer(
+		&http.Server{Handler: answersPlainly, ReadHeaderTimeout: time.Minute}, listener,
+		qfhttp.NewConnectionBudget(qftimer.NewWall(), 0, func(qfhttp.LimitBreak) {}), limits,
+	)
+	running.Go(func() { _ = server.Serve() })
+	return server
+}
+
 const plainRequestOfKept = "GET /plain HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // pipeListener returns an in-memory listener and a dial that connects to it.
