--- a/internal/qf/protocol/qfforward/attempt.go
+++ b/internal/qf/protocol/qfforward/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
 )
 
 const (
@@ -246,7 +247,7 @@
 		}),
 	})
 	if err != nil {
-		watch.stop()
+		watch.Stop()
 		c.classifyFailure(ctx, a, err)
 		return
 	}
@@ -256,7 +257,7 @@
 	a.setVerdict(judgeAnswer(answer, s.headerSent))
 	ports.Picker.RecordResponse(ports.Clock.Now(), &a.picked, answer)
 	if a.flaw != nil {
-		watch.stop()
+		watch.Stop()
 		c.recordFirstByte(a)
 		return // What follows the head changes nothing.
 	}
@@ -347,10 +348,15 @@
 // errFirstByteTimeout cancels an attempt that is retried at another endpoint.
 var errFirstByteTimeout = errors.New("the endpoint took too long to begin its answer")
 
+// cancelAfter cancels an attempt after a time, unless the returned alarm is stopped before: a caller that has a part of an answer gets the rest of it.
+func (c *call) cancelAfter(timeout time.Duration, cancel context.CancelCauseFunc) *qftimer.Alarm {
+	return qftimer.NewAlarm(c.forwarder.ports.Clock, timeout, func() { cancel(errFirstByteTimeout) })
+}
+
 // watchFirstByte cancels an attempt that may be retried if its answer doesn't begin in time.
-func (c *call) watchFirstByte(a *attempt, p *progress, cancel context.CancelCauseFunc) *firstByteWatch {
+func (c *call) watchFirstByte(a *attempt, p *progress, cancel context.CancelCauseFunc) *qftimer.Alarm {
 	if !c.route.MayRepeat() || p.runs+1 >= c.route.Attempts || p.delivered {
-		return &firstByteWatch{}
+		return &qftimer.Alarm{}
 	}
 	timeout := max(time.Duration(float64(c.route.Objective)*firstByteTimeoutShare), predictedTimeFactor*a.picked.FirstToken, minFirstByteTimeout)
 	return c.cancelAfter(timeout, cancel)
@@ -358,14 +364,14 @@
 
 // read buffers an answer, or streams it to the caller if it is larger than the buffer, or than there is room for beside other
 // answers.
-func (c *call) read(a *attempt, watch *firstByteWatch) error {
-	defer watch.stop()
+func (c *call) read(a *attempt, watch *qftimer.Alarm) error {
+	defer watch.Stop()
 	c.buffered.drop()
 	err := c.buffered.fill(a.answer.Body, bufferBytes)
 	if err != nil && !errors.Is(err, io.EOF) {
 		return err
 	}
-	if err == nil && !watch.stop() {
+	if err == nil && !watch.Stop() {
 		return errFirstByteTimeout // The rest of the answer won't come.
 	}
 	c.recordFirstByte(a)
--- a/internal/qf/protocol/qfforward/evacuate.go
+++ b/internal/qf/protocol/qfforward/evacuate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
 )
 
 const (
@@ -195,7 +196,7 @@
 
 // relayMovable relays a stream that may be moved meanwhile. The move is nil if the stream ended
 // where it began.
-func (c *call) relayMovable(ctx context.Context, s *relay, a *attempt, watch *firstByteWatch) (*streamMove, error) {
+func (c *call) relayMovable(ctx context.Context, s *relay, a *attempt, watch *qftimer.Alarm) (*streamMove, error) {
 	entry := &stream{call: c, picked: a.picked}
 	s.stream = entry
 	table := c.forwarder.streams
--- a/internal/qf/protocol/qfforward/peer.go
+++ b/internal/qf/protocol/qfforward/peer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
 )
 
 // The headers that nodes add to the requests and answers that they pass to each other.
@@ -150,14 +151,14 @@
 		Endpoint: qf.Endpoint{ID: qf.EndpointID(node.ID), Address: node.PeerAddress, Incarnation: node.Incarnation},
 	})
 	if err != nil {
-		watch.stop()
+		watch.Stop()
 		c.classifyFailure(ctx, a, err)
 		return
 	}
 	defer answer.Body.Close() //nolint:errcheck // An error on close changes nothing.
 	a.answer = answer
 	if a.refusal = c.decodeRefusal(answer, node.ID); a.refusal != nil {
-		watch.stop()
+		watch.Stop()
 		a.end, a.err = qf.AttemptBroken, a.refusal
 		if a.refusal.Ran == qf.RanNo {
 			a.end = qf.AttemptNotRun
@@ -167,7 +168,7 @@
 	}
 	a.setVerdict(judgePeerAnswer(answer, s.headerSent))
 	if a.flaw != nil {
-		watch.stop()
+		watch.Stop()
 		c.recordFirstByte(a)
 		return // What follows the head changes nothing.
 	}
@@ -184,9 +185,9 @@
 
 // watchPeer cancels an attempt through a peer that doesn't begin to answer, if the request may be
 // repeated through another one.
-func (c *call) watchPeer(p *progress, cancel context.CancelCauseFunc) *firstByteWatch {
+func (c *call) watchPeer(p *progress, cancel context.CancelCauseFunc) *qftimer.Alarm {
 	if !c.route.MayRepeat() || p.runs+1 >= c.route.Attempts || p.delivered {
-		return &firstByteWatch{}
+		return &qftimer.Alarm{}
 	}
 	timeout := max(time.Duration(float64(c.route.Objective)*firstByteTimeoutShare*peerFirstByteFactor), minPeerTimeout)
 	return c.cancelAfter(timeout, cancel)
--- a/internal/qf/protocol/qfforward/relay.go
+++ b/internal/qf/protocol/qfforward/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
 )
 
 const (
@@ -37,8 +38,8 @@
 
 // relayStream forwards the stream of one attempt. A nil error means that the stream is
 // complete.
-func (s *relay) relayStream(a *attempt, watch *firstByteWatch) error {
-	defer watch.stop()
+func (s *relay) relayStream(a *attempt, watch *qftimer.Alarm) error {
+	defer watch.Stop()
 	s.searched = 0
 	defer s.pending.drop()
 	for {
@@ -62,12 +63,12 @@
 }
 
 // relayEvents writes the complete events that are pending.
-func (s *relay) relayEvents(a *attempt, watch *firstByteWatch) error {
+func (s *relay) relayEvents(a *attempt, watch *qftimer.Alarm) error {
 	end := s.findEventEnd()
 	if end == 0 {
 		return nil
 	}
-	if !watch.stop() {
+	if !watch.Stop() {
 		return errFirstByteTimeout // The rest of the answer won't come.
 	}
 	whole := s.pending.data[:end]
--- a/internal/qf/protocol/qfforward/relay_test.go
+++ b/internal/qf/protocol/qfforward/relay_test.go
@@ -9,13 +9,14 @@
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qfresponse"
+	"quetzalfront/internal/qf/state/qftimer"
 )
 
 // TestEventThatArrivesInSmallPartsIsBounded doesn't end in time if each part of an event costs a search of the whole event.
 func TestEventThatArrivesInSmallPartsIsBounded(t *testing.T) {
 	source := iotest.OneByteReader(strings.NewReader("data: " + strings.Repeat("x", 2*maxEventBytes)))
 	a := &attempt{answer: &qf.EndpointResponse{Body: io.NopCloser(source)}}
-	if err := (&relay{pending: newHeldBuffer()}).relayStream(a, &firstByteWatch{}); !errors.Is(err, errBufferFull) {
+	if err := (&relay{pending: newHeldBuffer()}).relayStream(a, &qftimer.Alarm{}); !errors.Is(err, errBufferFull) {
 		t.Errorf("the stream ends with %v, want %v", err, errBufferFull)
 	}
 }
