qfplatform: an answer of the store that has begun isn't cancelled

Callers saw: nothing directly; a node read the store or a feed again, with a large answer a long time on a small link. Change: qftimer.Alarm: one of them wins, and a call that was cancelled fails at once, not in its body. Open: a reader that pauses for more than a second still counts as a body that stalls (shown by the review, not mended).

--- a/internal/qf/state/qfplatform/stall.go
+++ b/internal/qf/state/qfplatform/stall.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
 )
 
 const (
@@ -49,13 +50,18 @@
 		timeout = t.timeout
 	}
 	ctx, cancel := context.WithCancelCause(request.Context())
-	body := &stallBody{clock: t.clock, begun: make(chan struct{}), cancel: cancel}
-	go body.watch(ctx, timeout)
+	body := &stallBody{clock: t.clock, cancel: cancel}
+	alarm := qftimer.NewAlarm(t.clock, timeout, func() { cancel(errStalled) })
 	response, err := t.base.RoundTrip(request.WithContext(ctx))
+	isInTime := alarm.Stop()
+	if err == nil && !isInTime {
+		err = errStalled          // The body won't come.
+		_ = response.Body.Close() // The call has failed either way.
+	}
 	if err != nil {
 		return nil, body.fail(ctx, err)
 	}
-	close(body.begun)
+	go body.watch(ctx)
 	body.ReadCloser, body.ctx = response.Body, ctx
 	response.Body = body
 	return response, nil
@@ -64,27 +70,15 @@
 // stallBody is a body whose pauses are limited.
 type stallBody struct {
 	io.ReadCloser
-	clock qf.Clock
-	// begun is closed when the answer begins.
-	begun  chan struct{}
+	clock  qf.Clock
 	ctx    context.Context //nolint:containedctx // It is that of the call whose body this is.
 	cancel context.CancelCauseFunc
 	// reads counts the reads that returned data.
 	reads atomic.Uint64
 }
 
-// watch cancels the call when nothing has arrived for too long.
-func (b *stallBody) watch(ctx context.Context, timeout time.Duration) {
-	answer := b.clock.After(timeout)
-	defer answer.Stop()
-	select {
-	case <-ctx.Done():
-		return
-	case <-answer.C():
-		b.cancel(errStalled)
-		return
-	case <-b.begun:
-	}
+// watch cancels the call when nothing of its body has arrived for too long.
+func (b *stallBody) watch(ctx context.Context) {
 	checks := b.clock.Every(stallTimeout)
 	defer checks.Stop()
 	for before := b.reads.Load(); ; {
