qfclient: a stream whose event has arrived isn't cancelled

Change: qftimer.Alarm in place of a select. No test of its own: that of the alarm and of qfforward hold the rule.

--- a/pkg/qfclient/chat.go
+++ b/pkg/qfclient/chat.go
@@ -17,6 +17,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/pkg/qfapi"
 )
 
@@ -236,17 +237,8 @@
 }
 
 func (x *chat) nextEvent(next func() (sse.Event, error, bool), cancel context.CancelFunc) (sse.Event, error, bool) {
-	silent := x.client.options.Timer.After(x.client.options.SilentAfter)
-	defer silent.Stop()
-	arrived := make(chan struct{})
-	defer close(arrived)
-	go func() {
-		select {
-		case <-silent.C():
-			cancel()
-		case <-arrived:
-		}
-	}()
+	alarm := qftimer.NewAlarm(x.client.options.Timer, x.client.options.SilentAfter, cancel)
+	defer alarm.Stop()
 	return next()
 }
 
