qfrequest: what came before the end of a time counts

Callers of quetzalfront node saw: 504 or "may have run" for a request whose whole answer had come 200 ms before its deadline, if the node came late to both; a stream was sent again to an endpoint that had sent tokens all the time. Change: at a deadline and at a check of progress the run first handles the events that have come. Measured: old code: TestAnswerThatHasComeIsNoDeadline 33 of 40 runs end otherwise, TestHeldUpNodeFindsNoStall 24 of 40; with the change 0 of 120 each, race detector.

--- a/internal/qf/protocol/qfrequest/runner.go
+++ b/internal/qf/protocol/qfrequest/runner.go
@@ -119,14 +119,14 @@
 		case e := <-record.events:
 			more = x.handle(e)
 		case <-deadline.C():
-			more = x.handle(Event{Kind: EventDeadline})
+			more = x.handleQueued() && x.handle(Event{Kind: EventDeadline})
 		case <-record.released:
 			x.cut = true
 			return
 		case <-ctx.Done():
 			return // The node stops; a peer or the ledger holds the request's state.
 		case <-checks.C():
-			more = x.checkProgress()
+			more = x.handleQueued() && x.checkProgress()
 		case <-x.retryDue():
 			x.retryAt = nil
 			more = x.launch(x.delayed)
@@ -134,6 +134,20 @@
 	}
 }
 
+// handleQueued handles the events that have come. A node that comes late to them comes late to the end of a time too, and what came before it counts.
+func (x *run) handleQueued() bool {
+	for {
+		select {
+		case e := <-x.record.events:
+			if !x.handle(e) {
+				return false
+			}
+		default:
+			return true
+		}
+	}
+}
+
 // checkProgress reports an attempt that has stalled. One periodic check for the whole
 // request costs less than a timer for each token.
 func (x *run) checkProgress() bool {
