qfrequest: an outcome that is recorded isn't reported as unknown

Callers of quetzalfront node saw: "another node may have run the call" for a once-only call that the ledger had recorded as not run. Change: the answer is looked for once more when the time is over.

--- a/internal/qf/protocol/qfrequest/onceonly.go
+++ b/internal/qf/protocol/qfrequest/onceonly.go
@@ -82,12 +82,7 @@
 	x.calls.Go(func() { recorded <- x.recordOnce(x.ctx, x.record) })
 	wait := x.config.Clock.After(outcomeWriteTimeout)
 	defer wait.Stop()
-	var err error
-	select {
-	case err = <-recorded:
-	case <-wait.C():
-		err = qf.NewError(qf.CodeUnavailable, qf.StepOutcome, "", "the ledger is slow")
-	}
+	err := awaitRecorded(recorded, wait.C())
 	x.recordOutcomeDecision(err)
 	if err == nil || action.Outcome != qf.OutcomeNotRun {
 		return action.Outcome, action.Err
@@ -97,6 +92,21 @@
 	return qf.OutcomeUnknown, &reported
 }
 
+// awaitRecorded returns the result of a write to the ledger, or an error if there is none when the time is over.
+func awaitRecorded(recorded <-chan error, isOver <-chan time.Time) error {
+	select {
+	case err := <-recorded:
+		return err
+	case <-isOver:
+	}
+	select {
+	case err := <-recorded: // The node came late to both.
+		return err
+	default:
+		return qf.NewError(qf.CodeUnavailable, qf.StepOutcome, "", "the ledger is slow")
+	}
+}
+
 func (x *run) recordOutcomeDecision(err error) {
 	note := "outcome recorded"
 	if err != nil {
