qfhttp: an evicted request is refused whatever else is refused

Callers saw: a whole request that the node had read got neither an answer nor a refusal, if its connection was closed to make room while 64 connections without a request were being refused. Cause: refusals share 64 places, of which a silent connection holds one for up to a second; without a place the connection was closed without its 503. Change: the 503 is always sent; the places bound only the reading of what is left, of which a whole request has nothing.

--- a/internal/qf/transport/qfhttp/budgetedconn.go
+++ b/internal/qf/transport/qfhttp/budgetedconn.go
@@ -151,14 +151,26 @@
 // answer sends a response instead of net/http, which then finds the connection at its end. It reads some of the rest of the request
 // into b.
 func (c *budgetedConn) answer(response string, b []byte) {
+	if c.respond(response) {
+		c.linger(b)
+	}
+}
+
+// respond sends a response and ends the direction to the client. It returns false if there is none, or the client has gone.
+func (c *budgetedConn) respond(response string) bool {
 	if response == "" {
-		return
+		return false
 	}
 	_ = c.SetDeadline(c.port.budget.clock.Now().Add(lingerTimeout)) // A connection without deadlines ends with its client.
 	if _, err := io.WriteString(c.Conn, response); err != nil {
-		return
+		return false
 	}
 	_ = c.CloseWrite() // As above.
+	return true
+}
+
+// linger reads some of the rest of the request into b, since a connection that is closed with unread bytes loses its response.
+func (c *budgetedConn) linger(b []byte) {
 	for n := 0; n < lingerBytes; {
 		read, err := c.Conn.Read(b)
 		if err != nil {
@@ -216,11 +228,13 @@
 // sendRefusal refuses the request that was read, and closes the connection.
 func (c *budgetedConn) sendRefusal() {
 	p := c.port
-	select {
-	case p.refusals.slots <- struct{}{}:
-		c.answer(p.refusals.refusal, make([]byte, refusalReadBytes))
-		<-p.refusals.slots
-	default: // Too many are refused at once.
+	if c.respond(p.refusals.refusal) {
+		select {
+		case p.refusals.slots <- struct{}{}:
+			c.linger(make([]byte, refusalReadBytes))
+			<-p.refusals.slots
+		default: // Too many are refused at once; of a request that was read whole nothing is left to read.
+		}
 	}
 	_ = c.Conn.Close() // The connection is abandoned either way.
 }
