entry: a late node doesn't take itself for cut off

Callers saw: requests sent through peers, 503 "doesn't reach the endpoints" and streams abandoned at a node that was held up for a moment. A check of endpoints that the node itself came late to counts as "no connection"; a step that comes late finds attempts silent whose bytes it hasn't read yet. Change: a check without a connection that the node came late to by more than lateAfter is made once more; a late step abandons nothing, the next one does. Open: between the step that finds an attempt lost and its end a byte may still come; the stream then goes on elsewhere.

--- a/internal/entry/attemptmonitor.go
+++ b/internal/entry/attemptmonitor.go
@@ -118,10 +118,14 @@
 // step looks for silent endpoints, and begins the checks that are due.
 func (m *attemptMonitor) step(context.Context) {
 	now := m.entry.now()
-	m.observeLateness(now)
+	isLate := m.observeLateness(now) >= lateAfter
+	var lost []*attemptWatch
 	m.mu.Lock()
 	unheard := m.followAttempts(now)
-	due, lost := m.silent.dueChecks(now), m.findLost(now)
+	due := m.silent.dueChecks(now)
+	if !isLate { // What has come meanwhile is read before the next step.
+		lost = m.findLost(now)
+	}
 	m.mu.Unlock()
 	m.closeIdle(unheard)
 	for _, w := range lost {
@@ -136,11 +140,11 @@
 
 // observeLateness records how late the step is: a node that is short of processor time, or stands still, comes late to
 // requests and closed connections by as much.
-func (m *attemptMonitor) observeLateness(now time.Time) {
+func (m *attemptMonitor) observeLateness(now time.Time) time.Duration {
 	last := m.steppedAt
 	m.steppedAt = now
 	if last.IsZero() {
-		return
+		return 0
 	}
 	late := max(now.Sub(last)-monitorInterval, 0)
 	if telemetry := m.entry.platform.Telemetry; telemetry != nil {
@@ -149,6 +153,7 @@
 	if late >= lateAfter {
 		qfevent.NodeLate.Log(&m.entry.platform.Logger, late.String(), m.entry.inProgress.Load())
 	}
+	return late
 }
 
 // closeIdle closes the idle connections to endpoints: they may never carry anything again.
@@ -234,8 +239,19 @@
 	return lost
 }
 
-// countConnected opens a connection to each endpoint and returns how many were accepted.
+// countConnected opens a connection to each endpoint and returns how many were accepted. If none was, and the node came late to the end of the check's
+// time, it has come late to the connections too: they are opened once more.
 func (m *attemptMonitor) countConnected(endpoints []qf.Endpoint) int {
+	began := m.entry.now()
+	connected := m.connect(endpoints)
+	if connected == 0 && m.entry.now().Sub(began) >= checkTimeout+lateAfter {
+		return m.connect(endpoints)
+	}
+	return connected
+}
+
+// connect opens a connection to each endpoint and returns how many were accepted in time.
+func (m *attemptMonitor) connect(endpoints []qf.Endpoint) int {
 	ctx, cancel := context.WithTimeout(m.entry.loops, checkTimeout)
 	defer cancel()
 	var connected atomic.Int64
