--- a/review/world2/limit_test.go
+++ b/review/world2/limit_test.go
@@ -9,14 +9,15 @@
 	"time"
 )
 
-// playLimit has one replica of five name its Server-Limit. Then it is partitioned from the platform's store for some seconds, so that
-// its entry lapses and comes back.
+// playLimit has one replica of five name its Server-Limit. Then it is partitioned from the platform's store for some seconds, twice, so
+// that its entry lapses and comes back.
 func playLimit(w *world, hasTrouble bool) (bool, error) {
 	const (
 		limit    = 1.0
-		interval = 12 * time.Millisecond
+		interval = 10 * time.Millisecond
 		cutFor   = 5 * time.Second
-		length   = 26 * time.Second
+		cuts     = 2
+		length   = 40 * time.Second
 	)
 	w.configure(`{"name":"read","host":"`+hostName+`","prefix":"/read/","kind":"safe","timeout-ms":3000,"slo-ms":600,"service":"books","attempts":2}`, `{"name":"books"}`)
 	for i := range 5 {
@@ -47,10 +48,13 @@
 	limited.setLimit(fmt.Sprint(limit))
 	named := time.Now()
 	time.Sleep(7 * time.Second)
-	if hasTrouble {
-		limited.cutFromStore(true)
-		time.Sleep(cutFor)
-		limited.cutFromStore(false)
+	for range cuts {
+		if hasTrouble {
+			limited.cutFromStore(true)
+			time.Sleep(cutFor)
+			limited.cutFromStore(false)
+		}
+		time.Sleep(8 * time.Second)
 	}
 	sending.Wait()
 	most, from := worstWindow(countedArrivals(limited.list(), named, limited.workTime+500*time.Millisecond), named.Add(contact), 4*time.Second)
