review: add case 7, deaths at a brittle service are blamed on no request

Cause: poisonFilter.recordDeath explains every death at a service whose replicas are brittle and of which some replica has rejected any request within 3 s, so a request that crashes replicas is never refused there. Change: case 7, a script. Conclusion: the fault is shown; nothing is fixed.

--- a/review/world2/main_test.go
+++ b/review/world2/main_test.go
@@ -10,7 +10,7 @@
 
 // cases are the scripts' cases. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, hasTrouble bool) (isBroken bool, err error){
-	"limit": playLimit, "killed-poison": playKilledPoison, "dark-poison": playDarkPoison,
+	"limit": playLimit, "killed-poison": playKilledPoison, "dark-poison": playDarkPoison, "brittle-poison": playBrittlePoison,
 }
 
 // TestMain plays one case: NAME and the path of the record are its arguments.
--- a/review/world2/poison_test.go
+++ b/review/world2/poison_test.go
@@ -24,12 +24,31 @@
 	return playPoison(w, &poisonDay{length: 40 * time.Second, comesIn: 3 * time.Second, isDark: hasTrouble})
 }
 
+// playBrittlePoison has such a request come while the replicas are brittle and take fewer requests than they state.
+func playBrittlePoison(w *world, hasTrouble bool) (bool, error) {
+	day := &poisonDay{
+		length: 46 * time.Second, comesIn: 3 * time.Second, slots: 6, channelTime: time.Millisecond, workTime: 300 * time.Millisecond,
+		interval: 10 * time.Millisecond,
+	}
+	if hasTrouble {
+		day.brittle = 3
+	}
+	return playPoison(w, day)
+}
+
 // poisonDay is a day on which a request comes that crashes replicas.
 type poisonDay struct {
 	// comesIn is the time between two such requests.
 	length, comesIn time.Duration
 	// isDark is set if the crashes are silent.
 	isDark bool
+	// brittle is the Server-Brittle of the replicas, or 0.
+	brittle int
+	// slots is the number of requests at once of a replica, channelTime how long a new channel holds one of them.
+	slots       int
+	channelTime time.Duration
+	// workTime is the time that a request takes, interval that between two sound ones.
+	workTime, interval time.Duration
 	// kills holds when all processes are killed.
 	kills []time.Duration
 }
@@ -37,17 +56,21 @@
 // playPoison plays the day, and counts the crashes.
 func playPoison(w *world, day *poisonDay) (bool, error) {
 	const (
-		poison   = "poison"
-		interval = 100 * time.Millisecond
-		timeout  = 1200 * time.Millisecond
+		poison  = "poison"
+		timeout = 1200 * time.Millisecond
 	)
+	if day.interval == 0 {
+		day.slots, day.workTime, day.interval = 16, 60*time.Millisecond, 100*time.Millisecond
+	}
 	w.configure(`{"name":"file","host":"`+hostName+`","prefix":"/file/","kind":"unsafe","timeout-ms":1200,"slo-ms":200,"service":"books","attempts":1}`, `{"name":"books"}`)
 	for i := range 6 {
-		r, err := w.addReplica(20+i, "books", 16, 60*time.Millisecond)
+		r, err := w.addReplica(20+i, "books", day.slots, day.workTime)
 		if err != nil {
 			return false, err
 		}
 		r.downFor, r.isDark = 3*time.Second, day.isDark
+		r.channelTime = day.channelTime
+		r.brittle = day.brittle
 		r.crashes = func(_ *http.Request, body string) bool { return body == poison }
 	}
 	if err := w.startNodes(3); err != nil {
@@ -65,7 +88,7 @@
 			sending.Go(func() {
 				w.send(&request{id: fmt.Sprintf("s%05d", i), method: "POST", path: "/file/1", body: fmt.Sprint("sound ", i), within: timeout, node: n})
 			})
-			time.Sleep(interval)
+			time.Sleep(day.interval)
 		}
 	})
 	type sent struct {
@@ -111,6 +134,9 @@
 		}
 		w.write("%s crashed a replica at %.3f, counts: %v", a.id, a.at.Sub(w.began).Seconds(), counts)
 	}
+	for _, r := range w.replicas {
+		w.write("%s rejected %d requests and fell over %d times", r.id, r.rejections, r.falls)
+	}
 	w.write("%d crashes, %d retries that count; allowed 3", len(crashes), retries)
 	fmt.Printf("%d crashes, %d retries that count; allowed 3\n", len(crashes), retries)
 	return retries > 3, nil
--- a/review/world2/replica_test.go
+++ b/review/world2/replica_test.go
@@ -37,6 +37,13 @@
 	server     *http.Server
 	listener   net.Listener
 	running    int
+	// channelTime is how long a new channel holds a slot.
+	channelTime time.Duration
+	// brittle is the value of Server-Brittle in all answers: with more rejections in a second the replica falls over. 0 means that it is sound.
+	brittle  int
+	rejected []time.Time
+	// falls and rejections count what came of it.
+	falls, rejections int
 	// limit is the value of Server-Limit in all answers, unless it is empty.
 	limit string
 	// isCutFromStore is true while the replica is partitioned from the platform's store.
@@ -86,7 +93,7 @@
 	r.mu.Lock()
 	r.generation++
 	r.born, r.sequence, r.isDown, r.running = time.Now().UnixMilli(), 0, false, 0
-	r.server, r.listener = &http.Server{Handler: http.HandlerFunc(r.serve)}, listener
+	r.server, r.listener = &http.Server{Handler: http.HandlerFunc(r.serve), ConnState: r.holdSlot(r.generation)}, listener
 	server := r.server
 	r.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
@@ -202,6 +209,35 @@
 	return append([]arrival(nil), r.arrivals...)
 }
 
+// holdSlot lets each new channel hold a slot for a moment.
+func (r *replica) holdSlot(generation int) func(net.Conn, http.ConnState) {
+	add := func(count int) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.generation == generation {
+			r.running += count
+		}
+	}
+	return func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew && r.channelTime > 0 {
+			add(1)
+			time.AfterFunc(r.channelTime, func() { add(-1) })
+		}
+	}
+}
+
+// countRejection counts a rejection for want of room, and lets a brittle replica fall over at too many in a second. It is called with the
+// lock held.
+func (r *replica) countRejection() {
+	now := time.Now()
+	r.rejections++
+	r.rejected = append(slices.DeleteFunc(r.rejected, func(at time.Time) bool { return now.Sub(at) >= time.Second }), now)
+	if r.brittle > 0 && len(r.rejected) > r.brittle && !r.isDown {
+		r.falls++
+		go r.crash()
+	}
+}
+
 // hasEnded reports whether a process of the replica has ended.
 func (r *replica) hasEnded(generation int) bool {
 	r.mu.Lock()
@@ -228,9 +264,14 @@
 	if r.limit != "" {
 		header.Set("Server-Limit", r.limit)
 	}
+	if r.brittle > 0 {
+		header.Set("Server-Brittle", strconv.Itoa(r.brittle))
+	}
 	hasRoom := r.running < r.slots
 	if hasRoom {
 		r.running++
+	} else {
+		r.countRejection()
 	}
 	running, generation := r.running, r.generation
 	r.arrivals = append(r.arrivals, arrival{id: id, at: time.Now(), isRun: hasRoom})
