--- a/review/world3/cases_test.go
+++ b/review/world3/cases_test.go
@@ -69,17 +69,19 @@
 )
 
 // judge applies the rule: a request that crashes the replicas that run it reaches replicas in more than three retries, sent by machines in
-// touch later than contact-ms after it has crashed the third. No machine of the cases is disturbed, so that all are in touch.
+// touch later than contact-ms after it has crashed the third. Counted is what machines send; the verdict also names how many attempts of
+// consumers that was. No machine of the cases is disturbed, so that all are in touch.
 func (w *world) judge(isTroubled bool) int {
 	w.mu.Lock()
 	var from time.Time
 	if len(w.crashes) >= countedCrash {
 		from = w.crashes[countedCrash-1].Add(w.contact)
 	}
-	late := 0
+	late, attempts := 0, map[string]bool{}
 	for _, a := range w.arrivals {
 		if !from.IsZero() && a.at.After(from) {
 			late++
+			attempts[a.id] = true
 		}
 	}
 	arrivals, crashes, sound := len(w.arrivals), len(w.crashes), w.answers["sound 200"]
@@ -93,8 +95,8 @@
 	case late > mostLate:
 		verdict, exit = "BROKEN", exitBroken
 	}
-	w.writeRecord(fmt.Sprintf("BUDGET %s: the request reached a replica %d times and crashed %d; %d times later than contact-ms after the third crash, at most %d are allowed",
-		verdict, arrivals, crashes, late, mostLate))
+	w.writeRecord(fmt.Sprintf("BUDGET %s: the request reached replicas %d times and crashed %d; %d times later than contact-ms after the third crash (%d attempts of consumers), at most %d are allowed",
+		verdict, arrivals, crashes, late, len(attempts), mostLate))
 	return exit
 }
 
@@ -119,10 +121,10 @@
 
 const safeRoute = `{"name":"records","host":"` + host + `","prefix":"/records/","kind":"safe","timeout-ms":1200,"slo-ms":200,"priority":2,"service":"tree-register","attempts":2}`
 
-// newPlainWorld returns a deployment of three nodes before a plain service, with the limits of girthline's tree-register.
+// newPlainWorld returns a deployment of six nodes before a plain service, with the limits of girthline's tree-register.
 func newPlainWorld() (*world, bool) {
 	return begin(shape{
-		nodes: 3, replicas: 9, zones: []string{"lahore-a", "karachi-a", "peshawar-a"}, service: "tree-register", slots: 6, contact: 4 * time.Second,
+		nodes: 6, replicas: 18, zones: []string{"lahore-a", "karachi-a", "peshawar-a"}, service: "tree-register", slots: 6, contact: 4 * time.Second,
 		route: safeRoute, backAfter: 3 * time.Second, workTime: 15 * time.Millisecond,
 	})
 }
