qfexchange: don't take a connection that failed for one that the endpoint has ended

The endpoint answers a long upload at once, without a length, sends a part of its body and resets the connection while the upload is still being written. Linux reports the failure of a connection once: the write in progress gets ECONNRESET, and the read after it finds the end of the connection, as after an end in order. The result of the write was looked at only to decide whether the connection may be used again. It is the same where the kernel gives the connection up, because nothing was acknowledged for the TCP_USER_TIMEOUT (2 s) that nodes set: the write gets ETIMEDOUT. Change: reads and writes of a connection go through qfconnection. A read that finds the end first ends the write in progress and awaits its result, and returns the write's error if it is one of the connection. EPIPE isn't: the endpoint had ended its side before. This works whichever side comes first: a read finds the end of a connection that failed only after the system call of a write has returned the error. A write that waits for the endpoint to read is ended by its deadline, so that an answer that its endpoint ends in order stays whole, and is delivered before the endpoint has read the upload.

--- a/internal/qf/transport/qfexchange/connection.go
+++ b/internal/qf/transport/qfexchange/connection.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfconnection"
 )
 
 const (
@@ -40,6 +41,8 @@
 	client *Client
 	key    endpointKey
 	raw    net.Conn
+	// reporting is raw for reads and writes: a read reports the failure that a write got.
+	reporting net.Conn
 	// limiter stands between the connection and its reader.
 	limiter *readLimiter
 	reader  *bufio.Reader
@@ -56,10 +59,11 @@
 }
 
 func newConnection(client *Client, key endpointKey, raw net.Conn) *connection {
-	limiter := &readLimiter{source: raw}
+	reporting := qfconnection.Wrap(raw)
+	limiter := &readLimiter{source: reporting}
 	return &connection{
-		client: client, key: key, raw: raw, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), keepAlive: defaultKeepAlive,
-		expiresAt: client.clock.Now().Add(defaultKeepAlive),
+		client: client, key: key, raw: raw, reporting: reporting, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+		keepAlive: defaultKeepAlive, expiresAt: client.clock.Now().Add(defaultKeepAlive),
 	}
 }
 
@@ -202,14 +206,14 @@
 	c.mayHaveSent.Store(true)
 	if len(request.Body) <= maxInlineBodyBytes {
 		head.Write(request.Body)
-		_, err := c.raw.Write(head.Bytes())
+		_, err := c.reporting.Write(head.Bytes())
 		return err
 	}
 	written := make(chan error, 1)
 	c.written = written
 	go func() {
 		buffers := net.Buffers{head.Bytes(), request.Body}
-		_, err := buffers.WriteTo(c.raw)
+		_, err := buffers.WriteTo(c.reporting)
 		written <- err
 	}()
 	return nil
