--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -10,6 +10,7 @@
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/protocol/qfendpoint"
 	"quetzalfront/internal/qf/state/qfcloud"
+	"quetzalfront/internal/qf/state/qfconnection"
 	"quetzalfront/internal/qf/state/qfledger"
 	"quetzalfront/internal/qf/state/qfobject"
 	"quetzalfront/internal/qf/state/qftable"
@@ -35,7 +36,7 @@
 	table := qftable.NewClient(p.Table, p.Timeout.Value(), network.Dial)
 	cloud := qfcloud.NewClient(p.Cloud, p.VMList, p.Timeout.Value(), network.Dial)
 	endpoints := &http.Client{Transport: qftelemetry.NewTracingTransport(&http.Transport{
-		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: network.Dial,
+		MaxIdleConnsPerHost: maxIdlePerEndpoint, IdleConnTimeout: idleTimeout, DialContext: qfconnection.Dial(network.Dial),
 		ReadBufferSize: endpointBufferBytes, WriteBufferSize: endpointBufferBytes, MaxResponseHeaderBytes: maxEndpointHeaderBytes,
 	})}
 	identity := newIdentity(&settings.Security, clock)
