qfclient: don't take a connection that failed for one that the node has ended

The callers' library takes answers without a length as well. Change: the library's own HTTP client dials with qfconnection. One that the caller brings is used as it is.

--- a/pkg/qfclient/client.go
+++ b/pkg/qfclient/client.go
@@ -14,6 +14,7 @@
 	"github.com/dghubble/sling"
 
 	"quetzalfront/internal/qf"
+	"quetzalfront/internal/qf/state/qfconnection"
 	"quetzalfront/internal/qf/state/qfresponse"
 	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/pkg/qfapi"
@@ -76,13 +77,17 @@
 	return &Client{options: options, failed: map[netip.AddrPort]time.Time{}}
 }
 
-// newHTTPClient returns a client with default settings that bounds the headers of answers.
+// newHTTPClient returns a client with default settings that bounds the headers of answers and reports connections that fail.
 func newHTTPClient() *http.Client {
 	transport, ok := http.DefaultTransport.(*http.Transport)
 	if !ok {
 		return &http.Client{} // The process uses a transport of its own.
 	}
-	return &http.Client{Transport: qfresponse.Limit(transport.Clone(), qfresponse.Limits{Header: maxHeaderBytes})}
+	transport = transport.Clone()
+	if transport.DialContext != nil {
+		transport.DialContext = qfconnection.Dial(transport.DialContext)
+	}
+	return &http.Client{Transport: qfresponse.Limit(transport, qfresponse.Limits{Header: maxHeaderBytes})}
 }
 
 // chooseAddress returns the address for the next request. It avoids addresses that
