qfexchange: don't take a status below 100 for an interim answer

An endpoint in trouble answers with the status 000 or 099. Any status below 200 counted as interim, so the caller got what came after it, if that was a whole answer. An answer with such a status alone ended with an error before. Change: a status below 100 ends the attempt with an error: it is unknown whether the request ran, and what may be repeated goes to another endpoint.

--- a/internal/qf/transport/qfexchange/connection.go
+++ b/internal/qf/transport/qfexchange/connection.go
@@ -235,8 +235,11 @@
 		if err := c.limiter.end(response.Header); err != nil {
 			return nil, qf.ResponseInfo{}, err
 		}
+		if response.StatusCode < http.StatusContinue {
+			return nil, qf.ResponseInfo{}, errNoStatus
+		}
 		if response.StatusCode < http.StatusOK {
-			continue
+			continue // An interim response.
 		}
 		info := c.client.protocol.DecodeResponse(response.Header)
 		if info.ID == request.ID {
@@ -260,6 +263,9 @@
 	return nil, qf.ResponseInfo{}, errors.New("received too many interim responses or responses to other requests")
 }
 
+// errNoStatus is the error for a status that HTTP doesn't have. net/http reads any three digits.
+var errNoStatus = errors.New("received a response whose status is below 100")
+
 // errUnnamedResponse is the error of an attempt at an endpoint that doesn't return the request's identifier. Operators look for its text.
 var errUnnamedResponse = errors.New("received a response without a request identifier, which proves nothing")
 
