qfresponse: don't take a response without a final status of HTTP for an answer

In quetzalfront node callers got a plain service's answer with the status 000, 099, 101, 600 or 999 (the first ends the caller's connection, since it can't be written), and one that names Qf-Not-Run counted as proof; a move of a run counted as not made; the callers' library returned such answers. Change: CheckHeads rejects a response whose status isn't 200 to 599. All clients that limit responses use it, the callers' library also with a client that the caller brings. What the call did is unknown then.

--- a/internal/qf/state/qfresponse/limit.go
+++ b/internal/qf/state/qfresponse/limit.go
@@ -1,5 +1,5 @@
-// Package qfresponse limits the size of HTTP responses, so that a server which sends bytes without
-// end can't fill a node's memory.
+// Package qfresponse checks HTTP responses: it limits their size, so that a server which sends bytes without end can't fill a
+// node's memory, and rejects those with a head that HTTP doesn't allow.
 package qfresponse
 
 import (
@@ -19,22 +19,19 @@
 // ErrTooLarge is the error for a response with a longer body.
 var ErrTooLarge = errors.New("the response is larger than its limit")
 
-// Limit makes a transport reject larger responses. It changes the transport.
+// Limit makes a transport reject larger responses, and those that CheckHeads rejects. It changes the transport.
 func Limit(transport *http.Transport, limits Limits) http.RoundTripper {
 	transport.MaxResponseHeaderBytes = limits.Header
 	if limits.Body <= 0 {
-		return transport
+		return CheckHeads(transport)
 	}
 	return LimitBodies(transport, limits.Body)
 }
 
-// LimitBodies makes a transport reject responses with longer bodies, in bytes. Nil stands for the
-// default transport.
+// LimitBodies makes a transport reject responses with longer bodies, in bytes, and those that CheckHeads rejects. Nil stands
+// for the default transport.
 func LimitBodies(base http.RoundTripper, most int64) http.RoundTripper {
-	if base == nil {
-		base = http.DefaultTransport
-	}
-	return &limitTransport{base: base, most: most}
+	return &limitTransport{base: CheckHeads(base), most: most}
 }
 
 // limitTransport limits the bodies of responses.
@@ -58,8 +55,10 @@
 }
 
 // CloseIdleConnections closes the idle connections of the transport.
-func (t *limitTransport) CloseIdleConnections() {
-	if closer, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+func (t *limitTransport) CloseIdleConnections() { closeIdleConnections(t.base) }
+
+func closeIdleConnections(transport http.RoundTripper) {
+	if closer, ok := transport.(interface{ CloseIdleConnections() }); ok {
 		closer.CloseIdleConnections()
 	}
 }
--- a/pkg/qfclient/client.go
+++ b/pkg/qfclient/client.go
@@ -29,7 +29,7 @@
 	Organisation string
 	// Region is the caller's region; its nodes are preferred. It may be empty.
 	Region string
-	// HTTP is the HTTP client. Nil stands for a client with default settings.
+	// HTTP is the HTTP client, of which a copy is used. Nil stands for a client with default settings.
 	HTTP *http.Client
 	// Timer is the source of time. Nil stands for the wall clock.
 	Timer qf.Clock
@@ -65,9 +65,7 @@
 
 // New returns a client with the given options.
 func New(options Options) *Client {
-	if options.HTTP == nil {
-		options.HTTP = newHTTPClient()
-	}
+	options.HTTP = newHTTPClient(options.HTTP)
 	if options.Timer == nil {
 		options.Timer = qftimer.NewWall()
 	}
@@ -77,11 +75,17 @@
 	return &Client{options: options, failed: map[netip.AddrPort]time.Time{}}
 }
 
-// newHTTPClient returns a client with default settings that bounds the headers of answers and reports connections that fail.
-func newHTTPClient() *http.Client {
+// newHTTPClient returns a client that rejects answers whose head HTTP doesn't allow: a copy of the caller's, or else one that also bounds
+// the headers of answers and reports connections that fail.
+func newHTTPClient(callers *http.Client) *http.Client {
+	if callers != nil {
+		checked := *callers
+		checked.Transport = qfresponse.CheckHeads(callers.Transport)
+		return &checked
+	}
 	transport, ok := http.DefaultTransport.(*http.Transport)
 	if !ok {
-		return &http.Client{} // The process uses a transport of its own.
+		return &http.Client{Transport: qfresponse.CheckHeads(nil)} // The process uses a transport of its own.
 	}
 	transport = transport.Clone()
 	if transport.DialContext != nil {
