qfresponse: don't take a head with a blank in a field's name for an answer

In quetzalfront node a plain service's answer with such a line reached callers; moves, the store's clients, the callers' library and the operators' commands took them too. A length with such a name isn't recognised, so that a body goes on to the end of the connection. Change: CheckHeads, which all these clients use, rejects such heads. The operators' commands use it now.

--- a/cmd/quetzalfront/load.go
+++ b/cmd/quetzalfront/load.go
@@ -13,6 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"quetzalfront/internal/bench/benchload"
+	"quetzalfront/internal/qf/state/qfresponse"
 	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/pkg/qfapi"
 )
@@ -177,7 +178,7 @@
 	if err != nil {
 		return "", err
 	}
-	response, err := (&http.Client{Timeout: operatorTimeout}).Do(request)
+	response, err := (&http.Client{Timeout: operatorTimeout, Transport: qfresponse.CheckHeads(nil)}).Do(request)
 	if err != nil {
 		return "", err
 	}
--- a/cmd/quetzalfront/operator.go
+++ b/cmd/quetzalfront/operator.go
@@ -13,6 +13,7 @@
 	"github.com/dghubble/sling"
 	"github.com/integrii/flaggy"
 
+	"quetzalfront/internal/qf/state/qfresponse"
 	"quetzalfront/pkg/qfapi"
 )
 
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Timeout: operatorTimeout, Transport: transport}
+	client := &http.Client{Timeout: operatorTimeout, Transport: qfresponse.CheckHeads(transport)}
 	return sling.New().Client(client).Base(scheme + "://" + address.String()), nil
 }
 
--- a/internal/qf/state/qfresponse/head.go
+++ b/internal/qf/state/qfresponse/head.go
@@ -46,7 +46,7 @@
 	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		return errNoStatus
 	}
-	return nil
+	return CheckNames(response.Header)
 }
 
 // CloseIdleConnections closes the idle connections of the transport.
--- a/internal/qftest/heads.go
+++ b/internal/qftest/heads.go
@@ -26,6 +26,16 @@
 	}
 }
 
+// UnsoundNames returns heads with a field whose name holds a blank.
+func UnsoundNames() []UnsoundHead {
+	return []UnsoundHead{
+		{"blank in a name", "200 OK", "X-A B: c"},
+		{"blank after a name", "200 OK", "X-A : c"},
+		{"blank after the name of the length", "200 OK", "Content-Length : 2"},
+		{"blank after the name of the encoding", "200 OK", "Transfer-Encoding : chunked"},
+	}
+}
+
 // Response returns a response with the head, and with header fields that each have their line end.
 func (h *UnsoundHead) Response(fields, body string) string {
 	return "HTTP/1.1 " + h.status + "\r\n" + fields + h.line + "\r\n\r\n" + body
