qfexchange: don't take the status 101 for an interim answer

After 101 an endpoint goes on in another protocol, which no request asks for, so that what follows is no answer. It counted as interim, like each status below 200, and the caller got what came after it. Change: it ends the attempt with an error.

--- a/internal/qf/transport/qfexchange/connection.go
+++ b/internal/qf/transport/qfexchange/connection.go
@@ -239,7 +239,7 @@
 		if err := qfresponse.CheckNames(response.Header); err != nil {
 			return nil, qf.ResponseInfo{}, err
 		}
-		if response.StatusCode < http.StatusContinue {
+		if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, qf.ResponseInfo{}, errNoStatus
 		}
 		if response.StatusCode < http.StatusOK {
@@ -267,8 +267,8 @@
 	return nil, qf.ResponseInfo{}, errors.New("received too many interim responses or responses to other requests")
 }
 
-// errNoStatus is the error for a status that HTTP doesn't have. net/http reads any three digits.
-var errNoStatus = errors.New("received a response whose status is below 100")
+// errNoStatus is the error for a status that HTTP doesn't have, as net/http reads any three digits, or that begins another protocol.
+var errNoStatus = errors.New("received a response whose status is below 100 or 101")
 
 // errUnnamedResponse is the error of an attempt at an endpoint that doesn't return the request's identifier. Operators look for its text.
 var errUnnamedResponse = errors.New("received a response without a request identifier, which proves nothing")
--- a/internal/qf/transport/qfexchange/malformed_test.go
+++ b/internal/qf/transport/qfexchange/malformed_test.go
@@ -65,6 +65,20 @@
 	}
 }
 
+// TestSwitchOfProtocolsIsNoAnswer fails if what follows the status 101 counts as an answer. No request asks for another protocol.
+func TestSwitchOfProtocolsIsNoAnswer(t *testing.T) {
+	const switched = "HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: a\r\nX-Response-Stamp: stamp-a\r\n"
+	tests := []struct{ name, text string }{
+		{"alone", switched + "\r\n"},
+		{"before a whole answer", switched + "\r\n" + wholeAnswer},
+		{"with the other protocol's name", switched + "Connection: upgrade\r\nUpgrade: some\r\n\r\n" + wholeAnswer},
+		{"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + switched + "\r\n" + wholeAnswer},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { checkNoAnswer(t, tt.text) })
+	}
+}
+
 // TestMalformedNameIsNoAnswer fails if an answer in whose head a field's name holds a blank or a control byte, or no byte, counts as an
 // answer: the line would be passed on, or a length or an encoding in it missed.
 func TestMalformedNameIsNoAnswer(t *testing.T) {
