qfexchange: move the reading of responses into files of their own

Cause: connection.go had grown to 350 lines with four jobs, and receive did all of them for a response in one function. No behaviour changes.

--- a/internal/qf/transport/qfexchange/connection.go
+++ b/internal/qf/transport/qfexchange/connection.go
@@ -4,12 +4,10 @@
 	"bufio"
 	"bytes"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,20 +15,10 @@
 
 	"quetzalfront/internal/qf"
 	"quetzalfront/internal/qf/state/qfconnection"
-	"quetzalfront/internal/qf/state/qfresponse"
 )
 
 const (
 	readBufferBytes = 4 << 10
-	// maxResponses bounds the responses that are read for one request: interim (1xx)
-	// and stale ones, and the final one.
-	maxResponses = 4
-	// maxStaleResponses bounds the late responses to earlier requests that are skipped.
-	maxStaleResponses = 2
-	// maxHeaderBytes bounds the status lines and header fields of the responses to one request,
-	// and maxStaleBytes the bodies of late responses that are skipped.
-	maxHeaderBytes = 64 << 10
-	maxStaleBytes  = 1 << 20
 	// maxInlineBodyBytes is the size up to which a body is written before the response
 	// is read. Larger ones are written concurrently, because an endpoint may respond
 	// early.
@@ -68,63 +56,6 @@
 	}
 }
 
-// readLimiter limits how much is read while it is on.
-type readLimiter struct {
-	source io.Reader
-	isOn   bool
-	left   int
-	// room bounds what the headers take; nil means no bound. cost is the estimate of what was read of them.
-	room qf.AnswerRoom
-	cost int64
-}
-
-// The estimated memory of a header for each byte and each line: a line becomes an entry of a map.
-const (
-	headByteCost = 2
-	headLineCost = 128
-)
-
-var errHeaderTooLarge = errors.New("the response's header is too large")
-
-// begin begins to limit the headers of the responses to one request.
-func (l *readLimiter) begin(room qf.AnswerRoom) { l.left, l.room, l.cost = maxHeaderBytes, room, 0 }
-
-// resize sets what the headers take.
-func (l *readLimiter) resize(cost int64) error {
-	if l.room != nil && !l.room.Resize(cost) {
-		return qf.ErrNoAnswerRoom
-	}
-	return nil
-}
-
-// end ends the reading of a header, and replaces the estimate by what the header takes: its reader may have read a part of the body.
-func (l *readLimiter) end(header http.Header) error {
-	l.isOn, l.cost = false, 0
-	for name, values := range header {
-		for _, value := range values {
-			l.cost += int64(len(name)+len(value))*headByteCost + headLineCost
-		}
-	}
-	return l.resize(l.cost)
-}
-
-// Read implements io.Reader.
-func (l *readLimiter) Read(p []byte) (int, error) {
-	if !l.isOn {
-		return l.source.Read(p)
-	}
-	if l.left <= 0 {
-		return 0, errHeaderTooLarge
-	}
-	if err := l.resize(l.cost); err != nil {
-		return 0, err
-	}
-	n, err := l.source.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	l.cost += int64(n)*headByteCost + int64(bytes.Count(p[:n], []byte{'\n'}))*headLineCost
-	return n, err
-}
-
 // abort closes the connection at once. It may be called more than once.
 func (c *connection) abort() {
 	c.closed.Do(func() { _ = c.raw.Close() }) // The connection is abandoned either way.
@@ -220,112 +151,6 @@
 	return nil
 }
 
-// receive reads the header of the request's final response. It skips late responses to
-// earlier requests, which have another request identifier. One without an identifier may
-// belong to any request, on a new connection too, so nothing that it states is proven.
-func (c *connection) receive(request *qf.EndpointRequest) (*http.Response, qf.ResponseInfo, error) {
-	sent := &http.Request{Method: request.Method}
-	stale := 0
-	c.limiter.begin(request.HeadRoom)
-	for range maxResponses {
-		c.limiter.isOn = true
-		response, err := http.ReadResponse(c.reader, sent)
-		if err != nil {
-			return nil, qf.ResponseInfo{}, err
-		}
-		if err := c.limiter.end(response.Header); err != nil {
-			return nil, qf.ResponseInfo{}, err
-		}
-		if err := qfresponse.CheckNames(response.Header); err != nil {
-			return nil, qf.ResponseInfo{}, err
-		}
-		if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, qf.ResponseInfo{}, errNoStatus
-		}
-		if response.StatusCode < http.StatusOK {
-			continue // An interim response.
-		}
-		info := c.client.protocol.DecodeResponse(response.Header)
-		if info.ID == request.ID {
-			return response, info, nil
-		}
-		if info.ID == "" {
-			return nil, qf.ResponseInfo{}, errUnnamedResponse
-		}
-		stale++
-		if stale > maxStaleResponses || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			return nil, qf.ResponseInfo{}, errors.New("received a response to another request")
-		}
-		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBytes+1))
-		if err != nil {
-			return nil, qf.ResponseInfo{}, err
-		}
-		if skipped > maxStaleBytes {
-			return nil, qf.ResponseInfo{}, errors.New("received a large response to another request")
-		}
-	}
-	return nil, qf.ResponseInfo{}, errors.New("received too many interim responses or responses to other requests")
-}
-
-// errNoStatus is the error for a status that HTTP doesn't have, as net/http reads any three digits, or that begins another protocol.
-var errNoStatus = errors.New("received a response whose status is below 100 or 101")
-
-// errUnnamedResponse is the error of an attempt at an endpoint that doesn't return the request's identifier. Operators look for its text.
-var errUnnamedResponse = errors.New("received a response without a request identifier, which proves nothing")
-
-// maxKeepAlive bounds how long an idle connection is kept, whatever the endpoint allows.
-const (
-	maxKeepAlive        = 10 * time.Minute
-	maxKeepAliveSeconds = int(maxKeepAlive / time.Second)
-)
-
-// keepAliveTimeout returns how long to keep an idle connection, from the endpoint's
-// Keep-Alive header.
-func keepAliveTimeout(header http.Header) time.Duration {
-	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
-		text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-		if !ok {
-			continue
-		}
-		if n, err := strconv.Atoi(text); err == nil && n >= 0 {
-			return time.Duration(min(n, maxKeepAliveSeconds))*time.Second - keepAliveMargin
-		}
-	}
-	return defaultKeepAlive
-}
-
-// responseBody is a response's body. It returns the connection to the pool at its end.
-type responseBody struct {
-	connection *connection
-	source     io.ReadCloser
-	// stop detaches the connection from the request's context.
-	stop func() bool
-	done bool
-}
-
-func (b *responseBody) Read(p []byte) (int, error) {
-	if b.done {
-		return 0, io.EOF
-	}
-	n, err := b.source.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.finish()
-	}
-	return n, err
-}
-
-// finish returns the connection to the pool if it is in a clean state, and closes it
-// otherwise.
-func (b *responseBody) finish() {
-	b.done = true
-	c := b.connection
-	if !b.stop() || !c.isReusable || c.reader.Buffered() > 0 || !c.isFullyWritten() {
-		c.abort()
-		return
-	}
-	c.client.putIdle(c)
-}
-
 // isFullyWritten reports whether the whole request was written without an error.
 func (c *connection) isFullyWritten() bool {
 	if c.written == nil {
@@ -338,13 +163,3 @@
 		return false
 	}
 }
-
-// Close implements io.Closer. Before the end of the body it aborts the exchange.
-func (b *responseBody) Close() error {
-	if !b.done {
-		b.done = true
-		b.stop()
-		b.connection.abort()
-	}
-	return nil
-}
