qfconnection: keep the first error of a write

Cause: found in reading the change: a write after the one that got the failure of the connection gets EPIPE, which replaced the failure, so that the read took the end of the connection for the peer's. No client writes again after an error today. Change: the first error is kept. Measured: go test ./internal/qf/state/qfconnection -run TestFirstFailureIsKept fails before, passes now.

--- a/internal/qf/state/qfconnection/connection.go
+++ b/internal/qf/state/qfconnection/connection.go
@@ -37,7 +37,7 @@
 	net.Conn
 	// writing is held during a write, and guards writeErr.
 	writing sync.Mutex
-	// writeErr is the error of the last write that failed.
+	// writeErr is the error of the first write that failed: those after a failure of the connection get EPIPE.
 	writeErr error
 }
 
@@ -46,7 +46,7 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if err != nil {
+	if c.writeErr == nil {
 		c.writeErr = err
 	}
 	return n, err
--- a/internal/qf/state/qfconnection/connection_test.go
+++ b/internal/qf/state/qfconnection/connection_test.go
@@ -78,3 +78,30 @@
 	}
 	return err
 }
+
+// failingConn is a connection at its end whose writes return the errors in turn.
+type failingConn struct {
+	net.Conn
+	errs []error
+}
+
+func (c *failingConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *failingConn) Write([]byte) (int, error) {
+	err := c.errs[0]
+	c.errs = c.errs[1:]
+	return 0, err
+}
+
+// TestFirstFailureIsKept fails if a write after the one that got the failure hides it: the kernel returns EPIPE for all after it.
+func TestFirstFailureIsKept(t *testing.T) {
+	connection := Wrap(&failingConn{errs: []error{opError(syscall.ECONNRESET), opError(syscall.EPIPE)}})
+	for range 2 {
+		if _, err := connection.Write([]byte("request")); err == nil {
+			t.Error("the write succeeds")
+		}
+	}
+	if _, err := connection.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the read ends with %v", err)
+	}
+}
