--- a/internal/qf/transport/qfexchange/connection.go
+++ b/internal/qf/transport/qfexchange/connection.go
@@ -30,7 +30,7 @@
 	client *Client
 	key    endpointKey
 	raw    net.Conn
-	// reporting is raw for reads and writes: a read reports the failure that a write got.
+	// reporting is raw, for reads and writes. Its reads report the failure that a write got.
 	reporting net.Conn
 	// limiter stands between the connection and its reader.
 	limiter *readLimiter
--- a/internal/qf/transport/qfexchange/reset_test.go
+++ b/internal/qf/transport/qfexchange/reset_test.go
@@ -56,12 +56,7 @@
 		Ending: c.ending, BodyBytes: c.readBytes, Hold: hold, Ended: sync.OnceFunc(func() { close(ended) }),
 	}
 	address := qftest.StartSocket(t, server)
-	dialer := &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		return errors.Join(raw.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.userTimeout.Milliseconds()))
-		}), err)
-	}}
-	client := NewClient(qftimer.NewWall(), dialer.DialContext, platform.Protocol{})
+	client := NewClient(qftimer.NewWall(), (&net.Dialer{Control: c.setUserTimeout}).DialContext, platform.Protocol{})
 	request := requestTo(qf.Endpoint{ID: "e-1", Address: address}, "a")
 	request.Body = make([]byte, c.uploadBytes)
 	if !c.endsAfterRead && !c.readsAfterEnd {
@@ -72,25 +67,32 @@
 		return "", err
 	}
 	defer answer.Body.Close() //nolint:errcheck // The test is over.
-	first := make([]byte, len(uploadBody))
+	var first []byte
 	switch {
 	case c.endsAfterRead:
+		first = make([]byte, len(uploadBody))
 		if _, err := io.ReadFull(answer.Body, first); err != nil {
 			t.Fatal(err)
 		}
 		close(hold)
 	case c.readsAfterEnd:
-		first = nil
 		close(hold)
 		<-ended
-	default:
-		first = nil
 	}
 	rest, err := io.ReadAll(answer.Body)
 	return string(first) + string(rest), err
 }
 
-// resetCases are the answers that are reset before their end.
+// setUserTimeout sets the client's TCP_USER_TIMEOUT on a socket.
+func (c *uploadCase) setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, optionErr)
+}
+
+// resetCases are the answers whose connection fails before their end.
 var resetCases = []uploadCase{
 	{name: "at once", uploadBytes: longUploadBytes, ending: standsocket.Resets},
 	{name: "after some of the upload", uploadBytes: longUploadBytes, readBytes: 1 << 20, ending: standsocket.Resets},
--- a/internal/standin/standsocket/server.go
+++ b/internal/standin/standsocket/server.go
@@ -89,21 +89,21 @@
 	}
 }
 
-// end does what the server does to end a connection.
+// end does what the server does to end a connection. An error means that the client has closed it.
 func (s *Server) end(connection *net.TCPConn) {
 	switch s.Ending {
 	case Resets:
 		_ = connection.SetLinger(0) // Closing then resets the connection.
+		_ = connection.Close()
 	case ClosesUnread:
 		awaitUnread(connection)
-	case EndsOwnSide, EndsAndReads, EndsAndCloses:
+		_ = connection.Close()
+	case EndsAndCloses:
 		_ = connection.CloseWrite()
-	case Keeps, Stalls:
-	}
-	switch s.Ending {
-	case Resets, ClosesUnread, EndsAndCloses:
 		_ = connection.Close()
-	case Keeps, Stalls, EndsOwnSide, EndsAndReads:
+	case EndsOwnSide, EndsAndReads:
+		_ = connection.CloseWrite()
+	case Keeps, Stalls:
 	}
 }
 
