qfforward: judge every status that isn't a final one of HTTP as no answer

Cause: found in reading the change again. judgeAnswer rejected statuses above 599 only, so that a signed answer with a status below 200 counted as the endpoint's own; that none came so far was the clients' doing alone. The bound stood in qfforward and in qfresponse. And TestBrokenAnswersReachNoCaller asked for one request at either broken replica, so that a service without any would have passed. Change: qf.IsFinalStatus decides for both. TestJudgeAnswer goes through the statuses from 0 on; the broken replica of each service must get a request. No check is loosened.

--- a/cmd/quetzalfront/brokenanswers_test.go
+++ b/cmd/quetzalfront/brokenanswers_test.go
@@ -31,8 +31,8 @@
 type brokenWorld struct {
 	*soakWorld
 	node *soakNode
-	// arrived is the number of requests at the broken replicas.
-	arrived atomic.Int64
+	// arrived holds the number of requests at the broken replica of each service, in the order of replicas.
+	arrived [2]atomic.Int64
 }
 
 // brokenAnswer is what the broken replicas answer, and how they end the connection.
@@ -59,7 +59,7 @@
 		w.putReplica(sound, "ready")
 		w.replicas = append(w.replicas, sound)
 		faulty := &soakReplica{Replica: standreplica.New(entry+"-broken", w.timer), address: w.at(replicaHosts+2*i+1, standinPort), entry: entry}
-		w.serveBroken(faulty.address, broken)
+		w.serveBroken(faulty.address, broken, &w.arrived[i])
 		w.putReplica(faulty, "ready")
 	}
 	w.store.Put("op", "config", fmt.Appendf(nil, `{"version":1,"routes":[
@@ -74,15 +74,15 @@
 	return w
 }
 
-// serveBroken starts a replica that answers each request with broken bytes.
-func (w *brokenWorld) serveBroken(address netip.AddrPort, broken *brokenAnswer) {
+// serveBroken starts a replica that counts its requests and answers each with broken bytes.
+func (w *brokenWorld) serveBroken(address netip.AddrPort, broken *brokenAnswer, arrived *atomic.Int64) {
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { _ = listener.Close() })
 	server := &standsocket.Server{Ending: broken.ending, Answer: func(r *http.Request) string {
-		w.arrived.Add(1)
+		arrived.Add(1)
 		id := r.Header.Get("X-Request-Id")
 		fields, part := "X-Request-Id: "+id+"\r\nX-Response-Stamp: stamp-"+id+"\r\n", "a part"
 		if r.Header.Get("X-Token-Counts") != "" {
@@ -191,8 +191,10 @@
 					}
 				}
 			}
-			if w.arrived.Load() == 0 {
-				t.Error("the broken replicas got no request")
+			for i := range w.arrived {
+				if w.arrived[i].Load() == 0 {
+					t.Errorf("the broken replica beside %s got no request", w.replicas[i].ID)
+				}
 			}
 		})
 	}
--- a/internal/qf/exchange.go
+++ b/internal/qf/exchange.go
@@ -49,6 +49,13 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// maxStatus is the greatest status of HTTP.
+const maxStatus = 599
+
+// IsFinalStatus reports whether a status is one with which HTTP ends a request. Interim ones are below, and those that HTTP doesn't
+// have are below or above.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // EndpointClient sends HTTP requests to endpoints. An *Error has RanNo if it is proven
 // that the endpoint didn't receive the request.
 type EndpointClient interface {
--- a/internal/qf/protocol/qfforward/verdict.go
+++ b/internal/qf/protocol/qfforward/verdict.go
@@ -12,15 +12,12 @@
 	errUnsigned   = errors.New("the answer has no signature of the endpoint")
 	errNotTheRest = errors.New("the answer isn't the rest of the stream")
 	errUnproven   = errors.New("callers would take the status to mean that the request didn't run, which the endpoint doesn't state")
-	errNoStatus   = errors.New("the answer's status isn't one of HTTP")
+	errNoStatus   = errors.New("the answer's status isn't a final one of HTTP")
 	// errLongFailure is for a failure that is longer than the buffer: whether it is delivered is decided once it
 	// has arrived.
 	errLongFailure = errors.New("the failure's text is too long")
 )
 
-// maxStatus is the largest status of HTTP.
-const maxStatus = 599
-
 // verdict is what the head of an answer proves.
 type verdict struct {
 	end qf.AttemptEnd
@@ -42,7 +39,7 @@
 		return verdict{end: qf.AttemptNotRun}
 	case isResumed && (status != http.StatusOK || !answer.Traits.Signed):
 		return verdict{end: qf.AttemptFailed, flaw: errNotTheRest}
-	case status > maxStatus:
+	case !qf.IsFinalStatus(status):
 		return verdict{end: qf.AttemptFailed, flaw: errNoStatus}
 	case impliesNotRun(status), isSuccess && answer.Traits.NotRun:
 		return verdict{end: qf.AttemptFailed, flaw: errUnproven}
--- a/internal/qf/protocol/qfforward/verdict_test.go
+++ b/internal/qf/protocol/qfforward/verdict_test.go
@@ -11,7 +11,7 @@
 // and fails if an answer that isn't proven to be the endpoint's own reaches a caller as a success, if a status promises
 // more than the endpoint has stated, or if a stream is continued by anything but a signed stream.
 func TestJudgeAnswer(t *testing.T) {
-	for status := 200; status <= 999; status++ {
+	for status := 0; status <= 999; status++ {
 		for i := range 8 {
 			answer := &qf.EndpointResponse{Status: status}
 			answer.Traits.Signed, answer.Traits.NotRun = i&1 != 0, i&2 != 0
@@ -41,11 +41,11 @@
 		t.Errorf("%s: promises that the request didn't run", name)
 	case isDelivered && isResumed && (answer.Status != 200 || !answer.Traits.Signed):
 		t.Errorf("%s: continues a stream", name)
-	case isDelivered && answer.Status > 599:
+	case isDelivered && (answer.Status < 200 || answer.Status > 599):
 		t.Errorf("%s: passed on", name)
 	case !isDelivered && v.flaw == nil:
 		t.Errorf("%s: withheld without a reason", name)
-	case !isDelivered && answer.Traits.Signed && !answer.Traits.NotRun && !isResumed && answer.Status < 600 && !impliesNotRun(answer.Status):
+	case !isDelivered && answer.Traits.Signed && !answer.Traits.NotRun && !isResumed && answer.Status >= 200 && answer.Status < 600 && !impliesNotRun(answer.Status):
 		t.Errorf("%s: the endpoint's own answer is withheld: %v", name, v.flaw)
 	}
 }
--- a/internal/qf/state/qfresponse/head.go
+++ b/internal/qf/state/qfresponse/head.go
@@ -5,10 +5,9 @@
 	"fmt"
 	"net/http"
 	"strings"
-)
 
-// maxStatus is the greatest status of HTTP.
-const maxStatus = 599
+	"quetzalfront/internal/qf"
+)
 
 // errNoStatus is the error for a response without a final status of HTTP. net/http reads any three digits, and 101 as the
 // status of a connection that goes on in another protocol.
@@ -43,7 +42,7 @@
 
 // checkHead returns an error for the head of a final response that HTTP doesn't allow.
 func checkHead(response *http.Response) error {
-	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+	if !qf.IsFinalStatus(response.StatusCode) {
 		return errNoStatus
 	}
 	return CheckNames(response.Header)
