--- a/cmd/quetzalfront/brokenanswers_test.go
+++ b/cmd/quetzalfront/brokenanswers_test.go
@@ -14,23 +14,16 @@
 	"testing"
 	"time"
 
-	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/standin/standreplica"
-	"quetzalfront/internal/standin/standrows"
 	"quetzalfront/internal/standin/standsocket"
 )
 
-const (
-	// longUploadBytes is more than the kernel buffers of a connection.
-	longUploadBytes = 8 << 20
-	// brokenRequests is the number of requests on each route.
-	brokenRequests = 6
-)
+// brokenRequests is the number of requests on each route.
+const brokenRequests = 6
 
 // brokenWorld is a node and two services, each with a sound replica and one that answers with broken bytes.
 type brokenWorld struct {
 	*soakWorld
-	node *soakNode
 	// arrived holds the number of requests at the broken replica of each service, in the order of replicas.
 	arrived [2]atomic.Int64
 }
@@ -47,11 +40,8 @@
 
 func newBrokenWorld(t *testing.T, broken *brokenAnswer) *brokenWorld {
 	t.Helper()
-	w := &brokenWorld{soakWorld: &soakWorld{t: t, timer: qftimer.NewWall(), folder: t.TempDir()}, node: &soakNode{}}
-	w.claimNet(firstSoakNet + soakNets/2)
-	w.store = standrows.New(w.timer, 2000, 400)
-	w.serve(w.at(storeHost, standinPort), w.store.Handler())
-	w.serve(w.at(cloudHost, standinPort), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	w := &brokenWorld{soakWorld: newStandinWorld(t, firstSoakNet+soakNets/2)}
+	w.nodes = []*soakNode{{}}
 	w.proxy(w.at(storeProxies, standinPort), w.at(storeHost, standinPort))
 	for i, entry := range []string{"chat", "books"} {
 		sound := &soakReplica{Replica: standreplica.New(entry+"-sound", w.timer), address: w.at(replicaHosts+2*i, standinPort), entry: entry}
@@ -69,7 +59,7 @@
 		{"name":"read","host":%[1]q,"prefix":"/read/","kind":"safe","timeout-ms":20000,"slo-ms":10000,"service":"books","attempts":3}],
 		"services":[{"name":"chat"},{"name":"books"}],"limits":{"max-body-bytes":10000000},
 		"tenants":[{"name":"north","api-keys":[%[2]q],"unit":"generation","plain-tokens":1,"rate-per-s":1000000,"burst":1000000}]}`, soakHost, soakKey))
-	w.start(w.node)
+	w.start(w.nodes[0])
 	t.Cleanup(w.stop)
 	return w
 }
@@ -96,16 +86,10 @@
 
 func (w *brokenWorld) stop() {
 	if w.t.Failed() {
-		data, _ := os.ReadFile(w.node.log.Name()) // The log only helps to find the cause.
+		data, _ := os.ReadFile(w.nodes[0].log.Name()) // The log only helps to find the cause.
 		w.t.Logf("log:\n%s", data[max(len(data)-4000, 0):])
 	}
-	w.end(w.node, os.Kill)
-	for _, p := range w.proxies {
-		p.Close()
-	}
-	for _, s := range w.servers {
-		_ = s.Close()
-	}
+	w.close()
 }
 
 // send sends a request and returns the status and the body of its answer.
@@ -165,8 +149,8 @@
 func TestBrokenAnswersReachNoCaller(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n{part}"
 	tests := []brokenAnswer{
-		{"reset during the upload", "HTTP/1.1 200 OK\r\n{fields}\r\n{part}", standsocket.Resets, longUploadBytes},
-		{"closed with unread bytes", "HTTP/1.1 200 OK\r\n{fields}\r\n{part}", standsocket.ClosesUnread, longUploadBytes},
+		{"reset during the upload", "HTTP/1.1 200 OK\r\n{fields}\r\n{part}", standsocket.Resets, standsocket.LongUploadBytes},
+		{"closed with unread bytes", "HTTP/1.1 200 OK\r\n{fields}\r\n{part}", standsocket.ClosesUnread, standsocket.LongUploadBytes},
 		{"status 000", "HTTP/1.1 000 None\r\n{fields}Content-Length: {length}\r\n\r\n{part}", standsocket.Keeps, 10},
 		{"status 000 before a whole answer", "HTTP/1.1 000 None\r\n\r\n" + whole, standsocket.Keeps, 10},
 		{"blank in a name", "HTTP/1.1 200 OK\r\nX-A B: c\r\n{fields}Content-Length: {length}\r\n\r\n{part}", standsocket.Keeps, 10},
--- a/cmd/quetzalfront/heads_test.go
+++ b/cmd/quetzalfront/heads_test.go
@@ -8,7 +8,7 @@
 
 // TestUnsoundHeadsAreNoReports fails if an answer whose head HTTP doesn't allow counts as a node's answer to an operator's command.
 func TestUnsoundHeadsAreNoReports(t *testing.T) {
-	for _, head := range append(qftest.UnsoundStatuses(), qftest.UnsoundNames()...) {
+	for _, head := range qftest.UnsoundHeads() {
 		t.Run(head.Name, func(t *testing.T) {
 			address := head.Start(t, "", "{}")
 			var report any
--- a/cmd/quetzalfront/soak_world_test.go
+++ b/cmd/quetzalfront/soak_world_test.go
@@ -149,14 +149,21 @@
 	return netip.AddrPortFrom(ip, port)
 }
 
-// newSoakWorld starts the stand-ins, proxies and nodes.
-func newSoakWorld(t *testing.T, network byte) *soakWorld {
+// newStandinWorld starts the stand-ins of the store and of the platform's API in the first free network.
+func newStandinWorld(t *testing.T, network byte) *soakWorld {
 	t.Helper()
 	w := &soakWorld{t: t, timer: qftimer.NewWall(), folder: t.TempDir()}
 	w.claimNet(network)
 	w.store = standrows.New(w.timer, 2000, 400)
 	w.serve(w.at(storeHost, standinPort), w.store.Handler())
 	w.serve(w.at(cloudHost, standinPort), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	return w
+}
+
+// newSoakWorld starts the stand-ins, proxies and nodes.
+func newSoakWorld(t *testing.T, network byte) *soakWorld {
+	t.Helper()
+	w := newStandinWorld(t, network)
 	for i := range soakReplicas {
 		id := fmt.Sprintf("replica-%d", i)
 		replica := &soakReplica{Replica: standreplica.New(id, w.timer), address: w.at(replicaProxies+i, standinPort), entry: []string{"chat", "books"}[i%2]}
--- a/cmd/quetzalfront/untrusted_world_test.go
+++ b/cmd/quetzalfront/untrusted_world_test.go
@@ -19,9 +19,7 @@
 	"testing"
 	"time"
 
-	"quetzalfront/internal/qf/state/qftimer"
 	"quetzalfront/internal/standin/standreplica"
-	"quetzalfront/internal/standin/standrows"
 	"quetzalfront/platform"
 )
 
@@ -54,11 +52,7 @@
 
 func newUntrustedWorld(t *testing.T) *untrustedWorld {
 	t.Helper()
-	w := &untrustedWorld{soakWorld: &soakWorld{t: t, timer: qftimer.NewWall(), folder: t.TempDir()}, node: &soakNode{}}
-	w.claimNet(firstSoakNet + soakNets/2)
-	w.store = standrows.New(w.timer, 2000, 400)
-	w.serve(w.at(storeHost, standinPort), w.store.Handler())
-	w.serve(w.at(cloudHost, standinPort), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	w := &untrustedWorld{soakWorld: newStandinWorld(t, firstSoakNet+soakNets/2), node: &soakNode{}}
 	replica := &soakReplica{Replica: standreplica.New("replica-0", w.timer), address: w.at(replicaHosts, standinPort), entry: "books"}
 	w.serve(replica.address, replica)
 	w.replicas = append(w.replicas, replica)
--- a/internal/node/heads_test.go
+++ b/internal/node/heads_test.go
@@ -16,7 +16,7 @@
 // nothing ran.
 func TestUnsoundHeadsOfEndpointsAreNoAnswers(t *testing.T) {
 	platform := Connect(qfsettings.Default(), qftimer.NewWall(), qf.TCP(), zerolog.Nop(), 1)
-	for _, head := range append(qftest.UnsoundStatuses(), qftest.UnsoundNames()...) {
+	for _, head := range qftest.UnsoundHeads() {
 		for _, fields := range []string{"", "Qf-Not-Run: true\r\n"} {
 			t.Run(head.Name+" "+fields, func(t *testing.T) {
 				endpoint := qf.Endpoint{ID: "e-1", Address: head.Start(t, "X-Request-Id: a-1\r\n"+fields, "{}")}
--- a/internal/node/reset_test.go
+++ b/internal/node/reset_test.go
@@ -27,7 +27,7 @@
 			service := Connect(qfsettings.Default(), qftimer.NewWall(), network, zerolog.Nop(), 1).Service
 			for range calls {
 				result := service.CallService(t.Context(), qf.Endpoint{ID: "e-1", Address: address}, qf.ServiceCall{
-					Method: http.MethodPost, Path: "/permits", Body: make([]byte, 8<<20), Attempt: "a-1",
+					Method: http.MethodPost, Path: "/permits", Body: make([]byte, standsocket.LongUploadBytes), Attempt: "a-1",
 				})
 				if result.Certainty != qf.Unknown {
 					t.Errorf("the call is %s with %q, %v", result.Certainty, result.Value.Body, result.Err)
--- a/internal/qf/state/qfplatform/heads_test.go
+++ b/internal/qf/state/qfplatform/heads_test.go
@@ -11,7 +11,7 @@
 
 // TestUnsoundHeadsAreNoAnswers fails if an answer whose head HTTP doesn't allow counts as one of a service of the platform.
 func TestUnsoundHeadsAreNoAnswers(t *testing.T) {
-	for _, head := range append(qftest.UnsoundStatuses(), qftest.UnsoundNames()...) {
+	for _, head := range qftest.UnsoundHeads() {
 		t.Run(head.Name, func(t *testing.T) {
 			client := NewClient(head.Start(t, "", "{}"), time.Minute, (&net.Dialer{}).DialContext)
 			var answer any
--- a/internal/qf/state/qfresponse/head_test.go
+++ b/internal/qf/state/qfresponse/head_test.go
@@ -25,7 +25,7 @@
 
 // TestUnsoundHeadsAreRejected fails if a response passes whose head HTTP doesn't allow.
 func TestUnsoundHeadsAreRejected(t *testing.T) {
-	for _, head := range append(qftest.UnsoundStatuses(), qftest.UnsoundNames()...) {
+	for _, head := range qftest.UnsoundHeads() {
 		t.Run(head.Name, func(t *testing.T) {
 			if body, err := fetch(t, "http://"+head.Start(t, "", "{}").String()); err == nil {
 				t.Errorf("it passes with the body %q", body)
--- a/internal/qf/transport/qfexchange/reset_test.go
+++ b/internal/qf/transport/qfexchange/reset_test.go
@@ -20,11 +20,8 @@
 	"quetzalfront/platform"
 )
 
-const (
-	// longUploadBytes is more than the kernel buffers of a connection, shortUploadBytes less.
-	longUploadBytes  = 8 << 20
-	shortUploadBytes = 64 << 10
-)
+// shortUploadBytes is less than the kernel buffers of a connection.
+const shortUploadBytes = 64 << 10
 
 // uploadCase is an answer without a length to an upload that is still being written, and its end.
 type uploadCase struct {
@@ -94,14 +91,14 @@
 
 // resetCases are the answers whose connection fails before their end.
 var resetCases = []uploadCase{
-	{name: "at once", uploadBytes: longUploadBytes, ending: standsocket.Resets},
-	{name: "after some of the upload", uploadBytes: longUploadBytes, readBytes: 1 << 20, ending: standsocket.Resets},
-	{name: "after the body was read", uploadBytes: longUploadBytes, ending: standsocket.Resets, endsAfterRead: true},
-	{name: "before the body is read", uploadBytes: longUploadBytes, ending: standsocket.Resets, readsAfterEnd: true},
-	{name: "stream", uploadBytes: longUploadBytes, ending: standsocket.Resets, fields: "Content-Type: text/event-stream\r\n"},
-	{name: "close with unread bytes", uploadBytes: longUploadBytes, ending: standsocket.ClosesUnread},
-	{name: "close with unread bytes after the body was read", uploadBytes: longUploadBytes, ending: standsocket.ClosesUnread, endsAfterRead: true},
-	{name: "timeout of the connection", uploadBytes: longUploadBytes, ending: standsocket.Stalls, userTimeout: 10 * time.Millisecond},
+	{name: "at once", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.Resets},
+	{name: "after some of the upload", uploadBytes: standsocket.LongUploadBytes, readBytes: 1 << 20, ending: standsocket.Resets},
+	{name: "after the body was read", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.Resets, endsAfterRead: true},
+	{name: "before the body is read", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.Resets, readsAfterEnd: true},
+	{name: "stream", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.Resets, fields: "Content-Type: text/event-stream\r\n"},
+	{name: "close with unread bytes", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.ClosesUnread},
+	{name: "close with unread bytes after the body was read", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.ClosesUnread, endsAfterRead: true},
+	{name: "timeout of the connection", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.Stalls, userTimeout: 10 * time.Millisecond},
 	{name: "short upload", uploadBytes: shortUploadBytes, ending: standsocket.Resets},
 	{name: "upload in one write", uploadBytes: maxInlineBodyBytes, ending: standsocket.Resets},
 }
@@ -137,15 +134,15 @@
 // whole, or if its end is reported only with the end of the upload.
 func TestEarlyEndIsWhole(t *testing.T) {
 	tests := []uploadCase{
-		{name: "reads no more", uploadBytes: longUploadBytes, ending: standsocket.EndsOwnSide},
-		{name: "reads no more after the body was read", uploadBytes: longUploadBytes, ending: standsocket.EndsOwnSide, endsAfterRead: true},
-		{name: "reads on", uploadBytes: longUploadBytes, ending: standsocket.EndsAndReads},
-		{name: "reads some and then no more", uploadBytes: longUploadBytes, readBytes: 1 << 20, ending: standsocket.EndsOwnSide},
-		{name: "closes after its end", uploadBytes: longUploadBytes, ending: standsocket.EndsAndCloses},
-		{name: "read to its end", uploadBytes: longUploadBytes, readBytes: longUploadBytes, ending: standsocket.EndsAndCloses},
+		{name: "reads no more", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.EndsOwnSide},
+		{name: "reads no more after the body was read", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.EndsOwnSide, endsAfterRead: true},
+		{name: "reads on", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.EndsAndReads},
+		{name: "reads some and then no more", uploadBytes: standsocket.LongUploadBytes, readBytes: 1 << 20, ending: standsocket.EndsOwnSide},
+		{name: "closes after its end", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.EndsAndCloses},
+		{name: "read to its end", uploadBytes: standsocket.LongUploadBytes, readBytes: standsocket.LongUploadBytes, ending: standsocket.EndsAndCloses},
 		{name: "short upload, reads no more", uploadBytes: shortUploadBytes, ending: standsocket.EndsOwnSide},
 		{name: "upload in one write, reads no more", uploadBytes: maxInlineBodyBytes, ending: standsocket.EndsOwnSide},
-		{name: "stream", uploadBytes: longUploadBytes, ending: standsocket.EndsAndReads, fields: "Content-Type: text/event-stream\r\n"},
+		{name: "stream", uploadBytes: standsocket.LongUploadBytes, ending: standsocket.EndsAndReads, fields: "Content-Type: text/event-stream\r\n"},
 	}
 	for i := range tests {
 		tt := &tests[i]
--- a/internal/qftest/heads.go
+++ b/internal/qftest/heads.go
@@ -15,20 +15,14 @@
 	status, line string
 }
 
-// UnsoundStatuses returns heads whose status isn't a final one of HTTP.
-func UnsoundStatuses() []UnsoundHead {
+// UnsoundHeads returns heads whose status isn't a final one of HTTP, and heads with a field whose name holds a blank.
+func UnsoundHeads() []UnsoundHead {
 	return []UnsoundHead{
 		{"status 000", "000 None", "X-A: b"},
 		{"status 099", "099 None", "X-A: b"},
 		{"status 101", "101 Switching Protocols", "X-A: b"},
 		{"status 600", "600 None", "X-A: b"},
 		{"status 999", "999 None", "X-A: b"},
-	}
-}
-
-// UnsoundNames returns heads with a field whose name holds a blank.
-func UnsoundNames() []UnsoundHead {
-	return []UnsoundHead{
 		{"blank in a name", "200 OK", "X-A B: c"},
 		{"blank after a name", "200 OK", "X-A : c"},
 		{"blank after the name of the length", "200 OK", "Content-Length : 2"},
--- a/internal/standin/standsocket/server.go
+++ b/internal/standin/standsocket/server.go
@@ -12,6 +12,9 @@
 	"syscall"
 )
 
+// LongUploadBytes is more than the kernel buffers of a connection: while the server doesn't read, the write of such a body waits.
+const LongUploadBytes = 8 << 20
+
 // Ending is how a server ends a connection after its answer.
 type Ending string
 
--- a/pkg/qfclient/heads_test.go
+++ b/pkg/qfclient/heads_test.go
@@ -24,7 +24,7 @@
 		{"own client", nil},
 		{"the caller's client", &http.Client{}},
 	}
-	for _, head := range append(qftest.UnsoundStatuses(), qftest.UnsoundNames()...) {
+	for _, head := range qftest.UnsoundHeads() {
 		for _, tt := range clients {
 			t.Run(head.Name+", "+tt.name, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
--- a/pkg/qfclient/reset_test.go
+++ b/pkg/qfclient/reset_test.go
@@ -36,7 +36,9 @@
 			return "HTTP/1.1 200 OK\r\n" + qfapi.HeaderRan + ": Yes\r\n\r\nfiled a pa"
 		}})
 		client := qfclient.New(qfclient.Options{Seeds: []netip.AddrPort{address}, Organisation: "parks"})
-		answer, err := client.Do(ctx, qfclient.Call{Entry: "register", Method: http.MethodPost, Path: "/permits", IdempotencyKey: "k", Body: make([]byte, 8<<20)})
+		answer, err := client.Do(ctx, qfclient.Call{
+			Entry: "register", Method: http.MethodPost, Path: "/permits", IdempotencyKey: "k", Body: make([]byte, standsocket.LongUploadBytes),
+		})
 		cancel()
 		if err == nil {
 			t.Errorf("%q counts as the whole answer", answer.Body)
