cmd: reserve the ports of the platform demo's nodes until they listen

The demo looked for free ports, let them go, and its nodes listened on them afterwards; any socket of the machine may get such a port in between, so the more often the more sockets the tests beside it open. Change: reservedPorts keeps a listener on each port and hands it to the node.

--- a/cmd/quetzalfront/demo_platform.go
+++ b/cmd/quetzalfront/demo_platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -65,9 +64,11 @@
 }
 
 func (d *platformDemo) startNode(ctx context.Context, number int) error {
+	reserved := reservedPorts{}
+	defer reserved.close()
 	var ports [4]netip.AddrPort
 	for i := range ports {
-		address, err := freeLoopbackAddress()
+		address, err := reserved.reserve()
 		if err != nil {
 			return err
 		}
@@ -84,7 +85,9 @@
 			StopGrace: 8 * time.Second, LeaseFor: 3 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
 		},
 	}
-	node := entry.New(settings.Deployment, newPlatform(settings, d.timer, zerolog.Nop(), func(string) {}))
+	nodePlatform := newPlatform(settings, d.timer, zerolog.Nop(), func(string) {})
+	nodePlatform.Network.Listen = reserved.wrap(nodePlatform.Network.Listen)
+	node := entry.New(settings.Deployment, nodePlatform)
 	if err := node.Start(ctx); err != nil {
 		return err
 	}
@@ -92,16 +95,6 @@
 	return nil
 }
 
-// freeLoopbackAddress returns a loopback address whose port is free at present.
-func freeLoopbackAddress() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer listener.Close() //nolint:errcheck // It accepted no connection.
-	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
-}
-
 func (d *platformDemo) nextID() qf.RequestID {
 	d.requests++
 	return qf.RequestID(fmt.Sprintf("request-%d", d.requests))
