qfhttp: a wait that begins at the moment of a change may rely on the replaced configuration

Where a change reaches all at once, a connection that became idle at the very moment of a change was closed after the new idle-timeout-ms, although its wait began inside the old one. Cause: Since counted a version only if it was replaced after the wait's begin, not at it. Change: at it counts too. The end of the spread is as before.

--- a/internal/qf/transport/qfhttp/readtimeouts.go
+++ b/internal/qf/transport/qfhttp/readtimeouts.go
@@ -79,7 +79,8 @@
 	}
 	var t ReadTimeouts
 	for _, v := range h.versions {
-		if v.replacedAt.IsZero() || v.replacedAt.Add(h.spread).After(began) {
+		wasInForce := v.replacedAt.IsZero() || !v.replacedAt.Before(began)
+		if wasInForce || v.replacedAt.Add(h.spread).After(began) {
 			t = t.largest(v.timeouts)
 		}
 	}
--- a/internal/qf/transport/qfhttp/readtimeouts_test.go
+++ b/internal/qf/transport/qfhttp/readtimeouts_test.go
@@ -55,3 +55,28 @@
 		})
 	}
 }
+
+// TestTimeoutsAtTheMomentOfAChange fails if a wait that begins at the moment of a change gets less than the replaced configuration allows,
+// which the client may still have had.
+func TestTimeoutsAtTheMomentOfAChange(t *testing.T) {
+	start := qftimer.NewWall().Now()
+	h := qfhttp.NewReadTimeoutHistory(qfhttp.ReadTimeouts{Idle: 75 * time.Second}, 0)
+	h.Apply(start, 1, qfhttp.ReadTimeouts{Idle: 200 * time.Second})
+	h.Apply(start.Add(time.Second), 2, qfhttp.ReadTimeouts{Idle: 20 * time.Second})
+	tests := []struct {
+		name  string
+		began time.Duration
+		want  time.Duration
+	}{
+		{"before it", time.Second - 1, 200 * time.Second},
+		{"at it", time.Second, 200 * time.Second},
+		{"after it", time.Second + 1, 20 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := h.Since(start.Add(test.began)).Idle; got != test.want {
+				t.Errorf("the wait may last %v, want %v", got, test.want)
+			}
+		})
+	}
+}
