qfhttp: what comes to an evicted connection counts, and a large head is abandoned where there is no room

Callers saw: a node may use more memory than its settings allow while clients send heads near the limit, and the platform kills a process that does. Evidence: a connection that was evicted is read on, so that a request that has come whole is refused in an answer. What was read then was counted nowhere. Cause: charge left out removed connections. Up to 32 evicted ones read whole heads of 60 KB beside the budget, about 1.1 MB each in memory. Change: these reads count, as held and as closing. A large head for which there is no room is abandoned; a small one, or one for which there is room, is refused with 503 as before. Measured: TestEvictedHeadIsCounted, large head while memory is full: 41,011 bytes were read before (20 of 20 runs), at most 16,384 now; its two rows of sound requests pass before and after.

--- a/internal/qf/transport/qfhttp/budgetedconn.go
+++ b/internal/qf/transport/qfhttp/budgetedconn.go
@@ -104,7 +104,7 @@
 	if phase == phaseHead {
 		cost = c.followHead(b[:n])
 	}
-	if !c.charge(cost) && !c.isEvictedByOther() {
+	if !c.charge(cost) && !c.mayGoOn(phase) {
 		return 0, io.EOF
 	}
 	return n, err // A request that has come whole to a connection that was evicted is refused at its start.
@@ -185,19 +185,18 @@
 func (c *budgetedConn) charge(cost int64) bool {
 	b := c.port.budget
 	b.mu.Lock()
+	c.hold(cost)
 	if c.isRemoved {
 		b.mu.Unlock()
 		return false
 	}
-	c.held += cost
-	b.used += cost
 	closed, isEnough := b.freeMemory(c)
 	isRefused := !isEnough && c.element != nil
 	if isRefused {
 		c.evict(LimitMemory)
 		c.isRefused = true
 	}
-	mustWait := c.held > connectionCost+smallRequestCost && b.isFull(0)
+	mustWait := c.isLarge() && b.isFull(0)
 	b.mu.Unlock()
 	b.closeAll(closed)
 	if isRefused {
@@ -207,6 +206,21 @@
 	return !mustWait || c.awaitRoom()
 }
 
+// hold adds to the estimated memory, unless the connection is released. The caller must hold the budget's mutex.
+func (c *budgetedConn) hold(cost int64) {
+	if c.isReleased {
+		return
+	}
+	c.held += cost
+	c.port.budget.used += cost
+	if c.isEvicted {
+		c.port.budget.closing += cost
+	}
+}
+
+// isLarge reports whether the connection holds so much that it must wait for room. The caller must hold the budget's mutex.
+func (c *budgetedConn) isLarge() bool { return c.held > connectionCost+smallRequestCost }
+
 // awaitRoom waits until the memory is within its bound, or for roomTimeout. It returns false if the connection was closed meanwhile.
 func (c *budgetedConn) awaitRoom() bool {
 	b := c.port.budget
--- a/internal/qf/transport/qfhttp/drainworld_test.go
+++ b/internal/qf/transport/qfhttp/drainworld_test.go
@@ -80,19 +80,21 @@
 	// isInterrupted is true while the read deadline has passed.
 	isInterrupted atomic.Bool
 	hold          *hold
+	// read counts the bytes that the server has read.
+	read atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c *lateConn) Read(b []byte) (int, error) {
-	if !c.isArmed.Swap(false) {
-		return c.TCPConn.Read(b)
-	}
-	if c.moment == lateToRead {
+	isHeld := c.isArmed.Swap(false)
+	if isHeld && c.moment == lateToRead {
 		c.awaitEnd()
-		return c.TCPConn.Read(b)
 	}
 	n, err := c.TCPConn.Read(b)
-	c.awaitEnd()
+	c.read.Add(int64(max(n, 0)))
+	if isHeld && c.moment != lateToRead {
+		c.awaitEnd()
+	}
 	return n, err
 }
 
--- a/internal/qf/transport/qfhttp/evict_test.go
+++ b/internal/qf/transport/qfhttp/evict_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,7 +26,7 @@
 	evictedWithBody evictionMoment = "body read"
 )
 
-// evictingServer is a server on loopback with room for one connection, that comes late to a moment of its first one.
+// evictingServer is a server on loopback that admits one connection, and comes late to a moment of its first one.
 type evictingServer struct {
 	t       *testing.T
 	moment  evictionMoment
@@ -40,7 +41,8 @@
 	ran    []string
 }
 
-func startEvicting(t *testing.T, moment evictionMoment) *evictingServer {
+// startEvicting starts a server whose connections may hold an estimated memory, 0 for any.
+func startEvicting(t *testing.T, moment evictionMoment, memory int64) *evictingServer {
 	t.Helper()
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -52,7 +54,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute, ConnState: s.awaitEviction}
 	listener := &lateListener{TCPListener: raw.(*net.TCPListener), hold: newHold(), wrap: s.wrap}
 	listener.hold.end()
-	guarded := qfhttp.NewConnectionBudget(qftimer.NewWall(), 0, s.observe).Guard(server, listener, qfhttp.PortLimits{
+	guarded := qfhttp.NewConnectionBudget(qftimer.NewWall(), memory, s.observe).Guard(server, listener, qfhttp.PortLimits{
 		Name: "callers", Connections: 1, RequestID: func(r *http.Request) qf.RequestID { return qf.RequestID(r.Header.Get("X-Id")) },
 	})
 	var running sync.WaitGroup
@@ -146,7 +148,7 @@
 	head := "GET / HTTP/1.1\r\nHost: h\r\nX-Id: first\r\n"
 	for _, moment := range []evictionMoment{evictedUnread, evictedRead, evictedParsed, evictedWithBody} {
 		t.Run(string(moment), func(t *testing.T) {
-			s := startEvicting(t, moment)
+			s := startEvicting(t, moment, 0)
 			connection := s.dial()
 			request := head + "\r\n"
 			if moment == evictedWithBody {
@@ -164,6 +166,45 @@
 	}
 }
 
+// TestEvictedHeadIsCounted fails if a node reads a large head to its end on a connection that it has closed to make room, while its clients hold as
+// much as they may. A request for which there is room, or that is small, is refused in an answer.
+func TestEvictedHeadIsCounted(t *testing.T) {
+	const large = 40 << 10
+	tests := []struct {
+		name   string
+		memory int64
+		// bytes is the size of the head's largest field.
+		bytes int
+		// maxRead is how much of the head may be read, or 0 if the request is refused in an answer.
+		maxRead int64
+	}{
+		{"large, memory is full", 32 << 10, large, 16 << 10},
+		{"large, there is room", 1 << 20, large, 0},
+		{"small, memory is full", 24 << 10, 512, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := startEvicting(t, evictedUnread, test.memory)
+			connection := s.dial()
+			_, _ = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\nX-Id: first\r\nX-Large: "+strings.Repeat("a", test.bytes)+"\r\n\r\n") // The answer is checked.
+			<-s.first
+			s.awaitMoment(connection, "")
+			_ = s.dial()
+			got, _, _ := status(connection)
+			if test.maxRead == 0 {
+				if got != http.StatusServiceUnavailable {
+					t.Errorf("got status %d, want a refusal", got)
+				}
+				s.checkRefused("first")
+				return
+			}
+			if read := s.late.read.Load(); read > test.maxRead {
+				t.Errorf("%d bytes were read, want at most %d", read, test.maxRead)
+			}
+		})
+	}
+}
+
 // checkRefused checks that a request was refused and not run.
 func (s *evictingServer) checkRefused(id qf.RequestID) {
 	s.t.Helper()
--- a/internal/qf/transport/qfhttp/evictedconn.go
+++ b/internal/qf/transport/qfhttp/evictedconn.go
@@ -60,6 +60,22 @@
 	return c.isEvicted && !c.isRefused && !c.isReleased
 }
 
+// mayGoOn reports whether a request may be read on so that it is refused in an answer, as on a connection that was evicted for another one. A large
+// head for which there is no room is abandoned.
+func (c *budgetedConn) mayGoOn(phase connPhase) bool {
+	if !c.isEvictedByOther() {
+		return false
+	}
+	b := c.port.budget
+	b.mu.Lock()
+	isAbandoned := phase == phaseHead && c.isLarge() && b.isFull(0)
+	b.mu.Unlock()
+	if isAbandoned {
+		_ = c.Conn.Close() // net/http may answer a part of a head.
+	}
+	return !isAbandoned
+}
+
 // refuseEvicted refuses a request that was read whole on a connection that was evicted before the request started.
 func (c *budgetedConn) refuseEvicted(r *http.Request) {
 	if !c.isEvictedByOther() {
