qfhttp: what closed connections held counts until the collector has run

The estimate never was above 20 MB: it gives a head's memory back when its connection closes, and the next connection uses as much before the first is freed. Cause: the budget bounds what is in use, not what is in memory. Change: memory that was given back counts until a cycle of the collector that began after it has ended. Only connections that hold more than 16 KB beside their own cost wait for it, as they wait for room; if only the collector is missing, one of them runs it. Evictions are as before.

--- a/internal/qf/transport/qfhttp/budget.go
+++ b/internal/qf/transport/qfhttp/budget.go
@@ -73,6 +73,11 @@
 	// used is the estimated memory of all connections, closing the part of those that were evicted and that their server hasn't
 	// closed yet.
 	used, closing int64
+	// uncollected is what closed connections and ended requests held. Only connections that hold much wait for it: the collector runs often enough for
+	// the others.
+	uncollected uncollected
+	// isCollecting is true while a connection that waits for room runs the collector.
+	isCollecting bool
 	// room is closed when a connection is evicted or closed. It is nil while nobody waits for room.
 	room chan struct{}
 	// waited counts the connections that began to wait for a request.
@@ -178,7 +183,8 @@
 	p.budget.await(func() bool { return p.evicted < maxEvicted })
 }
 
-// await waits until a condition holds, which is checked under the mutex at each change of the connections, or for roomTimeout.
+// await waits until a condition holds, which is checked under the mutex at each change of the connections, or for roomTimeout. It runs the collector
+// if nothing else makes room.
 func (b *ConnectionBudget) await(holds func() bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -189,6 +195,9 @@
 	defer timeout.Stop()
 	for !holds() {
 		change := b.roomChange()
+		if b.mustCollect() {
+			b.collect()
+		}
 		b.mu.Unlock()
 		isLate := false
 		select {
--- a/internal/qf/transport/qfhttp/budgetedconn.go
+++ b/internal/qf/transport/qfhttp/budgetedconn.go
@@ -181,7 +181,7 @@
 }
 
 // charge adds to the estimated memory. It returns false if the connection was closed, or must be closed by the caller. A connection
-// that holds much waits until those that were evicted for it are gone.
+// that holds much waits until those that were evicted for it are gone, and the collector has freed what they held.
 func (c *budgetedConn) charge(cost int64) bool {
 	b := c.port.budget
 	b.mu.Lock()
@@ -196,7 +196,7 @@
 		c.evict(LimitMemory)
 		c.isRefused = true
 	}
-	mustWait := c.isLarge() && b.isFull(0)
+	mustWait := c.isLarge() && !b.hasRoom()
 	b.mu.Unlock()
 	b.closeAll(closed)
 	if isRefused {
@@ -221,13 +221,13 @@
 // isLarge reports whether the connection holds so much that it must wait for room. The caller must hold the budget's mutex.
 func (c *budgetedConn) isLarge() bool { return c.held > connectionCost+smallRequestCost }
 
-// awaitRoom waits until the memory is within its bound, or for roomTimeout. It returns false if the connection was closed meanwhile.
+// awaitRoom waits until there is room, or for roomTimeout. It returns false if the connection was closed meanwhile.
 func (c *budgetedConn) awaitRoom() bool {
 	b := c.port.budget
 	isOpen := true
 	b.await(func() bool {
 		isOpen = !c.isRemoved
-		return c.isRemoved || !b.isFull(0)
+		return c.isRemoved || b.hasRoom()
 	})
 	return isOpen
 }
@@ -282,7 +282,7 @@
 	if c.isRemoved {
 		return
 	}
-	b.used -= c.held - connectionCost
+	b.giveBack(c.held - connectionCost)
 	c.held = connectionCost
 	c.phase.Store(int32(phaseHead))
 	c.wait()
@@ -363,7 +363,7 @@
 		return
 	}
 	c.isReleased = true
-	b.used -= c.held
+	b.giveBack(c.held)
 	if c.isEvicted {
 		c.port.evicted--
 		b.closing -= c.held
--- a/internal/qf/transport/qfhttp/evictedconn.go
+++ b/internal/qf/transport/qfhttp/evictedconn.go
@@ -68,7 +68,7 @@
 	}
 	b := c.port.budget
 	b.mu.Lock()
-	isAbandoned := phase == phaseHead && c.isLarge() && b.isFull(0)
+	isAbandoned := phase == phaseHead && c.isLarge() && !b.hasRoom()
 	b.mu.Unlock()
 	if isAbandoned {
 		_ = c.Conn.Close() // net/http may answer a part of a head.
