qfhttp: the answer to a request that closes its connection isn't lost where its body wasn't read

Callers saw: a connection error in place of a refusal, where the request states Connection: close and its body is more than the kernel's buffers take, e.g. a 503 while a node starts. On real sockets the answer is lost most of the time. Cause: net/http reads the rest of a body, or waits half a second after the answer, only where the request leaves the connection open (body.Close: b.closing). Else it closes at once, with unread bytes, and the connection is reset while the caller still writes. Change: the handler of the budget does for such requests what net/http does for others: up to 256 KB are read before the answer; with more left, or with Expect: 100-continue, the node ends its side and closes half a second later.

--- a/internal/qf/transport/qfhttp/budgetport.go
+++ b/internal/qf/transport/qfhttp/budgetport.go
@@ -91,13 +91,17 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		body := r.Body
 		r = r.WithContext(r.Context()) // net/http looks at the body of its own request when it decides whether to read the rest.
-		r.Body = &budgetedBody{ReadCloser: r.Body, connection: c, request: r}
+		r.Body = &budgetedBody{ReadCloser: body, connection: c, request: r}
 		next.ServeHTTP(w, r)
+		if c.isOpen() {
+			c.boundDiscard()
+			c.keepAnswer(w, r, body)
+		}
 		if !c.isOpen() {
 			panic(http.ErrAbortHandler) // Without it net/http keeps a connection whose body wasn't read for another moment.
 		}
-		c.boundDiscard()
 	})
 }
 
