--- a/review/fleet/main_test.go
+++ b/review/fleet/main_test.go
@@ -7,7 +7,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // cases are the scripts by their names. Each returns what broke the rule, or nothing.
@@ -20,6 +23,24 @@
 
 const exitCannotRun = 2
 
+// longest is how long a script may run.
+const longest = 115 * time.Second
+
+// closeWhenStopped ends the world's processes when the script is stopped, or runs for too long.
+func closeWhenStopped(w *world) {
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-stopped:
+		case <-time.After(longest):
+		}
+		w.record.note("the script was stopped")
+		w.close()
+		os.Exit(exitCannotRun)
+	}()
+}
+
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "expected the name of a script and the path of its record")
@@ -39,6 +60,7 @@
 		return exitCannotRun
 	}
 	defer w.close()
+	closeWhenStopped(w)
 	broken, err := cases[os.Args[1]](w, isTrouble)
 	if err != nil {
 		r.note("the script couldn't run: %v", err)
--- a/review/fleet/standins_test.go
+++ b/review/fleet/standins_test.go
@@ -81,10 +81,8 @@
 	_, _ = io.Copy(io.Discard, request.Body)
 	r.mu.Lock()
 	r.runs[id] = append(r.runs[id], time.Now())
-	running := len(r.runs)
 	r.mu.Unlock()
 	r.world.record.note("%s: runs %s", r.id, id)
-	_ = running
 	select {
 	case <-time.After(r.workTime):
 	case <-request.Context().Done():
