entry: a node that is alone in what was a large fleet asks the seeds without ending its process

TestLastNodeOfAFleetServesOn on: panic in Membership.FillDigest, called by exchangeWithSeeds, in the first row with more than 16 nodes; the rows of 2, 15 and 16 nodes passed. Cause: buildDigest got no node for a seed, of which only the address is known. FillDigest reads the recipient's zone where more than 16 nodes are known, dead ones included; the other readers asked for nil. Both callers of exchangeWithSeeds, at a start and for a lone node, go there. Change: a digest has a qf.Recipient, a seed or a node; a node is reached only together with whether it is known.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -198,22 +198,7 @@
 			}
 		}
 		w.sleep(15 * time.Second)
-		w.cloud.mu.Lock()
-		defer w.cloud.mu.Unlock()
-		total := 0
-		for window, bodies := range w.cloud.usage {
-			var report struct {
-				Counts map[string]int `json:"counts"`
-			}
-			_ = json.Unmarshal([]byte(bodies[0]), &report)
-			total += report.Counts["north"]
-			for _, body := range bodies {
-				if body != bodies[0] {
-					t.Errorf("window %d was reported as %s and as %s", window, bodies[0], body)
-				}
-			}
-		}
-		if total != calls {
+		if total := w.reportedUsage("north"); total != calls {
 			t.Errorf("%d of %d requests were reported", total, calls)
 		}
 	})
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -34,7 +33,7 @@
 	e.mu.Unlock()
 	for _, address := range seeds {
 		if address != e.deployment.Self.PeerAddress {
-			e.background.Go(func() { e.exchangeWith(ctx, nil, address) })
+			e.background.Go(func() { e.exchangeWith(ctx, qf.SeedRecipient(address)) })
 		}
 	}
 }
@@ -68,7 +67,7 @@
 		if !isGrouped && target.ID < e.deployment.Self.ID && target.State == qf.NodeLive {
 			continue
 		}
-		e.background.Go(func() { e.exchangeWith(ctx, &target, target.PeerAddress) })
+		e.background.Go(func() { e.exchangeWith(ctx, qf.NodeRecipient(&target)) })
 	}
 }
 
@@ -113,15 +112,15 @@
 func (e *Entry) pushToPeers(peers []qf.Node) {
 	for i := range peers {
 		if peer := peers[i]; peer.State == qf.NodeLive {
-			e.background.Go(func() { e.exchangeWith(e.loops, &peer, peer.PeerAddress) })
+			e.background.Go(func() { e.exchangeWith(e.loops, qf.NodeRecipient(&peer)) })
 		}
 	}
 }
 
-func (e *Entry) exchangeWith(ctx context.Context, to *qf.Node, address netip.AddrPort) {
-	answer, err := e.platform.Peer.ExchangeDigests(ctx, address, e.buildDigest(to, nil))
+func (e *Entry) exchangeWith(ctx context.Context, to qf.Recipient) {
+	answer, err := e.platform.Peer.ExchangeDigests(ctx, to.Address(), e.buildDigest(to, nil))
 	if err != nil {
-		qfevent.PeerFailed.Log(&e.platform.Logger, address, err)
+		qfevent.PeerFailed.Log(&e.platform.Logger, to.Address(), err)
 		return
 	}
 	e.applyDigest(&answer)
@@ -130,8 +129,8 @@
 	}
 }
 
-// buildDigest builds the digest for a peer.
-func (e *Entry) buildDigest(to *qf.Node, wants []qf.AvailabilityZone) qf.Digest {
+// buildDigest builds the digest for a peer or a seed.
+func (e *Entry) buildDigest(to qf.Recipient, wants []qf.AvailabilityZone) qf.Digest {
 	now := e.now()
 	d := qf.Digest{SentAt: e.fleetClock.localTime(now), RolloutPlans: e.picker.rolloutPlans(), Store: e.storeEra.get()}
 	e.poisonFilter.fillDigest(now, &d)
@@ -141,14 +140,16 @@
 	e.membership.FillDigest(now, &d, to, wants)
 	isGrouped := e.membership.IsGrouped()
 	e.mu.Unlock()
-	if !isGrouped && to != nil {
-		d.Tally = e.buildTally(to)
+	if node, isKnown := to.Node(); isKnown {
+		if !isGrouped {
+			d.Tally = e.buildTally(&node)
+		}
+		d.WantsUsage = e.wantsUsageOf(now, &node, isGrouped)
 	}
-	d.WantsUsage = e.wantsUsageOf(now, to, isGrouped)
 	e.fillLimits(now, &d, isGrouped)
 	d.Leaving = e.listLeaves(now)
 	d.CutOff, d.IsCutOff = e.monitor.listCutOff()
-	if isGrouped && (to == nil || to.AvailabilityZone != d.From.AvailabilityZone) {
+	if isGrouped && !to.IsInZone(d.From.AvailabilityZone) {
 		return d // Load in progress is sent only within the zone.
 	}
 	e.picker.mu.Lock()
@@ -189,7 +190,7 @@
 	if digest.Tally.Scope != "" && e.isGrouped() {
 		answer = e.buildTallyDigest(&digest.From)
 	} else {
-		answer = e.buildDigest(&digest.From, digest.Wants)
+		answer = e.buildDigest(qf.NodeRecipient(&digest.From), digest.Wants)
 	}
 	if digest.WantsUsage {
 		answer.UsageRecords = e.listUsageRecords()
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -55,6 +55,8 @@
 	numbers []int
 	// hasFairShares is set for nodes that divide room in a shortage.
 	hasFairShares bool
+	// seeds are the peer addresses that the nodes' settings name.
+	seeds []netip.AddrPort
 	// process holds the limits of the nodes' processes; zero means that there are none.
 	process qf.ProcessLimits
 	// log holds the log lines of all nodes.
@@ -248,7 +250,7 @@
 			Region: regions[qf.AvailabilityZone(zone)], CallerAddress: at(1), PeerAddress: at(2),
 		},
 		ReadyAddress: at(3), DirectoryAddress: at(4), Regions: regions, HasUsageDuty: true, ChecksFencing: true, FairShares: w.hasFairShares,
-		Process:    w.process,
+		Process: w.process, Seeds: w.seeds,
 		FirstStart: w.clock.Now().Sub(w.began) < settle,
 		Bounds: qf.DeploymentBounds{
 			StopGrace: 8 * time.Second, LeaseFor: 3 * time.Second, RetryShare: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
--- a/internal/entry/usagehandover.go
+++ b/internal/entry/usagehandover.go
@@ -47,7 +47,7 @@
 // wantsUsageOf reports whether a peer is to be asked now for the usage that it has recorded. In a large fleet only
 // peers of the own zone are: relays sum their zone's nodes.
 func (e *Entry) wantsUsageOf(now time.Time, peer *qf.Node, isGrouped bool) bool {
-	if peer == nil || isGrouped && peer.AvailabilityZone != e.deployment.Self.AvailabilityZone {
+	if isGrouped && peer.AvailabilityZone != e.deployment.Self.AvailabilityZone {
 		return false
 	}
 	// Nodes that stop may send their counts to the former relay for a moment.
--- a/internal/node/feeds.go
+++ b/internal/node/feeds.go
@@ -227,7 +227,7 @@
 	peers := n.membership.ChooseTargets(now, n.platform.Random, n.hasUrgentUpdates.Swap(false))
 	digests := make([]qf.Digest, 0, len(peers))
 	for i := range peers {
-		digests = append(digests, n.buildDigest(now, &peers[i], nil))
+		digests = append(digests, n.buildDigest(now, qf.NodeRecipient(&peers[i]), nil))
 	}
 	isIsolated := n.membership.IsIsolated(now)
 	n.mu.Unlock()
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -7,7 +7,7 @@
 )
 
 // buildDigest returns the digest for a peer. The caller holds the lock.
-func (n *Node) buildDigest(now time.Time, to *qf.Node, wants []qf.AvailabilityZone) qf.Digest {
+func (n *Node) buildDigest(now time.Time, to qf.Recipient, wants []qf.AvailabilityZone) qf.Digest {
 	self := n.membership.Self()
 	self.CatalogueRevision = n.catalogue.Revision()
 	self.CatalogueAge = n.follower.Age(now)
@@ -47,7 +47,7 @@
 	now := n.now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.buildDigest(now, &digest.From, digest.Wants)
+	return n.buildDigest(now, qf.NodeRecipient(&digest.From), digest.Wants)
 }
 
 // CatalogueNewerThan implements qfrpc.Handler.
--- a/internal/qf/coordination/qfmember/fleet_test.go
+++ b/internal/qf/coordination/qfmember/fleet_test.go
@@ -88,11 +88,11 @@
 		return
 	}
 	request := qf.Digest{From: s.members[from].Self()}
-	s.members[from].FillDigest(s.now, &request, &to, nil)
+	s.members[from].FillDigest(s.now, &request, qf.NodeRecipient(&to), nil)
 	s.deliver(from, other, &request)
 	response := qf.Digest{From: s.members[other].Self()}
 	sender := s.members[from].Self()
-	s.members[other].FillDigest(s.now, &response, &sender, request.Wants)
+	s.members[other].FillDigest(s.now, &response, qf.NodeRecipient(&sender), request.Wants)
 	s.deliver(other, from, &response)
 }
 
--- a/internal/qf/coordination/qfmember/zones.go
+++ b/internal/qf/coordination/qfmember/zones.go
@@ -168,16 +168,16 @@
 	return targets
 }
 
-// FillDigest sets the membership fields of a digest to a peer. wants holds the zones whose
-// lists the peer requested.
-func (m *Membership) FillDigest(now time.Time, digest *qf.Digest, to *qf.Node, wants []qf.AvailabilityZone) {
+// FillDigest sets the membership fields of a digest. wants holds the zones whose lists the
+// recipient requested.
+func (m *Membership) FillDigest(now time.Time, digest *qf.Digest, to qf.Recipient, wants []qf.AvailabilityZone) {
 	if !m.isGrouped() {
 		digest.Nodes = m.Peers(now)
 		digest.Departures = m.Departures(now)
 		return
 	}
 	digest.Departures = m.recentDepartures(now)
-	if to.AvailabilityZone == m.self.AvailabilityZone {
+	if to.IsInZone(m.self.AvailabilityZone) {
 		digest.Beats = m.heartbeats(now)
 	}
 	digest.Zones = m.summaries(now)
