qfmember: a node that has lost members from its view gets them back, whatever size it takes the fleet for

Callers saw: addresses of a part of the fleet only, for good, from nodes that were cut off from all others for some seconds or more. The views in a simulated fleet: the nodes know 11 or 12 others, want the list of the zone that they lack, and send no wants. Cause: an isolated relay lists its zone's members as gone, others remove them, and a node that is left with 16 nodes or fewer takes the fleet for a small one. Only nodes of large fleets asked for lists; peers that know a large fleet send summaries, and answered the tally in a small fleet's digest with a tally only. Change: a node that is sent summaries asks for the lists it lacks and begins exchanges, whatever the size of its view; its question is answered.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -44,6 +44,7 @@
 	e.membership.RaiseHeartbeat(now, e.configuration.Revision(), int(e.inProgress.Load()))
 	targets := e.membership.ChooseTargets(now, e.random, false)
 	isGrouped := e.membership.IsGrouped()
+	waits := !isGrouped && !e.membership.ReceivesSummaries(now)
 	relays := e.membership.Relays(now, e.hasRelayFailed(now))
 	e.relays = relays
 	e.mu.Unlock()
@@ -63,8 +64,8 @@
 	}
 	for i := range targets {
 		target := targets[i]
-		// Of two nodes the one with the higher name waits: one exchange updates both.
-		if !isGrouped && target.ID < e.deployment.Self.ID && target.State == qf.NodeLive {
+		// Of two nodes with full views the one with the higher name waits: one exchange updates both.
+		if waits && target.ID < e.deployment.Self.ID && target.State == qf.NodeLive {
 			continue
 		}
 		e.background.Go(func() { e.exchangeWith(ctx, qf.NodeRecipient(&target)) })
@@ -187,7 +188,7 @@
 func (e *Entry) Exchange(digest qf.Digest) qf.Digest {
 	e.applyDigest(&digest)
 	var answer qf.Digest
-	if digest.Tally.Scope != "" && e.isGrouped() {
+	if digest.Tally.Scope != "" && len(digest.Wants) == 0 && e.isGrouped() {
 		answer = e.buildTallyDigest(&digest.From)
 	} else {
 		answer = e.buildDigest(qf.NodeRecipient(&digest.From), digest.Wants)
--- a/internal/entry/lastnode_test.go
+++ b/internal/entry/lastnode_test.go
@@ -98,3 +98,27 @@
 		}
 	}
 }
+
+// TestNodesFindEachOtherAfterIsolation fails if nodes that were all cut off from each other don't name all of them to callers again,
+// because a node that had lost some from its view takes the fleet for a small one and isn't sent lists of members.
+func TestNodesFindEachOtherAfterIsolation(t *testing.T) {
+	const foundWithin = 15 * time.Second
+	for _, nodes := range []int{2, 15, 16, 17, 18, 24} {
+		for _, outage := range []time.Duration{5 * time.Second, 20 * time.Second, 40 * time.Second} {
+			t.Run(fmt.Sprintf("%d nodes, %s", nodes, outage), func(t *testing.T) {
+				runPreparedFleet(t, nodes, (*testFleet).seedFirstNodes, func(w *testFleet) {
+					w.sleep(settle)
+					w.loseAllBut(nodes)
+					w.sleep(outage)
+					w.network.Heal()
+					w.sleep(foundWithin)
+					for number := 1; number <= nodes; number++ {
+						if named := len(w.directory(number, "north-a")) + len(w.directory(number, "south-a")); named != nodes {
+							t.Errorf("node-%d names %d nodes of %d", number, named, nodes)
+						}
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/qf/coordination/qfmember/zones.go
+++ b/internal/qf/coordination/qfmember/zones.go
@@ -174,6 +174,9 @@
 	if !m.isGrouped() {
 		digest.Nodes = m.Peers(now)
 		digest.Departures = m.Departures(now)
+		if m.ReceivesSummaries(now) {
+			digest.Wants = m.wants(now)
+		}
 		return
 	}
 	digest.Departures = m.recentDepartures(now)
@@ -187,6 +190,22 @@
 	}
 }
 
+// ReceivesSummaries reports whether peers send summaries of zones although this node knows few members: then it has
+// lost some, and the peers list them only if asked.
+func (m *Membership) ReceivesSummaries(now time.Time) bool {
+	for _, z := range m.zones {
+		if m.isFresh(now, z) {
+			return true
+		}
+	}
+	return m.needsOwnZone
+}
+
+// isFresh reports whether a relay of a zone still sends summaries.
+func (m *Membership) isFresh(now time.Time, z *zoneView) bool {
+	return now.Sub(z.updatedAt) < m.timing.DeadAfter
+}
+
 // recentDepartures returns the departures that are still passed on.
 func (m *Membership) recentDepartures(now time.Time) []qf.Departure {
 	var recentDepartures []qf.Departure
@@ -220,7 +239,7 @@
 		summaries = append(summaries, m.summarize(now))
 	}
 	for zone, z := range m.zones {
-		if zone != m.self.AvailabilityZone && now.Sub(z.updatedAt) < m.timing.DeadAfter {
+		if zone != m.self.AvailabilityZone && m.isFresh(now, z) {
 			summaries = append(summaries, z.latest)
 		}
 	}
