qfsuspect: a refused request stays refused until one trial of it is answered

Others' streams at these endpoints break. Cause: a suspicion ended 40 s after the last death by each node's clock, and all deaths counted as expired at all nodes in one instant. A second endpoint of an attempt wasn't asked about, and a new death waited for the next exchange. Change: a trial ends a refusal, not the time. One node of all, chosen by the fingerprint, decides on it (Digest.TrialClaim). A refused request and its trial aren't retried; a death is pushed at once; a single death counts for ten minutes. An answer clears the deaths before the trial too.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -186,6 +186,9 @@
 
 // Exchange implements qfrpc.Handler.
 func (e *Entry) Exchange(digest qf.Digest) qf.Digest {
+	if digest.TrialClaim != 0 {
+		return e.poisonFilter.answerTrialClaim(&digest)
+	}
 	e.applyDigest(&digest)
 	var answer qf.Digest
 	if digest.Tally.Scope != "" && len(digest.Wants) == 0 && e.isGrouped() {
--- a/internal/entry/partfilter.go
+++ b/internal/entry/partfilter.go
@@ -76,7 +76,10 @@
 func (f *poisonFilter) MayRetry(content *qf.RequestContent, entry qf.EntryName) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.parts.MayHaveCrashed(partFingerprints(content, entry))
+	if f.parts.MayHaveCrashed(partFingerprints(content, entry)) {
+		return false
+	}
+	return !f.suspects.HasSuspects() || !f.suspects.MayHaveCrashed(f.entry.now(), fingerprint(content))
 }
 
 // mergeParts merges a peer's suspicions of parts. The caller must hold f.mu.
--- a/internal/entry/poisonfilter.go
+++ b/internal/entry/poisonfilter.go
@@ -17,10 +17,15 @@
 	// maxDeaths is the number of endpoints that may die with a request in progress
 	// before the request is refused.
 	maxDeaths = 2
-	// suspicionExpiry is how long a suspicion lasts after its latest change.
-	suspicionExpiry = 40 * time.Second
+	// suspicionExpiry is how long a request is suspected after an endpoint's death that no answer to it followed.
+	suspicionExpiry = 10 * time.Minute
+	// trialAfter is the time until a refused request is tried.
+	trialAfter = 40 * time.Second
 )
 
+// suspectConfig holds the settings for whole requests.
+var suspectConfig = qfsuspect.Config{MaxDeaths: maxDeaths, ExpireAfter: suspicionExpiry, TrialAfter: trialAfter}
+
 // poisonFilter implements qf.PoisonFilter: it refuses requests that crash endpoints, and those
 // with a part of a prompt that does.
 type poisonFilter struct {
@@ -40,7 +45,7 @@
 func newPoisonFilter(e *Entry) *poisonFilter {
 	loggedAt, _ := simplelru.NewLRU[uint64, time.Time](maxLoggedParts, nil) // Fails only for a size below 1.
 	return &poisonFilter{
-		entry: e, suspects: qfsuspect.New(qfsuspect.Config{MaxDeaths: maxDeaths, ExpireAfter: suspicionExpiry}),
+		entry: e, suspects: qfsuspect.New(suspectConfig),
 		parts: qfsuspect.NewPartTracker(partConfig), checking: map[qf.DeathID]bool{}, confirming: map[qf.DeathID]bool{}, loggedAt: loggedAt,
 	}
 }
@@ -55,17 +60,18 @@
 
 // CheckRequest implements qf.PoisonFilter.
 func (f *poisonFilter) CheckRequest(now time.Time, content *qf.RequestContent) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if err := f.checkParts(now, content); err != nil {
+	verdict, print, err := f.checkContent(now, content)
+	if err != nil {
 		return err
 	}
-	if !f.suspects.HasSuspects() {
-		return nil
-	}
-	verdict := f.suspects.CheckRequest(now, fingerprint(content))
-	if verdict.Treatment != qfsuspect.TreatRefused {
+	switch verdict.Treatment {
+	case qfsuspect.TreatNormally, qfsuspect.TreatIsolated:
 		return nil
+	case qfsuspect.TreatTrial:
+		if f.claimTrial(print) {
+			qfevent.SuspectTried.Log(&f.entry.platform.Logger, content.ID, content.Target)
+			return nil
+		}
 	}
 	qfevent.SuspectRefused.Log(&f.entry.platform.Logger, content.ID, content.Target)
 	return &qf.Error{
@@ -74,6 +80,21 @@
 	}
 }
 
+// checkContent judges a request by its parts and as a whole, and returns its fingerprint.
+func (f *poisonFilter) checkContent(now time.Time, content *qf.RequestContent) (verdict qfsuspect.Verdict, print uint64, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	verdict.Treatment = qfsuspect.TreatNormally
+	if err := f.checkParts(now, content); err != nil {
+		return verdict, 0, err
+	}
+	if f.suspects.HasSuspects() {
+		print = fingerprint(content)
+		verdict = f.suspects.CheckRequest(now, print)
+	}
+	return verdict, print, nil
+}
+
 // RecordAttemptEnd implements qf.PoisonFilter.
 func (f *poisonFilter) RecordAttemptEnd(attempt *qf.EndedAttempt) {
 	switch {
@@ -167,10 +188,8 @@
 	blamed := f.parts.RecordDeath(now, death)
 	incarnation := qfsuspect.IdentifyIncarnation(endpoint)
 	hadBroken := f.suspects.HasBrokenAttempt(incarnation)
-	if hadBroken {
-		f.suspects.RecordDeath(now, qfsuspect.Death{Endpoint: incarnation, AvailabilityZone: endpoint.AvailabilityZone})
-	}
-	if len(blamed) > 0 {
+	isNew := hadBroken && f.suspects.RecordDeath(now, qfsuspect.Death{Endpoint: incarnation, AvailabilityZone: endpoint.AvailabilityZone})
+	if isNew || len(blamed) > 0 {
 		f.entry.pushUrgent()
 	}
 	if hadBroken || len(blamed) > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,6 +174,7 @@
 		suspects: qfsuspect.New(qfsuspect.Config{
 			MaxDeaths:   settings.Request.MaxSuspectAttempts + 1,
 			ExpireAfter: settings.Request.SuspectsFor.Value(),
+			TrialAfter:  settings.Request.SuspectsFor.Value(),
 		}),
 		suspectEndpoints: map[qf.RequestID]qf.EndpointID{},
 		deadUntil:        map[qf.EndpointID]time.Time{},
--- a/internal/node/suspect.go
+++ b/internal/node/suspect.go
@@ -112,10 +112,17 @@
 // error with CodeSuspect if the request must not run.
 func (n *Node) checkSuspect(now time.Time, request *qf.Request) (isSuspect bool, err error) {
 	n.mu.Lock()
-	decision := n.suspects.CheckRequest(now, qfsuspect.Fingerprint(request))
+	fingerprint := qfsuspect.Fingerprint(request)
+	decision := n.suspects.CheckRequest(now, fingerprint)
+	if decision.Treatment == qfsuspect.TreatTrial && n.suspects.ClaimTrial(now, fingerprint) {
+		decision.Treatment = qfsuspect.TreatIsolated // All nodes together permit one by claimAttempt.
+	}
 	n.mu.Unlock()
-	if decision.Treatment != qfsuspect.TreatRefused {
-		return decision.Treatment == qfsuspect.TreatIsolated, nil
+	switch decision.Treatment {
+	case qfsuspect.TreatNormally:
+		return false, nil
+	case qfsuspect.TreatIsolated:
+		return true, nil
 	}
 	qfevent.SuspectRefused.Log(&n.platform.Logger, request.ID, request.Entry)
 	return true, &qf.Error{
@@ -201,7 +208,7 @@
 	}
 	var others []qf.EndpointID
 	for i := range n.endpoints {
-		if e := n.endpoints[i].ID; qfsuspect.ChooseTrialNode(live, e) != live[0] {
+		if e := n.endpoints[i].ID; qfsuspect.ChooseTrialNode(live, string(e)) != live[0] {
 			others = append(others, e)
 		}
 	}
--- a/internal/qf/coordination/qfsuspect/check.go
+++ b/internal/qf/coordination/qfsuspect/check.go
@@ -21,13 +21,16 @@
 	TreatIsolated Treatment = "Suspect"
 	// TreatRefused is for a request that killed MaxDeaths endpoints.
 	TreatRefused Treatment = "Refused"
+	// TreatTrial is for a refused request whose trial is due: it may run if it gets the trial, which one
+	// request of all nodes does.
+	TreatTrial Treatment = "Trial"
 )
 
 // Verdict is the treatment of a request with its reason.
 type Verdict struct {
 	Treatment Treatment
 	Reason    qf.Reason
-	// RetryAfter is the time until the suspicion expires.
+	// RetryAfter is the time until a refused request may be tried.
 	RetryAfter time.Duration
 }
 
@@ -58,20 +61,25 @@
 	counted := s.countedDeaths(u)
 	deaths := len(counted)
 	v := Verdict{
-		Treatment:  TreatIsolated,
-		Reason:     qf.Reason{Rule: "EndpointsDied", Figures: []qf.Figure{{Name: "Deaths", Value: float64(deaths)}}},
-		RetryAfter: s.expiry(u) - now.Sub(u.updatedAt),
+		Treatment: TreatIsolated,
+		Reason:    qf.Reason{Rule: "EndpointsDied", Figures: []qf.Figure{{Name: "Deaths", Value: float64(deaths)}}},
 	}
-	switch {
-	case deaths == 0:
+	switch due := s.trialDue(u, counted); {
+	case !s.isRefused(u, counted) && deaths == 0:
 		return Verdict{Treatment: TreatNormally}
-	case deaths >= s.maxDeaths(u):
-		v.Treatment = TreatRefused
+	case !s.isRefused(u, counted):
+	case !now.Before(due):
+		v.Treatment, v.RetryAfter = TreatTrial, lostTrialRetryAfter
+	default:
+		v.Treatment, v.RetryAfter = TreatRefused, due.Sub(now)
 		s.mayTry(now, u, counted, &v)
 	}
 	return v
 }
 
+// lostTrialRetryAfter is the time after which a request may come back whose trial is due but was given to another one.
+const lostTrialRetryAfter = time.Second
+
 // burstTrialAfter is the time until a request is tried that is refused for deaths which were all close together: it may
 // have been in progress at each of them by chance, and a retry too.
 const burstTrialAfter = 2 * time.Second
@@ -90,25 +98,25 @@
 	case last.Sub(first) > waveWindow:
 		return
 	}
-	due := latest(last, u.trialAt).Add(burstTrialAfter)
-	if u.trialAt.IsZero() && s.mayBlameOthers(u, counted) {
+	due := latest(last, u.burstTrialAt).Add(burstTrialAfter)
+	if u.burstTrialAt.IsZero() && s.mayBlameOthers(u, counted) {
 		due = now
 	}
 	if now.Before(due) {
 		v.RetryAfter = due.Sub(now)
 		return
 	}
-	u.trialAt = now
+	u.burstTrialAt = now
 	v.Treatment = TreatIsolated
 }
 
 // mayTryAtPeer makes a refused request a trial, once, at a node that has heard of some of the deaths only: if they are just as many as
 // refuse it, and another request was in progress at each. If it crashes the next endpoint, all nodes refuse it.
 func (s *Tracker) mayTryAtPeer(now time.Time, u *suspect, counted []qf.EndpointID, v *Verdict) {
-	if len(counted) > s.config.MaxDeaths || !u.trialAt.IsZero() || !s.mayBlameOthers(u, counted) {
+	if len(counted) > s.config.MaxDeaths || !u.burstTrialAt.IsZero() || !s.mayBlameOthers(u, counted) {
 		return
 	}
-	u.trialAt = now
+	u.burstTrialAt = now
 	v.Treatment = TreatIsolated
 }
 
@@ -163,64 +171,69 @@
 	return occupied
 }
 
-// ChooseTrialNode returns the node that may run suspects at an endpoint. It uses
+// ChooseTrialNode returns the node that decides on trials of a subject: of suspects at an endpoint, or of a request. It uses
 // rendezvous hashing, so nodes with the same membership agree.
-func ChooseTrialNode(nodes []qf.NodeID, endpoint qf.EndpointID) qf.NodeID {
+func ChooseTrialNode(nodes []qf.NodeID, subject string) qf.NodeID {
 	var owner qf.NodeID
 	var highest uint64
 	for _, n := range nodes {
-		if h := xxhash.Sum64String(string(n) + "\x00" + string(endpoint)); owner == "" || h > highest {
+		if h := xxhash.Sum64String(string(n) + "\x00" + subject); owner == "" || h > highest {
 			owner, highest = n, h
 		}
 	}
 	return owner
 }
 
-// ListSuspicions returns the suspicions to send to peers. A death is included at
-// once; if it later proves to be part of a reclaim wave, it is listed as cleared.
+// ListSuspicions returns the suspicions to send to peers: those that changed a short time ago, and the latest of
+// the refused requests. A death is included at once; if it later proves to be part of a reclaim wave, it is listed as cleared.
 func (s *Tracker) ListSuspicions(now time.Time) []qf.Suspicion {
 	s.settleWaves(now)
 	var suspicions []qf.Suspicion
+	for _, f := range s.listed(now) {
+		u, _ := s.suspects.Peek(f)
+		suspicions = append(suspicions, u.describe(now, f))
+	}
+	return suspicions
+}
+
+// listed returns the fingerprints of the suspicions for peers.
+func (s *Tracker) listed(now time.Time) []uint64 {
+	var recent, refused []uint64
+	changedAt := func(f uint64) time.Time {
+		u, _ := s.suspects.Peek(f)
+		return u.changedAt()
+	}
 	for _, f := range s.suspects.Keys() {
 		u, _ := s.suspects.Peek(f)
-		age := now.Sub(u.updatedAt)
-		if age <= s.expiry(u) {
-			suspicions = append(suspicions, qf.Suspicion{
-				Fingerprint: f, Deaths: slices.Clone(u.deaths), Cleared: slices.Clone(u.cleared), Age: age,
-				Expired: slices.Clone(u.expired), Relapses: u.relapses,
-			})
+		age := now.Sub(u.changedAt())
+		switch {
+		case age <= s.config.TrialAfter:
+			recent = append(recent, f)
+		case age <= s.keepFor(u) && s.isRefused(u, s.countedDeaths(u)):
+			refused = append(refused, f)
 		}
 	}
-	return suspicions
+	slices.SortFunc(refused, func(a, b uint64) int { return changedAt(b).Compare(changedAt(a)) })
+	return append(recent, refused[:min(len(refused), maxListedRequests)]...)
 }
 
+// maxListedRequests bounds the refused requests in a message to a peer whose suspicion hasn't changed lately.
+const maxListedRequests = 24
+
 // MergeSuspicions adds the suspicions that a peer sent. Each carries its age, so
 // that a suspicion expires although nodes keep sending it to each other.
 func (s *Tracker) MergeSuspicions(now time.Time, suspicions []qf.Suspicion) {
-	for _, n := range suspicions {
-		if n.Age > s.expiry(&suspect{relapses: n.Relapses}) {
+	for i := range suspicions {
+		n := &suspicions[i]
+		received := &suspect{}
+		received.merge(now, n)
+		if now.Sub(received.changedAt()) > s.keepFor(received) {
 			continue
 		}
-		u, ok := s.suspects.Peek(n.Fingerprint)
-		if !ok {
-			u = &suspect{updatedAt: now.Add(-n.Age)}
-			s.suspects.Add(n.Fingerprint, u)
-		}
-		if at := now.Add(-n.Age); at.After(u.updatedAt) {
-			u.updatedAt = at
-		}
-		u.deaths = union(u.deaths, n.Deaths)
-		u.cleared = union(u.cleared, n.Cleared)
-		u.expired = union(u.expired, n.Expired)
-		u.relapses = max(u.relapses, n.Relapses)
-	}
-}
-
-func union(known, added []qf.EndpointID) []qf.EndpointID {
-	for _, e := range added {
-		if !slices.Contains(known, e) {
-			known = append(known, e)
+		if u, ok := s.suspects.Peek(n.Fingerprint); ok {
+			u.merge(now, n)
+		} else {
+			s.suspects.Add(n.Fingerprint, received)
 		}
 	}
-	return known
 }
--- a/internal/qf/coordination/qfsuspect/suspects.go
+++ b/internal/qf/coordination/qfsuspect/suspects.go
@@ -15,8 +15,11 @@
 type Config struct {
 	// MaxDeaths is the number of endpoint deaths after which a request is refused.
 	MaxDeaths int
-	// ExpireAfter is how long a suspicion lasts after its last update.
+	// ExpireAfter is how long the suspicion of a request that isn't refused lasts after its last update.
 	ExpireAfter time.Duration
+	// TrialAfter is the time until a refused request is tried. Each trial that ends with another
+	// death makes it trialBackoff times as long.
+	TrialAfter time.Duration
 }
 
 const (
@@ -26,29 +29,13 @@
 	// waveWindow is the time within which deaths in one availability zone that have no
 	// request in common may be a wave of reclaims.
 	waveWindow = 2 * time.Second
-	// expiryBackoff and maxExpiry bound how long a request is refused that crashes endpoints again
-	// after its suspicion has expired.
-	expiryBackoff = 4
-	maxExpiry     = time.Hour
+	// forgetAfter is how long after its trial is due a refused request is forgotten that doesn't come again.
+	forgetAfter = time.Hour
 	// maxSuspects and maxBrokenAttempts bound the memory; the oldest are dropped first.
 	maxSuspects       = 2048
 	maxBrokenAttempts = 2048
 )
 
-// suspect holds what is recorded for one fingerprint. The lists only grow.
-type suspect struct {
-	deaths, cleared []qf.EndpointID
-	// expired holds the deaths for which the request was refused until the suspicion expired, and
-	// relapses counts how often that was.
-	expired   []qf.EndpointID
-	relapses  int
-	updatedAt time.Time
-	// blamedAt holds when this node blamed the request for a death, trialAt is when the request was last tried
-	// although it is refused.
-	blamedAt map[qf.EndpointID]time.Time
-	trialAt  time.Time
-}
-
 // brokenAttempt is an attempt whose connection broke and which may have killed its
 // endpoint.
 type brokenAttempt struct {
@@ -278,48 +265,33 @@
 	if u == nil {
 		return false
 	}
-	counted := s.countedDeaths(u)
-	u.cleared = append(u.cleared, counted...)
-	u.relapses, u.trialAt = 0, time.Time{}
+	wasSuspect = u.relapses > 0 || len(s.countedDeaths(u)) > 0
+	u.cleared = union(u.cleared, s.countedDeaths(u))
+	u.cleared = union(u.cleared, u.expired)
+	u.burstTrialAt = time.Time{}
+	u.endTrials()
 	u.updatedAt = now
-	return len(counted) > 0
+	return wasSuspect
 }
 
-// lookUp returns the suspect, or nil if there is none or it expired. One that was refused until
-// then stays: it is refused again, for longer, after one more death.
+// lookUp returns the suspect, or nil if there is none or it expired.
 func (s *Tracker) lookUp(now time.Time, fingerprint uint64) *suspect {
 	s.settleWaves(now)
 	u, ok := s.suspects.Get(fingerprint)
 	if !ok {
 		return nil
 	}
-	if age := now.Sub(u.updatedAt); age > s.expiry(u) {
-		counted := s.countedDeaths(u)
-		switch {
-		case len(counted) >= s.maxDeaths(u):
-			u.expired = append(u.expired, counted...)
-			u.relapses++
-		case u.relapses == 0 || age > maxExpiry:
-			s.suspects.Remove(fingerprint)
-			return nil
-		}
+	if now.Sub(u.changedAt()) > s.keepFor(u) {
+		s.suspects.Remove(fingerprint)
+		return nil
 	}
 	return u
 }
 
-// expiry returns how long the suspicion of a request lasts after its last update.
-func (s *Tracker) expiry(u *suspect) time.Duration {
-	expiry := s.config.ExpireAfter
-	for range u.relapses {
-		expiry = min(expiry*expiryBackoff, max(maxExpiry, s.config.ExpireAfter))
-	}
-	return expiry
-}
-
-// maxDeaths returns the number of deaths from which a request is refused.
-func (s *Tracker) maxDeaths(u *suspect) int {
-	if u.relapses > 0 {
-		return 1
+// keepFor returns how long a suspicion is kept after its last change.
+func (s *Tracker) keepFor(u *suspect) time.Duration {
+	if counted := s.countedDeaths(u); s.isRefused(u, counted) {
+		return s.trialDelay(u, counted) + forgetAfter
 	}
-	return s.config.MaxDeaths
+	return s.config.ExpireAfter
 }
--- a/internal/qf/peer.go
+++ b/internal/qf/peer.go
@@ -95,10 +95,12 @@
 	Cleared []EndpointID
 	// Age is the time since the fingerprint's latest change.
 	Age time.Duration
-	// Expired lists those of the deaths for which the request was refused until the suspicion
-	// expired, Relapses counts how often that was.
+	// Expired lists those of the deaths for which the request was refused until it was tried, Relapses
+	// counts the trials.
 	Expired  []EndpointID
 	Relapses int
+	// TrialAge is the time since the latest trial; 0 means never.
+	TrialAge time.Duration
 }
 
 // DeathID identifies the end of one incarnation of an endpoint.
@@ -281,6 +283,10 @@
 	// WantsZoneUsage asks a relay for the usage of the nodes of its zone, without the sender; ZoneUsage is the answer.
 	WantsZoneUsage bool
 	ZoneUsage      []UsageCount
+	// TrialClaim asks the receiver whether a refused request with this fingerprint may be tried now; Suspicions then holds
+	// what the sender knows of it. IsTrialGranted is the answer, which holds what the receiver knows.
+	TrialClaim     uint64
+	IsTrialGranted bool
 }
 
 // EndpointSpeed is a measurement of an endpoint's lasting speed against the mean of its version.
