entry: suspicions of requests outlast all nodes, and requests wait for them at a start

Others' streams at these endpoints break. Cause: suspicions of requests were in the nodes' memory only. The row of refused parts was read beside the first requests. Change: the holder of the lease also writes suspects/requests, all requests with a death that no answer has cleared; a node that starts holds requests until both rows are read, for a second at most. suspects/parts is as it was, so that a holder of an older build takes nothing away. Also: partstore.go is suspicionstore.go, one step for both rows; event 212 names both.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -34,8 +34,8 @@
 	reporter *qfusage.Reporter
 	planners map[qf.EntryName]*qffleet.ZonalPlanner
 	rollouts *rolloutDriver
-	// partStore stores the refused parts of prompts while the lease is held.
-	partStore *partStore
+	// suspicionStore stores the suspicions while the lease is held.
+	suspicionStore *suspicionStore
 	// isOrderRefused is set once an order was refused after the lease had expired.
 	isOrderRefused bool
 	// desiredSizes holds the number of endpoints that each entry needs, where known.
@@ -83,7 +83,7 @@
 	}
 	if isHeld {
 		d.rollouts.step(ctx)
-		d.partStore.step(ctx)
+		d.suspicionStore.step(ctx)
 	}
 	if isHeld && e.deployment.HasUsageDuty {
 		d.reportUsage(ctx)
@@ -101,7 +101,7 @@
 	d.reporter = qfusage.NewReporter(e.admission.usage, now, e.deployment.Bounds.UsageWithin)
 	d.planners = map[qf.EntryName]*qffleet.ZonalPlanner{}
 	d.rollouts = newRolloutDriver(e)
-	d.partStore = &partStore{entry: e}
+	d.suspicionStore = newSuspicionStore(e)
 	d.storedSizes = map[qf.EntryName]bool{}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,9 +124,12 @@
 	registeredIn atomic.Uint64
 	// nodesEra is the store's era of the last snapshot of the nodes that was read.
 	nodesEra atomic.Uint64
-	// loaded is closed once the configuration and the endpoints are loaded.
-	loaded     chan struct{}
-	loadedOnce sync.Once
+	// hasSuspicions is set once the stored suspicions were read.
+	hasSuspicions atomic.Bool
+	// canServe is closed once the configuration and the endpoints are loaded, loaded once the suspicions are too: held
+	// requests wait for it.
+	canServe, loaded         chan struct{}
+	canServeOnce, loadedOnce sync.Once
 
 	inProgress atomic.Int64
 	// transfers is the number of reads of feeds and configurations in progress.
@@ -154,7 +157,7 @@
 	deployment.Self.State = qf.NodeLive
 	e := &Entry{
 		deployment: deployment, platform: platform, startedAt: now, random: platform.Random, seeds: deployment.Seeds,
-		relayFailedAt: map[qf.NodeID]time.Time{}, relayStaleAt: map[qf.NodeID]time.Time{}, loaded: make(chan struct{}), nodesRead: make(chan struct{}),
+		relayFailedAt: map[qf.NodeID]time.Time{}, relayStaleAt: map[qf.NodeID]time.Time{}, canServe: make(chan struct{}), loaded: make(chan struct{}), nodesRead: make(chan struct{}),
 		registerAgain: make(chan struct{}, 1),
 	}
 	e.configurationFetcher.entry = e
@@ -238,7 +241,7 @@
 	e.background.Go(func() { e.updateEndpointsLoop(loops) })
 	e.background.Go(func() { e.exchangeLoop(loops) })
 	e.background.Go(func() { e.registerLoop(loops) })
-	e.background.Go(func() { e.loadRefusedParts(loops) })
+	e.background.Go(func() { e.loadSuspicions(loops) })
 	e.background.Go(func() { e.duties.run(loops) })
 	e.background.Go(func() { e.rollBackLoop(loops) })
 	e.background.Go(func() { e.runEvery(loops, monitorInterval, e.monitor.step) })
@@ -251,9 +254,13 @@
 	return nil
 }
 
-// signalLoaded releases held requests once the configuration and the endpoints are loaded.
+// signalLoaded releases held requests once the configuration, the endpoints and the suspicions are loaded.
 func (e *Entry) signalLoaded() {
-	if e.configuration.Get() != nil && e.hasEndpoints.Load() {
+	if e.configuration.Get() == nil || !e.hasEndpoints.Load() {
+		return
+	}
+	e.canServeOnce.Do(func() { close(e.canServe) })
+	if e.hasSuspicions.Load() {
 		e.loadedOnce.Do(func() { close(e.loaded) })
 	}
 }
--- a/internal/entry/partfilter.go
+++ b/internal/entry/partfilter.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// mergeStored merges suspicions that were stored some time ago.
-func (f *poisonFilter) mergeStored(now time.Time, age time.Duration, suspicions []qf.PartSuspicion) {
+// mergeStoredParts merges suspicions that were stored some time ago.
+func (f *poisonFilter) mergeStoredParts(now time.Time, age time.Duration, suspicions []qf.PartSuspicion) {
 	for i := range suspicions {
 		n := &suspicions[i]
 		n.Age += age
--- a/internal/entry/poisonfilter.go
+++ b/internal/entry/poisonfilter.go
@@ -214,3 +214,24 @@
 	f.suspects.MergeSuspicions(now, d.Suspicions)
 	f.mergeParts(now, d.PartSuspicions)
 }
+
+// mergeStoredRequests merges suspicions that were stored some time ago.
+func (f *poisonFilter) mergeStoredRequests(now time.Time, age time.Duration, suspicions []qf.Suspicion) {
+	for i := range suspicions {
+		n := &suspicions[i]
+		n.Age += age
+		if n.TrialAge > 0 {
+			n.TrialAge += age
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspects.MergeSuspicions(now, suspicions)
+}
+
+// listOpenRequests returns the suspicions of requests that last when all nodes start anew.
+func (f *poisonFilter) listOpenRequests(now time.Time) []qf.Suspicion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.suspects.ListOpen(now)
+}
--- a/internal/entry/recorded_internal_test.go
+++ b/internal/entry/recorded_internal_test.go
@@ -86,3 +86,9 @@
 	qftest.CheckPlainJSON[refusedParts](t, "refused-parts")
 	qftest.CheckLines(t, "refused-parts-key", refusedPartsKey)
 }
+
+// TestSuspectedRequestsRowIsAsRecorded fails if builds can't read each other's suspicions of requests.
+func TestSuspectedRequestsRowIsAsRecorded(t *testing.T) {
+	qftest.CheckPlainJSON[suspectedRequests](t, "suspected-requests")
+	qftest.CheckLines(t, "suspected-requests-key", suspectedRequestsKey)
+}
--- a/internal/qf/coordination/qfsuspect/trial.go
+++ b/internal/qf/coordination/qfsuspect/trial.go
@@ -1,6 +1,8 @@
 package qfsuspect
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"quetzalfront/internal/qf"
@@ -53,6 +55,44 @@
 	return u != nil && s.isRefused(u, s.countedDeaths(u))
 }
 
+// ListOpen returns the suspicions with deaths that no answer has cleared: those of refused requests first, then those with
+// the most deaths, then the latest, at most maxOpen.
+func (s *Tracker) ListOpen(now time.Time) []qf.Suspicion {
+	s.settleWaves(now)
+	type open struct {
+		suspicion qf.Suspicion
+		isRefused bool
+		counted   int
+		changedAt time.Time
+	}
+	var list []open
+	for _, f := range s.suspects.Keys() {
+		u, _ := s.suspects.Peek(f)
+		counted := s.countedDeaths(u)
+		isRefused := s.isRefused(u, counted)
+		if (isRefused || len(counted) > 0) && now.Sub(u.changedAt()) <= s.keepFor(u) {
+			list = append(list, open{u.describe(now, f), isRefused, len(counted), u.changedAt()})
+		}
+	}
+	slices.SortFunc(list, func(a, b open) int {
+		switch {
+		case a.isRefused != b.isRefused && a.isRefused:
+			return -1
+		case a.isRefused != b.isRefused:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.counted, a.counted), b.changedAt.Compare(a.changedAt))
+	})
+	suspicions := make([]qf.Suspicion, min(len(list), maxOpen))
+	for i := range suspicions {
+		suspicions[i] = list[i].suspicion
+	}
+	return suspicions
+}
+
+// maxOpen bounds what is kept outside the nodes.
+const maxOpen = 64
+
 // Describe returns the suspicion of a request as it is sent to peers, if there is one.
 func (s *Tracker) Describe(now time.Time, fingerprint uint64) []qf.Suspicion {
 	u := s.lookUp(now, fingerprint)
--- a/internal/qf/state/qfevent/event.go
+++ b/internal/qf/state/qfevent/event.go
@@ -77,55 +77,55 @@
 // The events, by number. The hundreds digit is the area: 1 node, 2 request, 3
 // catalogue, 4 peers, 5 platform, 6 rollouts, 7 fleet, 8 security.
 var (
-	NodeStarted     = Event{101, info, "node started", []string{FieldNode, FieldAddress}, "Nothing."}
-	NodeLeaving     = Event{102, info, "node is leaving", []string{FieldNode, FieldReason}, "Nothing; clients reconnect to other nodes."}
-	NodeDrained     = Event{103, info, "node drained", []string{FieldNode, FieldCount}, "Nothing; Count requests were handed over."}
-	NodeStopped     = Event{104, info, "node stopped", []string{FieldNode}, "Nothing."}
-	AcceptFailed    = Event{109, warning, "a connection could not be accepted", []string{FieldAddress, FieldError}, "Look at the number of open descriptors; the listener goes on."}
-	PortDrained     = Event{111, info, "a port of a stopping node was drained", []string{FieldName, FieldOpen, FieldIdle, FieldIsQueued, FieldUnread, FieldAccepted, FieldAnswered, FieldAborted, FieldTook}, "Look at the requests in progress if Aborted isn't 0. Open connections at the start, Idle of them without a request, Unread of those with bytes that the node hadn't read; IsQueued says whether connections waited to be accepted. Accepted connections and Answered requests came after it."}
-	ServerFailed    = Event{105, failure, "a listener failed", []string{FieldAddress, FieldError}, "Check the address in the settings; the node stops."}
-	SpanEnded       = Event{151, info, "span ended", []string{FieldName, FieldTrace, FieldSpan, FieldParent, FieldTime, FieldTook, FieldDetails, FieldError}, "Nothing; follow Trace to see a request's hops over all nodes."}
-	RequestEnded    = Event{201, zerolog.DebugLevel, "request ended", []string{FieldRequest, FieldEntry, FieldOutcome}, "Nothing."}
-	RequestRefused  = Event{202, zerolog.DebugLevel, "request refused as not run", []string{FieldEntry, FieldReason}, "Look at limits and load if there are many."}
-	RequestUnknown  = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
-	RequestTaken    = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
-	HandOverFailed  = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
-	LedgerSwept     = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
-	SuspectTried    = Event{207, warning, "a request suspected of crashing endpoints is tried in isolation", []string{FieldRequest, FieldEntry}, "Run report explain with the request."}
-	SuspectRefused  = Event{208, warning, "a request suspected of crashing endpoints is refused", []string{FieldRequest, FieldEntry}, "Find its caller; look at the endpoints' logs."}
-	EndpointDied    = Event{209, warning, "an endpoint died with requests in progress", []string{FieldEndpoint, FieldReason, FieldCount, FieldParts}, "Nothing if it is rare. Parts are the fingerprints of the shared prompt parts in progress there, Count their number; a part that stands in the lines of all endpoints and in no answer crashes them."}
-	PartRefused     = Event{210, warning, "requests with a part of a prompt are refused", []string{FieldRequest, FieldParts, FieldCount, FieldAge}, "Find its caller; look at the endpoints' logs. Count endpoints died with the part in progress and no answer on it came since; Age is the time until a request with it is tried."}
-	PartTried       = Event{211, warning, "a request is tried although requests with one of its parts are refused", []string{FieldRequest, FieldParts, FieldCount}, "Nothing; if it is answered the part is allowed again."}
-	PartsNotKept    = Event{212, warning, "the refused parts of prompts could not be stored or read", []string{FieldName, FieldError}, "Nothing at once; nodes get them from each other. They are lost if all nodes start anew meanwhile."}
-	ShadowAdopted   = Event{220, info, "request taken over from its replica", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
-	ShadowFailed    = Event{221, warning, "replication of requests to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
-	NodeAborted     = Event{225, warning, "node ended at a second signal", []string{FieldNode}, "Answers in progress were cut; unset Node.SecondSignalAborts if that isn't wanted."}
-	StreamsMoving   = Event{223, info, "responses in progress are moved from an endpoint", []string{FieldEndpoint, FieldCount}, "Nothing."}
-	ExportFailed    = Event{224, warning, "KV cache could not be moved", []string{FieldRequest, FieldEndpoint, FieldError}, "Nothing; the answer is resumed from its text."}
-	OwnershipLost   = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
-	CatalogueInUse  = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
-	CatalogueFailed = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
-	CatalogueStale  = Event{310, warning, "the catalogue is stale; risky actions are suspended", []string{FieldRevision, FieldAge}, "See operators/store-outage.md."}
-	CatalogueFresh  = Event{311, info, "the catalogue is fresh again", []string{FieldRevision}, "Nothing."}
-	PeerFailed      = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
-	NodePaused      = Event{410, warning, "the node was paused", []string{FieldNode, FieldTime}, "Look at the VM's load if it comes often."}
-	NodeCutOff      = Event{411, warning, "the node receives no messages from its peers", []string{FieldNode}, "Look at the node's links; callers that reach it are served."}
-	NodeReconnected = Event{412, info, "the node receives messages from its peers again", []string{FieldNode}, "Nothing."}
-	DepartureKnown  = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
-	LeaseTaken      = Event{601, info, "lease taken", []string{FieldDuty, FieldFencing}, "Nothing."}
-	LeaseLost       = Event{602, warning, "lease lost", []string{FieldDuty, FieldReason}, "Nothing; another node takes over. Check the table service if it recurs."}
-	RolloutChanged  = Event{610, info, "rollout changed its phase", []string{FieldEntry, FieldVersion, FieldOutcome, FieldReason}, "Run report rollouts."}
-	RolloutStopped  = Event{611, warning, "a version is stopped", []string{FieldEntry, FieldVersion, FieldReason}, "Run report rollouts; fix the version."}
-	RolloutLate     = Event{612, warning, "a rollout will be late", []string{FieldEntry, FieldVersion, FieldReason}, "Move the deadline, or see operators/rollouts.md."}
-	RolloutFailed   = Event{613, warning, "a rollout's plan could not be kept", []string{FieldEntry, FieldError}, "Check the table service; shares hold meanwhile."}
-	PortUnprotected = Event{801, warning, "certificates are off", []string{FieldAddress, FieldName}, "Set the certificate files in [Security] unless this is a trial."}
-	PortRefused     = Event{802, warning, "a connection without a valid certificate was refused", []string{FieldAddress, FieldName, FieldError}, "Find the client that connects from Address; see operators/certificates.md."}
-	IdentityLoaded  = Event{803, info, "certificates were loaded", []string{FieldName}, "Nothing."}
-	IdentityFailed  = Event{804, failure, "certificates could not be loaded", []string{FieldError}, "Fix the files; those that were loaded before stay in use."}
-	PlatformFailed  = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
-	VMStarted       = Event{701, info, "VM started", []string{FieldVM, FieldEntry, FieldVersion, FieldReason}, "Nothing."}
-	VMDrained       = Event{702, info, "VM is drained to be stopped", []string{FieldVM, FieldReason}, "Nothing; it is stopped once it is idle."}
-	StartFailed     = Event{703, warning, "start of a VM failed", []string{FieldAvailabilityZone, FieldOutcome, FieldError}, "Nothing at once; other zones are used. See operators/reclaim.md if it lasts."}
+	NodeStarted       = Event{101, info, "node started", []string{FieldNode, FieldAddress}, "Nothing."}
+	NodeLeaving       = Event{102, info, "node is leaving", []string{FieldNode, FieldReason}, "Nothing; clients reconnect to other nodes."}
+	NodeDrained       = Event{103, info, "node drained", []string{FieldNode, FieldCount}, "Nothing; Count requests were handed over."}
+	NodeStopped       = Event{104, info, "node stopped", []string{FieldNode}, "Nothing."}
+	AcceptFailed      = Event{109, warning, "a connection could not be accepted", []string{FieldAddress, FieldError}, "Look at the number of open descriptors; the listener goes on."}
+	PortDrained       = Event{111, info, "a port of a stopping node was drained", []string{FieldName, FieldOpen, FieldIdle, FieldIsQueued, FieldUnread, FieldAccepted, FieldAnswered, FieldAborted, FieldTook}, "Look at the requests in progress if Aborted isn't 0. Open connections at the start, Idle of them without a request, Unread of those with bytes that the node hadn't read; IsQueued says whether connections waited to be accepted. Accepted connections and Answered requests came after it."}
+	ServerFailed      = Event{105, failure, "a listener failed", []string{FieldAddress, FieldError}, "Check the address in the settings; the node stops."}
+	SpanEnded         = Event{151, info, "span ended", []string{FieldName, FieldTrace, FieldSpan, FieldParent, FieldTime, FieldTook, FieldDetails, FieldError}, "Nothing; follow Trace to see a request's hops over all nodes."}
+	RequestEnded      = Event{201, zerolog.DebugLevel, "request ended", []string{FieldRequest, FieldEntry, FieldOutcome}, "Nothing."}
+	RequestRefused    = Event{202, zerolog.DebugLevel, "request refused as not run", []string{FieldEntry, FieldReason}, "Look at limits and load if there are many."}
+	RequestUnknown    = Event{203, warning, "request ended with unknown outcome", []string{FieldRequest, FieldEntry, FieldError}, "Run report explain with the request."}
+	RequestTaken      = Event{204, info, "requests taken over from a peer", []string{FieldCount}, "Nothing."}
+	HandOverFailed    = Event{205, warning, "hand-over to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is tried."}
+	LedgerSwept       = Event{206, zerolog.DebugLevel, "expired once-only records deleted", []string{FieldCount}, "Nothing."}
+	SuspectTried      = Event{207, warning, "a request suspected of crashing endpoints is tried in isolation", []string{FieldRequest, FieldEntry}, "Run report explain with the request."}
+	SuspectRefused    = Event{208, warning, "a request suspected of crashing endpoints is refused", []string{FieldRequest, FieldEntry}, "Find its caller; look at the endpoints' logs."}
+	EndpointDied      = Event{209, warning, "an endpoint died with requests in progress", []string{FieldEndpoint, FieldReason, FieldCount, FieldParts}, "Nothing if it is rare. Parts are the fingerprints of the shared prompt parts in progress there, Count their number; a part that stands in the lines of all endpoints and in no answer crashes them."}
+	PartRefused       = Event{210, warning, "requests with a part of a prompt are refused", []string{FieldRequest, FieldParts, FieldCount, FieldAge}, "Find its caller; look at the endpoints' logs. Count endpoints died with the part in progress and no answer on it came since; Age is the time until a request with it is tried."}
+	PartTried         = Event{211, warning, "a request is tried although requests with one of its parts are refused", []string{FieldRequest, FieldParts, FieldCount}, "Nothing; if it is answered the part is allowed again."}
+	SuspicionsNotKept = Event{212, warning, "the requests and parts of prompts that crash endpoints could not be stored or read", []string{FieldName, FieldError}, "Nothing at once; nodes get them from each other. They are lost if all nodes start anew meanwhile."}
+	ShadowAdopted     = Event{220, info, "request taken over from its replica", []string{FieldRequest, FieldPeer, FieldCount}, "Nothing; the peer is gone and Count tokens were kept."}
+	ShadowFailed      = Event{221, warning, "replication of requests to a peer failed", []string{FieldPeer, FieldError}, "Nothing at once; another peer is used."}
+	NodeAborted       = Event{225, warning, "node ended at a second signal", []string{FieldNode}, "Answers in progress were cut; unset Node.SecondSignalAborts if that isn't wanted."}
+	StreamsMoving     = Event{223, info, "responses in progress are moved from an endpoint", []string{FieldEndpoint, FieldCount}, "Nothing."}
+	ExportFailed      = Event{224, warning, "KV cache could not be moved", []string{FieldRequest, FieldEndpoint, FieldError}, "Nothing; the answer is resumed from its text."}
+	OwnershipLost     = Event{222, info, "another node owns the request", []string{FieldRequest, FieldPeer}, "Nothing; the work here was stopped."}
+	CatalogueInUse    = Event{301, info, "catalogue revision in force", []string{FieldRevision, FieldOperator}, "Nothing."}
+	CatalogueFailed   = Event{302, warning, "catalogue could not be read", []string{FieldError}, "Check the table service; the last revision stays in force."}
+	CatalogueStale    = Event{310, warning, "the catalogue is stale; risky actions are suspended", []string{FieldRevision, FieldAge}, "See operators/store-outage.md."}
+	CatalogueFresh    = Event{311, info, "the catalogue is fresh again", []string{FieldRevision}, "Nothing."}
+	PeerFailed        = Event{401, zerolog.DebugLevel, "exchange with a peer failed", []string{FieldPeer, FieldError}, "Look at the peer if it lasts."}
+	NodePaused        = Event{410, warning, "the node was paused", []string{FieldNode, FieldTime}, "Look at the VM's load if it comes often."}
+	NodeCutOff        = Event{411, warning, "the node receives no messages from its peers", []string{FieldNode}, "Look at the node's links; callers that reach it are served."}
+	NodeReconnected   = Event{412, info, "the node receives messages from its peers again", []string{FieldNode}, "Nothing."}
+	DepartureKnown    = Event{402, info, "a VM will leave", []string{FieldVM, FieldTime}, "Nothing; it gets no new work."}
+	LeaseTaken        = Event{601, info, "lease taken", []string{FieldDuty, FieldFencing}, "Nothing."}
+	LeaseLost         = Event{602, warning, "lease lost", []string{FieldDuty, FieldReason}, "Nothing; another node takes over. Check the table service if it recurs."}
+	RolloutChanged    = Event{610, info, "rollout changed its phase", []string{FieldEntry, FieldVersion, FieldOutcome, FieldReason}, "Run report rollouts."}
+	RolloutStopped    = Event{611, warning, "a version is stopped", []string{FieldEntry, FieldVersion, FieldReason}, "Run report rollouts; fix the version."}
+	RolloutLate       = Event{612, warning, "a rollout will be late", []string{FieldEntry, FieldVersion, FieldReason}, "Move the deadline, or see operators/rollouts.md."}
+	RolloutFailed     = Event{613, warning, "a rollout's plan could not be kept", []string{FieldEntry, FieldError}, "Check the table service; shares hold meanwhile."}
+	PortUnprotected   = Event{801, warning, "certificates are off", []string{FieldAddress, FieldName}, "Set the certificate files in [Security] unless this is a trial."}
+	PortRefused       = Event{802, warning, "a connection without a valid certificate was refused", []string{FieldAddress, FieldName, FieldError}, "Find the client that connects from Address; see operators/certificates.md."}
+	IdentityLoaded    = Event{803, info, "certificates were loaded", []string{FieldName}, "Nothing."}
+	IdentityFailed    = Event{804, failure, "certificates could not be loaded", []string{FieldError}, "Fix the files; those that were loaded before stay in use."}
+	PlatformFailed    = Event{501, warning, "the platform could not be reached", []string{FieldError}, "See operators/store-outage.md."}
+	VMStarted         = Event{701, info, "VM started", []string{FieldVM, FieldEntry, FieldVersion, FieldReason}, "Nothing."}
+	VMDrained         = Event{702, info, "VM is drained to be stopped", []string{FieldVM, FieldReason}, "Nothing; it is stopped once it is idle."}
+	StartFailed       = Event{703, warning, "start of a VM failed", []string{FieldAvailabilityZone, FieldOutcome, FieldError}, "Nothing at once; other zones are used. See operators/reclaim.md if it lasts."}
 )
 
 // The events of endpoint health and of engine orders.
@@ -174,7 +174,7 @@
 	return []Event{
 		NodeStarted, NodeLeaving, NodeDrained, NodeStopped, PortDrained, ServerFailed, AcceptFailed, SpanEnded, RequestEnded,
 		RequestRefused, RequestUnknown, RequestTaken, HandOverFailed, LedgerSwept, SuspectTried, SuspectRefused,
-		EndpointDied, PartRefused, PartTried, PartsNotKept, ShadowAdopted, ShadowFailed, NodeAborted, StreamsMoving,
+		EndpointDied, PartRefused, PartTried, SuspicionsNotKept, ShadowAdopted, ShadowFailed, NodeAborted, StreamsMoving,
 		ExportFailed, OwnershipLost, CatalogueInUse, CatalogueFailed, CatalogueStale, CatalogueFresh, PeerFailed,
 		NodePaused, NodeCutOff, NodeReconnected, DepartureKnown, LeaseTaken, LeaseLost, RolloutChanged, RolloutStopped,
 		RolloutLate, RolloutFailed, PortUnprotected, PortRefused, IdentityLoaded, IdentityFailed, PlatformFailed,
