--- a/internal/entry/poisonfilter.go
+++ b/internal/entry/poisonfilter.go
@@ -60,7 +60,7 @@
 
 // CheckRequest implements qf.PoisonFilter.
 func (f *poisonFilter) CheckRequest(now time.Time, content *qf.RequestContent) error {
-	verdict, print, err := f.checkContent(now, content)
+	verdict, hash, err := f.checkContent(now, content)
 	if err != nil {
 		return err
 	}
@@ -68,7 +68,7 @@
 	case qfsuspect.TreatNormally, qfsuspect.TreatIsolated:
 		return nil
 	case qfsuspect.TreatTrial:
-		if f.claimTrial(print) {
+		if f.claimTrial(hash) {
 			qfevent.SuspectTried.Log(&f.entry.platform.Logger, content.ID, content.Target)
 			return nil
 		}
@@ -81,7 +81,7 @@
 }
 
 // checkContent judges a request by its parts and as a whole, and returns its fingerprint.
-func (f *poisonFilter) checkContent(now time.Time, content *qf.RequestContent) (verdict qfsuspect.Verdict, print uint64, err error) {
+func (f *poisonFilter) checkContent(now time.Time, content *qf.RequestContent) (verdict qfsuspect.Verdict, hash uint64, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	verdict.Treatment = qfsuspect.TreatNormally
@@ -89,10 +89,10 @@
 		return verdict, 0, err
 	}
 	if f.suspects.HasSuspects() {
-		print = fingerprint(content)
-		verdict = f.suspects.CheckRequest(now, print)
+		hash = fingerprint(content)
+		verdict = f.suspects.CheckRequest(now, hash)
 	}
-	return verdict, print, nil
+	return verdict, hash, nil
 }
 
 // RecordAttemptEnd implements qf.PoisonFilter.
--- a/internal/entry/trialclaim.go
+++ b/internal/entry/trialclaim.go
@@ -15,16 +15,16 @@
 
 // claimTrial reports whether a refused request whose trial is due may run. One node decides for all, so that a request that comes
 // to several nodes at the same time reaches one endpoint. Without that node there is no trial.
-func (f *poisonFilter) claimTrial(print uint64) bool {
+func (f *poisonFilter) claimTrial(hash uint64) bool {
 	e := f.entry
-	decider, isSelf := e.chooseTrialNode(print)
+	decider, isSelf := e.chooseTrialNode(hash)
 	now := e.now()
 	if isSelf {
-		return f.grantTrial(now, print)
+		return f.grantTrial(now, hash)
 	}
 	ctx, cancel := context.WithTimeout(e.loops, trialClaimTimeout)
 	defer cancel()
-	claim := qf.Digest{From: e.self(), SentAt: e.fleetClock.localTime(now), Store: e.storeEra.get(), TrialClaim: print, Suspicions: f.describe(now, print)}
+	claim := qf.Digest{From: e.self(), SentAt: e.fleetClock.localTime(now), Store: e.storeEra.get(), TrialClaim: hash, Suspicions: f.describe(now, hash)}
 	answer, err := e.platform.Peer.ExchangeDigests(ctx, decider.PeerAddress, claim)
 	if err != nil {
 		qfevent.PeerFailed.Log(&e.platform.Logger, decider.PeerAddress, err)
@@ -46,23 +46,23 @@
 }
 
 // grantTrial begins a trial if it is due.
-func (f *poisonFilter) grantTrial(now time.Time, print uint64) bool {
+func (f *poisonFilter) grantTrial(now time.Time, hash uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.suspects.ClaimTrial(now, print)
+	return f.suspects.ClaimTrial(now, hash)
 }
 
-func (f *poisonFilter) describe(now time.Time, print uint64) []qf.Suspicion {
+func (f *poisonFilter) describe(now time.Time, hash uint64) []qf.Suspicion {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.suspects.Describe(now, print)
+	return f.suspects.Describe(now, hash)
 }
 
 // chooseTrialNode returns the node that decides on the trial of a request, and whether it is this one. Nodes with the same view of
 // the fleet choose the same.
-func (e *Entry) chooseTrialNode(print uint64) (node qf.Node, isSelf bool) {
+func (e *Entry) chooseTrialNode(hash uint64) (node qf.Node, isSelf bool) {
 	live, _ := e.liveNodes()
-	chosen := qfsuspect.ChooseTrialNode(live, strconv.FormatUint(print, 16))
+	chosen := qfsuspect.ChooseTrialNode(live, strconv.FormatUint(hash, 16))
 	self := e.deployment.Self.ID
 	if chosen == self || chosen == "" {
 		return qf.Node{}, true
