--- a/internal/entry/lastnode_test.go
+++ b/internal/entry/lastnode_test.go
@@ -83,6 +83,7 @@
 	for _, nodes := range []int{3, 15, 16, 17, 18, 24} {
 		for _, restartAt := range []time.Duration{0, 3 * time.Second, 12 * time.Second} {
 			t.Run(fmt.Sprintf("%d nodes, started again after %s", nodes, restartAt), func(t *testing.T) {
+				t.Parallel()
 				runPreparedFleet(t, nodes, (*testFleet).seedFirstNodes, func(w *testFleet) {
 					w.sleep(settle) // All have found each other.
 					w.loseAllBut(nodes)
@@ -106,6 +107,7 @@
 	for _, nodes := range []int{2, 15, 16, 17, 18, 24} {
 		for _, outage := range []time.Duration{5 * time.Second, 20 * time.Second, 40 * time.Second} {
 			t.Run(fmt.Sprintf("%d nodes, %s", nodes, outage), func(t *testing.T) {
+				t.Parallel()
 				runPreparedFleet(t, nodes, (*testFleet).seedFirstNodes, func(w *testFleet) {
 					w.sleep(settle)
 					w.loseAllBut(nodes)
